Lay out the workspace, the design page, core types and HTTP plumbing

Cause: the project needs its shape before its parts. Change: docs/design.md; crates types (ids, units, deadlines, salted block chains, shards, sorted map, result codes) and http (pooled client that reports whether bytes were sent, accept loop with a two-phase stop). The other crates are empty.

--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,289 @@
+//! A client with a pool of connections to one peer address.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use async_std::net::TcpStream;
+use futures::FutureExt;
+use http_types::headers::CONNECTION;
+use http_types::{Method, Request, Response, Url};
+use snafu::Snafu;
+use yuccapass_types::{Clock, Deadline};
+
+use crate::tracked_stream::TrackedStream;
+use crate::wait::with_deadline;
+
+/// Settings of an [`HttpClient`].
+#[derive(Debug, Clone)]
+pub struct ClientConfig {
+    max_idle_connections: usize,
+    idle_timeout_ms: u64,
+    connect_timeout_ms: u64,
+}
+
+impl Default for ClientConfig {
+    fn default() -> Self {
+        Self { max_idle_connections: 64, idle_timeout_ms: 30_000, connect_timeout_ms: 1_000 }
+    }
+}
+
+impl ClientConfig {
+    /// Sets how many unused connections are kept; 64 by default.
+    pub fn max_idle_connections(mut self, count: usize) -> Self {
+        self.max_idle_connections = count;
+        self
+    }
+
+    /// Sets how long an unused connection is kept; 30 s by default.
+    pub fn idle_timeout_ms(mut self, ms: u64) -> Self {
+        self.idle_timeout_ms = ms;
+        self
+    }
+
+    /// Sets how long connecting may take; 1 s by default.
+    pub fn connect_timeout_ms(mut self, ms: u64) -> Self {
+        self.connect_timeout_ms = ms;
+        self
+    }
+}
+
+/// Which connection a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// An unused connection from the pool if there is one.
+    Reuse,
+    /// A new connection: for a request that must not be lost on a connection that the peer is just
+    /// closing, and for probing whether a peer still answers.
+    New,
+}
+
+/// Says what failed in an exchange.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum HttpErrorKind {
+    /// No connection could be opened.
+    Connect,
+    /// The deadline passed.
+    Timeout,
+    /// The connection broke or the peer did not speak HTTP.
+    Connection,
+}
+
+/// Reports that an exchange failed.
+#[derive(Debug, Clone, Snafu)]
+#[snafu(display(
+    "{kind:?} failure with {address} after {written_bytes} bytes were sent: {detail}"
+))]
+pub struct HttpError {
+    kind: HttpErrorKind,
+    address: SocketAddr,
+    written_bytes: u64,
+    detail: String,
+}
+
+impl HttpError {
+    /// Returns what failed.
+    pub fn kind(&self) -> HttpErrorKind {
+        self.kind
+    }
+
+    /// Returns whether any byte of the request was written, so that the peer may have acted on it.
+    pub fn was_sent(&self) -> bool {
+        self.written_bytes > 0
+    }
+}
+
+struct IdleConnection {
+    stream: TrackedStream,
+    expiry: Deadline,
+}
+
+/// A client of one peer address.
+///
+/// Each exchange has a connection to itself; connections are kept and used again.
+pub struct HttpClient {
+    address: SocketAddr,
+    base_url: Url,
+    config: ClientConfig,
+    clock: Arc<dyn Clock>,
+    idle: Mutex<Vec<IdleConnection>>,
+}
+
+impl HttpClient {
+    /// Makes a client without opening a connection.
+    pub fn new(address: SocketAddr, config: ClientConfig, clock: Arc<dyn Clock>) -> Arc<Self> {
+        let base_url = Url::parse(&format!("http://{address}/"))
+            .expect("a socket address is a valid authority of a URL");
+        Arc::new(Self { address, base_url, config, clock, idle: Mutex::default() })
+    }
+
+    /// Returns the peer's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the clock that deadlines refer to.
+    pub fn clock(&self) -> &Arc<dyn Clock> {
+        &self.clock
+    }
+
+    /// Makes a request for `path_and_query`, which starts with a slash, at this peer.
+    pub fn request(&self, method: Method, path_and_query: &str) -> Request {
+        let mut url = self.base_url.clone();
+        let (path, query) = match path_and_query.split_once('?') {
+            Some((path, query)) => (path, Some(query)),
+            None => (path_and_query, None),
+        };
+        url.set_path(path);
+        url.set_query(query);
+        Request::new(method, url)
+    }
+
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be opened, the connection breaks, or the deadline passes. A
+    /// response with any status is a success.
+    pub async fn send(
+        self: &Arc<Self>,
+        request: Request,
+        choice: ConnectionChoice,
+        deadline: Deadline,
+    ) -> Result<Exchange, HttpError> {
+        let stream = match self.take_idle(choice) {
+            Some(stream) => stream,
+            None => self.connect(deadline).await?,
+        };
+        stream.reset_count();
+        let sending = async_h1::connect(stream.clone(), request);
+        match with_deadline(&*self.clock, deadline, sending).await {
+            Ok(Ok(response)) => Ok(Exchange::new(self, stream, response)),
+            Ok(Err(error)) => {
+                Err(self.error(HttpErrorKind::Connection, stream.written_bytes(), error))
+            }
+            Err(expired) => {
+                Err(self.error(HttpErrorKind::Timeout, stream.written_bytes(), expired))
+            }
+        }
+    }
+
+    async fn connect(&self, deadline: Deadline) -> Result<TrackedStream, HttpError> {
+        let limit = Deadline::after_ms(self.clock.now(), self.config.connect_timeout_ms);
+        let connecting = TcpStream::connect(self.address);
+        let stream = with_deadline(&*self.clock, limit.earlier(deadline), connecting)
+            .await
+            .map_err(|expired| self.error(HttpErrorKind::Connect, 0, expired))?
+            .map_err(|error| self.error(HttpErrorKind::Connect, 0, error))?;
+        // Without this, small writes wait for the peer's delayed acknowledgement.
+        let _ = stream.set_nodelay(true);
+        Ok(TrackedStream::new(stream))
+    }
+
+    fn take_idle(&self, choice: ConnectionChoice) -> Option<TrackedStream> {
+        if choice == ConnectionChoice::New {
+            return None;
+        }
+        let now = self.clock.now();
+        loop {
+            let connection = self.lock_idle().pop()?;
+            if !connection.expiry.has_passed(now) && is_quiet(connection.stream.tcp()) {
+                return Some(connection.stream);
+            }
+        }
+    }
+
+    fn put_idle(&self, stream: TrackedStream) {
+        let expiry = Deadline::after_ms(self.clock.now(), self.config.idle_timeout_ms);
+        let mut idle = self.lock_idle();
+        if idle.len() < self.config.max_idle_connections {
+            idle.push(IdleConnection { stream, expiry });
+        }
+    }
+
+    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<IdleConnection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn error(
+        &self,
+        kind: HttpErrorKind,
+        written_bytes: u64,
+        detail: impl std::fmt::Display,
+    ) -> HttpError {
+        HttpError { kind, address: self.address, written_bytes, detail: detail.to_string() }
+    }
+}
+
+/// Returns whether the peer has neither closed the connection nor sent anything unexpected.
+fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    stream.peek(&mut byte).now_or_never().is_none()
+}
+
+/// A response and the connection that its body is read from.
+///
+/// Dropping it closes the connection, unless [`Exchange::finish`] was called.
+pub struct Exchange {
+    client: Arc<HttpClient>,
+    stream: TrackedStream,
+    response: Response,
+}
+
+impl Exchange {
+    fn new(client: &Arc<HttpClient>, stream: TrackedStream, response: Response) -> Self {
+        Self { client: Arc::clone(client), stream, response }
+    }
+
+    /// Returns the response.
+    pub fn response(&self) -> &Response {
+        &self.response
+    }
+
+    /// Returns the response for reading its body.
+    pub fn response_mut(&mut self) -> &mut Response {
+        &mut self.response
+    }
+
+    /// Keeps the connection for another exchange; the body must have been read to its end.
+    pub fn finish(self) {
+        let closes = self
+            .response
+            .header(CONNECTION)
+            .is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"));
+        if !closes {
+            self.client.put_idle(self.stream.clone());
+        }
+    }
+
+    /// Reads the whole body and keeps the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks, the deadline passes, or the body has more than `max_bytes`.
+    pub async fn read_body(
+        mut self,
+        max_bytes: usize,
+        deadline: Deadline,
+    ) -> Result<(Response, Vec<u8>), HttpError> {
+        use futures::AsyncReadExt;
+
+        let client = Arc::clone(&self.client);
+        let written_bytes = self.stream.written_bytes();
+        let fail = |kind, detail: String| client.error(kind, written_bytes, detail);
+        let mut bytes = Vec::new();
+        let mut body = self.response.take_body();
+        let mut limited = (&mut body).take(max_bytes as u64 + 1);
+        with_deadline(&*client.clock, deadline, limited.read_to_end(&mut bytes))
+            .await
+            .map_err(|expired| fail(HttpErrorKind::Timeout, expired.to_string()))?
+            .map_err(|error| fail(HttpErrorKind::Connection, error.to_string()))?;
+        if bytes.len() > max_bytes {
+            let detail = format!("the response body has more than {max_bytes} bytes");
+            return Err(fail(HttpErrorKind::Connection, detail));
+        }
+        let response = self.response.clone();
+        self.finish();
+        Ok((response, bytes))
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,218 @@
+//! An accept loop for a tide application, with a graceful stop.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_h1::server::{ConnectionStatus, Server as ConnectionServer};
+use async_std::channel::{Sender, bounded};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::future::{Either, select};
+use futures::{AsyncWriteExt, pin_mut};
+use http_types::headers::CONNECTION;
+use http_types::{Request, Response};
+
+use crate::stop::StopSignal;
+
+/// Pause after a failed accept, which is usually caused by too many open files.
+const ACCEPT_RETRY_MS: u64 = 50;
+
+/// Why a connection is turned away without reaching the application.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RejectReason {
+    /// The limit of open connections is reached.
+    TooManyConnections,
+    /// The head of a request is too large, incomplete or not HTTP.
+    InvalidHead,
+}
+
+/// Makes the status and JSON body that a rejected connection gets.
+pub type RejectionBody = fn(RejectReason) -> (u16, String);
+
+/// Settings of [`serve`].
+#[derive(Debug, Clone)]
+pub struct ServerConfig {
+    max_connections: usize,
+    idle_timeout_ms: u64,
+    rejection_body: RejectionBody,
+}
+
+impl ServerConfig {
+    /// Makes settings with the body for rejected connections.
+    pub fn new(rejection_body: RejectionBody) -> Self {
+        Self { max_connections: 10_000, idle_timeout_ms: 75_000, rejection_body }
+    }
+
+    /// Sets how many connections may be open; 10,000 by default.
+    pub fn max_connections(mut self, count: usize) -> Self {
+        self.max_connections = count;
+        self
+    }
+
+    /// Sets how long a connection may stay open between requests; 75 s by default.
+    pub fn idle_timeout_ms(mut self, ms: u64) -> Self {
+        self.idle_timeout_ms = ms;
+        self
+    }
+}
+
+/// The connection of a request; the application finds it in the request's extensions.
+#[derive(Debug, Clone)]
+pub struct ConnectionHandle {
+    stream: TcpStream,
+}
+
+impl ConnectionHandle {
+    /// Waits until the peer closes the connection.
+    pub async fn closed_by_peer(&self) {
+        let mut byte = [0];
+        match self.stream.peek(&mut byte).await {
+            Ok(0) | Err(_) => {}
+            // The peer has sent the beginning of its next request, so it is still there, and
+            // waiting for more would return at once forever.
+            Ok(_) => futures::future::pending().await,
+        }
+    }
+}
+
+/// Accepts connections and serves requests until the stop signal is closed, then finishes what
+/// runs.
+///
+/// Returns when the last connection is done. While the signal is draining, each response asks its
+/// client to close the connection.
+pub async fn serve<S>(
+    listener: TcpListener,
+    app: tide::Server<S>,
+    config: ServerConfig,
+    stop: StopSignal,
+) where
+    S: Clone + Send + Sync + 'static,
+{
+    // Each connection holds a sender; the receiver ends when the last one is done.
+    let (done_sender, done_receiver) = bounded::<()>(1);
+    let open_count = Arc::new(AtomicUsize::new(0));
+    loop {
+        let accepting = listener.accept();
+        let closing = stop.closed();
+        pin_mut!(accepting, closing);
+        let stream = match select(closing, accepting).await {
+            Either::Left(_) => break,
+            Either::Right((Ok((stream, _)), _)) => stream,
+            Either::Right((Err(error), _)) => {
+                log::warn!("accepting a connection failed: {error}");
+                task::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+                continue;
+            }
+        };
+        let guard = OpenGuard::new(&open_count, done_sender.clone());
+        if guard.open_count > config.max_connections {
+            task::spawn(reject(stream, config.rejection_body, RejectReason::TooManyConnections));
+            continue;
+        }
+        let connection = serve_connection(stream, app.clone(), config.clone(), stop.clone(), guard);
+        task::spawn(connection);
+    }
+    drop(listener);
+    drop(done_sender);
+    // Nothing is ever sent, so this ends with an error when the last connection is done.
+    let _ = done_receiver.recv().await;
+}
+
+/// Counts an open connection until it is dropped.
+struct OpenGuard {
+    counter: Arc<AtomicUsize>,
+    open_count: usize,
+    _done: Sender<()>,
+}
+
+impl OpenGuard {
+    fn new(counter: &Arc<AtomicUsize>, done: Sender<()>) -> Self {
+        let open_count = counter.fetch_add(1, Ordering::AcqRel) + 1;
+        Self { counter: Arc::clone(counter), open_count, _done: done }
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.counter.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+async fn serve_connection<S>(
+    stream: TcpStream,
+    app: tide::Server<S>,
+    config: ServerConfig,
+    stop: StopSignal,
+    _guard: OpenGuard,
+) where
+    S: Clone + Send + Sync + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let handle = ConnectionHandle { stream: stream.clone() };
+    let respond = |request| respond(&app, &handle, &stop, request);
+    let mut server = ConnectionServer::new(stream.clone(), respond);
+    while request_arrives(&stream, &config, &stop).await {
+        match server.accept_one().await {
+            Ok(ConnectionStatus::KeepAlive) => {}
+            Ok(ConnectionStatus::Close) => break,
+            Err(error) => {
+                log::debug!("a connection ended: {error}");
+                reject(stream, config.rejection_body, RejectReason::InvalidHead).await;
+                break;
+            }
+        }
+    }
+}
+
+/// Waits for the first byte of a request; returns false if the connection is to be closed.
+///
+/// Only a connection on which no byte of a request has arrived counts as idle, so a stop never cuts
+/// a request that is being received.
+async fn request_arrives(stream: &TcpStream, config: &ServerConfig, stop: &StopSignal) -> bool {
+    let mut byte = [0];
+    let arriving = stream.peek(&mut byte);
+    let closing = stop.closed();
+    pin_mut!(arriving, closing);
+    let idle_timeout = Duration::from_millis(config.idle_timeout_ms);
+    match async_std::future::timeout(idle_timeout, select(arriving, closing)).await {
+        Ok(Either::Left((Ok(count), _))) => count > 0,
+        _ => false,
+    }
+}
+
+async fn respond<S>(
+    app: &tide::Server<S>,
+    handle: &ConnectionHandle,
+    stop: &StopSignal,
+    mut request: Request,
+) -> http_types::Result<Response>
+where
+    S: Clone + Send + Sync + 'static,
+{
+    request.ext_mut().insert(handle.clone());
+    let mut response: Response = app.respond(request).await?;
+    if stop.is_draining() {
+        response.insert_header(CONNECTION, "close");
+    }
+    Ok(response)
+}
+
+fn reject(
+    mut stream: TcpStream,
+    rejection_body: RejectionBody,
+    reason: RejectReason,
+) -> impl Future<Output = ()> + Send {
+    let (status, body) = rejection_body(reason);
+    let message = format!(
+        "HTTP/1.1 {status} Rejected\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+         connection: close\r\n\r\n{body}",
+        body.len()
+    );
+    async move {
+        // The peer may be gone already; there is nobody else to tell.
+        let _ = stream.write_all(message.as_bytes()).await;
+        let _ = stream.close().await;
+    }
+}
--- /dev/null
+++ b/crates/http/src/tracked_stream.rs
@@ -0,0 +1,68 @@
+//! A TCP stream that counts the bytes written to it.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use async_std::net::TcpStream;
+use futures::io::{AsyncRead, AsyncWrite};
+
+/// A TCP stream whose clones share a count of the bytes written.
+#[derive(Debug, Clone)]
+pub(crate) struct TrackedStream {
+    stream: TcpStream,
+    written_bytes: Arc<AtomicU64>,
+}
+
+impl TrackedStream {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self { stream, written_bytes: Arc::new(AtomicU64::new(0)) }
+    }
+
+    pub(crate) fn tcp(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    pub(crate) fn written_bytes(&self) -> u64 {
+        self.written_bytes.load(Ordering::Acquire)
+    }
+
+    /// Starts a new count, for the next request on the connection.
+    pub(crate) fn reset_count(&self) {
+        self.written_bytes.store(0, Ordering::Release);
+    }
+}
+
+impl AsyncRead for TrackedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for TrackedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buffer);
+        if let Poll::Ready(Ok(count)) = result {
+            self.written_bytes.fetch_add(count as u64, Ordering::AcqRel);
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,33 @@
+//! Identifiers, units, time, hashes, collections and result codes that all yuccapass crates share.
+//!
+//! This crate has no input or output and reads no clock, apart from [`MonotonicClock`], which the
+//! programs pass down as a [`Clock`] trait object.
+//!
+//! * [`ids`]: checked newtypes for names and numbers that identify something.
+//! * [`units`]: newtypes for sizes, token counts and rates.
+//! * [`time`]: instants and deadlines on a process-local monotonic clock.
+//! * [`block`]: salted hash chains over prompt prefixes.
+//! * [`sharded`] and [`sorted_map`]: the collections that state is kept in.
+//! * [`result_code`]: the numbered codes that callers and operators see.
+
+pub mod block;
+pub mod ids;
+pub mod result_code;
+pub mod sharded;
+pub mod sorted_map;
+pub mod time;
+pub mod units;
+
+pub use block::{BLOCK_PROMPT_BYTES, BlockHash, CacheSalt, ParseBlockHashError, block_chain};
+pub use ids::{
+    AdapterId, ClassId, EndpointId, FencingNumber, IdempotencyKey, Incarnation, KeyHash, ModelId,
+    NodeId, OrganisationId, ParseIdError, ParseIdErrorKind, RegionId, RequestId, Revision,
+    ServiceId, StoreId, WeightVersion, ZoneId,
+};
+pub use result_code::{ResultCode, RunState};
+pub use sharded::Sharded;
+pub use sorted_map::SortedMap;
+pub use time::{Clock, Deadline, Instant, MonotonicClock};
+pub use units::{
+    Bytes, BytesPerSecond, ParseUnitError, RequestsPerSecond, Tokens, TokensPerSecond,
+};
--- /dev/null
+++ b/crates/types/tests/types.rs
@@ -0,0 +1,146 @@
+//! Tests of ids, units, hash chains and collections.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use yuccapass_types::{
+    BLOCK_PROMPT_BYTES, Bytes, CacheSalt, Deadline, Instant, ModelId, OrganisationId,
+    ParseIdErrorKind, ResultCode, SortedMap, WeightVersion, block_chain,
+};
+
+fn salt(organisation: &str, model: &str, version: &str) -> CacheSalt {
+    let organisation: OrganisationId = organisation.parse().unwrap();
+    let model: ModelId = model.parse().unwrap();
+    let version: WeightVersion = version.parse().unwrap();
+    CacheSalt::derive(&organisation, &model, &version, None)
+}
+
+/// Guards against ids that would break log lines, metric labels or salts.
+#[test]
+fn ids_reject_empty_long_and_control_text() {
+    // Arrange
+    let cases = [
+        (String::new(), ParseIdErrorKind::Empty),
+        ("a".repeat(65), ParseIdErrorKind::TooLong(64)),
+        ("a\0b".to_owned(), ParseIdErrorKind::Character('\0')),
+    ];
+    for (text, expected) in cases {
+        // Act
+        let error = text.parse::<OrganisationId>().unwrap_err();
+
+        // Assert
+        assert_eq!(error.kind(), expected);
+    }
+}
+
+/// Guards against one organisation, model or version matching the blocks of another.
+#[test]
+fn chains_of_different_salts_share_no_block() {
+    // Arrange
+    let prompt = vec![b'x'; 4 * BLOCK_PROMPT_BYTES];
+    let base = block_chain(salt("org-a", "m", "v1"), &prompt);
+    let others = [salt("org-b", "m", "v1"), salt("org-a", "n", "v1"), salt("org-a", "m", "v2")];
+    for other in others {
+        // Act
+        let chain = block_chain(other, &prompt);
+
+        // Assert
+        assert!(chain.iter().all(|hash| !base.contains(hash)));
+    }
+}
+
+/// Guards against a salt in which the end of one field reads as the start of the next.
+#[test]
+fn salt_fields_do_not_run_together() {
+    // Arrange
+    let first = ("ab", "c", "v");
+    let second = ("a", "bc", "v");
+
+    // Act
+    let salts = (salt(first.0, first.1, first.2), salt(second.0, second.1, second.2));
+
+    // Assert
+    assert_ne!(salts.0, salts.1);
+}
+
+/// Guards against a deadline that counts as open at its own instant.
+#[test]
+fn deadline_passes_at_its_instant() {
+    // Arrange
+    let deadline = Deadline::after_ms(Instant::from_ms(5), 10);
+
+    // Act
+    let states = [14, 15].map(|ms| deadline.has_passed(Instant::from_ms(ms)));
+
+    // Assert
+    assert_eq!(states, [false, true]);
+}
+
+/// Guards against two codes with one number, which callers could not tell apart.
+#[test]
+fn result_codes_are_unique_and_parse_back() {
+    // Arrange
+    let codes = ResultCode::ALL;
+
+    // Act
+    let parsed: Vec<ResultCode> =
+        codes.iter().map(|code| code.to_string().parse().unwrap()).collect();
+
+    // Assert
+    assert_eq!(parsed, codes);
+    assert!(codes.windows(2).all(|pair| pair[0].number() < pair[1].number()));
+}
+
+/// Guards against a unit that cannot read what it writes.
+#[test]
+fn units_parse_what_they_display() {
+    // Arrange
+    let size = Bytes::new(4096);
+
+    // Act
+    let parsed: Bytes = size.to_string().parse().unwrap();
+
+    // Assert
+    assert_eq!(parsed, size);
+    assert!("-1 B".parse::<Bytes>().is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Guards against a lookup that differs from an ordered map's after any series of changes.
+    #[test]
+    fn sorted_map_matches_btree_map(
+        changes in proptest::collection::vec((0_u8..20, proptest::option::of(any::<u16>())), 0..80)
+    ) {
+        // Arrange
+        let mut expected = BTreeMap::new();
+        let mut map = SortedMap::new();
+
+        // Act
+        for (key, value) in changes {
+            match value {
+                Some(value) => prop_assert_eq!(map.insert(key, value), expected.insert(key, value)),
+                None => prop_assert_eq!(map.remove(&key), expected.remove(&key)),
+            }
+        }
+
+        // Assert
+        prop_assert!(map.iter().eq(expected.iter()));
+    }
+
+    /// Guards against a collected map that keeps the first of several values of a key.
+    #[test]
+    fn sorted_map_collects_like_btree_map(
+        entries in proptest::collection::vec((0_u8..10, any::<u16>()), 0..40)
+    ) {
+        // Arrange
+        let expected: BTreeMap<u8, u16> = entries.iter().copied().collect();
+
+        // Act
+        let map: SortedMap<u8, u16> = entries.into_iter().collect();
+
+        // Assert
+        prop_assert!(map.iter().eq(expected.iter()));
+    }
+}
--- /dev/null
+++ b/crates/yuccapass/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
