Serve a streamed chat request from caller to endpoint and back

Cause: everything else builds on one whole path. Change: crates openai, endpoints, callers, the configuration document with its checks, the daemon with settings, JSON-lines logs, health checks and a two-phase graceful stop, and a first stand-in engine. The endpoint interface covers generate, resume, cancel, load reports, cache events, block export and import, and orders. Measured (scripts/test): six end-to-end tests between separate processes pass: whole stream, whole answer in one piece, cancel when the caller leaves, refusals before the endpoint, body limit, graceful stop in mid-stream with exit code 0.

--- /dev/null
+++ b/crates/callers/src/failure.rs
@@ -0,0 +1,102 @@
+//! What a caller is told when a request does not succeed.
+
+use http_types::{Response, StatusCode};
+use serde_json::json;
+use snafu::Snafu;
+use yuccapass_types::{RequestId, ResultCode, RunState};
+
+/// Says why a request did not succeed, and whether it ran.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{code} {}, {run_state}: {detail}", code.kind()))]
+pub struct Failure {
+    /// The numbered code.
+    pub code: ResultCode,
+    /// Whether the request ran.
+    pub run_state: RunState,
+    /// Milliseconds after which sending the request again makes sense.
+    pub retry_after_ms: Option<u64>,
+    /// What in particular was wrong; empty if the code says it all.
+    pub detail: String,
+}
+
+impl Failure {
+    /// Makes a failure of a request that was certainly not run.
+    pub fn not_run(code: ResultCode) -> Self {
+        Self { code, run_state: RunState::NotRun, retry_after_ms: None, detail: String::new() }
+    }
+
+    /// Makes a failure with a run state.
+    pub fn new(code: ResultCode, run_state: RunState) -> Self {
+        Self { run_state, ..Self::not_run(code) }
+    }
+
+    /// Adds what in particular was wrong.
+    pub fn detail(mut self, detail: impl Into<String>) -> Self {
+        self.detail = detail.into();
+        self
+    }
+
+    /// Adds when sending the request again makes sense.
+    pub fn retry_after_ms(mut self, ms: u64) -> Self {
+        self.retry_after_ms = Some(ms);
+        self
+    }
+
+    /// Returns the failure as the JSON that the usual clients parse.
+    pub fn to_json(&self, request_id: Option<&RequestId>) -> String {
+        let message = match self.detail.is_empty() {
+            true => self.code.text().to_owned(),
+            false => format!("{} ({})", self.code.text(), self.detail),
+        };
+        json!({
+            "error": {
+                "message": message,
+                "type": self.code.kind(),
+                "code": self.code.to_string(),
+                "run_state": self.run_state.to_string(),
+                "request_id": request_id.map(RequestId::as_str),
+            }
+        })
+        .to_string()
+    }
+
+    /// Returns the failure as a response.
+    pub fn to_response(&self, request_id: &RequestId) -> Response {
+        let mut response = Response::new(status_of(self.code));
+        response.insert_header("content-type", "application/json");
+        response.insert_header("x-request-id", request_id.as_str());
+        response.insert_header("x-run-state", self.run_state.to_string());
+        if let Some(ms) = self.retry_after_ms {
+            // The header counts whole seconds; rounding down would invite retries that come early.
+            response.insert_header("retry-after", ms.div_ceil(1000).to_string());
+        }
+        response.set_body(self.to_json(Some(request_id)));
+        response
+    }
+}
+
+/// Returns the HTTP status of a code.
+pub fn status_of(code: ResultCode) -> StatusCode {
+    use ResultCode as Code;
+    match code {
+        Code::InvalidRequest | Code::InvalidHeader | Code::InvalidCommand => StatusCode::BadRequest,
+        Code::BodyTooLarge | Code::PromptTooLong => StatusCode::PayloadTooLarge,
+        Code::HeadTooLarge => StatusCode::RequestHeaderFieldsTooLarge,
+        Code::Unauthorised => StatusCode::Unauthorized,
+        Code::NotApproved => StatusCode::Forbidden,
+        Code::ModelNotFound | Code::NotFound | Code::ServiceNotFound => StatusCode::NotFound,
+        Code::MethodNotAllowed => StatusCode::MethodNotAllowed,
+        Code::RequestTimeout => StatusCode::RequestTimeout,
+        Code::QueueFull | Code::LimitReached => StatusCode::TooManyRequests,
+        Code::DeadlinePassed | Code::EndpointTimeout => StatusCode::GatewayTimeout,
+        Code::EndpointFailed | Code::StreamCut | Code::EndpointRejected => StatusCode::BadGateway,
+        Code::OutcomeUnknown
+        | Code::StillRunning
+        | Code::KeyExpired
+        | Code::KeyReused
+        | Code::Conflict => StatusCode::Conflict,
+        Code::RequestBlocked | Code::InvalidConfiguration => StatusCode::UnprocessableEntity,
+        Code::Internal => StatusCode::InternalServerError,
+        _ => StatusCode::ServiceUnavailable,
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/config/document.rs
@@ -0,0 +1,187 @@
+//! The configuration document.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use yuccapass_types::{
+    AdapterId, ClassId, EndpointId, KeyHash, ModelId, NodeId, OrganisationId, RegionId, Revision,
+    ServiceId, StoreId, TokensPerSecond, WeightVersion, ZoneId,
+};
+
+/// Everything that operators decide, at one revision.
+///
+/// Each list is sorted by id, so that look-ups bisect and equal documents have equal bytes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Number of the accepted change that made this document.
+    pub revision: Revision,
+    /// Availability zones.
+    pub zones: Vec<Zone>,
+    /// Request classes.
+    pub classes: Vec<Class>,
+    /// Models.
+    pub models: Vec<Model>,
+    /// Endpoints of all models.
+    pub endpoints: Vec<Endpoint>,
+    /// Plain services.
+    pub services: Vec<Service>,
+    /// Organisations.
+    pub organisations: Vec<Organisation>,
+}
+
+/// Whether a zone gets new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ZoneState {
+    /// The zone gets new work.
+    In,
+    /// Operators have taken the zone out: its endpoints get no new work.
+    Out,
+}
+
+/// An availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Zone {
+    /// The zone.
+    pub id: ZoneId,
+    /// Its region.
+    pub region: RegionId,
+    /// Whether it gets new work.
+    pub state: ZoneState,
+    /// Node slots of the zone that take part in majority votes.
+    pub voters: Vec<Voter>,
+}
+
+/// A node slot that takes part in majority votes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Voter {
+    /// The node slot.
+    pub id: NodeId,
+    /// Its address for messages between nodes.
+    pub address: SocketAddr,
+}
+
+/// A request class.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// The class.
+    pub id: ClassId,
+    /// Scheduling priority; larger runs first.
+    pub priority: i32,
+}
+
+/// A model as callers name it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// The model.
+    pub id: ModelId,
+    /// The weight version for new requests.
+    pub version: WeightVersion,
+    /// The adapter for new requests.
+    pub adapter: Option<AdapterId>,
+    /// The store for exported blocks.
+    pub store: Option<StoreId>,
+    /// Replicas that may swap weights at the same time.
+    pub max_swapping_replicas: u32,
+}
+
+/// A replica of a model engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Endpoint {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// The model that it serves.
+    pub model: ModelId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// Whether operators have taken it out.
+    pub leaving: bool,
+    /// Requests that it bears at the same time in a cold start.
+    pub cold_requests: u32,
+}
+
+/// A plain service beside the model engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// The service.
+    pub id: ServiceId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its addresses, all equal.
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// An organisation and what it may do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    /// The organisation.
+    pub id: OrganisationId,
+    /// Hashes of its bearer keys, sorted.
+    pub key_hashes: Vec<KeyHash>,
+    /// Models that it is approved for, sorted.
+    pub models: Vec<ModelId>,
+    /// Services that it is approved for, sorted.
+    pub services: Vec<ServiceId>,
+    /// Share of contended capacity, in proportion to the shares of others.
+    pub share: u32,
+    /// Limit over all nodes of a zone, prompt and answer together.
+    pub limit_tokens_per_s: TokensPerSecond,
+}
+
+macro_rules! lookups {
+    ($($(#[$doc:meta])* $name:ident, $field:ident, $id:ty, $item:ty;)+) => {
+        impl Document {
+            $($(#[$doc])*
+            pub fn $name(&self, id: &$id) -> Option<&$item> {
+                let position = self.$field.binary_search_by(|item| item.id.cmp(id)).ok()?;
+                Some(&self.$field[position])
+            })+
+        }
+    };
+}
+
+lookups! {
+    /// Finds a zone.
+    zone, zones, ZoneId, Zone;
+    /// Finds a request class.
+    class, classes, ClassId, Class;
+    /// Finds a model.
+    model, models, ModelId, Model;
+    /// Finds an endpoint.
+    endpoint, endpoints, EndpointId, Endpoint;
+    /// Finds a service.
+    service, services, ServiceId, Service;
+    /// Finds an organisation.
+    organisation, organisations, OrganisationId, Organisation;
+}
+
+impl Document {
+    /// Returns the endpoints of a model.
+    pub fn endpoints_of<'a>(&'a self, model: &'a ModelId) -> impl Iterator<Item = &'a Endpoint> {
+        self.endpoints.iter().filter(move |endpoint| endpoint.model == *model)
+    }
+}
+
+impl Organisation {
+    /// Returns whether the organisation may use a model.
+    pub fn may_use_model(&self, model: &ModelId) -> bool {
+        self.models.binary_search(model).is_ok()
+    }
+
+    /// Returns whether the organisation may use a service.
+    pub fn may_use_service(&self, service: &ServiceId) -> bool {
+        self.services.binary_search(service).is_ok()
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/config/validate.rs
@@ -0,0 +1,173 @@
+//! Checks of a whole configuration document.
+
+use std::collections::HashSet;
+
+use smol_str::{SmolStr, format_smolstr};
+use snafu::Snafu;
+
+use super::document::Document;
+
+/// Most endpoints in a document: several times the target of 850.
+const MAX_ENDPOINTS: usize = 10_000;
+
+/// Most organisations in a document: several times the target of 23,000.
+const MAX_ORGANISATIONS: usize = 100_000;
+
+/// Most bearer keys of one organisation.
+const MAX_KEYS: usize = 64;
+
+/// Largest share of an organisation, so that sums of shares cannot overflow.
+const MAX_SHARE: u32 = 1_000_000;
+
+/// Reports the first field of a document that is not valid.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{field} is {value}, but {bound}"))]
+pub struct InvalidDocument {
+    field: SmolStr,
+    value: SmolStr,
+    bound: SmolStr,
+}
+
+impl InvalidDocument {
+    fn new(field: SmolStr, value: impl ToString, bound: impl Into<SmolStr>) -> Self {
+        Self { field, value: value.to_string().into(), bound: bound.into() }
+    }
+
+    /// Returns the field that is not valid.
+    pub fn field(&self) -> &str {
+        &self.field
+    }
+}
+
+/// Checks that a document can be put in force.
+///
+/// # Errors
+///
+/// Returns the first field that breaks a bound or refers to something that does not exist.
+pub fn validate(document: &Document) -> Result<(), InvalidDocument> {
+    check_orders(document)?;
+    check_count("endpoints", document.endpoints.len(), MAX_ENDPOINTS)?;
+    check_count("organisations", document.organisations.len(), MAX_ORGANISATIONS)?;
+    check_voters(document)?;
+    check_models(document)?;
+    check_endpoints(document)?;
+    check_services(document)?;
+    check_organisations(document)
+}
+
+fn check_orders(document: &Document) -> Result<(), InvalidDocument> {
+    check_sorted("zones", document.zones.iter().map(|item| &item.id))?;
+    check_sorted("classes", document.classes.iter().map(|item| &item.id))?;
+    check_sorted("models", document.models.iter().map(|item| &item.id))?;
+    check_sorted("endpoints", document.endpoints.iter().map(|item| &item.id))?;
+    check_sorted("services", document.services.iter().map(|item| &item.id))?;
+    check_sorted("organisations", document.organisations.iter().map(|item| &item.id))
+}
+
+fn check_sorted<'a, T: Ord + ToString + 'a>(
+    field: &str,
+    ids: impl Iterator<Item = &'a T>,
+) -> Result<(), InvalidDocument> {
+    let mut previous: Option<&T> = None;
+    for id in ids {
+        if previous.is_some_and(|previous| previous >= id) {
+            let bound = "the list must be sorted and without duplicates";
+            return Err(InvalidDocument::new(field.into(), id.to_string(), bound));
+        }
+        previous = Some(id);
+    }
+    Ok(())
+}
+
+fn check_count(field: &str, count: usize, max: usize) -> Result<(), InvalidDocument> {
+    if count <= max {
+        return Ok(());
+    }
+    let bound = format_smolstr!("there may be at most {max}");
+    Err(InvalidDocument::new(format_smolstr!("{field}.length"), count, bound))
+}
+
+fn check_voters(document: &Document) -> Result<(), InvalidDocument> {
+    let mut seen = HashSet::new();
+    for zone in &document.zones {
+        for voter in &zone.voters {
+            if !seen.insert(&voter.id) {
+                let field = format_smolstr!("zones.{}.voters", zone.id);
+                return Err(InvalidDocument::new(field, &voter.id, "a voter may stand only once"));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn check_models(document: &Document) -> Result<(), InvalidDocument> {
+    for model in &document.models {
+        if model.max_swapping_replicas == 0 {
+            let field = format_smolstr!("models.{}.max_swapping_replicas", model.id);
+            return Err(InvalidDocument::new(field, 0, "it must be at least 1"));
+        }
+    }
+    Ok(())
+}
+
+fn check_endpoints(document: &Document) -> Result<(), InvalidDocument> {
+    for endpoint in &document.endpoints {
+        let field = |name: &str| format_smolstr!("endpoints.{}.{name}", endpoint.id);
+        if document.model(&endpoint.model).is_none() {
+            let bound = "there is no such model";
+            return Err(InvalidDocument::new(field("model"), &endpoint.model, bound));
+        }
+        if document.zone(&endpoint.zone).is_none() {
+            let bound = "there is no such zone";
+            return Err(InvalidDocument::new(field("zone"), &endpoint.zone, bound));
+        }
+        if endpoint.cold_requests == 0 {
+            let bound = "it must be at least 1";
+            return Err(InvalidDocument::new(field("cold_requests"), 0, bound));
+        }
+    }
+    Ok(())
+}
+
+fn check_services(document: &Document) -> Result<(), InvalidDocument> {
+    for service in &document.services {
+        let field = |name: &str| format_smolstr!("services.{}.{name}", service.id);
+        if document.zone(&service.zone).is_none() {
+            let bound = "there is no such zone";
+            return Err(InvalidDocument::new(field("zone"), &service.zone, bound));
+        }
+        if service.addresses.is_empty() {
+            let bound = "there must be at least one";
+            return Err(InvalidDocument::new(field("addresses"), "empty", bound));
+        }
+    }
+    Ok(())
+}
+
+fn check_organisations(document: &Document) -> Result<(), InvalidDocument> {
+    let mut keys = HashSet::new();
+    for organisation in &document.organisations {
+        let field = |name: &str| format_smolstr!("organisations.{}.{name}", organisation.id);
+        check_count(&field("key_hashes"), organisation.key_hashes.len(), MAX_KEYS)?;
+        check_sorted(&field("key_hashes"), organisation.key_hashes.iter())?;
+        check_sorted(&field("models"), organisation.models.iter())?;
+        check_sorted(&field("services"), organisation.services.iter())?;
+        if let Some(key) = organisation.key_hashes.iter().find(|key| !keys.insert(**key)) {
+            let bound = "a key may belong to one organisation only";
+            return Err(InvalidDocument::new(field("key_hashes"), key, bound));
+        }
+        if let Some(model) = organisation.models.iter().find(|id| document.model(id).is_none()) {
+            return Err(InvalidDocument::new(field("models"), model, "there is no such model"));
+        }
+        let unknown = organisation.services.iter().find(|id| document.service(id).is_none());
+        if let Some(service) = unknown {
+            let bound = "there is no such service";
+            return Err(InvalidDocument::new(field("services"), service, bound));
+        }
+        if organisation.share == 0 || organisation.share > MAX_SHARE {
+            let bound = format_smolstr!("it must be from 1 to {MAX_SHARE}");
+            return Err(InvalidDocument::new(field("share"), organisation.share, bound));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/endpoints/src/http_endpoint.rs
@@ -0,0 +1,279 @@
+//! The client that speaks HTTP/1.1 with server-sent events to an engine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use http_types::{Body, Method, Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use yuccapass_http::{ClientConfig, ConnectionChoice, Exchange, HttpClient, with_deadline};
+use yuccapass_types::{BlockHash, Clock, Deadline, EndpointId, RequestId, RunState, Tokens};
+
+use crate::error::{EndpointError, EndpointErrorKind};
+use crate::model_endpoint::{
+    BlockListing, CacheEventBatch, GenerateRequest, LoadReport, ModelEndpoint, Order, SealedBlock,
+    StreamEvent, TokenStream, headers,
+};
+use crate::sse::SseReader;
+
+/// Largest JSON response: a listing of 100,000 blocks has about 3.5 MB.
+const MAX_JSON_BYTES: usize = 8 << 20;
+
+/// Largest block payload.
+const MAX_BLOCK_BYTES: usize = 64 << 20;
+
+/// Names of the headers of an exported block.
+const GENERATION: &str = "x-block-generation";
+const CHECKSUM: &str = "x-block-checksum";
+
+/// The data of the last event of a stream, as published.
+const DONE: &[u8] = b"[DONE]";
+
+/// An engine behind an HTTP address.
+pub struct HttpEndpoint {
+    id: EndpointId,
+    client: Arc<HttpClient>,
+}
+
+impl HttpEndpoint {
+    /// Makes a client without opening a connection.
+    pub fn new(
+        id: EndpointId,
+        address: SocketAddr,
+        config: ClientConfig,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self { id, client: HttpClient::new(address, config, clock) }
+    }
+
+    async fn call(
+        &self,
+        request: Request,
+        choice: ConnectionChoice,
+        deadline: Deadline,
+    ) -> Result<Exchange, EndpointError> {
+        let exchange = self.client.send(request, choice, deadline).await?;
+        if exchange.response().status().is_success() {
+            return Ok(exchange);
+        }
+        Err(refusal(exchange.response()))
+    }
+
+    async fn get_json<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        choice: ConnectionChoice,
+        deadline: Deadline,
+    ) -> Result<T, EndpointError> {
+        let request = self.client.request(Method::Get, path);
+        let exchange = self.call(request, choice, deadline).await?;
+        let (_, bytes) = exchange.read_body(MAX_JSON_BYTES, deadline).await?;
+        serde_json::from_slice(&bytes).map_err(|error| protocol_error(error.to_string()))
+    }
+
+    fn generate_request(&self, generate: &GenerateRequest) -> Request {
+        let mut request = self.client.request(Method::Post, generate.api.path());
+        let remaining_ms = generate.deadline.remaining_ms(self.client.clock().now());
+        request.insert_header(headers::REQUEST_ID, generate.request_id.as_str());
+        request.insert_header(headers::ATTEMPT, generate.attempt.to_string());
+        request.insert_header(headers::PRIORITY, generate.priority.to_string());
+        request.insert_header(headers::DEADLINE_MS, remaining_ms.to_string());
+        request.insert_header(headers::CACHE_SALT, generate.salt.to_string());
+        request.insert_header(headers::WEIGHT_VERSION, generate.version.as_str());
+        if let Some(adapter) = &generate.adapter {
+            request.insert_header(headers::ADAPTER, adapter.as_str());
+        }
+        let resume_offset = generate.resume_offset_tokens.get();
+        request.insert_header(headers::RESUME_OFFSET, resume_offset.to_string());
+        request.insert_header("content-type", "application/json");
+        request.set_body(Body::from_bytes(generate.body.to_vec()));
+        request
+    }
+}
+
+#[async_trait]
+impl ModelEndpoint for HttpEndpoint {
+    fn id(&self) -> &EndpointId {
+        &self.id
+    }
+
+    async fn generate(
+        &self,
+        generate: &GenerateRequest,
+    ) -> Result<Box<dyn TokenStream>, EndpointError> {
+        let choice = match generate.needs_new_connection {
+            true => ConnectionChoice::New,
+            false => ConnectionChoice::Reuse,
+        };
+        let request = self.generate_request(generate);
+        let mut exchange = self.call(request, choice, generate.deadline).await?;
+        let body = exchange.response_mut().take_body();
+        let id_prefix = format!("{}/{}/", generate.request_id, generate.attempt);
+        Ok(Box::new(HttpTokenStream {
+            exchange: Some(exchange),
+            events: SseReader::new(body),
+            id_prefix: id_prefix.into_bytes(),
+            clock: Arc::clone(self.client.clock()),
+        }))
+    }
+
+    async fn cancel(
+        &self,
+        request_id: &RequestId,
+        deadline: Deadline,
+    ) -> Result<(), EndpointError> {
+        let path = format!("/requests/{request_id}");
+        let request = self.client.request(Method::Delete, &path);
+        let exchange = self.call(request, ConnectionChoice::New, deadline).await?;
+        exchange.read_body(MAX_JSON_BYTES, deadline).await?;
+        Ok(())
+    }
+
+    async fn load_report(&self, deadline: Deadline) -> Result<LoadReport, EndpointError> {
+        self.get_json("/load", ConnectionChoice::New, deadline).await
+    }
+
+    async fn cache_events(
+        &self,
+        after_sequence: u64,
+        deadline: Deadline,
+    ) -> Result<CacheEventBatch, EndpointError> {
+        let path = format!("/events?after={after_sequence}");
+        self.get_json(&path, ConnectionChoice::Reuse, deadline).await
+    }
+
+    async fn block_listing(&self, deadline: Deadline) -> Result<BlockListing, EndpointError> {
+        self.get_json("/blocks", ConnectionChoice::Reuse, deadline).await
+    }
+
+    async fn export_block(
+        &self,
+        block: BlockHash,
+        deadline: Deadline,
+    ) -> Result<SealedBlock, EndpointError> {
+        let request = self.client.request(Method::Get, &format!("/kv/{block}"));
+        let exchange = self.call(request, ConnectionChoice::Reuse, deadline).await?;
+        let (response, payload) = exchange.read_body(MAX_BLOCK_BYTES, deadline).await?;
+        let generation = header(&response, GENERATION).and_then(|text| text.parse().ok());
+        let checksum =
+            header(&response, CHECKSUM).and_then(|text| blake3::Hash::from_hex(text).ok());
+        let (Some(generation), Some(checksum)) = (generation, checksum) else {
+            return Err(protocol_error("an exported block has no generation or checksum"));
+        };
+        let sealed =
+            SealedBlock { hash: block, generation, checksum: *checksum.as_bytes(), payload };
+        check_intact(&sealed)?;
+        Ok(sealed)
+    }
+
+    async fn import_block(
+        &self,
+        block: &SealedBlock,
+        deadline: Deadline,
+    ) -> Result<(), EndpointError> {
+        check_intact(block)?;
+        let mut request = self.client.request(Method::Put, &format!("/kv/{}", block.hash));
+        request.insert_header(GENERATION, block.generation.to_string());
+        let checksum = blake3::Hash::from_bytes(block.checksum);
+        request.insert_header(CHECKSUM, checksum.to_hex().as_str());
+        request.set_body(Body::from_bytes(block.payload.clone()));
+        let exchange = self.call(request, ConnectionChoice::Reuse, deadline).await?;
+        exchange.read_body(MAX_JSON_BYTES, deadline).await?;
+        Ok(())
+    }
+
+    async fn order(&self, order: &Order, deadline: Deadline) -> Result<(), EndpointError> {
+        let mut request = self.client.request(Method::Post, "/orders");
+        let body = Body::from_json(order).map_err(|error| protocol_error(error.to_string()))?;
+        request.set_body(body);
+        let exchange = self.call(request, ConnectionChoice::New, deadline).await?;
+        exchange.read_body(MAX_JSON_BYTES, deadline).await?;
+        Ok(())
+    }
+}
+
+struct HttpTokenStream {
+    // Taken at the end of the answer, when the connection can be used again.
+    exchange: Option<Exchange>,
+    events: SseReader<Body>,
+    id_prefix: Vec<u8>,
+    clock: Arc<dyn Clock>,
+}
+
+impl HttpTokenStream {
+    async fn finish(&mut self, deadline: Deadline) {
+        let Some(exchange) = self.exchange.take() else { return };
+        // The connection can be used again only after the end of the chunked body was read.
+        let end = with_deadline(&*self.clock, deadline, self.events.next()).await;
+        if let Ok(Ok(None)) = end {
+            exchange.finish();
+        }
+    }
+}
+
+#[async_trait]
+impl TokenStream for HttpTokenStream {
+    async fn next(&mut self, deadline: Deadline) -> Result<StreamEvent, EndpointError> {
+        let reading = with_deadline(&*self.clock, deadline, self.events.next()).await;
+        let event = reading
+            .map_err(|_| stream_error(EndpointErrorKind::Timeout, "no event came in time"))?
+            .map_err(|error| stream_error(EndpointErrorKind::Connection, error.to_string()))?
+            .ok_or_else(|| stream_error(EndpointErrorKind::Connection, "the stream was cut"))?;
+        let Some(offset_text) = event.id.strip_prefix(self.id_prefix.as_slice()) else {
+            return Ok(StreamEvent::Mismatched);
+        };
+        let offset_tokens = parse_offset(offset_text)?;
+        if event.data != DONE {
+            return Ok(StreamEvent::Token { offset_tokens, json: event.data });
+        }
+        self.finish(deadline).await;
+        Ok(StreamEvent::Done { length_tokens: offset_tokens })
+    }
+}
+
+fn parse_offset(text: &[u8]) -> Result<Tokens, EndpointError> {
+    let number = std::str::from_utf8(text).ok().and_then(|text| text.parse().ok());
+    number.map(Tokens::new).ok_or_else(|| protocol_error("an event id has no token offset"))
+}
+
+fn check_intact(block: &SealedBlock) -> Result<(), EndpointError> {
+    if block.is_intact() {
+        return Ok(());
+    }
+    let detail = format!("block {} does not match its checksum", block.hash);
+    Err(EndpointError::new(EndpointErrorKind::Block, RunState::NotRun, detail))
+}
+
+fn protocol_error(detail: impl Into<String>) -> EndpointError {
+    EndpointError::new(EndpointErrorKind::Protocol, RunState::Unknown, detail)
+}
+
+fn stream_error(kind: EndpointErrorKind, detail: impl Into<String>) -> EndpointError {
+    EndpointError::new(kind, RunState::Ran, detail)
+}
+
+/// Turns a response that is not a success into an error.
+///
+/// The run state is `not run` only if the engine says so: a proxy or a crashing engine may send an
+/// error status after the run began.
+fn refusal(response: &Response) -> EndpointError {
+    let status = response.status();
+    let run_state = match header(response, headers::RUN_STATE) {
+        Some("not run") => RunState::NotRun,
+        _ => RunState::Unknown,
+    };
+    let kind = match header(response, headers::REFUSAL) {
+        Some("wrong_version") => EndpointErrorKind::WrongVersion,
+        Some("overloaded") => EndpointErrorKind::Overloaded,
+        Some("leaving") => EndpointErrorKind::Leaving,
+        Some("fenced") => EndpointErrorKind::Fenced,
+        Some("block") => EndpointErrorKind::Block,
+        _ if status == StatusCode::BadRequest => EndpointErrorKind::InvalidRequest,
+        _ => EndpointErrorKind::Protocol,
+    };
+    EndpointError::new(kind, run_state, format!("the endpoint answered with status {status}"))
+}
+
+fn header<'a>(response: &'a Response, name: &str) -> Option<&'a str> {
+    response.header(name).map(|values| values.as_str())
+}
--- /dev/null
+++ b/crates/endpoints/src/sse.rs
@@ -0,0 +1,99 @@
+//! Reading of server-sent events.
+
+use std::io;
+
+use futures::{AsyncBufRead, AsyncBufReadExt};
+
+/// Longest accepted line; a token's JSON text is a few hundred bytes.
+const MAX_LINE_BYTES: usize = 1 << 20;
+
+/// An event: its id and data, each empty if absent.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SseEvent {
+    /// The last `id` field.
+    pub id: Vec<u8>,
+    /// The `data` fields, joined by line feeds.
+    pub data: Vec<u8>,
+}
+
+/// Reads events from a byte stream.
+#[derive(Debug)]
+pub struct SseReader<R> {
+    source: R,
+    line: Vec<u8>,
+}
+
+impl<R: AsyncBufRead + Unpin> SseReader<R> {
+    /// Reads events from `source`.
+    pub fn new(source: R) -> Self {
+        Self { source, line: Vec::new() }
+    }
+
+    /// Reads the next event; returns `None` at the end. An event that the end cuts is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the source fails or a line is longer than 1 MiB.
+    pub async fn next(&mut self) -> io::Result<Option<SseEvent>> {
+        let mut event = SseEvent::default();
+        while self.read_line().await? {
+            if self.line.is_empty() {
+                if event != SseEvent::default() {
+                    return Ok(Some(event));
+                }
+                continue;
+            }
+            add_field(&mut event, &self.line)?;
+        }
+        Ok(None)
+    }
+
+    /// Reads a line without its end into `self.line`; returns false at the end of the source.
+    async fn read_line(&mut self) -> io::Result<bool> {
+        self.line.clear();
+        loop {
+            let available = self.source.fill_buf().await?;
+            if available.is_empty() {
+                return Ok(false);
+            }
+            let end = available.iter().position(|&byte| byte == b'\n');
+            let content_bytes = end.unwrap_or(available.len());
+            check_size(self.line.len() + content_bytes)?;
+            self.line.extend_from_slice(&available[..content_bytes]);
+            self.source.consume_unpin(content_bytes + usize::from(end.is_some()));
+            if end.is_some() {
+                if self.line.last() == Some(&b'\r') {
+                    self.line.pop();
+                }
+                return Ok(true);
+            }
+        }
+    }
+}
+
+fn add_field(event: &mut SseEvent, line: &[u8]) -> io::Result<()> {
+    let colon = line.iter().position(|&byte| byte == b':').unwrap_or(line.len());
+    let value = line.get(colon + 1..).unwrap_or_default();
+    let value = value.strip_prefix(b" ").unwrap_or(value);
+    match &line[..colon] {
+        b"id" => event.id = value.to_vec(),
+        b"data" => {
+            check_size(event.data.len() + value.len())?;
+            if !event.data.is_empty() {
+                event.data.push(b'\n');
+            }
+            event.data.extend_from_slice(value);
+        }
+        // Comments and fields that are not used here.
+        _ => {}
+    }
+    Ok(())
+}
+
+fn check_size(bytes: usize) -> io::Result<()> {
+    if bytes > MAX_LINE_BYTES {
+        let text = format!("an event has more than {MAX_LINE_BYTES} bytes");
+        return Err(io::Error::new(io::ErrorKind::InvalidData, text));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/openai/src/lib.rs
@@ -0,0 +1,10 @@
+//! The parts of the OpenAI HTTP interface that callers, nodes and engines share.
+//!
+//! * [`api`]: the paths of the interface.
+//! * [`prompt`]: the prompt bytes that a node and an engine both hash.
+
+pub mod api;
+pub mod prompt;
+
+pub use api::Api;
+pub use prompt::prompt_bytes;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,1 +1,1 @@
-//! placeholder
+//! The interface between nodes: messages and connections.
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -1,1 +1,1 @@
-//! placeholder
+//! The interface to plain services beside the model endpoints.
--- a/crates/yuccapass/src/main.rs
+++ b/crates/yuccapass/src/main.rs
@@ -1,2 +1,3 @@
-//! placeholder
+//! `yuccapass`, the operators' tool.
+
 fn main() {}
--- /dev/null
+++ b/crates/yuccapassd/src/settings.rs
@@ -0,0 +1,114 @@
+//! Flags and environment variables, checked at start.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Parser;
+use log::LevelFilter;
+use smol_str::{SmolStr, format_smolstr};
+use snafu::Snafu;
+use yuccapass_types::{NodeId, ZoneId};
+
+/// Longest accepted duration setting: an hour.
+const MAX_DURATION_MS: u64 = 3_600_000;
+
+/// Settings of the daemon. Each flag can also be given as an environment variable.
+#[derive(Debug, Clone, Parser)]
+#[command(name = "yuccapassd", version, about = "Serves model requests on an entry VM.")]
+pub struct Settings {
+    /// Validate the settings and exit.
+    #[arg(long)]
+    pub check: bool,
+
+    /// Name of this node slot; one process at a time runs under it.
+    #[arg(long, env = "YUCCAPASS_NODE_ID")]
+    pub node_id: NodeId,
+
+    /// Availability zone of this VM.
+    #[arg(long, env = "YUCCAPASS_ZONE")]
+    pub zone: ZoneId,
+
+    /// Address for callers.
+    #[arg(long, env = "YUCCAPASS_CALLER_ADDRESS", default_value = "127.0.0.1:8080")]
+    pub caller_address: SocketAddr,
+
+    /// Address for operators, health checks and metrics.
+    #[arg(long, env = "YUCCAPASS_ADMIN_ADDRESS", default_value = "127.0.0.1:8081")]
+    pub admin_address: SocketAddr,
+
+    /// JSON file with the configuration to start with, until a newer one is known.
+    #[arg(long, env = "YUCCAPASS_CONFIGURATION_FILE")]
+    pub configuration_file: Option<PathBuf>,
+
+    /// Least severe log level: off, error, warn, info, debug or trace.
+    #[arg(long, env = "YUCCAPASS_LOG_LEVEL", default_value = "info")]
+    pub log_level: LevelFilter,
+
+    /// Largest request body, in bytes.
+    #[arg(long, env = "YUCCAPASS_MAX_BODY_BYTES", default_value_t = 4 << 20)]
+    pub max_body_bytes: usize,
+
+    /// Longest prompt, in bytes.
+    #[arg(long, env = "YUCCAPASS_MAX_PROMPT_BYTES", default_value_t = 2 << 20)]
+    pub max_prompt_bytes: usize,
+
+    /// Most open connections from callers.
+    #[arg(long, env = "YUCCAPASS_MAX_CONNECTIONS", default_value_t = 10_000)]
+    pub max_connections: usize,
+
+    /// Deadline of a request that names none, in milliseconds.
+    #[arg(long, env = "YUCCAPASS_DEFAULT_DEADLINE_MS", default_value_t = 120_000)]
+    pub default_deadline_ms: u64,
+
+    /// Longest deadline that a request may ask for, in milliseconds.
+    #[arg(long, env = "YUCCAPASS_MAX_DEADLINE_MS", default_value_t = 600_000)]
+    pub max_deadline_ms: u64,
+
+    /// How long a stopping node still accepts requests, so that the balancer can notice, in
+    /// milliseconds.
+    #[arg(long, env = "YUCCAPASS_STOP_GRACE_MS", default_value_t = 5_000)]
+    pub stop_grace_ms: u64,
+
+    /// How long a stream may be silent before its connection is given up, in milliseconds.
+    #[arg(long, env = "YUCCAPASS_STALL_TIMEOUT_MS", default_value_t = 10_000)]
+    pub stall_timeout_ms: u64,
+}
+
+/// Reports a setting that is out of its bounds.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("--{setting} is {value}, but it must be {bound}"))]
+pub struct InvalidSetting {
+    setting: &'static str,
+    value: SmolStr,
+    bound: SmolStr,
+}
+
+impl Settings {
+    /// Checks the settings against their bounds.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first setting that is out of its bounds.
+    pub fn validate(&self) -> Result<(), InvalidSetting> {
+        check_range("max-body-bytes", self.max_body_bytes as u64, 1 << 10, 64 << 20)?;
+        check_range("max-prompt-bytes", self.max_prompt_bytes as u64, 1, 64 << 20)?;
+        check_range("max-connections", self.max_connections as u64, 1, 1_000_000)?;
+        check_range("max-deadline-ms", self.max_deadline_ms, 1, MAX_DURATION_MS)?;
+        check_range("default-deadline-ms", self.default_deadline_ms, 1, self.max_deadline_ms)?;
+        check_range("stop-grace-ms", self.stop_grace_ms, 0, MAX_DURATION_MS)?;
+        check_range("stall-timeout-ms", self.stall_timeout_ms, 10, MAX_DURATION_MS)
+    }
+}
+
+fn check_range(
+    setting: &'static str,
+    value: u64,
+    min: u64,
+    max: u64,
+) -> Result<(), InvalidSetting> {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    let bound = format_smolstr!("from {min} to {max}");
+    Err(InvalidSetting { setting, value: format_smolstr!("{value}"), bound })
+}
--- /dev/null
+++ b/crates/yuccapassd/tests/common/mod.rs
@@ -0,0 +1,241 @@
+//! Fixtures: separate processes on loopback addresses.
+
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant as StdInstant};
+
+use async_std::task::block_on;
+use http_types::{Method, Request};
+use serde_json::{Value, json};
+use yuccapass_endpoints::SseReader;
+use yuccapass_http::{ClientConfig, ConnectionChoice, Exchange, HttpClient};
+use yuccapass_types::{Deadline, KeyHash, MonotonicClock};
+
+/// How long a process may take to listen; generous, since the machine may be busy.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A process that is killed when the test ends.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    pub fn spawn(program: &str, arguments: &[String]) -> Self {
+        let child = Command::new(program_path(program))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{program} cannot be started: {error}"));
+        Self { child }
+    }
+
+    /// Sends a signal by name, as an operator would.
+    pub fn signal(&self, name: &str) {
+        let status =
+            Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits for the exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Finds a program of the workspace beside the directory of this test's own program.
+fn program_path(name: &str) -> PathBuf {
+    let mut directory = std::env::current_exe().unwrap();
+    directory.pop();
+    directory.pop();
+    directory.join(name)
+}
+
+/// Returns a loopback address that no other test uses: the process id picks the host part.
+pub fn loopback_address() -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+    let id = std::process::id();
+    let host = Ipv4Addr::new(127, 1 + (id >> 16) as u8 % 250, (id >> 8) as u8, id as u8);
+    SocketAddr::new(IpAddr::V4(host), NEXT_PORT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Waits until something listens on an address.
+pub fn wait_listening(address: SocketAddr) {
+    let start = StdInstant::now();
+    while TcpStream::connect(address).is_err() {
+        assert!(start.elapsed() < START_TIMEOUT, "nothing listens on {address}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A daemon and one endpoint, as separate processes.
+pub struct Deployment {
+    pub engine: Process,
+    pub engine_address: SocketAddr,
+    pub node: Process,
+    pub caller_address: SocketAddr,
+    pub admin_address: SocketAddr,
+    _configuration: ConfigurationFile,
+}
+
+/// The key of the organisation that is approved for model `clip-models`.
+pub const APPROVED_KEY: &str = "key-approved";
+
+/// The key of an organisation that is approved for nothing.
+pub const UNAPPROVED_KEY: &str = "key-unapproved";
+
+/// Starts an engine and a node with extra flags for each.
+pub fn start_deployment(engine_flags: &[&str], node_flags: &[&str]) -> Deployment {
+    let engine_address = loopback_address();
+    let caller_address = loopback_address();
+    let admin_address = loopback_address();
+    let mut engine_arguments = words(&["engine", "--address"]);
+    engine_arguments.push(engine_address.to_string());
+    engine_arguments.extend(words(engine_flags));
+    let engine = Process::spawn("yuccapass-standin", &engine_arguments);
+    let configuration = ConfigurationFile::write(&document(engine_address));
+    let mut node_arguments = words(&["--node-id", "node-a", "--zone", "burnaby-yard"]);
+    node_arguments.push(format!("--caller-address={caller_address}"));
+    node_arguments.push(format!("--admin-address={admin_address}"));
+    node_arguments.push(format!("--configuration-file={}", configuration.path.display()));
+    node_arguments.extend(words(node_flags));
+    let node = Process::spawn("yuccapassd", &node_arguments);
+    [engine_address, caller_address, admin_address].into_iter().for_each(wait_listening);
+    Deployment {
+        engine,
+        engine_address,
+        node,
+        caller_address,
+        admin_address,
+        _configuration: configuration,
+    }
+}
+
+fn words(words: &[&str]) -> Vec<String> {
+    words.iter().map(|word| (*word).to_owned()).collect()
+}
+
+fn document(engine_address: SocketAddr) -> Value {
+    let organisation = |id: &str, key: &str, models: &[&str]| {
+        json!({
+            "id": id, "key_hashes": [KeyHash::of_key(key)], "models": models, "services": [],
+            "share": 1, "limit_tokens_per_s": "1000000 tokens/s",
+        })
+    };
+    json!({
+        "revision": "1",
+        "zones": [
+            {"id": "burnaby-yard", "region": "lower-mainland", "state": "in", "voters": []}
+        ],
+        "classes": [],
+        "models": [{
+            "id": "clip-models", "version": "v1", "adapter": null, "store": null,
+            "max_swapping_replicas": 3,
+        }],
+        "endpoints": [{
+            "id": "clip-1", "model": "clip-models", "zone": "burnaby-yard",
+            "address": engine_address, "checks_fencing": true, "leaving": false,
+            "cold_requests": 2,
+        }],
+        "services": [],
+        "organisations": [
+            organisation("org-approved", APPROVED_KEY, &["clip-models"]),
+            organisation("org-unapproved", UNAPPROVED_KEY, &[]),
+        ],
+    })
+}
+
+struct ConfigurationFile {
+    path: PathBuf,
+}
+
+impl ConfigurationFile {
+    fn write(document: &Value) -> Self {
+        static NEXT: AtomicU16 = AtomicU16::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("yuccapass-test-{}-{number}.json", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, document.to_string()).unwrap();
+        Self { path }
+    }
+}
+
+impl Drop for ConfigurationFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// A client without limits on time; a test that hangs is ended by its runner.
+pub fn client(address: SocketAddr) -> Arc<HttpClient> {
+    HttpClient::new(address, ClientConfig::default(), Arc::new(MonotonicClock::new()))
+}
+
+/// Makes a chat request.
+pub fn chat_request(client: &HttpClient, key: &str, tokens: u64, stream: bool) -> Request {
+    let mut request = client.request(Method::Post, "/v1/chat/completions");
+    request.insert_header("authorization", format!("Bearer {key}"));
+    request.set_body(json!({
+        "model": "clip-models",
+        "messages": [{"role": "user", "content": "Are these clips sound?"}],
+        "max_tokens": tokens,
+        "stream": stream,
+    }));
+    request
+}
+
+/// Sends a request over a new connection.
+pub fn send(client: &Arc<HttpClient>, request: Request) -> Exchange {
+    block_on(client.send(request, ConnectionChoice::New, Deadline::NEVER)).unwrap()
+}
+
+/// Reads a JSON body.
+pub fn read_json(exchange: Exchange) -> Value {
+    let (_, bytes) = block_on(exchange.read_body(1 << 20, Deadline::NEVER)).unwrap();
+    serde_json::from_slice(&bytes).unwrap()
+}
+
+/// Reads an event stream to its end: the texts of all tokens, and whether the end was announced.
+pub fn read_stream(exchange: &mut Exchange) -> (Vec<String>, bool) {
+    let mut events = SseReader::new(exchange.response_mut().take_body());
+    let mut texts = Vec::new();
+    let mut is_done = false;
+    while let Some(event) = block_on(events.next()).unwrap() {
+        if event.data == b"[DONE]" {
+            is_done = true;
+            continue;
+        }
+        let chunk: Value = serde_json::from_slice(&event.data).unwrap();
+        let text = chunk["choices"][0]["delta"]["content"].as_str();
+        texts.push(text.unwrap_or_default().to_owned());
+    }
+    (texts, is_done)
+}
+
+/// Reads a count of what an engine has seen.
+pub fn engine_count(engine_address: SocketAddr, name: &str) -> u64 {
+    let client = client(engine_address);
+    let request = client.request(Method::Get, "/stats");
+    read_json(send(&client, request))[name].as_u64().unwrap()
+}
+
+/// Waits until a count of an engine has a value.
+pub fn wait_engine_count(engine_address: SocketAddr, name: &str, value: u64) {
+    let start = StdInstant::now();
+    while engine_count(engine_address, name) != value {
+        assert!(start.elapsed() < START_TIMEOUT, "{name} does not become {value}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- /dev/null
+++ b/crates/yuccapassd/tests/end_to_end.rs
@@ -0,0 +1,126 @@
+//! The whole path between separate processes over TCP: caller, daemon, endpoint.
+
+mod common;
+
+use common::{
+    APPROVED_KEY, UNAPPROVED_KEY, chat_request, client, engine_count, read_json, read_stream, send,
+    start_deployment, wait_engine_count,
+};
+use http_types::StatusCode;
+
+fn assert_whole(texts: &[String], tokens: usize) {
+    assert_eq!(texts.len(), tokens);
+    for (offset, text) in texts.iter().enumerate() {
+        assert!(text.trim_end().ends_with(&format!(".{offset}")), "{text} at {offset}");
+    }
+}
+
+/// Guards against a streamed answer with a missing, doubled or reordered token.
+#[test]
+fn streamed_answer_arrives_whole() {
+    // Arrange
+    let deployment = start_deployment(&["--token-time-ms", "1"], &[]);
+    let client = client(deployment.caller_address);
+
+    // Act
+    let mut exchange = send(&client, chat_request(&client, APPROVED_KEY, 50, true));
+    let (texts, is_done) = read_stream(&mut exchange);
+
+    // Assert
+    assert_whole(&texts, 50);
+    assert!(is_done);
+}
+
+/// Guards against an answer in one piece that differs from the streamed one.
+#[test]
+fn answer_in_one_piece_has_all_tokens() {
+    // Arrange
+    let deployment = start_deployment(&["--token-time-ms", "1"], &[]);
+    let client = client(deployment.caller_address);
+
+    // Act
+    let exchange = send(&client, chat_request(&client, APPROVED_KEY, 5, false));
+    let answer = read_json(exchange);
+
+    // Assert
+    let content = answer["choices"][0]["message"]["content"].as_str().unwrap();
+    let texts: Vec<String> = content.split_whitespace().map(str::to_owned).collect();
+    assert_whole(&texts, 5);
+    assert_eq!(answer["choices"][0]["finish_reason"], "stop");
+}
+
+/// Guards against an endpoint that goes on working for a caller that has left.
+#[test]
+fn caller_that_leaves_cancels_its_run() {
+    // Arrange
+    let deployment = start_deployment(&["--token-time-ms", "20"], &[]);
+    let client = client(deployment.caller_address);
+    let exchange = send(&client, chat_request(&client, APPROVED_KEY, 100_000, true));
+
+    // Act
+    drop(exchange);
+
+    // Assert
+    wait_engine_count(deployment.engine_address, "cancelled_runs", 1);
+}
+
+/// Guards against requests without right that reach an endpoint.
+#[test]
+fn bad_key_and_unapproved_organisation_are_refused_before_the_endpoint() {
+    // Arrange
+    let deployment = start_deployment(&[], &[]);
+    let client = client(deployment.caller_address);
+    let cases = [
+        ("key-nobody", StatusCode::Unauthorized, "YP-1005"),
+        (UNAPPROVED_KEY, StatusCode::Forbidden, "YP-1006"),
+    ];
+    for (key, status, code) in cases {
+        // Act
+        let exchange = send(&client, chat_request(&client, key, 5, true));
+
+        // Assert
+        assert_eq!(exchange.response().status(), status);
+        let error = &read_json(exchange)["error"];
+        assert_eq!(
+            (error["code"].as_str(), error["run_state"].as_str()),
+            (Some(code), Some("not run"))
+        );
+    }
+    assert_eq!(engine_count(deployment.engine_address, "received_requests"), 0);
+}
+
+/// Guards against a body over the limit that is accepted or gets no clear error.
+#[test]
+fn body_over_the_limit_gets_its_code() {
+    // Arrange
+    let deployment = start_deployment(&[], &["--max-body-bytes", "1024"]);
+    let client = client(deployment.caller_address);
+    let mut request = chat_request(&client, APPROVED_KEY, 5, true);
+    request.set_body("x".repeat(1025));
+
+    // Act
+    let exchange = send(&client, request);
+
+    // Assert
+    assert_eq!(exchange.response().status(), StatusCode::PayloadTooLarge);
+    assert_eq!(read_json(exchange)["error"]["code"], "YP-1002");
+}
+
+/// Guards against a planned stop that cuts a stream.
+#[test]
+fn graceful_stop_in_mid_stream_loses_nothing() {
+    // Arrange
+    let mut deployment = start_deployment(&["--token-time-ms", "20"], &["--stop-grace-ms", "50"]);
+    let client = client(deployment.caller_address);
+    let mut exchange = send(&client, chat_request(&client, APPROVED_KEY, 50, true));
+
+    // Act
+    deployment.node.signal("TERM");
+    let (texts, is_done) = read_stream(&mut exchange);
+    let exit_code = deployment.node.wait();
+
+    // Assert
+    assert_whole(&texts, 50);
+    assert!(is_done);
+    assert_eq!(exit_code, Some(0));
+}
