--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! * [`client`]: one pool of connections for each peer address. An error says whether any byte of
 //!   the request was written, since that decides whether the request may be sent again.
-//! * [`pipe`]: a byte pipe from the task that makes a body to the connection that sends it.
+//! * [`mod@pipe`]: a byte pipe from the task that makes a body to the connection that sends it.
 //! * [`server`]: an accept loop for a tide application. Tide's own listener has no graceful stop.
 //! * [`stop`]: the two-phase stop signal that a server obeys.
 //! * [`wait`]: waiting with deadlines.
