yuccapassd: metrics, structured log fields, result-code table

Cause: operators need histograms per organisation and class, and errors they can look up. Change: opentelemetry instruments with a bounded number of organisation labels on /metrics, log lines with fields, the request path split into core, run and attempt so that a run can have several attempts, docs/result-codes.md held against the code by a test, docs/glossary.md. Conclusion: queue wait and prompt token counters wait for admission and usage data.

--- a/crates/callers/src/app.rs
+++ b/crates/callers/src/app.rs
@@ -121,6 +121,7 @@
 {
     let request_id = (request.state().next_request_id)();
     let connection = request.ext::<ConnectionHandle>().cloned();
+    let handler = Arc::clone(&request.state().handler);
     let responding = route(request, request_id.clone());
     let caller_gone = closed_by_caller(connection);
     pin_mut!(responding, caller_gone);
@@ -132,7 +133,13 @@
     let mut response = match result {
         Ok(response) => response,
         Err(failure) => {
-            log::info!("request {request_id} failed: {failure}");
+            handler.record_failure(&failure);
+            log::info!(
+                request_id = request_id.as_str(),
+                code:% = failure.code,
+                run_state:% = failure.run_state;
+                "a request failed: {failure}"
+            );
             failure_response(&failure, &request_id)
         }
     };
--- a/crates/callers/src/handler.rs
+++ b/crates/callers/src/handler.rs
@@ -94,6 +94,9 @@
     /// Returns the models that an organisation may use.
     fn models(&self, organisation: &OrganisationId) -> Vec<ModelId>;
 
+    /// Counts a request that failed before its answer began.
+    fn record_failure(&self, failure: &Failure);
+
     /// Runs a request and waits for its first token.
     ///
     /// # Errors
--- a/crates/yuccapassd/src/admin.rs
+++ b/crates/yuccapassd/src/admin.rs
@@ -1,16 +1,25 @@
 //! The admin address: health checks and status.
 
+use std::sync::Arc;
+
 use http_types::{Response, StatusCode};
 use yuccapass_http::StopSignal;
 
+use crate::metrics::Metrics;
+
 #[derive(Clone)]
 struct State {
     stop: StopSignal,
+    metrics: Arc<Metrics>,
 }
 
 /// Builds the application of the admin address.
-pub(crate) fn build_app(stop: StopSignal) -> tide::Server<impl Clone + Send + Sync + 'static> {
-    let mut app = tide::with_state(State { stop });
+pub(crate) fn build_app(
+    stop: StopSignal,
+    metrics: Arc<Metrics>,
+) -> tide::Server<impl Clone + Send + Sync + 'static> {
+    let mut app = tide::with_state(State { stop, metrics });
+    app.at("/metrics").get(scrape);
     app.at("/healthz").get(|_| async { Ok(text(StatusCode::Ok, "alive\n")) });
     app.at("/readyz").get(ready);
     app
@@ -24,6 +33,14 @@
     }
 }
 
+async fn scrape(request: tide::Request<State>) -> tide::Result {
+    let text = request.state().metrics.encode()?;
+    let mut response = tide::Response::new(StatusCode::Ok);
+    response.set_content_type("text/plain; version=0.0.4");
+    response.set_body(text);
+    Ok(response)
+}
+
 fn text(status: StatusCode, body: &str) -> tide::Response {
     let mut response = Response::new(status);
     response.set_body(body);
--- /dev/null
+++ b/crates/yuccapassd/src/attempt.rs
@@ -0,0 +1,77 @@
+//! One attempt to run a request at one endpoint.
+
+use std::sync::Arc;
+
+use yuccapass_endpoints::{
+    EndpointError, EndpointErrorKind, GenerateRequest, StreamEvent, TokenStream,
+};
+use yuccapass_types::{Clock, Deadline, EndpointId, RunState, Tokens};
+
+use crate::endpoint_table::InFlight;
+
+/// How long cancelling an abandoned run may take.
+const CANCEL_TIMEOUT_MS: u64 = 2_000;
+
+/// An event of an attempt that concerns the request.
+pub(crate) enum AttemptEvent {
+    /// A token at its position in the answer.
+    Token(Tokens, Vec<u8>),
+    /// The end of an answer of this length.
+    Done(Tokens),
+    /// An event that belongs to another request or attempt.
+    Mismatched,
+}
+
+/// A run at one endpoint; dropping it closes the connection, which cancels the run.
+pub(crate) struct Attempt {
+    in_flight: InFlight,
+    request: GenerateRequest,
+    stream: Box<dyn TokenStream>,
+    clock: Arc<dyn Clock>,
+    stall_timeout_ms: u64,
+}
+
+impl Attempt {
+    /// Sends the request and waits until the endpoint accepts it.
+    pub(crate) async fn start(
+        in_flight: InFlight,
+        request: GenerateRequest,
+        clock: Arc<dyn Clock>,
+        stall_timeout_ms: u64,
+    ) -> Result<Self, EndpointError> {
+        let stream = in_flight.client().generate(&request).await?;
+        Ok(Self { in_flight, request, stream, clock, stall_timeout_ms })
+    }
+
+    pub(crate) fn endpoint(&self) -> &EndpointId {
+        self.in_flight.client().id()
+    }
+
+    /// Waits for the next event, at most for the stall timeout.
+    pub(crate) async fn next(&mut self) -> Result<AttemptEvent, EndpointError> {
+        let stall = Deadline::after_ms(self.clock.now(), self.stall_timeout_ms);
+        let event = self.stream.next(stall.earlier(self.request.deadline)).await?;
+        Ok(match event {
+            StreamEvent::Token { offset_tokens, json } => AttemptEvent::Token(offset_tokens, json),
+            StreamEvent::Done { length_tokens } => AttemptEvent::Done(length_tokens),
+            StreamEvent::Mismatched => AttemptEvent::Mismatched,
+        })
+    }
+
+    /// Cancels the run over a new connection, for when its own connection may be silent.
+    pub(crate) async fn cancel(self) {
+        let deadline = Deadline::after_ms(self.clock.now(), CANCEL_TIMEOUT_MS);
+        let client = self.in_flight.client();
+        if let Err(error) = client.cancel(&self.request.request_id, deadline).await {
+            log::debug!(
+                request_id = self.request.request_id.as_str(), endpoint = client.id().as_str();
+                "an abandoned run could not be cancelled: {error}"
+            );
+        }
+    }
+}
+
+/// Makes the error of an attempt whose tokens do not fit together.
+pub(crate) fn inconsistent(detail: &str) -> EndpointError {
+    EndpointError::new(EndpointErrorKind::Protocol, RunState::Ran, detail)
+}
--- a/crates/yuccapassd/src/lib.rs
+++ b/crates/yuccapassd/src/lib.rs
@@ -4,17 +4,21 @@
 //! * [`node`]: a running node, from start to graceful stop.
 //!
 //! The other modules hold the node's state and connect the peers: `configuration` (the document in
-//! force), `endpoint_table` (clients and load of the endpoints), `request_path` (from a caller's
-//! request to its answer), `admin` (health and status) and `logs`.
+//! force), `endpoint_table` (clients and load of the endpoints), `request_path`, `run` and
+//! `attempt` (from a caller's request to its answer), `admin` (health,
+//! metrics and status), `metrics` and `logs`.
 
 mod admin;
-mod answer;
+mod attempt;
 mod configuration;
 mod endpoint_table;
 pub mod logs;
+mod metrics;
 pub mod node;
 mod request_path;
+mod run;
 pub mod settings;
 
+pub use metrics::MetricsError;
 pub use node::{Node, NodeError};
 pub use settings::Settings;
--- a/crates/yuccapassd/src/logs.rs
+++ b/crates/yuccapassd/src/logs.rs
@@ -3,8 +3,9 @@
 use std::io::Write;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use log::kv::{self, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record, SetLoggerError};
-use serde_json::json;
+use serde_json::{Map, Value as Json};
 use simplelog::{CombinedLogger, Config, SharedLogger};
 
 /// Sends all log records of at least this level to standard error, one JSON object a line.
@@ -33,12 +34,14 @@
             return;
         }
         let time_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis());
-        let line = json!({
-            "time_unix_ms": time_ms as u64,
-            "level": record.level().as_str(),
-            "target": record.target(),
-            "message": record.args().to_string(),
-        });
+        let mut line = Fields(Map::new());
+        line.add("time_unix_ms", time_ms as u64);
+        line.add("level", record.level().as_str());
+        line.add("target", record.target());
+        line.add("message", record.args().to_string());
+        // A field that cannot be read is left out; the rest of the line still counts.
+        let _ = record.key_values().visit(&mut line);
+        let line = Json::Object(line.0);
         // A full disk or a closed pipe must not stop the node.
         let _ = writeln!(std::io::stderr().lock(), "{line}");
     }
@@ -46,6 +49,25 @@
     fn flush(&self) {}
 }
 
+/// The fields of one line.
+struct Fields(Map<String, Json>);
+
+impl Fields {
+    fn add(&mut self, name: &str, value: impl Into<Json>) {
+        self.0.insert(name.to_owned(), value.into());
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        match value.to_u64() {
+            Some(number) => self.add(key.as_str(), number),
+            None => self.add(key.as_str(), value.to_string()),
+        }
+        Ok(())
+    }
+}
+
 impl SharedLogger for JsonLogger {
     fn level(&self) -> LevelFilter {
         self.level
--- a/crates/yuccapassd/src/node.rs
+++ b/crates/yuccapassd/src/node.rs
@@ -17,7 +17,8 @@
 use crate::admin;
 use crate::configuration::Configuration;
 use crate::endpoint_table::EndpointTable;
-use crate::request_path::RequestPath;
+use crate::metrics::{Metrics, MetricsError};
+use crate::request_path::{Core, RequestPath};
 use crate::settings::Settings;
 
 /// Reports why a node cannot start.
@@ -32,6 +33,12 @@
         /// The operating system's error.
         source: std::io::Error,
     },
+    /// The metrics cannot be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// The cause.
+        source: MetricsError,
+    },
     /// The configuration file cannot be read.
     #[snafu(display("cannot read {}: {source}", path.display()))]
     ReadConfiguration {
@@ -85,14 +92,17 @@
         let (stop, stop_signal) = stop_pair();
         let (admin_stop, admin_signal) = stop_pair();
         let revision = configuration.revision();
-        let path = RequestPath {
+        let metrics =
+            Arc::new(Metrics::new(settings.max_organisation_labels).context(MetricsSnafu)?);
+        let core = Arc::new(Core {
             configuration,
             endpoints: EndpointTable::new(Arc::clone(&clock)),
+            metrics: Arc::clone(&metrics),
             clock: Arc::clone(&clock),
             stall_timeout_ms: settings.stall_timeout_ms,
-        };
+        });
         let app = build_app(
-            Arc::new(path),
+            Arc::new(RequestPath::new(core)),
             caller_limits(&settings),
             Arc::clone(&clock),
             request_ids(&settings.node_id),
@@ -101,7 +111,7 @@
             ServerConfig::new(rejection_body).max_connections(settings.max_connections);
         let caller_server =
             task::spawn(serve(caller_listener, app, caller_config, stop_signal.clone()));
-        let admin_server = spawn_admin(admin_listener, stop_signal, admin_signal);
+        let admin_server = spawn_admin(admin_listener, metrics, stop_signal, admin_signal);
         log::info!(
             "node {} in zone {} serves callers on {caller_address}, operators on {admin_address}, \
              configuration revision {revision}",
@@ -161,10 +171,11 @@
 
 fn spawn_admin(
     listener: TcpListener,
+    metrics: Arc<Metrics>,
     caller_stop: StopSignal,
     admin_stop: StopSignal,
 ) -> JoinHandle<()> {
-    let app = admin::build_app(caller_stop);
+    let app = admin::build_app(caller_stop, metrics);
     task::spawn(serve(listener, app, ServerConfig::new(rejection_body), admin_stop))
 }
 
--- a/crates/yuccapassd/src/settings.rs
+++ b/crates/yuccapassd/src/settings.rs
@@ -64,6 +64,10 @@
     #[arg(long, env = "YUCCAPASS_MAX_DEADLINE_MS", default_value_t = 600_000)]
     pub max_deadline_ms: u64,
 
+    /// Most organisations that get metric labels of their own; others are counted together.
+    #[arg(long, env = "YUCCAPASS_MAX_ORGANISATION_LABELS", default_value_t = 200)]
+    pub max_organisation_labels: usize,
+
     /// How long a stopping node still accepts requests, so that the balancer can notice, in
     /// milliseconds.
     #[arg(long, env = "YUCCAPASS_STOP_GRACE_MS", default_value_t = 5_000)]
@@ -95,6 +99,8 @@
         check_range("max-connections", self.max_connections as u64, 1, 1_000_000)?;
         check_range("max-deadline-ms", self.max_deadline_ms, 1, MAX_DURATION_MS)?;
         check_range("default-deadline-ms", self.default_deadline_ms, 1, self.max_deadline_ms)?;
+        let labels = self.max_organisation_labels as u64;
+        check_range("max-organisation-labels", labels, 1, 100_000)?;
         check_range("stop-grace-ms", self.stop_grace_ms, 0, MAX_DURATION_MS)?;
         check_range("stall-timeout-ms", self.stall_timeout_ms, 10, MAX_DURATION_MS)
     }
