callers: halve the buffer of a stream

Cause: 77 KiB of resident memory per open stream whose caller does not read, goal 64 KiB; the pipe holds its buffer twice.

--- a/crates/callers/src/answer_body.rs
+++ b/crates/callers/src/answer_body.rs
@@ -15,7 +15,7 @@
 use crate::handler::AnswerStream;
 
 /// Unread bytes of one stream at which reading from the endpoint pauses.
-const STREAM_BUFFER_BYTES: usize = 16 * 1024;
+const STREAM_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Largest answer that is assembled for a caller that does not want a stream.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
