decisions: add in-memory majority votes

Cause: permits and at-most-once execution need agreement without a call to the platform for each request. Change: module quorum: voter lists identified by their content, panels of three by rendezvous hashing, a sharded and bounded voter, and proposals. A voter abstains for the lifetime of a kind of vote after start. Conclusion: one change of voters at a time is safe; a second one must not start before all voters use the first.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! * [`answer`]: puts the tokens of several attempts together into one whole answer.
 //! * [`config`]: the operators' configuration and its checks.
+//! * [`quorum`]: in-memory majority votes.
 
 pub mod answer;
 pub mod config;
+pub mod quorum;
--- /dev/null
+++ b/crates/decisions/src/quorum/voter.rs
@@ -0,0 +1,212 @@
+//! A panel member.
+
+use std::sync::{PoisonError, RwLock};
+
+use yuccapass_types::{Deadline, Instant, NodeId, Sharded, ZoneId};
+
+use super::key::{AttemptId, RequestDigest, VoteKey, VoteKind};
+use super::panel::{VoterList, VoterListId};
+use super::standing::Standing;
+use super::vote_table::{OutcomeState, Vote, VoteTable};
+
+/// Settings of a voter; they must be the same on all nodes.
+#[derive(Debug, Clone, Copy)]
+pub struct VoterConfig {
+    pub(crate) ledger_lifetime_ms: u64,
+    pub(crate) permit_lifetime_ms: u64,
+    pub(crate) max_votes_per_shard: usize,
+    pub(crate) max_body_bytes_per_shard: usize,
+}
+
+impl Default for VoterConfig {
+    fn default() -> Self {
+        Self {
+            // The retention window of 15 min plus the 30 s in which a winner may send.
+            ledger_lifetime_ms: 930_000,
+            permit_lifetime_ms: 5_000,
+            // At 3,900 keyed requests a second, 340 voters hold about 32,000 votes each; 64 shards
+            // of 1,024 allow twice that.
+            max_votes_per_shard: 1_024,
+            // 8 MB in 64 shards, a quarter of the memory for control work.
+            max_body_bytes_per_shard: 128 * 1024,
+        }
+    }
+}
+
+impl VoterConfig {
+    /// Sets how long a ledger vote lives; 930 s by default.
+    pub fn ledger_lifetime_ms(mut self, ms: u64) -> Self {
+        self.ledger_lifetime_ms = ms;
+        self
+    }
+
+    /// Sets how long a permit vote lives; 5 s by default.
+    pub fn permit_lifetime_ms(mut self, ms: u64) -> Self {
+        self.permit_lifetime_ms = ms;
+        self
+    }
+
+    /// Sets how many votes each of the 64 shards holds; 1,024 by default.
+    pub fn max_votes_per_shard(mut self, count: usize) -> Self {
+        self.max_votes_per_shard = count;
+        self
+    }
+
+    /// Sets how many bytes of outcome bodies each of the 64 shards holds; 128 KB by default.
+    pub fn max_body_bytes_per_shard(mut self, bytes: usize) -> Self {
+        self.max_body_bytes_per_shard = bytes;
+        self
+    }
+
+    /// Returns the lifetime of a kind of vote.
+    pub fn lifetime_ms(&self, kind: VoteKind) -> u64 {
+        match kind {
+            VoteKind::Ledger => self.ledger_lifetime_ms,
+            VoteKind::Permit => self.permit_lifetime_ms,
+        }
+    }
+}
+
+/// A request for a vote, as the voter received it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VoteAsk {
+    /// What is voted on.
+    pub key: VoteKey,
+    /// The attempt that asks.
+    pub attempt: AttemptId,
+    /// Digest of the request, or the default for permits.
+    pub digest: RequestDigest,
+    /// The list from which the proposer selected the panel.
+    pub list: VoterListId,
+    /// The endpoint's zone for permits; not used for the ledger.
+    pub zone: ZoneId,
+}
+
+/// The attempt that holds a voter's vote.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Digest of its request.
+    pub digest: RequestDigest,
+    /// What is known about its execution.
+    pub outcome: OutcomeState,
+}
+
+/// A voter's answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum VoteAnswer {
+    /// The attempt has the vote, counted from receipt.
+    Granted,
+    /// Another attempt has the vote.
+    HeldBy(Holder),
+    /// The voter may have forgotten a vote on this key and says nothing about it.
+    Abstained,
+    /// The voter uses another list or is not on the panel; it says nothing about the key.
+    WrongList(VoterListId),
+    /// The voter knows no vote on this key but has no room for one.
+    Full,
+}
+
+/// A panel member with its votes, in shards by key.
+#[derive(Debug)]
+pub struct Voter {
+    config: VoterConfig,
+    standing: RwLock<Standing>,
+    tables: Sharded<VoteTable>,
+}
+
+impl Voter {
+    /// Makes the voter of a process that starts at `now`.
+    pub fn new(node: NodeId, list: VoterList, config: VoterConfig, now: Instant) -> Self {
+        let standing = RwLock::new(Standing::new(node, list, config, now));
+        Self { config, standing, tables: Sharded::default() }
+    }
+
+    /// Answers a request for a vote, or for the extension of a vote that the attempt has.
+    pub fn ask(&self, ask: &VoteAsk, now: Instant) -> VoteAnswer {
+        // Held until the vote is stored, so that no vote is given under a list that another thread
+        // has just replaced.
+        let standing = self.standing.read().unwrap_or_else(PoisonError::into_inner);
+        if ask.list != standing.list_id() || !standing.is_on_panel(&ask.key, &ask.zone) {
+            return VoteAnswer::WrongList(standing.list_id());
+        }
+        let deadline = Deadline::after_ms(now, self.config.lifetime_ms(ask.key.kind()));
+        self.tables.with(&ask.key, |table| match table.live(&ask.key, now) {
+            Some(vote) if vote.attempt == ask.attempt => {
+                vote.deadline = vote.deadline.max(deadline);
+                VoteAnswer::Granted
+            }
+            Some(vote) => VoteAnswer::HeldBy(Holder {
+                attempt: vote.attempt.clone(),
+                digest: vote.digest,
+                outcome: vote.outcome.clone(),
+            }),
+            None if standing.must_abstain(&ask.key, &ask.zone, now) => VoteAnswer::Abstained,
+            None => self.grant(table, ask, deadline, now),
+        })
+    }
+
+    /// Takes back a vote at the request of its attempt.
+    pub fn release(&self, key: &VoteKey, attempt: &AttemptId, now: Instant) {
+        self.tables.with(key, |table| {
+            let is_holder =
+                |vote: &mut Vote| vote.attempt == *attempt && vote.outcome == OutcomeState::Pending;
+            if table.live(key, now).is_some_and(is_holder) {
+                table.remove(key);
+            }
+        });
+    }
+
+    /// Records the outcome of the attempt that has the vote, which then lives for another lifetime.
+    pub fn record(&self, key: &VoteKey, attempt: &AttemptId, outcome: OutcomeState, now: Instant) {
+        let deadline = Deadline::after_ms(now, self.config.lifetime_ms(key.kind()));
+        self.tables.with(key, |table| {
+            let Some(vote) = table.live(key, now) else { return };
+            if vote.attempt == *attempt && vote.outcome == OutcomeState::Pending {
+                vote.deadline = deadline;
+                table.record(key, outcome, self.config.max_body_bytes_per_shard);
+            }
+        });
+    }
+
+    /// Starts to use another list.
+    pub fn adopt(&self, list: VoterList, now: Instant) {
+        self.standing.write().unwrap_or_else(PoisonError::into_inner).adopt(list, now);
+    }
+
+    /// Notes the list that another node uses, as its requests and heartbeats show.
+    pub fn note_list_of(&self, node: &NodeId, list: VoterListId, now: Instant) {
+        let mut standing = self.standing.write().unwrap_or_else(PoisonError::into_inner);
+        standing.note_list_of(node, list, now);
+    }
+
+    /// Removes votes whose deadline has passed; to be called every few seconds.
+    pub fn drop_expired(&self, now: Instant) {
+        self.tables.fold((), |(), table| table.drop_expired(now));
+    }
+
+    /// Returns the number of votes in memory.
+    pub fn vote_count(&self) -> usize {
+        self.tables.fold(0, |sum, table| sum + table.len())
+    }
+
+    fn grant(
+        &self,
+        table: &mut VoteTable,
+        ask: &VoteAsk,
+        deadline: Deadline,
+        now: Instant,
+    ) -> VoteAnswer {
+        let vote = Vote {
+            attempt: ask.attempt.clone(),
+            digest: ask.digest,
+            deadline,
+            outcome: OutcomeState::Pending,
+        };
+        match table.insert(ask.key, vote, self.config.max_votes_per_shard, now) {
+            true => VoteAnswer::Granted,
+            false => VoteAnswer::Full,
+        }
+    }
+}
