--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,9 +7,11 @@
 //! * [`answer`]: puts the tokens of several attempts together into one whole answer.
 //! * [`config`]: the operators' configuration and its checks.
 //! * [`endpoint_health`]: what an endpoint can bear now.
+//! * [`quorum`]: in-memory majority votes.
 //! * [`routing`]: the prefix index and the choice of an endpoint.
 
 pub mod answer;
 pub mod config;
 pub mod endpoint_health;
+pub mod quorum;
 pub mod routing;
