standins: model engine with batching, prefix cache, orders and faults

Cause: the stand-in engine only sent tokens at a fixed pace, so routing, admission, rollouts and failure handling had nothing to be tested against. Fault draws depend on seed and request, not on thread order.

--- a/crates/endpoints/src/http_endpoint.rs
+++ b/crates/endpoints/src/http_endpoint.rs
@@ -9,6 +9,7 @@
 use yuccapass_http::{ClientConfig, ConnectionChoice, Exchange, HttpClient, with_deadline};
 use yuccapass_types::{BlockHash, Clock, Deadline, EndpointId, RequestId, RunState, Tokens};
 
+use crate::block_headers;
 use crate::error::{EndpointError, EndpointErrorKind};
 use crate::model_endpoint::{
     BlockListing, CacheEventBatch, GenerateRequest, LoadReport, ModelEndpoint, Order, SealedBlock,
@@ -22,10 +23,6 @@
 /// Largest block payload.
 const MAX_BLOCK_BYTES: usize = 64 << 20;
 
-/// Names of the headers of an exported block.
-const GENERATION: &str = "x-block-generation";
-const CHECKSUM: &str = "x-block-checksum";
-
 /// The data of the last event of a stream, as published.
 const DONE: &[u8] = b"[DONE]";
 
@@ -154,14 +151,11 @@
         let request = self.client.request(Method::Get, &format!("/kv/{block}"));
         let exchange = self.call(request, ConnectionChoice::Reuse, deadline).await?;
         let (response, payload) = exchange.read_body(MAX_BLOCK_BYTES, deadline).await?;
-        let generation = header(&response, GENERATION).and_then(|text| text.parse().ok());
-        let checksum =
-            header(&response, CHECKSUM).and_then(|text| blake3::Hash::from_hex(text).ok());
-        let (Some(generation), Some(checksum)) = (generation, checksum) else {
+        let Some((generation, checksum)) = block_headers::parse(|name| header(&response, name))
+        else {
             return Err(protocol_error("an exported block has no generation or checksum"));
         };
-        let sealed =
-            SealedBlock { hash: block, generation, checksum: *checksum.as_bytes(), payload };
+        let sealed = SealedBlock { hash: block, generation, checksum, payload };
         check_intact(&sealed)?;
         Ok(sealed)
     }
@@ -173,9 +167,9 @@
     ) -> Result<(), EndpointError> {
         check_intact(block)?;
         let mut request = self.client.request(Method::Put, &format!("/kv/{}", block.hash));
-        request.insert_header(GENERATION, block.generation.to_string());
-        let checksum = blake3::Hash::from_bytes(block.checksum);
-        request.insert_header(CHECKSUM, checksum.to_hex().as_str());
+        block_headers::insert(block, |name, value| {
+            request.insert_header(name, value);
+        });
         request.set_body(Body::from_bytes(block.payload.clone()));
         let exchange = self.call(request, ConnectionChoice::Reuse, deadline).await?;
         exchange.read_body(MAX_JSON_BYTES, deadline).await?;
--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! * [`model_endpoint`]: the trait object at the border and its messages.
 //! * [`http_endpoint`]: the client that speaks HTTP/1.1 with server-sent events to an engine.
+//! * [`block_headers`]: the headers that carry the seal of an exported block.
 //! * [`sse`]: reading of server-sent events.
 //! * [`error`]: what can go wrong, and what is then known about the run.
 
+pub mod block_headers;
 pub mod error;
 pub mod http_endpoint;
 pub mod model_endpoint;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_h1::server::{ConnectionStatus, Server as ConnectionServer};
@@ -58,13 +58,38 @@
     }
 }
 
+/// The number of the next accepted connection.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0);
+
 /// The connection of a request; the application finds it in the request's extensions.
 #[derive(Debug, Clone)]
 pub struct ConnectionHandle {
     stream: TcpStream,
+    number: u64,
 }
 
 impl ConnectionHandle {
+    fn new(stream: TcpStream) -> Self {
+        Self { stream, number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed) }
+    }
+
+    /// Returns the number of the connection in this process; one that was accepted later has a
+    /// larger number.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns the number that the next accepted connection gets.
+    pub fn next_number() -> u64 {
+        NEXT_NUMBER.load(Ordering::Relaxed)
+    }
+
+    /// Closes the connection in both directions, whatever is being sent.
+    pub fn abort(&self) {
+        // It fails only if the connection is closed already.
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+    }
+
     /// Waits until the peer closes the connection.
     pub async fn closed_by_peer(&self) {
         let mut byte = [0];
@@ -150,7 +175,7 @@
     S: Clone + Send + Sync + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let handle = ConnectionHandle { stream: stream.clone() };
+    let handle = ConnectionHandle::new(stream.clone());
     let respond = |request| respond(&app, &handle, &stop, request);
     let mut server = ConnectionServer::new(stream.clone(), respond);
     while request_arrives(&stream, &config, &stop).await {
--- /dev/null
+++ b/crates/standins/src/bin/yuccapass-standin/main.rs
@@ -0,0 +1,39 @@
+//! `yuccapass-standin`, small stand-ins for the outside systems.
+
+mod engine;
+mod server;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Small stand-ins for the outside systems.
+#[derive(Debug, Parser)]
+#[command(name = "yuccapass-standin", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs a model endpoint.
+    Engine(engine::EngineArguments),
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    match async_std::task::block_on(run(arguments.command)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("yuccapass-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command) -> std::io::Result<()> {
+    match command {
+        Command::Engine(arguments) => engine::run(arguments).await,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bin/yuccapass-standin/server.rs
@@ -0,0 +1,22 @@
+//! Serving of a stand-in's application.
+
+use std::net::SocketAddr;
+
+use async_std::net::TcpListener;
+use yuccapass_http::{RejectReason, ServerConfig, serve, stop_pair};
+
+/// Serves until the process is ended.
+pub(crate) async fn run<S: Clone + Send + Sync + 'static>(
+    address: SocketAddr,
+    app: tide::Server<S>,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    // The controller is kept, so the server never stops by itself.
+    let (_controller, stop) = stop_pair();
+    serve(listener, app, ServerConfig::new(rejection_body), stop).await;
+    Ok(())
+}
+
+fn rejection_body(_reason: RejectReason) -> (u16, String) {
+    (503, "{}".to_owned())
+}
--- /dev/null
+++ b/crates/standins/src/engine/faults.rs
@@ -0,0 +1,86 @@
+//! Failures that can be switched on at the start or while the engine runs.
+
+use serde::{Deserialize, Serialize};
+
+/// Failures that stay on until the set is replaced. Probabilities are from 0 to 1.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// A run whose prompt contains this text crashes the engine.
+    pub crash_marker: Option<String>,
+    /// Probability that the events of an answer are held back.
+    pub late_probability: f64,
+    /// How long they are held back.
+    pub late_ms: u64,
+    /// Probability, for each token, that an event of another request, of another attempt or with an
+    /// old offset is sent before it.
+    pub mismatch_probability: f64,
+    /// Probability that the connection of a request goes silent for good.
+    pub silent_probability: f64,
+    /// Tokens that a silent connection delivers first; without a value it sends nothing at all, and
+    /// the request is lost before it runs.
+    pub silent_after_tokens: Option<u64>,
+    /// Factor by which prefill and decoding take longer.
+    pub slow_factor: u64,
+    /// Probability that a cache event is never published.
+    pub lost_event_probability: f64,
+    /// Probability that an exported block is torn.
+    pub torn_block_probability: f64,
+    /// Replicas that swap their weights now, this one included.
+    pub swapping_replicas: u32,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            crash_marker: None,
+            late_probability: 0.0,
+            late_ms: 0,
+            mismatch_probability: 0.0,
+            silent_probability: 0.0,
+            silent_after_tokens: None,
+            slow_factor: 1,
+            lost_event_probability: 0.0,
+            torn_block_probability: 0.0,
+            swapping_replicas: 1,
+        }
+    }
+}
+
+/// A failure that happens once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultAction {
+    /// The engine crashes.
+    Crash,
+    /// The engine becomes cold and loses its cache, but its runs go on.
+    FallBackToCold,
+    /// The connections that are open now go silent for good; new ones work.
+    SilenceConnections,
+}
+
+/// The body of `POST /faults`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FaultCommand {
+    /// Replaces the set of faults; a field that is left out has its default.
+    pub set: Option<Faults>,
+    /// What happens now.
+    pub actions: Vec<FaultAction>,
+}
+
+/// Draws a number from 0 to 1 that depends only on its arguments.
+///
+/// A draw by name instead of from a generator makes faults independent of the order in which
+/// threads handle requests.
+pub fn draw(seed: u64, name: &str, key: &str) -> f64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&seed.to_be_bytes());
+    hasher.update(name.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(key.as_bytes());
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    // 53 bits are what an f64 holds exactly, so the result is always below 1.
+    (u64::from_be_bytes(bytes) >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/standins/src/engine/load.rs
@@ -0,0 +1,39 @@
+//! Load reports with a lag.
+
+use std::collections::VecDeque;
+
+use yuccapass_endpoints::LoadReport;
+use yuccapass_types::Instant;
+
+/// The reports that are or will become visible.
+#[derive(Debug)]
+pub(crate) struct LoadHistory {
+    lag_ms: u64,
+    reports: VecDeque<(Instant, LoadReport)>,
+}
+
+impl LoadHistory {
+    pub(crate) fn new(lag_ms: u64) -> Self {
+        Self { lag_ms, reports: VecDeque::new() }
+    }
+
+    /// Adds what is true from `now` on; of one millisecond only the last report is kept.
+    pub(crate) fn add(&mut self, report: LoadReport, now: Instant) {
+        if self.reports.back().is_some_and(|(at, _)| *at == now) {
+            self.reports.pop_back();
+        }
+        self.reports.push_back((now, report));
+        // A report is replaced as soon as the next one is old enough to be visible.
+        while self.reports.get(1).is_some_and(|(at, _)| now.ms_since(*at) >= self.lag_ms) {
+            self.reports.pop_front();
+        }
+    }
+
+    /// Returns what was true before the lag, or the first report of a younger engine.
+    pub(crate) fn visible(&self, now: Instant) -> Option<LoadReport> {
+        let is_visible = |entry: &&(Instant, LoadReport)| now.ms_since(entry.0) >= self.lag_ms;
+        let newest = self.reports.iter().rev().find(is_visible);
+        let (at, report) = newest.or_else(|| self.reports.front())?;
+        Some(LoadReport { age_ms: now.ms_since(*at).min(self.lag_ms), ..report.clone() })
+    }
+}
--- a/crates/types/src/sorted_map.rs
+++ b/crates/types/src/sorted_map.rs
@@ -99,6 +99,11 @@
         self.entries.iter().map(|(key, value)| (key, value))
     }
 
+    /// Returns the entries in key order, their values for changing them.
+    pub fn iter_mut(&mut self) -> impl DoubleEndedIterator<Item = (&K, &mut V)> {
+        self.entries.iter_mut().map(|(key, value)| (&*key, value))
+    }
+
     /// Returns the keys in order.
     pub fn keys(&self) -> impl DoubleEndedIterator<Item = &K> {
         self.entries.iter().map(|(key, _)| key)
