platform: client for the key-value service and the VM list

Cause: configuration, leases and rollout progress live in the platform's key-value service. Change: trait objects KeyValue (get, paged range, compare-and-swap over several keys, leases, watch) and VmList, with an implementation in the JSON gateway form of etcd v3 over several addresses. Every call has a deadline. A write whose answer is lost has the error kind Unknown and is never sent again; reads move on to the next address.

--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,79 @@
+//! Errors of platform calls.
+
+use snafu::Snafu;
+use yuccapass_http::{HttpError, HttpErrorKind};
+
+/// Says what failed in a call to the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum PlatformErrorKind {
+    /// The call had no effect: the platform was not reached, or a read was not answered.
+    Unavailable,
+    /// A write was sent but not answered; it may have taken effect.
+    Unknown,
+    /// The platform refused the call because of its rate; the call had no effect.
+    RateLimited,
+    /// The platform considers the call invalid; the call had no effect.
+    InvalidRequest,
+    /// The answer to a read is not of the protocol.
+    Protocol,
+    /// The lease does not exist or has expired.
+    LeaseNotFound,
+    /// A read at a revision that the platform no longer keeps; read anew without a revision.
+    Compacted,
+    /// The platform's revision went back: it was restored from an older state.
+    Restored,
+    /// The node's own call budget had no room before the deadline; nothing was sent.
+    OverBudget,
+}
+
+/// Reports that a call to the platform failed.
+#[derive(Debug, Clone, Snafu)]
+#[snafu(display("{kind:?}: {detail}"))]
+pub struct PlatformError {
+    kind: PlatformErrorKind,
+    detail: String,
+}
+
+impl PlatformError {
+    /// Makes an error.
+    pub fn new(kind: PlatformErrorKind, detail: impl Into<String>) -> Self {
+        Self { kind, detail: detail.into() }
+    }
+
+    /// Returns what failed.
+    pub fn kind(&self) -> PlatformErrorKind {
+        self.kind
+    }
+
+    /// Returns whether the platform could not be reached or did not answer.
+    pub fn is_outage(&self) -> bool {
+        matches!(self.kind, PlatformErrorKind::Unavailable | PlatformErrorKind::Unknown)
+    }
+}
+
+/// Whether a call changes the platform's state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Effect {
+    Read,
+    Write,
+}
+
+impl Effect {
+    /// Returns the error kind of a call whose answer did not arrive or was not understood.
+    pub(crate) fn unanswered(self, read_kind: PlatformErrorKind) -> PlatformErrorKind {
+        match self {
+            Self::Read => read_kind,
+            Self::Write => PlatformErrorKind::Unknown,
+        }
+    }
+
+    pub(crate) fn http_error(self, error: &HttpError) -> PlatformError {
+        let had_no_effect = !error.was_sent() || error.kind() == HttpErrorKind::Connect;
+        let kind = match had_no_effect {
+            true => PlatformErrorKind::Unavailable,
+            false => self.unanswered(PlatformErrorKind::Unavailable),
+        };
+        PlatformError::new(kind, error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/ids.rs
@@ -0,0 +1,171 @@
+//! Checked keys, values, revisions and lease ids.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use smol_str::SmolStr;
+use snafu::Snafu;
+
+/// Largest value that the platform stores.
+pub const MAX_VALUE_BYTES: usize = 1_000_000;
+
+/// Longest key; it holds a path with a few ids of at most 64 bytes each.
+const MAX_KEY_BYTES: usize = 256;
+
+/// Reports a key, value or number outside its limits.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{type_name} {problem}"))]
+pub struct InvalidId {
+    type_name: &'static str,
+    problem: &'static str,
+}
+
+/// A key: 1 to 256 printable ASCII bytes without a space.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct Key(SmolStr);
+
+impl Key {
+    /// Returns the key as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Returns the key followed by a slash and `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the result is not a valid key.
+    pub fn child(&self, name: &str) -> Result<Self, InvalidId> {
+        format!("{}/{name}", self.0).parse()
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for Key {
+    type Err = InvalidId;
+
+    fn from_str(text: &str) -> Result<Self, InvalidId> {
+        let fail = |problem| Err(InvalidId { type_name: "key", problem });
+        if text.is_empty() || text.len() > MAX_KEY_BYTES {
+            return fail("does not have 1 to 256 bytes");
+        }
+        if !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return fail("has a byte that is not printable ASCII");
+        }
+        Ok(Self(SmolStr::new(text)))
+    }
+}
+
+/// A value of at most [`MAX_VALUE_BYTES`].
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Value(Vec<u8>);
+
+impl Value {
+    /// Checks the size.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there are more than [`MAX_VALUE_BYTES`].
+    pub fn new(bytes: Vec<u8>) -> Result<Self, InvalidId> {
+        if bytes.len() > MAX_VALUE_BYTES {
+            return Err(InvalidId { type_name: "value", problem: "has more than 1 MB" });
+        }
+        Ok(Self(bytes))
+    }
+
+    /// Returns the bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident, $label:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay,
+            DeserializeFromStr,
+        )]
+        pub struct $name(u64);
+
+        impl $name {
+            /// Wraps a number.
+            pub const fn new(number: u64) -> Self {
+                Self(number)
+            }
+
+            /// Returns the number.
+            pub const fn get(self) -> u64 {
+                self.0
+            }
+
+            /// Returns the number that follows this one.
+            pub const fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidId;
+
+            fn from_str(text: &str) -> Result<Self, InvalidId> {
+                let problem = "is not a whole number";
+                text.parse().map(Self).map_err(|_| InvalidId { type_name: $label, problem })
+            }
+        }
+    };
+}
+
+number! {
+    /// A revision of the key-value service; each committed transaction makes a new one.
+    StoreRevision, "store revision"
+}
+number! {
+    /// Identifies a lease.
+    LeaseId, "lease id"
+}
+number! {
+    /// Lifetime of a lease in whole seconds, the unit of the protocol.
+    LeaseTtl, "lease lifetime"
+}
+
+impl LeaseTtl {
+    /// Returns the lifetime in milliseconds.
+    pub const fn as_ms(self) -> u64 {
+        self.0.saturating_mul(1_000)
+    }
+}
+
+/// Names a VM in the platform's list.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct VmId(Key);
+
+impl fmt::Display for VmId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for VmId {
+    type Err = InvalidId;
+
+    fn from_str(text: &str) -> Result<Self, InvalidId> {
+        text.parse().map(Self)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/key_value.rs
@@ -0,0 +1,241 @@
+//! The trait object at the border to the key-value service, and its messages.
+
+use async_trait::async_trait;
+use yuccapass_types::Deadline;
+
+use crate::error::PlatformError;
+use crate::ids::{Key, LeaseId, LeaseTtl, StoreRevision, Value};
+
+/// A stored key with its value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The key.
+    pub key: Key,
+    /// The value.
+    pub value: Value,
+    /// Revision of the last write to the key.
+    pub mod_revision: StoreRevision,
+    /// The lease whose end deletes the key.
+    pub lease: Option<LeaseId>,
+}
+
+/// The answer to [`KeyValue::get`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GetResponse {
+    /// The service's revision when it answered.
+    pub revision: StoreRevision,
+    /// The entry, if the key has a value.
+    pub entry: Option<Entry>,
+}
+
+/// Which keys a range or a watch covers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeyRange {
+    /// One key.
+    Exact(Key),
+    /// All keys that begin with a text.
+    Prefix(Key),
+}
+
+/// A page of keys to read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RangeRequest {
+    /// The keys.
+    pub range: KeyRange,
+    /// First key of the page; the beginning of the range if absent.
+    pub start: Option<Key>,
+    /// Most entries in the page. A page of more than 8 MiB fails, so large values need a small one.
+    pub limit: u32,
+    /// Revision to read at, so that all pages show one state; the newest if absent.
+    pub revision: Option<StoreRevision>,
+}
+
+/// A page of entries in key order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// The service's revision when it answered.
+    pub revision: StoreRevision,
+    /// The entries.
+    pub entries: Vec<Entry>,
+    /// First key of the next page, if there is one.
+    pub next: Option<Key>,
+}
+
+/// A condition of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Compare {
+    /// The key has no value.
+    Absent(Key),
+    /// The key was last written at this revision.
+    ModRevision(Key, StoreRevision),
+}
+
+/// A write of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Write {
+    /// Sets a value.
+    Put {
+        /// The key.
+        key: Key,
+        /// The value.
+        value: Value,
+        /// The lease whose end deletes the key.
+        lease: Option<LeaseId>,
+    },
+    /// Deletes a key.
+    Delete(Key),
+}
+
+/// Writes that take effect together if all conditions hold.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// The conditions.
+    pub compares: Vec<Compare>,
+    /// The writes.
+    pub writes: Vec<Write>,
+}
+
+/// The answer to [`KeyValue::compare_and_swap`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TransactionOutcome {
+    /// All conditions held and all writes took effect.
+    Committed {
+        /// Revision of the writes.
+        revision: StoreRevision,
+    },
+    /// A condition did not hold and nothing was written.
+    Conflict {
+        /// The service's revision when it answered.
+        revision: StoreRevision,
+        /// What the compared keys hold.
+        entries: Vec<Entry>,
+    },
+}
+
+/// A granted or renewed lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseGrant {
+    /// The lease.
+    pub id: LeaseId,
+    /// Its lifetime from some moment between the call and its answer.
+    pub ttl: LeaseTtl,
+}
+
+/// Changes to wait for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WatchRequest {
+    /// The keys.
+    pub range: KeyRange,
+    /// First revision of interest: the one after the state that was read.
+    pub from: StoreRevision,
+}
+
+/// What happened to a watched key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ChangeKind {
+    /// The key has a new value.
+    Put(Entry),
+    /// The key was deleted.
+    Deleted(Key),
+}
+
+/// A change of a watched key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Revision of the change.
+    pub revision: StoreRevision,
+    /// What happened.
+    pub kind: ChangeKind,
+}
+
+/// How a watch ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WatchOutcome {
+    /// There are changes, in order. The next watch starts after the last one's revision.
+    Changes(Vec<Change>),
+    /// Nothing changed before the deadline.
+    Quiet,
+    /// The service no longer keeps all changes since the requested revision; read anew.
+    Compacted,
+    /// The service is at an older revision than the caller has seen; read anew.
+    Restored {
+        /// The service's revision.
+        revision: StoreRevision,
+    },
+}
+
+/// The platform's key-value service.
+///
+/// An error of a write has the kind `Unknown` if the write may have taken effect.
+#[async_trait]
+pub trait KeyValue: Send + Sync {
+    /// Reads a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no platform address answers in time.
+    async fn get(&self, key: &Key, deadline: Deadline) -> Result<GetResponse, PlatformError>;
+
+    /// Reads a page of a range.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no platform address answers in time, or with `Compacted` if the requested revision
+    /// is no longer kept.
+    async fn range(
+        &self,
+        request: &RangeRequest,
+        deadline: Deadline,
+    ) -> Result<Page, PlatformError>;
+
+    /// Writes if all conditions hold.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `Unknown` if the transaction was sent but not answered.
+    async fn compare_and_swap(
+        &self,
+        transaction: &Transaction,
+        deadline: Deadline,
+    ) -> Result<TransactionOutcome, PlatformError>;
+
+    /// Asks for a lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `Unknown` if the lease may exist; it then expires without a holder.
+    async fn lease_grant(
+        &self,
+        ttl: LeaseTtl,
+        deadline: Deadline,
+    ) -> Result<LeaseGrant, PlatformError>;
+
+    /// Renews a lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `LeaseNotFound` if the lease has expired.
+    async fn lease_keep_alive(
+        &self,
+        lease: LeaseId,
+        deadline: Deadline,
+    ) -> Result<LeaseGrant, PlatformError>;
+
+    /// Ends a lease and deletes its keys.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `LeaseNotFound` if the lease has expired.
+    async fn lease_revoke(&self, lease: LeaseId, deadline: Deadline) -> Result<(), PlatformError>;
+
+    /// Waits for changes until the deadline.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no platform address accepts the watch or the connection breaks.
+    async fn watch(
+        &self,
+        request: &WatchRequest,
+        deadline: Deadline,
+    ) -> Result<WatchOutcome, PlatformError>;
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,26 @@
 //! The interface to the platform's key-value service and VM list.
+//!
+//! * [`key_value`]: the trait object at the border to the key-value service, and its messages.
+//! * [`vm_list`]: the trait object at the border to the VM list.
+//! * [`http_key_value`]: the client that speaks the JSON gateway form of the etcd v3 protocol.
+//! * [`wire`]: the JSON messages.
+//! * [`ids`]: checked keys, values, revisions and lease ids.
+//! * [`error`]: what can go wrong, and what is then known about a write.
+
+pub mod error;
+pub mod http_key_value;
+pub mod ids;
+pub mod key_value;
+mod transport;
+pub mod vm_list;
+pub mod wire;
+
+pub use error::{PlatformError, PlatformErrorKind};
+pub use http_key_value::HttpKeyValue;
+pub use ids::{Key, LeaseId, LeaseTtl, MAX_VALUE_BYTES, StoreRevision, Value, VmId};
+pub use key_value::{
+    Change, ChangeKind, Compare, Entry, GetResponse, KeyRange, KeyValue, LeaseGrant, Page,
+    RangeRequest, Transaction, TransactionOutcome, WatchOutcome, WatchRequest, Write,
+};
+pub use transport::PlatformConfig;
+pub use vm_list::{HttpVmList, Vm, VmList, VmListing, VmState};
--- /dev/null
+++ b/crates/platform/src/vm_list.rs
@@ -0,0 +1,76 @@
+//! The trait object at the border to the VM list.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
+use yuccapass_types::{Clock, Deadline, ZoneId};
+
+use crate::error::PlatformError;
+use crate::ids::VmId;
+use crate::transport::{PlatformConfig, Transport};
+
+/// Whether a VM stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// The VM runs.
+    Live,
+    /// The VM will be stopped and takes no new work.
+    Leaving,
+}
+
+/// A VM in the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// The VM.
+    pub id: VmId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Whether it stays.
+    pub state: VmState,
+}
+
+/// The platform's VMs, as it knew them some time ago.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmListing {
+    /// The VMs.
+    pub vms: Vec<Vm>,
+}
+
+/// The platform's list of VMs.
+#[async_trait]
+pub trait VmList: Send + Sync {
+    /// Reads the list.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no platform address answers in time.
+    async fn list(&self, deadline: Deadline) -> Result<VmListing, PlatformError>;
+}
+
+/// The VM list behind one or more HTTP addresses.
+pub struct HttpVmList {
+    transport: Transport,
+}
+
+impl HttpVmList {
+    /// Makes a client without opening a connection.
+    ///
+    /// # Panics
+    ///
+    /// Panics on a call if the settings have no address.
+    pub fn new(config: &PlatformConfig, clock: Arc<dyn Clock>) -> Self {
+        Self { transport: Transport::new(config, clock) }
+    }
+}
+
+#[async_trait]
+impl VmList for HttpVmList {
+    async fn list(&self, deadline: Deadline) -> Result<VmListing, PlatformError> {
+        self.transport.get("/vms", deadline).await
+    }
+}
