--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,8 @@
 //!
 //! * [`answer`]: puts the tokens of several attempts together into one whole answer.
 //! * [`config`]: the operators' configuration and its checks.
+//! * [`platform_budget`]: calls to the platform: budget, backoff, lost answers and leases.
 
 pub mod answer;
 pub mod config;
+pub mod platform_budget;
--- /dev/null
+++ b/crates/decisions/src/platform_budget/outage_gate.rs
@@ -0,0 +1,113 @@
+//! Calls during and after an outage of the service.
+
+use rand::{Rng, RngExt};
+use yuccapass_types::{Deadline, Instant};
+
+use crate::platform_budget::{Backoff, CallRank};
+
+/// First bound of the delay between probes.
+const PROBE_BASE_MS: u64 = 100;
+
+/// Shortest limit of the delay between probes.
+const PROBE_LIMIT_MS: u64 = 5_000;
+
+/// Part of the return window for each node of the fleet: 50 nodes a second come back, which leaves
+/// each of them 20 reads a second of half the service's rate. 340 nodes return within 6.8 s, so a
+/// change made right after an outage is still active everywhere within 14 s.
+const RETURN_MS_PER_NODE: u64 = 20;
+
+/// Whether a call may be made as far as outages are concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// Call now.
+    Go,
+    /// Ask again at this instant.
+    WaitUntil(Instant),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Up,
+    Down { since: Instant, backoff: Backoff, next_probe: Instant },
+    Returning { at: Instant },
+}
+
+/// Lets one probe through at a time while the service is down, and spreads the return of the nodes
+/// over a window that grows with the fleet and with the length of the outage.
+///
+/// Commands always pass: there are few, and an operator waits for an answer. Lease calls pass as
+/// soon as a probe succeeds.
+#[derive(Debug, Clone)]
+pub struct OutageGate {
+    fleet_nodes: u32,
+    state: State,
+}
+
+impl OutageGate {
+    /// Makes a gate for a node among `fleet_nodes` whose service is up as far as it knows.
+    pub fn new(fleet_nodes: u32) -> Self {
+        Self { fleet_nodes, state: State::Up }
+    }
+
+    /// Changes the number of nodes.
+    pub fn set_fleet_nodes(&mut self, fleet_nodes: u32) {
+        self.fleet_nodes = fleet_nodes;
+    }
+
+    /// Returns whether the last answer came before the last failure.
+    pub fn is_down(&self) -> bool {
+        matches!(self.state, State::Down { .. })
+    }
+
+    /// Asks whether a call may be made; during an outage the call that passes is the probe.
+    pub fn admit(&mut self, rank: CallRank, now: Instant) -> Admission {
+        if rank == CallRank::Command {
+            return Admission::Go;
+        }
+        let probe_limit_ms = self.probe_limit_ms();
+        match &mut self.state {
+            State::Up => Admission::Go,
+            State::Down { next_probe, .. } if now >= *next_probe => {
+                // Until its outcome is known no other call passes, unless it takes too long.
+                *next_probe = Deadline::after_ms(now, probe_limit_ms).instant();
+                Admission::Go
+            }
+            State::Down { next_probe, .. } => Admission::WaitUntil(*next_probe),
+            State::Returning { at } if now < *at && rank != CallRank::Lease => {
+                Admission::WaitUntil(*at)
+            }
+            State::Returning { .. } => Admission::Go,
+        }
+    }
+
+    /// Notes that the service answered.
+    pub fn succeeded(&mut self, now: Instant, random: &mut dyn Rng) {
+        match self.state {
+            State::Up => {}
+            State::Down { since, .. } => {
+                let full_ms = u64::from(self.fleet_nodes) * RETURN_MS_PER_NODE;
+                // After a short failure few nodes wait, so they need no longer than it lasted.
+                let window_ms = full_ms.min(now.ms_since(since));
+                let delay_ms = random.random_range(0..=window_ms);
+                self.state = State::Returning { at: Deadline::after_ms(now, delay_ms).instant() };
+            }
+            State::Returning { at } if now >= at => self.state = State::Up,
+            State::Returning { .. } => {}
+        }
+    }
+
+    /// Notes that the service did not answer.
+    pub fn failed(&mut self, now: Instant, random: &mut dyn Rng) {
+        let limit_ms = self.probe_limit_ms();
+        let (since, mut backoff) = match self.state {
+            State::Down { since, backoff, .. } => (since, backoff),
+            _ => (now, Backoff::new(PROBE_BASE_MS, limit_ms)),
+        };
+        let next_probe = Deadline::after_ms(now, backoff.next_delay_ms(random)).instant();
+        self.state = State::Down { since, backoff, next_probe };
+    }
+
+    fn probe_limit_ms(&self) -> u64 {
+        PROBE_LIMIT_MS.max(u64::from(self.fleet_nodes) * RETURN_MS_PER_NODE)
+    }
+}
