platform: managed access with budget, settled commands and a lock

Cause: every caller of the key-value service needs the budget, the backoff and the lease rules. Change: PlatformClient wraps a KeyValue trait object; its ranked views repeat reads, send writes once and notice a restored older state. Command and settle carry out a transaction at most once by a record under the command's id. LeaseLock holds a lock under a lease with a fencing number that grows also after a restoration that this node noticed. Conclusion: a lock holder that does not read after a restoration keeps its right until its own deadline; endpoints that check the number are safe only if the new holder knew the old number.

--- /dev/null
+++ b/crates/platform/src/lease_lock.rs
@@ -0,0 +1,267 @@
+//! A lock that one node holds at a time under a lease, with a fencing number.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use yuccapass_decisions::platform_budget::{
+    Asked, Backoff, LeaseHolder, LeaseStep, LeaseTerms, Permit,
+};
+use yuccapass_types::{Deadline, FencingNumber, Instant, NodeId};
+
+use crate::error::{PlatformError, PlatformErrorKind};
+use crate::ids::{InvalidId, Key, LeaseId, LeaseTtl, StoreRevision, Value};
+use crate::key_value::{Compare, Entry, KeyValue, Transaction, TransactionOutcome, Write};
+use crate::managed::RankedKeyValue;
+
+/// Bounds of the delay before a failed renewal is repeated.
+const RENEWAL_RETRY_MS: (u64, u64) = (100, 1_000);
+
+/// What [`LeaseLock::step`] found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LockStatus {
+    /// This node holds the lock; the next step is due at the instant.
+    Held(Instant),
+    /// Another node holds the lock.
+    HeldByOther,
+}
+
+struct State {
+    holder: LeaseHolder,
+    // The lease, with the revision of the holder key once the lock was acquired under it.
+    lease: Option<(LeaseId, StoreRevision)>,
+    highest_fencing: FencingNumber,
+    restorations: u64,
+    // No acquisition before this instant; set when the service was found restored.
+    acquire_after: Instant,
+}
+
+/// A lock in the key-value service.
+///
+/// The holder key exists as long as the holder's lease. The fencing number is kept under a key of
+/// its own and grows with each holder. One task calls [`LeaseLock::step`]; any may ask for the
+/// permit.
+pub struct LeaseLock {
+    key_value: RankedKeyValue,
+    node: NodeId,
+    holder_key: Key,
+    fencing_key: Key,
+    state: Mutex<State>,
+}
+
+impl LeaseLock {
+    /// Makes a lock under `name` that `node` does not hold yet. The lifetime is in whole seconds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the name is too long for a key.
+    pub fn new(
+        key_value: RankedKeyValue,
+        name: &Key,
+        node: NodeId,
+        terms: LeaseTerms,
+    ) -> Result<Self, InvalidId> {
+        let state = State {
+            holder: LeaseHolder::new(terms),
+            lease: None,
+            highest_fencing: FencingNumber::default(),
+            restorations: key_value.client().restorations(),
+            acquire_after: Instant::default(),
+        };
+        let (holder_key, fencing_key) = (name.child("holder")?, name.child("fencing")?);
+        Ok(Self { key_value, node, holder_key, fencing_key, state: Mutex::new(state) })
+    }
+
+    /// Returns the right to act; asked immediately before each act.
+    pub fn permit(&self) -> Option<Permit> {
+        let now = self.now();
+        self.lock().holder.permit(now)
+    }
+
+    /// Returns the condition that makes a transaction fail once this holder has lost the lock.
+    pub fn guard(&self) -> Option<Compare> {
+        self.permit()?;
+        let (_, revision) = self.lock().lease?;
+        Some(Compare::ModRevision(self.holder_key.clone(), revision))
+    }
+
+    /// Acquires or renews the lock if that is due.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer; the right to act is unchanged.
+    pub async fn step(&self, deadline: Deadline) -> Result<LockStatus, PlatformError> {
+        self.notice_restoration();
+        let now = self.now();
+        let step = self.lock().holder.next_step(now);
+        match step {
+            LeaseStep::WaitUntil(instant) => Ok(LockStatus::Held(instant)),
+            LeaseStep::Renew => self.renew(deadline).await,
+            LeaseStep::Acquire => self.acquire(deadline).await,
+        }
+    }
+
+    /// Gives the lock up, so that another node need not wait for the end of the lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer; the right to act has ended all the same.
+    pub async fn release(&self, deadline: Deadline) -> Result<(), PlatformError> {
+        let lease = {
+            let mut state = self.lock();
+            state.holder.lost();
+            state.lease.take()
+        };
+        let Some((lease, _)) = lease else { return Ok(()) };
+        match self.key_value.lease_revoke(lease, deadline).await {
+            Err(error) if error.kind() != PlatformErrorKind::LeaseNotFound => Err(error),
+            _ => Ok(()),
+        }
+    }
+
+    /// After a restoration an earlier holder may not know that its lease is gone, so nobody who
+    /// knows of it acquires the lock before that holder's own deadline has passed.
+    fn notice_restoration(&self) {
+        let restorations = self.key_value.client().restorations();
+        let now = self.now();
+        let mut state = self.lock();
+        if restorations != state.restorations {
+            state.restorations = restorations;
+            state.holder.lost();
+            let ttl_ms = state.holder.terms().ttl_ms();
+            state.acquire_after = Deadline::after_ms(now, ttl_ms).instant();
+        }
+    }
+
+    async fn renew(&self, deadline: Deadline) -> Result<LockStatus, PlatformError> {
+        let Some((lease, _)) = self.lock().lease else { return Ok(LockStatus::HeldByOther) };
+        let asked = Asked::at(self.now());
+        let result = self.key_value.lease_keep_alive(lease, deadline).await;
+        let now = self.now();
+        let (base_ms, limit_ms) = RENEWAL_RETRY_MS;
+        let mut backoff = Backoff::new(base_ms, limit_ms);
+        let delay_ms =
+            self.key_value.client().with_random(|random| base_ms + backoff.next_delay_ms(random));
+        let mut state = self.lock();
+        match result {
+            Ok(grant) => state.holder.renewed(asked, grant.ttl.as_ms(), now),
+            Err(error) if error.kind() == PlatformErrorKind::LeaseNotFound => {
+                state.holder.lost();
+                state.lease = None;
+                return Ok(LockStatus::HeldByOther);
+            }
+            Err(error) => {
+                state.holder.renewal_failed(now, delay_ms);
+                return Err(error);
+            }
+        }
+        match state.holder.next_step(now) {
+            LeaseStep::WaitUntil(instant) => Ok(LockStatus::Held(instant)),
+            LeaseStep::Renew => Ok(LockStatus::Held(now)),
+            LeaseStep::Acquire => Ok(LockStatus::HeldByOther),
+        }
+    }
+
+    async fn acquire(&self, deadline: Deadline) -> Result<LockStatus, PlatformError> {
+        if self.now() < self.lock().acquire_after {
+            return Ok(LockStatus::HeldByOther);
+        }
+        // An earlier lease of this node may still keep the holder key.
+        self.release(deadline).await?;
+        if self.key_value.get(&self.holder_key, deadline).await?.entry.is_some() {
+            return Ok(LockStatus::HeldByOther);
+        }
+        let stored = self.key_value.get(&self.fencing_key, deadline).await?.entry;
+        let fencing = self.next_fencing(stored.as_ref())?;
+        let asked = Asked::at(self.now());
+        let ttl = LeaseTtl::new(self.lock().holder.terms().ttl_ms().div_ceil(1_000));
+        let grant = self.key_value.lease_grant(ttl, deadline).await?;
+        let transaction = self.acquisition(grant.id, fencing, stored.as_ref());
+        let Some(revision) = self.settle_acquisition(&transaction, grant.id, deadline).await?
+        else {
+            // The lease expires if this fails.
+            let _ = self.key_value.lease_revoke(grant.id, deadline).await;
+            return Ok(LockStatus::HeldByOther);
+        };
+        let now = self.now();
+        let mut state = self.lock();
+        state.highest_fencing = fencing;
+        state.lease = Some((grant.id, revision));
+        state.holder.acquired(asked, grant.ttl.as_ms(), fencing);
+        Ok(match state.holder.permit(now) {
+            Some(_) => LockStatus::Held(now),
+            None => LockStatus::HeldByOther,
+        })
+    }
+
+    /// Returns the number after the stored one, and after any that this node had before the
+    /// service was restored.
+    fn next_fencing(&self, stored: Option<&Entry>) -> Result<FencingNumber, PlatformError> {
+        let invalid = || {
+            let detail = format!("{} does not hold a number", self.fencing_key);
+            PlatformError::new(PlatformErrorKind::Protocol, detail)
+        };
+        let number: FencingNumber = match stored {
+            None => FencingNumber::default(),
+            Some(entry) => std::str::from_utf8(entry.value.as_bytes())
+                .ok()
+                .and_then(|text| text.parse().ok())
+                .ok_or_else(invalid)?,
+        };
+        if number.get() == u64::MAX {
+            return Err(invalid());
+        }
+        Ok(number.max(self.lock().highest_fencing).next())
+    }
+
+    fn acquisition(
+        &self,
+        lease: LeaseId,
+        fencing: FencingNumber,
+        stored: Option<&Entry>,
+    ) -> Transaction {
+        let fencing_key = self.fencing_key.clone();
+        let value = |text: String| Value::new(text.into_bytes()).unwrap_or_default();
+        let unchanged = match stored {
+            Some(entry) => Compare::ModRevision(fencing_key.clone(), entry.mod_revision),
+            None => Compare::Absent(fencing_key.clone()),
+        };
+        Transaction {
+            compares: vec![Compare::Absent(self.holder_key.clone()), unchanged],
+            writes: vec![
+                Write::Put {
+                    key: self.holder_key.clone(),
+                    value: value(self.node.to_string()),
+                    lease: Some(lease),
+                },
+                Write::Put { key: fencing_key, value: value(fencing.to_string()), lease: None },
+            ],
+        }
+    }
+
+    /// Returns the revision of the holder key if it was written under `lease`.
+    ///
+    /// The lease is new, so it serves as the id by which a lost answer is settled.
+    async fn settle_acquisition(
+        &self,
+        transaction: &Transaction,
+        lease: LeaseId,
+        deadline: Deadline,
+    ) -> Result<Option<StoreRevision>, PlatformError> {
+        match self.key_value.compare_and_swap(transaction, deadline).await {
+            Ok(TransactionOutcome::Committed { revision }) => Ok(Some(revision)),
+            Ok(TransactionOutcome::Conflict { .. }) => Ok(None),
+            Err(error) if error.kind() == PlatformErrorKind::Unknown => {
+                let entry = self.key_value.get(&self.holder_key, deadline).await?.entry;
+                Ok(entry.filter(|entry| entry.lease == Some(lease)).map(|entry| entry.mod_revision))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.key_value.client().clock().now()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,18 +3,25 @@
 //! * [`key_value`]: the trait object at the border to the key-value service, and its messages.
 //! * [`vm_list`]: the trait object at the border to the VM list.
 //! * [`http_key_value`]: the client that speaks the JSON gateway form of the etcd v3 protocol.
+//! * [`managed`]: budget, ranks, backoff and notice of restorations around a key-value service.
+//! * [`command`]: transactions that are settled even if their answer is lost.
+//! * [`lease_lock`]: a lock that one node holds at a time.
 //! * [`wire`]: the JSON messages.
 //! * [`ids`]: checked keys, values, revisions and lease ids.
 //! * [`error`]: what can go wrong, and what is then known about a write.
 
+pub mod command;
 pub mod error;
 pub mod http_key_value;
 pub mod ids;
 pub mod key_value;
+pub mod lease_lock;
+pub mod managed;
 mod transport;
 pub mod vm_list;
 pub mod wire;
 
+pub use command::{Command, CommandOutcome};
 pub use error::{PlatformError, PlatformErrorKind};
 pub use http_key_value::HttpKeyValue;
 pub use ids::{Key, LeaseId, LeaseTtl, MAX_VALUE_BYTES, StoreRevision, Value, VmId};
@@ -22,5 +29,7 @@
     Change, ChangeKind, Compare, Entry, GetResponse, KeyRange, KeyValue, LeaseGrant, Page,
     RangeRequest, Transaction, TransactionOutcome, WatchOutcome, WatchRequest, Write,
 };
+pub use lease_lock::{LeaseLock, LockStatus};
+pub use managed::{ManagedConfig, PlatformClient, RankedKeyValue};
 pub use transport::PlatformConfig;
 pub use vm_list::{HttpVmList, Vm, VmList, VmListing, VmState};
--- /dev/null
+++ b/crates/platform/tests/fakes/mod.rs
@@ -0,0 +1,168 @@
+//! A key-value service in memory that fails as a script says, and a clock that can jump.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use async_trait::async_trait;
+use yuccapass_platform::{
+    Compare, Entry, GetResponse, Key, KeyValue, LeaseGrant, LeaseId, LeaseTtl, Page, PlatformError,
+    PlatformErrorKind, RangeRequest, StoreRevision, Transaction, TransactionOutcome, WatchOutcome,
+    WatchRequest, Write,
+};
+use yuccapass_types::{Clock, Deadline, Instant, MonotonicClock};
+
+/// What happens to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    NotSent,
+    LostAfterEffect,
+    LostBeforeEffect,
+}
+
+#[derive(Default)]
+pub struct Data {
+    pub revision: u64,
+    pub entries: BTreeMap<Key, Entry>,
+    pub faults: VecDeque<Fault>,
+    pub calls: Vec<&'static str>,
+    pub effects: u32,
+    pub leases: u64,
+}
+
+#[derive(Default)]
+pub struct FakeKeyValue {
+    pub data: Mutex<Data>,
+}
+
+fn failure(kind: PlatformErrorKind) -> PlatformError {
+    PlatformError::new(kind, "scripted")
+}
+
+impl FakeKeyValue {
+    pub fn with_faults(faults: &[Fault]) -> Self {
+        let fake = Self::default();
+        fake.data.lock().unwrap().faults = faults.iter().copied().collect();
+        fake
+    }
+
+    fn call<T>(
+        &self,
+        name: &'static str,
+        is_write: bool,
+        action: impl FnOnce(&mut Data) -> T,
+    ) -> Result<T, PlatformError> {
+        let mut data = self.data.lock().unwrap();
+        data.calls.push(name);
+        let fault = data.faults.pop_front().unwrap_or(Fault::None);
+        let lost = match is_write {
+            true => PlatformErrorKind::Unknown,
+            false => PlatformErrorKind::Unavailable,
+        };
+        match fault {
+            Fault::None => Ok(action(&mut data)),
+            Fault::NotSent => Err(failure(PlatformErrorKind::Unavailable)),
+            Fault::LostBeforeEffect => Err(failure(lost)),
+            Fault::LostAfterEffect => {
+                action(&mut data);
+                Err(failure(lost))
+            }
+        }
+    }
+}
+
+fn commit(data: &mut Data, transaction: &Transaction) -> TransactionOutcome {
+    let holds = |compare: &Compare| match compare {
+        Compare::Absent(key) => !data.entries.contains_key(key),
+        Compare::ModRevision(key, revision) => {
+            data.entries.get(key).is_some_and(|entry| entry.mod_revision == *revision)
+        }
+    };
+    if !transaction.compares.iter().all(holds) {
+        let revision = StoreRevision::new(data.revision);
+        return TransactionOutcome::Conflict { revision, entries: Vec::new() };
+    }
+    data.revision += 1;
+    data.effects += 1;
+    let mod_revision = StoreRevision::new(data.revision);
+    for write in &transaction.writes {
+        match write.clone() {
+            Write::Put { key, value, lease } => {
+                let entry = Entry { key: key.clone(), value, mod_revision, lease };
+                data.entries.insert(key, entry);
+            }
+            Write::Delete(key) => {
+                data.entries.remove(&key);
+            }
+        }
+    }
+    TransactionOutcome::Committed { revision: mod_revision }
+}
+
+#[async_trait]
+impl KeyValue for FakeKeyValue {
+    async fn get(&self, key: &Key, _: Deadline) -> Result<GetResponse, PlatformError> {
+        self.call("get", false, |data| GetResponse {
+            revision: StoreRevision::new(data.revision),
+            entry: data.entries.get(key).cloned(),
+        })
+    }
+
+    async fn range(&self, _: &RangeRequest, _: Deadline) -> Result<Page, PlatformError> {
+        Err(failure(PlatformErrorKind::InvalidRequest))
+    }
+
+    async fn compare_and_swap(
+        &self,
+        transaction: &Transaction,
+        _: Deadline,
+    ) -> Result<TransactionOutcome, PlatformError> {
+        self.call("write", true, |data| commit(data, transaction))
+    }
+
+    async fn lease_grant(&self, ttl: LeaseTtl, _: Deadline) -> Result<LeaseGrant, PlatformError> {
+        self.call("grant", true, |data| {
+            data.leases += 1;
+            LeaseGrant { id: LeaseId::new(data.leases), ttl }
+        })
+    }
+
+    async fn lease_keep_alive(
+        &self,
+        lease: LeaseId,
+        _: Deadline,
+    ) -> Result<LeaseGrant, PlatformError> {
+        self.call("renew", true, |_| LeaseGrant { id: lease, ttl: LeaseTtl::new(30) })
+    }
+
+    async fn lease_revoke(&self, lease: LeaseId, _: Deadline) -> Result<(), PlatformError> {
+        self.call("revoke", true, |data| {
+            data.entries.retain(|_, entry| entry.lease != Some(lease));
+        })
+    }
+
+    async fn watch(&self, _: &WatchRequest, _: Deadline) -> Result<WatchOutcome, PlatformError> {
+        self.call("watch", false, |_| WatchOutcome::Quiet)
+    }
+}
+
+/// The monotonic clock with jumps, as after a pause of the process.
+#[derive(Default)]
+pub struct JumpingClock {
+    clock: MonotonicClock,
+    jumped_ms: AtomicU64,
+}
+
+impl JumpingClock {
+    pub fn jump_ms(&self, ms: u64) {
+        self.jumped_ms.fetch_add(ms, Ordering::SeqCst);
+    }
+}
+
+impl Clock for JumpingClock {
+    fn now(&self) -> Instant {
+        let jumped_ms = self.jumped_ms.load(Ordering::SeqCst);
+        Instant::from_ms(self.clock.now().as_ms() + jumped_ms)
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/managed.rs
@@ -0,0 +1,203 @@
+//! Tests of the managed access: repetition of reads, settled commands and the lock.
+
+mod fakes;
+
+use std::sync::Arc;
+
+use async_std::task::block_on;
+use fakes::{FakeKeyValue, Fault, JumpingClock};
+use yuccapass_decisions::platform_budget::settle_write::Settled;
+use yuccapass_decisions::platform_budget::{CallRank, LeaseTerms};
+use yuccapass_platform::{
+    Command, Key, KeyValue, LeaseLock, LockStatus, ManagedConfig, PlatformClient,
+    PlatformErrorKind, RankedKeyValue, StoreRevision, Transaction, Value, Write,
+};
+use yuccapass_types::{Clock, Deadline, FencingNumber};
+
+/// Generous limit for calls that succeed or fail for a reason other than time.
+const LIMIT_MS: u64 = 60_000;
+
+struct Setup {
+    fake: Arc<FakeKeyValue>,
+    clock: Arc<JumpingClock>,
+    client: Arc<PlatformClient>,
+}
+
+fn setup(faults: &[Fault]) -> Setup {
+    let fake = Arc::new(FakeKeyValue::with_faults(faults));
+    let clock = Arc::new(JumpingClock::default());
+    let config = ManagedConfig::new(1, 7);
+    let client = PlatformClient::new(fake.clone(), clock.clone(), &config);
+    Setup { fake, clock, client }
+}
+
+impl Setup {
+    fn limit(&self) -> Deadline {
+        Deadline::after_ms(self.clock.now(), LIMIT_MS)
+    }
+
+    fn ranked(&self, rank: CallRank) -> RankedKeyValue {
+        self.client.ranked(rank)
+    }
+
+    fn lock(&self, node: &str) -> LeaseLock {
+        let terms = LeaseTerms::new(30_000);
+        let key_value = self.ranked(CallRank::Lease);
+        LeaseLock::new(key_value, &key("driver"), node.parse().unwrap(), terms).unwrap()
+    }
+}
+
+fn key(text: &str) -> Key {
+    text.parse().unwrap()
+}
+
+fn command(id: &str) -> Command {
+    let write = Write::Put { key: key("zone"), value: Value::default(), lease: None };
+    Command::new(key(id), Transaction { compares: Vec::new(), writes: vec![write] })
+}
+
+/// Guards against a read that gives up although the platform returns before the deadline.
+#[test]
+fn reads_are_repeated_until_the_platform_returns() {
+    // Arrange
+    let setup = setup(&[Fault::NotSent, Fault::LostBeforeEffect, Fault::NotSent]);
+
+    // Act
+    let answer = block_on(setup.ranked(CallRank::Command).get(&key("a"), setup.limit()));
+
+    // Assert
+    assert!(answer.is_ok());
+    assert_eq!(setup.fake.data.lock().unwrap().calls.len(), 4);
+}
+
+/// Guards against a call that waits past its deadline while the platform is down.
+#[test]
+fn reads_fail_at_their_deadline_while_the_platform_is_down() {
+    // Arrange
+    let setup = setup(&[Fault::NotSent; 1_000]);
+    let deadline = Deadline::after_ms(setup.clock.now(), 300);
+
+    // Act
+    let answer = block_on(setup.ranked(CallRank::Refresh).get(&key("a"), deadline));
+
+    // Assert
+    assert_eq!(answer.unwrap_err().kind(), PlatformErrorKind::Unavailable);
+    assert!(setup.client.is_down());
+}
+
+/// Guards against a command that takes effect twice, or is reported wrongly, after a lost answer.
+#[test]
+fn commands_take_effect_once_whatever_is_lost() {
+    // Arrange
+    let cases: [&[Fault]; 5] = [
+        &[Fault::LostAfterEffect],
+        &[Fault::LostBeforeEffect],
+        &[Fault::NotSent, Fault::LostAfterEffect, Fault::NotSent],
+        &[Fault::LostBeforeEffect, Fault::NotSent, Fault::None, Fault::LostAfterEffect],
+        &[Fault::LostAfterEffect, Fault::LostBeforeEffect, Fault::LostBeforeEffect],
+    ];
+    for faults in cases {
+        let setup = setup(faults);
+
+        // Act
+        let key_value = setup.ranked(CallRank::Command);
+        let outcome = block_on(key_value.settle(&command("c1"), setup.limit()));
+
+        // Assert
+        assert_eq!(outcome.settled, Settled::Committed, "{faults:?}");
+        assert_eq!(setup.fake.data.lock().unwrap().effects, 1, "{faults:?}");
+    }
+}
+
+/// Guards against a second write directly after one whose answer was lost.
+#[test]
+fn lost_answer_is_followed_by_a_read() {
+    // Arrange
+    let setup = setup(&[Fault::LostBeforeEffect]);
+
+    // Act
+    let key_value = setup.ranked(CallRank::Command);
+    block_on(key_value.settle(&command("c1"), setup.limit()));
+
+    // Assert
+    assert_eq!(setup.fake.data.lock().unwrap().calls, ["write", "get", "write"]);
+}
+
+/// Guards against a platform restored from an older state that passes as current.
+#[test]
+fn read_of_an_older_state_fails_once_and_is_counted() {
+    // Arrange
+    let setup = setup(&[]);
+    let key_value = setup.ranked(CallRank::Refresh);
+    setup.fake.data.lock().unwrap().revision = 50;
+    block_on(key_value.get(&key("a"), setup.limit())).unwrap();
+    setup.fake.data.lock().unwrap().revision = 40;
+
+    // Act
+    let first = block_on(key_value.get(&key("a"), setup.limit()));
+    let second = block_on(key_value.get(&key("a"), setup.limit()));
+
+    // Assert
+    assert_eq!(first.unwrap_err().kind(), PlatformErrorKind::Restored);
+    assert_eq!(second.unwrap().revision, StoreRevision::new(40));
+    assert_eq!(setup.client.restorations(), 1);
+}
+
+/// Guards against a node that believes it has no lock because the answer was lost, and against two
+/// holders.
+#[test]
+fn lock_has_one_holder_also_when_the_answer_is_lost() {
+    // Arrange: the reads of holder and number and the grant are answered, the acquisition is not.
+    let setup = setup(&[Fault::None, Fault::None, Fault::None, Fault::LostAfterEffect]);
+    let (first, second) = (setup.lock("node-1"), setup.lock("node-2"));
+
+    // Act
+    let first_status = block_on(first.step(setup.limit())).unwrap();
+    let second_status = block_on(second.step(setup.limit())).unwrap();
+
+    // Assert
+    assert!(matches!(first_status, LockStatus::Held(_)));
+    assert_eq!(second_status, LockStatus::HeldByOther);
+    assert_eq!(first.permit().unwrap().fencing, FencingNumber::new(1));
+    assert!(first.guard().is_some());
+    assert_eq!(second.permit(), None);
+}
+
+/// Guards against a holder that acts after a pause, and against a number that is used twice.
+#[test]
+fn holder_loses_its_right_in_a_pause_and_returns_with_a_higher_number() {
+    // Arrange
+    let setup = setup(&[]);
+    let lock = setup.lock("node-1");
+    block_on(lock.step(setup.limit())).unwrap();
+    let before = lock.permit().unwrap().fencing;
+
+    // Act
+    setup.clock.jump_ms(30_000);
+    let after_pause = lock.permit();
+    block_on(lock.step(setup.limit())).unwrap();
+
+    // Assert
+    assert_eq!(after_pause, None);
+    assert!(lock.permit().unwrap().fencing > before);
+}
+
+/// Guards against a holder that keeps its right after the platform has forgotten its lease.
+#[test]
+fn restoration_ends_the_right_to_act_for_a_lifetime() {
+    // Arrange
+    let setup = setup(&[]);
+    let lock = setup.lock("node-1");
+    block_on(lock.step(setup.limit())).unwrap();
+    let key_value = setup.ranked(CallRank::Refresh);
+    block_on(key_value.get(&key("a"), setup.limit())).unwrap();
+    setup.fake.data.lock().unwrap().revision = 0;
+
+    // Act
+    let _ = block_on(key_value.get(&key("a"), setup.limit()));
+    let status = block_on(lock.step(setup.limit())).unwrap();
+
+    // Assert
+    assert_eq!(status, LockStatus::HeldByOther);
+    assert_eq!(lock.permit(), None);
+}
