yuccapassd: place requests by load and cached prefixes

Cause: a node chose endpoints by its own count of running requests only, and knew nothing of caches. Change: a monitor reads each endpoint's load report and cache events, a lost event leads to a fresh listing; the placement policy chooses by expected time to first token, or by one of three baselines (--placement). A node is ready once each endpoint was read.

--- a/crates/yuccapassd/src/admin.rs
+++ b/crates/yuccapassd/src/admin.rs
@@ -1,24 +1,25 @@
 //! The admin address: health checks and status.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use http_types::{Response, StatusCode};
 use yuccapass_http::StopSignal;
 
 use crate::metrics::Metrics;
 
+/// What the admin address shows.
 #[derive(Clone)]
-struct State {
-    stop: StopSignal,
-    metrics: Arc<Metrics>,
+pub(crate) struct AdminState {
+    pub(crate) stop: StopSignal,
+    /// Whether the endpoints were read once.
+    pub(crate) is_ready: Arc<AtomicBool>,
+    pub(crate) metrics: Arc<Metrics>,
 }
 
 /// Builds the application of the admin address.
-pub(crate) fn build_app(
-    stop: StopSignal,
-    metrics: Arc<Metrics>,
-) -> tide::Server<impl Clone + Send + Sync + 'static> {
-    let mut app = tide::with_state(State { stop, metrics });
+pub(crate) fn build_app(state: AdminState) -> tide::Server<impl Clone + Send + Sync + 'static> {
+    let mut app = tide::with_state(state);
     app.at("/metrics").get(scrape);
     app.at("/healthz").get(|_| async { Ok(text(StatusCode::Ok, "alive\n")) });
     app.at("/readyz").get(ready);
@@ -26,14 +27,16 @@
 }
 
 /// Tells the platform's balancer whether to send callers here.
-async fn ready(request: tide::Request<State>) -> tide::Result {
-    match request.state().stop.is_draining() {
-        true => Ok(text(StatusCode::ServiceUnavailable, "stopping\n")),
-        false => Ok(text(StatusCode::Ok, "ready\n")),
+async fn ready(request: tide::Request<AdminState>) -> tide::Result {
+    let state = request.state();
+    match (state.stop.is_draining(), state.is_ready.load(Ordering::Acquire)) {
+        (true, _) => Ok(text(StatusCode::ServiceUnavailable, "stopping\n")),
+        (false, false) => Ok(text(StatusCode::ServiceUnavailable, "starting\n")),
+        (false, true) => Ok(text(StatusCode::Ok, "ready\n")),
     }
 }
 
-async fn scrape(request: tide::Request<State>) -> tide::Result {
+async fn scrape(request: tide::Request<AdminState>) -> tide::Result {
     let text = request.state().metrics.encode()?;
     let mut response = tide::Response::new(StatusCode::Ok);
     response.set_content_type("text/plain; version=0.0.4");
--- a/crates/yuccapassd/src/lib.rs
+++ b/crates/yuccapassd/src/lib.rs
@@ -4,7 +4,9 @@
 //! * [`node`]: a running node, from start to graceful stop.
 //!
 //! The other modules hold the node's state and connect the peers: `configuration` (the document in
-//! force), `endpoint_table` (clients and load of the endpoints), `request_path`, `run` and
+//! force), `endpoint_table`
+//! and `prefix_cache_view` (load and caches of the endpoints, kept up to date by `monitor`), `placer`
+//! (choice of an endpoint), `request_path`, `run` and
 //! `attempt` (from a caller's request to its answer), `admin` (health,
 //! metrics and status), `metrics` and `logs`.
 
@@ -14,7 +16,10 @@
 mod endpoint_table;
 pub mod logs;
 mod metrics;
+mod monitor;
 pub mod node;
+mod placer;
+mod prefix_cache_view;
 mod request_path;
 mod run;
 pub mod settings;
--- a/crates/yuccapassd/src/node.rs
+++ b/crates/yuccapassd/src/node.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
@@ -11,13 +11,17 @@
 use yuccapass_callers::app::RequestIdSource;
 use yuccapass_callers::{CallerLimits, build_app, rejection_body};
 use yuccapass_decisions::config::{Document, InvalidDocument, validate};
+use yuccapass_decisions::routing::index::IndexSettings;
 use yuccapass_http::{ServerConfig, StopController, StopSignal, serve, sleep_until, stop_pair};
 use yuccapass_types::{Clock, Deadline, MonotonicClock, NodeId, RequestId};
 
-use crate::admin;
+use crate::admin::{self, AdminState};
 use crate::configuration::Configuration;
 use crate::endpoint_table::EndpointTable;
 use crate::metrics::{Metrics, MetricsError};
+use crate::monitor;
+use crate::placer::Placer;
+use crate::prefix_cache_view::PrefixCacheView;
 use crate::request_path::{Core, RequestPath};
 use crate::settings::Settings;
 
@@ -97,10 +101,15 @@
         let core = Arc::new(Core {
             configuration,
             endpoints: EndpointTable::new(Arc::clone(&clock)),
+            prefix_caches: PrefixCacheView::new(IndexSettings::default(), Arc::clone(&clock)),
+            placer: Placer::new(settings.zone.clone(), settings.placement.policy()),
             metrics: Arc::clone(&metrics),
             clock: Arc::clone(&clock),
             stall_timeout_ms: settings.stall_timeout_ms,
         });
+        let is_ready = Arc::new(AtomicBool::new(false));
+        task::spawn(monitor::follow_endpoints(Arc::clone(&core), Arc::clone(&is_ready)));
+        let admin = AdminState { stop: stop_signal.clone(), is_ready, metrics };
         let app = build_app(
             Arc::new(RequestPath::new(core)),
             caller_limits(&settings),
@@ -109,9 +118,8 @@
         );
         let caller_config =
             ServerConfig::new(rejection_body).max_connections(settings.max_connections);
-        let caller_server =
-            task::spawn(serve(caller_listener, app, caller_config, stop_signal.clone()));
-        let admin_server = spawn_admin(admin_listener, metrics, stop_signal, admin_signal);
+        let caller_server = task::spawn(serve(caller_listener, app, caller_config, stop_signal));
+        let admin_server = spawn_admin(admin_listener, admin, admin_signal);
         log::info!(
             "node {} in zone {} serves callers on {caller_address}, operators on {admin_address}, \
              configuration revision {revision}",
@@ -169,13 +177,8 @@
     listener.local_addr().unwrap_or(configured)
 }
 
-fn spawn_admin(
-    listener: TcpListener,
-    metrics: Arc<Metrics>,
-    caller_stop: StopSignal,
-    admin_stop: StopSignal,
-) -> JoinHandle<()> {
-    let app = admin::build_app(caller_stop, metrics);
+fn spawn_admin(listener: TcpListener, state: AdminState, admin_stop: StopSignal) -> JoinHandle<()> {
+    let app = admin::build_app(state);
     task::spawn(serve(listener, app, ServerConfig::new(rejection_body), admin_stop))
 }
 
--- /dev/null
+++ b/crates/yuccapassd/src/placer.rs
@@ -0,0 +1,108 @@
+//! Placement of a request on an endpoint.
+
+use yuccapass_decisions::config::{Document, Endpoint, Model, ZoneState};
+use yuccapass_decisions::routing::placement::{
+    NoPlacement, PlacementPolicy, PlacementRequest, ZoneDistance,
+};
+use yuccapass_types::{
+    BLOCK_PROMPT_BYTES, BlockHash, Bytes, CacheSalt, EndpointId, OrganisationId, RegionId, Tokens,
+    ZoneId, block_chain,
+};
+
+use crate::endpoint_table::EndpointTable;
+use crate::prefix_cache_view::PrefixCacheView;
+
+/// Bytes of prompt text in a token, on average over the usual tokenizers and English text.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// What placement needs to know of a prompt.
+pub(crate) struct PlacedPrompt {
+    pub(crate) salt: CacheSalt,
+    chain: Vec<BlockHash>,
+    tokens: Tokens,
+}
+
+impl PlacedPrompt {
+    /// Hashes a prompt for the version of the model that is in force.
+    pub(crate) fn new(organisation: &OrganisationId, model: &Model, prompt: &[u8]) -> Self {
+        let adapter = model.adapter.as_ref();
+        let salt = CacheSalt::derive(organisation, &model.id, &model.version, adapter);
+        let tokens = Tokens::new((prompt.len() as u64).div_ceil(BYTES_PER_TOKEN));
+        Self { salt, chain: block_chain(salt, prompt), tokens }
+    }
+
+    fn request(&self) -> PlacementRequest {
+        PlacementRequest {
+            prompt: self.tokens,
+            prompt_blocks: self.chain.len() as u32,
+            block_size: Bytes::new(BLOCK_PROMPT_BYTES as u64),
+            is_suspect: false,
+            sources: Vec::new(),
+            link_allowance: Bytes::ZERO,
+        }
+    }
+}
+
+/// The endpoint for an attempt.
+pub(crate) struct Placed<'a> {
+    pub(crate) endpoint: &'a Endpoint,
+    pub(crate) prefill: Tokens,
+}
+
+/// Chooses endpoints from where this node stands.
+pub(crate) struct Placer {
+    zone: ZoneId,
+    policy: Box<dyn PlacementPolicy>,
+}
+
+impl Placer {
+    pub(crate) fn new(zone: ZoneId, policy: Box<dyn PlacementPolicy>) -> Self {
+        Self { zone, policy }
+    }
+
+    /// Chooses the endpoint for an attempt, other than those in `excluded`.
+    pub(crate) fn place<'a>(
+        &self,
+        document: &'a Document,
+        model: &'a Model,
+        prompt: &PlacedPrompt,
+        endpoints: &EndpointTable,
+        caches: &PrefixCacheView,
+        excluded: &[EndpointId],
+    ) -> Result<Placed<'a>, NoPlacement> {
+        let region = document.zone(&self.zone).map(|zone| &zone.region);
+        let matches = caches.lookup(&prompt.chain);
+        let mut considered = Vec::new();
+        let mut candidates = Vec::new();
+        for endpoint in document.endpoints_of(&model.id) {
+            let Some(distance) = self.distance(document, region, endpoint) else { continue };
+            if excluded.contains(&endpoint.id) {
+                continue;
+            }
+            let cached_blocks = matches.get(&endpoint.id).copied().unwrap_or(0);
+            candidates.push(endpoints.candidate(endpoint, distance, cached_blocks));
+            considered.push(endpoint);
+        }
+        let placement = self.policy.place(&prompt.request(), &candidates, &mut rand::rng())?;
+        let endpoint = considered[placement.candidate];
+        Ok(Placed { endpoint, prefill: placement.prefill_tokens })
+    }
+
+    /// Returns how far an endpoint is, or `None` if its zone gets no new work.
+    fn distance(
+        &self,
+        document: &Document,
+        region: Option<&RegionId>,
+        endpoint: &Endpoint,
+    ) -> Option<ZoneDistance> {
+        let zone = document.zone(&endpoint.zone)?;
+        if zone.state == ZoneState::Out {
+            return None;
+        }
+        Some(match () {
+            () if zone.id == self.zone => ZoneDistance::SameZone,
+            () if Some(&zone.region) == region => ZoneDistance::SameRegion,
+            () => ZoneDistance::OtherRegion,
+        })
+    }
+}
--- /dev/null
+++ b/crates/yuccapassd/src/prefix_cache_view.rs
@@ -0,0 +1,98 @@
+//! What this node knows of the prefix caches.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use yuccapass_decisions::routing::holder::{Holder, HolderSlot, HolderSlots};
+use yuccapass_decisions::routing::index::{
+    CacheChange, CacheEvent, IndexAction, IndexSettings, ListedBlock, PrefixIndex, PrefixMatch,
+};
+use yuccapass_endpoints::{BlockListing, CacheEventBatch, CacheEventKind};
+use yuccapass_types::{BlockHash, Clock, EndpointId, SortedMap};
+
+/// The prefix index with the slots of its holders.
+pub(crate) struct PrefixCacheView {
+    index: PrefixIndex,
+    slots: Mutex<HolderSlots>,
+    clock: Arc<dyn Clock>,
+}
+
+impl PrefixCacheView {
+    pub(crate) fn new(settings: IndexSettings, clock: Arc<dyn Clock>) -> Self {
+        Self { index: PrefixIndex::new(settings), slots: Mutex::default(), clock }
+    }
+
+    /// Returns the blocks of the longest known prefix of a chain at each endpoint that has one.
+    pub(crate) fn lookup(&self, chain: &[BlockHash]) -> SortedMap<EndpointId, u32> {
+        let matches = self.index.lookup(chain, self.clock.now());
+        self.with_slots(|slots| {
+            matches.into_iter().filter_map(|found| endpoint_match(slots, found)).collect()
+        })
+    }
+
+    fn slot(&self, endpoint: &EndpointId) -> Option<HolderSlot> {
+        self.with_slots(|slots| slots.slot(&Holder::Endpoint(endpoint.clone())))
+    }
+
+    /// Returns the sequence number after which the events of an endpoint are to be read.
+    pub(crate) fn events_after(&self, endpoint: &EndpointId) -> u64 {
+        self.slot(endpoint).map_or(0, |slot| self.index.events_after(slot))
+    }
+
+    /// Takes in events; returns whether a listing is needed because events were lost.
+    pub(crate) fn apply_events(&self, endpoint: &EndpointId, batch: &CacheEventBatch) -> bool {
+        let Some(slot) = self.assign(endpoint) else { return false };
+        let events: Vec<CacheEvent> = batch
+            .events
+            .iter()
+            .map(|event| CacheEvent {
+                sequence: event.sequence,
+                kind: match event.kind {
+                    CacheEventKind::Stored => CacheChange::Stored,
+                    CacheEventKind::Evicted => CacheChange::Evicted,
+                },
+                position_blocks: event.position_blocks,
+                block: event.block,
+            })
+            .collect();
+        let now = self.clock.now();
+        self.index.apply_events(slot, batch.incarnation, &events, now) == IndexAction::NeedsListing
+    }
+
+    /// Replaces what is known of an endpoint.
+    pub(crate) fn apply_listing(&self, endpoint: &EndpointId, listing: &BlockListing) {
+        let Some(slot) = self.assign(endpoint) else { return };
+        let blocks: Vec<ListedBlock> = listing
+            .blocks
+            .iter()
+            .map(|listed| ListedBlock {
+                position_blocks: listed.position_blocks,
+                block: listed.block,
+            })
+            .collect();
+        let now = self.clock.now();
+        self.index.apply_listing(slot, listing.incarnation, listing.sequence, &blocks, now);
+    }
+
+    /// Forgets an endpoint that the configuration no longer has.
+    pub(crate) fn forget(&self, endpoint: &EndpointId) {
+        if let Some(slot) = self.slot(endpoint) {
+            self.index.forget(slot);
+            self.with_slots(|slots| slots.release(slot));
+        }
+    }
+
+    fn assign(&self, endpoint: &EndpointId) -> Option<HolderSlot> {
+        self.with_slots(|slots| slots.assign(&Holder::Endpoint(endpoint.clone())))
+    }
+
+    fn with_slots<R>(&self, action: impl FnOnce(&mut HolderSlots) -> R) -> R {
+        action(&mut self.slots.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+fn endpoint_match(slots: &HolderSlots, found: PrefixMatch) -> Option<(EndpointId, u32)> {
+    match slots.holder(found.holder)? {
+        Holder::Endpoint(endpoint) => Some((endpoint.clone(), found.blocks)),
+        Holder::Store(..) => None,
+    }
+}
--- a/crates/yuccapassd/src/request_path.rs
+++ b/crates/yuccapassd/src/request_path.rs
@@ -6,42 +6,27 @@
 use yuccapass_callers::{
     AnswerStream, Failure, GenerationRequest, RequestHandler, ServiceRequest, ServiceResponse,
 };
-use yuccapass_decisions::config::{Document, Endpoint, ZoneState};
+use yuccapass_decisions::config::Document;
 use yuccapass_types::{Clock, KeyHash, ModelId, OrganisationId, ResultCode};
 
 use crate::configuration::Configuration;
 use crate::endpoint_table::EndpointTable;
 use crate::metrics::Metrics;
+use crate::placer::Placer;
+use crate::prefix_cache_view::PrefixCacheView;
 use crate::run::Run;
 
 /// What all requests of a node share.
 pub(crate) struct Core {
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) endpoints: Arc<EndpointTable>,
+    pub(crate) prefix_caches: PrefixCacheView,
+    pub(crate) placer: Placer,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) stall_timeout_ms: u64,
 }
 
-impl Core {
-    pub(crate) fn choose_endpoint<'a>(
-        &self,
-        document: &'a Document,
-        model: &'a ModelId,
-    ) -> Option<&'a Endpoint> {
-        document
-            .endpoints_of(model)
-            .filter(|endpoint| accepts_work(document, endpoint))
-            .min_by_key(|endpoint| self.endpoints.in_flight_requests(&endpoint.id))
-    }
-}
-
-/// Returns whether operators let an endpoint have new work.
-fn accepts_work(document: &Document, endpoint: &Endpoint) -> bool {
-    let zone = document.zone(&endpoint.zone);
-    !endpoint.leaving && zone.is_some_and(|zone| zone.state == ZoneState::In)
-}
-
 /// Serves callers from the endpoints of the configuration in force.
 pub(crate) struct RequestPath {
     core: Arc<Core>,
--- a/crates/yuccapassd/src/run.rs
+++ b/crates/yuccapassd/src/run.rs
@@ -6,11 +6,12 @@
 use yuccapass_callers::{AnswerStream, Failure, GenerationRequest};
 use yuccapass_decisions::answer::{AnswerProgress, EndAction, TokenAction};
 use yuccapass_endpoints::{EndpointError, EndpointErrorKind, GenerateRequest};
-use yuccapass_types::{CacheSalt, Instant, ResultCode};
+use yuccapass_types::{EndpointId, Instant, ResultCode};
 
 use crate::attempt::{Attempt, AttemptEvent, inconsistent};
 use crate::configuration::ActiveDocument;
 use crate::metrics::RequestLabels;
+use crate::placer::PlacedPrompt;
 use crate::request_path::Core;
 
 /// A request that was admitted.
@@ -24,6 +25,8 @@
     last_token: Option<Instant>,
     progress: AnswerProgress,
     attempts: u32,
+    /// Endpoints at which an attempt failed.
+    failed_endpoints: Vec<EndpointId>,
     attempt: Option<Attempt>,
     is_whole: bool,
     /// The first token, which is awaited before the caller gets a response.
@@ -48,6 +51,7 @@
             last_token: None,
             progress: AnswerProgress::default(),
             attempts: 0,
+            failed_endpoints: Vec::new(),
             attempt: None,
             is_whole: false,
             first: None,
@@ -117,18 +121,20 @@
         let model = document
             .model(&self.request.model)
             .ok_or_else(|| Failure::not_run(ResultCode::ModelNotFound))?;
-        let endpoint = self
+        let prompt = PlacedPrompt::new(&self.request.organisation, model, &self.request.prompt);
+        let placed = self
             .core
-            .choose_endpoint(document, &self.request.model)
-            .ok_or_else(|| Failure::not_run(ResultCode::NoEndpoint))?;
+            .placer
+            .place(
+                document,
+                model,
+                &prompt,
+                &self.core.endpoints,
+                &self.core.prefix_caches,
+                &self.failed_endpoints,
+            )
+            .map_err(|reason| Failure::not_run(reason.result_code()))?;
         let class = self.request.class.as_ref().and_then(|class| document.class(class));
-        let adapter = model.adapter.as_ref();
-        let salt = CacheSalt::derive(
-            &self.request.organisation,
-            &self.request.model,
-            &model.version,
-            adapter,
-        );
         let attempt = GenerateRequest {
             request_id: self.request.request_id.clone(),
             attempt: self.attempts,
@@ -136,13 +142,13 @@
             body: Arc::clone(&self.request.body),
             priority: class.map_or(0, |class| class.priority),
             deadline: self.request.deadline,
-            salt,
+            salt: prompt.salt,
             version: model.version.clone(),
             adapter: model.adapter.clone(),
             resume_offset_tokens: self.progress.delivered_tokens(),
             needs_new_connection: !self.request.is_repeatable,
         };
-        let in_flight = self.core.endpoints.begin(endpoint);
+        let in_flight = self.core.endpoints.begin(placed.endpoint, placed.prefill);
         let clock = Arc::clone(&self.core.clock);
         let starting = Attempt::start(in_flight, attempt, clock, self.core.stall_timeout_ms);
         starting.await.map_err(|error| self.attempt_failed(error))
@@ -151,6 +157,7 @@
     fn attempt_failed(&mut self, error: EndpointError) -> Failure {
         self.core.metrics.attempt_ended("failed");
         if let Some(attempt) = self.attempt.take() {
+            self.failed_endpoints.push(attempt.endpoint().clone());
             log::warn!(
                 request_id = self.request.request_id.as_str(),
                 endpoint = attempt.endpoint().as_str(),
--- a/crates/yuccapassd/src/settings.rs
+++ b/crates/yuccapassd/src/settings.rs
@@ -3,10 +3,13 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use clap::Parser;
+use clap::{Parser, ValueEnum};
 use log::LevelFilter;
 use smol_str::{SmolStr, format_smolstr};
 use snafu::Snafu;
+use yuccapass_decisions::routing::placement::{
+    CostPolicy, LeastLoadedPolicy, PlacementPolicy, RandomPolicy, RoundRobinPolicy,
+};
 use yuccapass_types::{NodeId, ZoneId};
 
 /// Longest accepted duration setting: an hour.
@@ -68,6 +71,10 @@
     #[arg(long, env = "YUCCAPASS_MAX_ORGANISATION_LABELS", default_value_t = 200)]
     pub max_organisation_labels: usize,
 
+    /// How endpoints are chosen; all but `cost` are baselines for comparison.
+    #[arg(long, env = "YUCCAPASS_PLACEMENT", default_value = "cost")]
+    pub placement: PlacementChoice,
+
     /// How long a stopping node still accepts requests, so that the balancer can notice, in
     /// milliseconds.
     #[arg(long, env = "YUCCAPASS_STOP_GRACE_MS", default_value_t = 5_000)]
@@ -78,6 +85,30 @@
     pub stall_timeout_ms: u64,
 }
 
+/// A way to choose endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum PlacementChoice {
+    /// By expected time to first token.
+    Cost,
+    /// At random.
+    Random,
+    /// In turns.
+    RoundRobin,
+    /// The one with the fewest requests.
+    LeastLoaded,
+}
+
+impl PlacementChoice {
+    pub(crate) fn policy(self) -> Box<dyn PlacementPolicy> {
+        match self {
+            Self::Cost => Box::new(CostPolicy::default()),
+            Self::Random => Box::new(RandomPolicy),
+            Self::RoundRobin => Box::new(RoundRobinPolicy::default()),
+            Self::LeastLoaded => Box::new(LeastLoadedPolicy),
+        }
+    }
+}
+
 /// Reports a setting that is out of its bounds.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(display("--{setting} is {value}, but it must be {bound}"))]
--- a/crates/yuccapassd/tests/common/mod.rs
+++ b/crates/yuccapassd/tests/common/mod.rs
@@ -80,6 +80,20 @@
     }
 }
 
+/// Waits until a node is ready.
+pub fn wait_ready(admin_address: SocketAddr) {
+    let client = client(admin_address);
+    let start = StdInstant::now();
+    loop {
+        let exchange = send(&client, client.request(Method::Get, "/readyz"));
+        if exchange.response().status().is_success() {
+            return;
+        }
+        assert!(start.elapsed() < START_TIMEOUT, "the node at {admin_address} is not ready");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// A daemon and one endpoint, as separate processes.
 pub struct Deployment {
     pub engine: Process,
@@ -105,6 +119,7 @@
     engine_arguments.push(engine_address.to_string());
     engine_arguments.extend(words(engine_flags));
     let engine = Process::spawn("yuccapass-standin", &engine_arguments);
+    wait_listening(engine_address);
     let configuration = ConfigurationFile::write(&document(engine_address));
     let mut node_arguments = words(&["--node-id", "node-a", "--zone", "burnaby-yard"]);
     node_arguments.push(format!("--caller-address={caller_address}"));
@@ -112,7 +127,8 @@
     node_arguments.push(format!("--configuration-file={}", configuration.path.display()));
     node_arguments.extend(words(node_flags));
     let node = Process::spawn("yuccapassd", &node_arguments);
-    [engine_address, caller_address, admin_address].into_iter().for_each(wait_listening);
+    [caller_address, admin_address].into_iter().for_each(wait_listening);
+    wait_ready(admin_address);
     Deployment {
         engine,
         engine_address,
