--- /dev/null
+++ b/crates/decisions/src/crash_guard.rs
@@ -0,0 +1,290 @@
+//! Requests that crash the endpoints that run them.
+
+use yuccapass_types::{Deadline, Incarnation, Instant, ModelId, NodeId, OrganisationId, SortedMap};
+
+/// Fingerprint of a request, without headers and keys: a caller that sends a crashing request again
+/// changes those.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(u64);
+
+impl Fingerprint {
+    /// Computes the fingerprint of a request.
+    pub fn of(organisation: &OrganisationId, model: &ModelId, prompt: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for field in [organisation.as_str(), model.as_str()] {
+            hasher.update(field.as_bytes());
+            // Ids cannot contain a zero byte, so the fields cannot run together.
+            hasher.update(&[0]);
+        }
+        hasher.update(prompt);
+        let mut bytes = [0; 8];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(u64::from_be_bytes(bytes))
+    }
+
+    /// Wraps a fingerprint from another node's report.
+    pub const fn from_bits(bits: u64) -> Self {
+        Self(bits)
+    }
+
+    /// Returns the bits, for a report to other nodes.
+    pub const fn to_bits(self) -> u64 {
+        self.0
+    }
+}
+
+/// Bounds of [`CrashGuard`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashGuardSettings {
+    crashes_to_block: u32,
+    block_ms: u64,
+    max_fingerprints: usize,
+}
+
+impl Default for CrashGuardSettings {
+    /// 2 crashes, 10 minutes, 4,096 fingerprints.
+    fn default() -> Self {
+        Self { crashes_to_block: 2, block_ms: 600_000, max_fingerprints: 4_096 }
+    }
+}
+
+impl CrashGuardSettings {
+    /// Sets how many counted crashes block a fingerprint; default 2.
+    pub fn crashes_to_block(mut self, crashes_to_block: u32) -> Self {
+        self.crashes_to_block = crashes_to_block.max(1);
+        self
+    }
+
+    /// Sets how long a fingerprint is blocked, and how long a suspect is remembered, after its last
+    /// crash; default 10 minutes.
+    pub fn block_ms(mut self, block_ms: u64) -> Self {
+        self.block_ms = block_ms;
+        self
+    }
+
+    /// Sets the size of the table; default 4,096. The fingerprint whose last crash is the oldest is
+    /// dropped first.
+    pub fn max_fingerprints(mut self, max_fingerprints: usize) -> Self {
+        self.max_fingerprints = max_fingerprints.max(1);
+        self
+    }
+}
+
+/// What is known of a fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing.
+    Clear,
+    /// It may have crashed an endpoint: it runs only where no other suspect runs.
+    Suspect,
+    /// It is refused.
+    Blocked {
+        /// Until when.
+        until: Deadline,
+    },
+}
+
+/// Most processes whose counts are kept for one fingerprint; with this many crashes it is blocked
+/// in any case.
+const MAX_PROCESSES: usize = 16;
+
+/// Crashes of a fingerprint that one process counted; sent to the other nodes of the zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashReport {
+    /// The node.
+    pub node: NodeId,
+    /// Its process.
+    pub incarnation: Incarnation,
+    /// The fingerprint.
+    pub fingerprint: Fingerprint,
+    /// Orders the reports of this process.
+    pub number: u64,
+    /// Crashes counted and not cleared by this process.
+    pub crashes: u32,
+    /// Time since the last crash.
+    pub age_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct ProcessCount {
+    number: u64,
+    crashes: u32,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Counts {
+    by_process: SortedMap<(NodeId, Incarnation), ProcessCount>,
+    last_crash: Instant,
+}
+
+impl Counts {
+    fn total(&self) -> u32 {
+        self.by_process.values().fold(0, |sum, count| sum.saturating_add(count.crashes))
+    }
+
+    fn process(&mut self, node: &NodeId, incarnation: Incarnation) -> &mut ProcessCount {
+        let key = (node.clone(), incarnation);
+        if !self.by_process.contains_key(&key) && self.by_process.len() >= MAX_PROCESSES {
+            let least = self.by_process.iter().min_by_key(|(_, count)| count.crashes);
+            if let Some(least) = least.map(|(key, _)| key.clone()) {
+                self.by_process.remove(&least);
+            }
+        }
+        self.by_process.get_or_insert_with(key, ProcessCount::default)
+    }
+}
+
+/// Finds the requests that crash endpoints.
+///
+/// When an endpoint crashes, all requests that ran there become suspects, but if suspects were among
+/// them only those are counted again. A suspect that completes is cleared.
+#[derive(Debug, Clone)]
+pub struct CrashGuard {
+    node: NodeId,
+    incarnation: Incarnation,
+    settings: CrashGuardSettings,
+    counts: SortedMap<Fingerprint, Counts>,
+    last_number: u64,
+}
+
+impl CrashGuard {
+    /// Makes a guard that has seen no crash.
+    pub fn new(node: NodeId, incarnation: Incarnation, settings: CrashGuardSettings) -> Self {
+        Self { node, incarnation, settings, counts: SortedMap::new(), last_number: 0 }
+    }
+
+    /// Returns what is known of a fingerprint.
+    pub fn verdict(&self, fingerprint: Fingerprint, now: Instant) -> Verdict {
+        let Some(counts) = self.counts.get(&fingerprint) else { return Verdict::Clear };
+        let until = self.end(counts);
+        match counts.total() {
+            _ if until.has_passed(now) => Verdict::Clear,
+            0 => Verdict::Clear,
+            crashes if crashes < self.settings.crashes_to_block => Verdict::Suspect,
+            _ => Verdict::Blocked { until },
+        }
+    }
+
+    /// Counts a crash of an endpoint on which this node ran `running`; returns the fingerprints that
+    /// were counted.
+    pub fn record_crash(&mut self, running: &[Fingerprint], now: Instant) -> Vec<Fingerprint> {
+        let mut counted: Vec<Fingerprint> = running.to_vec();
+        counted.sort();
+        counted.dedup();
+        let is_suspect =
+            |&fingerprint: &Fingerprint| self.verdict(fingerprint, now) != Verdict::Clear;
+        if counted.iter().any(is_suspect) {
+            counted.retain(is_suspect);
+        }
+        for &fingerprint in &counted {
+            self.count_own(fingerprint, now);
+        }
+        counted
+    }
+
+    /// Clears a suspect that completed; a blocked fingerprint stays blocked.
+    pub fn record_completion(&mut self, fingerprint: Fingerprint, now: Instant) {
+        if self.verdict(fingerprint, now) != Verdict::Suspect {
+            return;
+        }
+        let number = self.next_number();
+        let Some(counts) = self.counts.get_mut(&fingerprint) else { return };
+        // The numbers stay, so that reports which arrive again do not count again.
+        counts.by_process.values_mut().for_each(|count| count.crashes = 0);
+        counts.process(&self.node, self.incarnation).number = number;
+    }
+
+    /// Merges a report of another process; a report that was merged before changes nothing.
+    pub fn merge(&mut self, report: &CrashReport, now: Instant) {
+        let is_own = report.node == self.node && report.incarnation == self.incarnation;
+        if is_own || report.age_ms >= self.settings.block_ms {
+            return;
+        }
+        if report.crashes == 0 && !self.counts.contains_key(&report.fingerprint) {
+            return;
+        }
+        let crashed = Instant::from_ms(now.as_ms().saturating_sub(report.age_ms));
+        let counts = self.entry(report.fingerprint, now);
+        let known = counts.process(&report.node, report.incarnation);
+        if report.number <= known.number {
+            return;
+        }
+        *known = ProcessCount { number: report.number, crashes: report.crashes };
+        counts.last_crash = counts.last_crash.max(crashed);
+    }
+
+    /// Returns what this process counted, the most recent crashes first, for the other nodes.
+    pub fn reports(&self, max_reports: usize, now: Instant) -> Vec<CrashReport> {
+        let own = (self.node.clone(), self.incarnation);
+        let report = |(&fingerprint, counts): (&Fingerprint, &Counts)| {
+            let &ProcessCount { number, crashes } = counts.by_process.get(&own)?;
+            let (node, incarnation) = own.clone();
+            let age_ms = now.ms_since(counts.last_crash);
+            Some(CrashReport { node, incarnation, fingerprint, number, crashes, age_ms })
+        };
+        let mut reports: Vec<CrashReport> = self.counts.iter().filter_map(report).collect();
+        reports.retain(|report| report.age_ms < self.settings.block_ms);
+        reports.sort_by_key(|report| (report.age_ms, report.fingerprint));
+        reports.truncate(max_reports);
+        reports
+    }
+
+    /// Drops what is past its time.
+    pub fn expire(&mut self, now: Instant) {
+        let block_ms = self.settings.block_ms;
+        self.counts
+            .retain(|_, counts| !Deadline::after_ms(counts.last_crash, block_ms).has_passed(now));
+    }
+
+    /// Returns the number of fingerprints in the table.
+    pub fn len(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// Returns whether the table is empty.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+
+    fn end(&self, counts: &Counts) -> Deadline {
+        Deadline::after_ms(counts.last_crash, self.settings.block_ms)
+    }
+
+    fn count_own(&mut self, fingerprint: Fingerprint, now: Instant) {
+        let (node, incarnation, number) = (self.node.clone(), self.incarnation, self.next_number());
+        let counts = self.entry(fingerprint, now);
+        counts.last_crash = counts.last_crash.max(now);
+        let own = counts.process(&node, incarnation);
+        *own = ProcessCount { number, crashes: own.crashes.saturating_add(1) };
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+
+    /// Returns the counts of a fingerprint, new ones if it is not known or its time has passed.
+    fn entry(&mut self, fingerprint: Fingerprint, now: Instant) -> &mut Counts {
+        let end = self.counts.get(&fingerprint).map(|counts| self.end(counts));
+        if end.is_some_and(|end| end.has_passed(now)) {
+            self.counts.remove(&fingerprint);
+        }
+        if !self.counts.contains_key(&fingerprint) {
+            self.make_room(now);
+        }
+        self.counts.get_or_insert_with(fingerprint, Counts::default)
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        if self.counts.len() < self.settings.max_fingerprints {
+            return;
+        }
+        self.expire(now);
+        if self.counts.len() >= self.settings.max_fingerprints {
+            let oldest = self.counts.iter().min_by_key(|(_, counts)| counts.last_crash);
+            if let Some(fingerprint) = oldest.map(|(&fingerprint, _)| fingerprint) {
+                self.counts.remove(&fingerprint);
+            }
+        }
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,10 +6,14 @@
 //!
 //! * [`answer`]: puts the tokens of several attempts together into one whole answer.
 //! * [`config`]: the operators' configuration and its checks.
+//! * [`crash_guard`]: requests that crash the endpoints that run them.
 //! * [`endpoint_health`]: what an endpoint can bear now.
+//! * [`retry`]: whether and how a failed attempt is followed by another.
 //! * [`routing`]: the prefix index and the choice of an endpoint.
 
 pub mod answer;
 pub mod config;
+pub mod crash_guard;
 pub mod endpoint_health;
+pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/crates/decisions/tests/crash_guard.rs
@@ -0,0 +1,227 @@
+//! Tests of the guard against crashing requests.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use yuccapass_decisions::crash_guard::{CrashGuard, CrashGuardSettings, Fingerprint, Verdict};
+use yuccapass_types::{Deadline, Incarnation, Instant};
+
+const BLOCK_MS: u64 = 600_000;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_ms(ms)
+}
+
+fn guard(node: &str) -> CrashGuard {
+    CrashGuard::new(node.parse().unwrap(), Incarnation::new(1), CrashGuardSettings::default())
+}
+
+fn fingerprint(organisation: &str, prompt: &str) -> Fingerprint {
+    Fingerprint::of(&organisation.parse().unwrap(), &"m".parse().unwrap(), prompt.as_bytes())
+}
+
+fn numbered(number: u64) -> Fingerprint {
+    Fingerprint::from_bits(number)
+}
+
+/// Guards against blocking another organisation that sends the same prompt.
+#[test]
+fn fingerprint_covers_organisation_and_prompt() {
+    // Arrange
+    let first = fingerprint("a", "prompt");
+
+    // Act
+    let others = [fingerprint("b", "prompt"), fingerprint("a", "prompt ")];
+
+    // Assert
+    assert_eq!(first, fingerprint("a", "prompt"));
+    assert!(!others.contains(&first));
+}
+
+/// Guards against a request that crashes endpoint after endpoint, and against blocking for ever.
+#[test]
+fn second_crash_blocks_until_a_deadline() {
+    // Arrange
+    let mut guard = guard("n");
+
+    // Act
+    guard.record_crash(&[numbered(1)], at(0));
+    let once = guard.verdict(numbered(1), at(1));
+    guard.record_crash(&[numbered(1)], at(10));
+    let twice = guard.verdict(numbered(1), at(11));
+    guard.record_completion(numbered(1), at(12));
+
+    // Assert
+    assert_eq!(once, Verdict::Suspect);
+    assert_eq!(twice, Verdict::Blocked { until: Deadline::after_ms(at(10), BLOCK_MS) });
+    assert_eq!(guard.verdict(numbered(1), at(13)), twice);
+    assert_eq!(guard.verdict(numbered(1), at(10 + BLOCK_MS)), Verdict::Clear);
+}
+
+/// Guards against blocking the innocent requests next to a crashing one.
+#[test]
+fn innocents_next_to_a_suspect_are_not_counted() {
+    // Arrange
+    let mut guard = guard("n");
+    guard.record_crash(&[numbered(1), numbered(2), numbered(3)], at(0));
+    guard.record_completion(numbered(2), at(1));
+
+    // Act: the culprit runs again, now with others that are not suspect.
+    let counted = guard.record_crash(&[numbered(1), numbered(2), numbered(4)], at(2));
+
+    // Assert
+    assert_eq!(counted, [numbered(1)]);
+    assert!(matches!(guard.verdict(numbered(1), at(3)), Verdict::Blocked { .. }));
+    assert_eq!(guard.verdict(numbered(2), at(3)), Verdict::Clear);
+    assert_eq!(guard.verdict(numbered(3), at(3)), Verdict::Suspect);
+    assert_eq!(guard.verdict(numbered(4), at(3)), Verdict::Clear);
+}
+
+/// Guards against a caller that changes its crashing prompt a little each time: each variant crashes
+/// two endpoints at most, and what ran beside the second crash stays clear.
+#[test]
+fn variants_of_a_crashing_prompt_do_not_drag_innocents_along() {
+    // Arrange
+    let mut guard = guard("n");
+    let innocent = fingerprint("b", "innocent");
+
+    // Act
+    for variant in 0..5 {
+        let culprit = fingerprint("a", &format!("crash {variant}"));
+        guard.record_crash(&[culprit, innocent], at(variant * 100));
+        guard.record_completion(innocent, at(variant * 100 + 1));
+        guard.record_crash(&[culprit, innocent], at(variant * 100 + 2));
+
+        // Assert
+        let now = at(variant * 100 + 3);
+        assert!(matches!(guard.verdict(culprit, now), Verdict::Blocked { .. }));
+        assert_eq!(guard.verdict(innocent, now), Verdict::Clear);
+    }
+}
+
+/// Guards against counting a crash again because its report arrives several times or late.
+#[test]
+fn repeated_and_late_reports_count_once() {
+    // Arrange
+    let (mut first, mut second) = (guard("a"), guard("b"));
+    first.record_crash(&[numbered(1)], at(0));
+    let early = first.reports(8, at(1));
+    first.record_completion(numbered(1), at(2));
+    let late = first.reports(8, at(3));
+
+    // Act
+    early.iter().chain(&early).for_each(|report| second.merge(report, at(4)));
+    let after_early = second.verdict(numbered(1), at(5));
+    late.iter().chain(&early).for_each(|report| second.merge(report, at(6)));
+
+    // Assert
+    assert_eq!(after_early, Verdict::Suspect);
+    assert_eq!(second.verdict(numbered(1), at(7)), Verdict::Clear);
+}
+
+/// Guards against a table that a caller with ever new prompts lets grow.
+#[test]
+fn full_table_drops_the_oldest_crash() {
+    // Arrange
+    let settings = CrashGuardSettings::default().max_fingerprints(10);
+    let mut guard = CrashGuard::new("n".parse().unwrap(), Incarnation::new(1), settings);
+
+    // Act
+    (0..25).for_each(|number| drop(guard.record_crash(&[numbered(number)], at(number))));
+
+    // Assert
+    assert_eq!(guard.len(), 10);
+    assert_eq!(guard.verdict(numbered(24), at(25)), Verdict::Suspect);
+    assert_eq!(guard.verdict(numbered(14), at(25)), Verdict::Clear);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Crash(BTreeSet<u64>),
+    Complete(u64),
+    Wait(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        prop::collection::btree_set(0u64..6, 1..4).prop_map(Step::Crash),
+        (0u64..6).prop_map(Step::Complete),
+        (0u64..BLOCK_MS).prop_map(Step::Wait),
+    ];
+    prop::collection::vec(step, 1..30)
+}
+
+/// Counted crashes of each fingerprint with the time of the last one.
+#[derive(Default)]
+struct Naive(BTreeMap<u64, (u32, u64)>);
+
+impl Naive {
+    fn crashes(&self, number: u64, now_ms: u64) -> u32 {
+        let known = self.0.get(&number).filter(|(_, last_ms)| now_ms < last_ms + BLOCK_MS);
+        known.map_or(0, |&(crashes, _)| crashes)
+    }
+
+    fn apply(&mut self, step: &Step, now_ms: u64) {
+        match step {
+            Step::Crash(running) => {
+                let is_suspect = |number: &&u64| self.crashes(**number, now_ms) > 0;
+                let suspects: BTreeSet<u64> = running.iter().filter(is_suspect).copied().collect();
+                let counted = if suspects.is_empty() { running.clone() } else { suspects };
+                for number in counted {
+                    let crashes = self.crashes(number, now_ms) + 1;
+                    self.0.insert(number, (crashes, now_ms));
+                }
+            }
+            Step::Complete(number) if self.crashes(*number, now_ms) == 1 => {
+                self.0.remove(number);
+            }
+            Step::Complete(_) | Step::Wait(_) => {}
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(0xc4_a5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against verdicts that differ from plain counting, on the node itself and on another
+    /// one that gets its reports twice.
+    #[test]
+    fn verdicts_agree_with_counting(steps in steps()) {
+        // Arrange
+        let (mut own, mut other, mut naive) = (guard("a"), guard("b"), Naive::default());
+        let mut now_ms = 0;
+        for step in &steps {
+            // Act
+            match step {
+                Step::Crash(running) => {
+                    let running: Vec<Fingerprint> = running.iter().map(|&n| numbered(n)).collect();
+                    own.record_crash(&running, at(now_ms));
+                }
+                Step::Complete(number) => own.record_completion(numbered(*number), at(now_ms)),
+                Step::Wait(ms) => now_ms += ms,
+            }
+            naive.apply(step, now_ms);
+            let reports = own.reports(100, at(now_ms));
+            reports.iter().chain(&reports).for_each(|report| other.merge(report, at(now_ms)));
+
+            // Assert
+            for number in 0..6 {
+                let crashes = naive.crashes(number, now_ms);
+                for guard in [&own, &other] {
+                    let is_as_expected = match guard.verdict(numbered(number), at(now_ms)) {
+                        Verdict::Clear => crashes == 0,
+                        Verdict::Suspect => crashes == 1,
+                        Verdict::Blocked { .. } => crashes >= 2,
+                    };
+                    prop_assert!(is_as_expected, "{number}: {crashes} crashes");
+                }
+            }
+        }
+    }
+}
