decisions: admit requests to cold endpoints by permit

Cause: a cold endpoint must not get more than it sustains, summed over all nodes. Change: module permits on top of quorum.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,9 +7,11 @@
 //! * [`answer`]: puts the tokens of several attempts together into one whole answer.
 //! * [`config`]: the operators' configuration and its checks.
 //! * [`ledger`]: at-most-once execution of non-repeatable requests.
+//! * [`permits`]: admission to cold endpoints.
 //! * [`quorum`]: in-memory majority votes.
 
 pub mod answer;
 pub mod config;
 pub mod ledger;
+pub mod permits;
 pub mod quorum;
