--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,6 +8,8 @@
 //! * [`config`]: the operators' configuration and its checks.
 //! * [`crash_guard`]: requests that crash the endpoints that run them.
 //! * [`endpoint_health`]: what an endpoint can bear now.
+//! * [`ledger`]: at-most-once execution of non-repeatable requests.
+//! * [`permits`]: admission to cold endpoints.
 //! * [`platform_budget`]: calls to the platform: budget, backoff, lost answers and leases.
 //! * [`quorum`]: in-memory majority votes.
 //! * [`retry`]: whether and how a failed attempt is followed by another.
@@ -17,6 +19,8 @@
 pub mod config;
 pub mod crash_guard;
 pub mod endpoint_health;
+pub mod ledger;
+pub mod permits;
 pub mod platform_budget;
 pub mod quorum;
 pub mod retry;
