endpoints: keep a partly read event, and bound the wait for a body's end

Cause: the SSE reader kept the event that it was reading inside the future. When a read stopped at a deadline and reading went on, the beginning of the event was lost and its token was dropped as one of another request. After the last event the client waited for the end of the body up to the caller's deadline, so a connection that went silent there delayed a whole answer. Change: the reader keeps line and event between calls; the wait for the end of the body is at most 100 ms, after which the connection is closed instead of used again.

--- a/crates/endpoints/src/http_endpoint.rs
+++ b/crates/endpoints/src/http_endpoint.rs
@@ -23,6 +23,10 @@
 /// Largest block payload.
 const MAX_BLOCK_BYTES: usize = 64 << 20;
 
+/// How long the end of a body may take after the end of its answer, for the connection to be used
+/// again; the caller waits for it, so it is short.
+const BODY_END_TIMEOUT_MS: u64 = 100;
+
 /// The data of the last event of a stream, as published.
 const DONE: &[u8] = b"[DONE]";
 
@@ -195,8 +199,9 @@
 }
 
 impl HttpTokenStream {
-    async fn finish(&mut self, deadline: Deadline) {
+    async fn finish(&mut self) {
         let Some(exchange) = self.exchange.take() else { return };
+        let deadline = Deadline::after_ms(self.clock.now(), BODY_END_TIMEOUT_MS);
         // The connection can be used again only after the end of the chunked body was read.
         let end = with_deadline(&*self.clock, deadline, self.events.next()).await;
         if let Ok(Ok(None)) = end {
@@ -220,7 +225,7 @@
         if event.data != DONE {
             return Ok(StreamEvent::Token { offset_tokens, json: event.data });
         }
-        self.finish(deadline).await;
+        self.finish().await;
         Ok(StreamEvent::Done { length_tokens: offset_tokens })
     }
 }
--- a/crates/endpoints/src/sse.rs
+++ b/crates/endpoints/src/sse.rs
@@ -20,37 +20,40 @@
 #[derive(Debug)]
 pub struct SseReader<R> {
     source: R,
+    // What was read of the current line and event is kept here, not in a future, so that a read that
+    // was abandoned at a deadline can be continued.
     line: Vec<u8>,
+    event: SseEvent,
 }
 
 impl<R: AsyncBufRead + Unpin> SseReader<R> {
     /// Reads events from `source`.
     pub fn new(source: R) -> Self {
-        Self { source, line: Vec::new() }
+        Self { source, line: Vec::new(), event: SseEvent::default() }
     }
 
     /// Reads the next event; returns `None` at the end. An event that the end cuts is dropped.
     ///
+    /// If the future is dropped before it is ready, the next call continues where it stopped.
+    ///
     /// # Errors
     ///
     /// Fails if the source fails or a line is longer than 1 MiB.
     pub async fn next(&mut self) -> io::Result<Option<SseEvent>> {
-        let mut event = SseEvent::default();
         while self.read_line().await? {
-            if self.line.is_empty() {
-                if event != SseEvent::default() {
-                    return Ok(Some(event));
-                }
-                continue;
+            let line = std::mem::take(&mut self.line);
+            if !line.is_empty() {
+                add_field(&mut self.event, &line)?;
+            } else if self.event != SseEvent::default() {
+                return Ok(Some(std::mem::take(&mut self.event)));
             }
-            add_field(&mut event, &self.line)?;
         }
         Ok(None)
     }
 
-    /// Reads a line without its end into `self.line`; returns false at the end of the source.
+    /// Reads the rest of a line, without its end, into `self.line`; returns false at the end of the
+    /// source.
     async fn read_line(&mut self) -> io::Result<bool> {
-        self.line.clear();
         loop {
             let available = self.source.fill_buf().await?;
             if available.is_empty() {
