standins: a platform in memory with faults, rates and expiring leases

Cause: the platform client has to be tested against the protocol, outages and lost answers. Change: a stand-in platform with key-value service, leases, watches and a lagging VM list in the form of the etcd v3 JSON gateway; faults at the start or by POST /faults (refusing, silent, slow, answers lost after the effect, watches dropped, compaction, restoration of an older revision), and GET /stats with calls per second against the rates. The program has the subcommand platform. Conclusion: the client tells a lost answer from a failure over the wire and settles it once.

--- a/crates/standins/src/bin/yuccapass-standin.rs
+++ b/crates/standins/src/bin/yuccapass-standin.rs
@@ -28,6 +28,8 @@
         #[arg(long, default_value_t = 5)]
         token_time_ms: u64,
     },
+    /// Runs a platform: key-value service and VM list.
+    Platform(yuccapass_standins::platform::PlatformArguments),
 }
 
 fn main() -> ExitCode {
@@ -51,6 +53,7 @@
             let (_controller, stop) = stop_pair();
             serve(listener, app, ServerConfig::new(rejection_body), stop).await;
         }
+        Command::Platform(arguments) => yuccapass_standins::platform::run(arguments).await?,
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/standins/tests/platform.rs
@@ -0,0 +1,386 @@
+//! Tests of the platform client against the stand-in platform over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::net::TcpListener;
+use async_std::task::{self, block_on};
+use futures::future::join;
+use yuccapass_decisions::platform_budget::settle_write::Settled;
+use yuccapass_decisions::platform_budget::{CallRank, LeaseTerms};
+use yuccapass_http::{RejectReason, ServerConfig, StopController, serve, stop_pair};
+use yuccapass_platform::{
+    Change, ChangeKind, Command, Compare, HttpKeyValue, HttpVmList, Key, KeyRange, KeyValue,
+    LeaseLock, LeaseTtl, LockStatus, ManagedConfig, PlatformClient, PlatformConfig,
+    PlatformErrorKind, RangeRequest, RankedKeyValue, StoreRevision, Transaction,
+    TransactionOutcome, Value, VmList, VmListing, WatchOutcome, WatchRequest, Write,
+};
+use yuccapass_standins::platform::{Faults, Outage, PlatformState, StandinConfig, build_app};
+use yuccapass_types::{Clock, Deadline, MonotonicClock};
+
+/// Generous limit for calls that end for a reason other than time.
+const LIMIT_MS: u64 = 60_000;
+
+/// Limit of calls that get no answer; it only has to suffice for sending them.
+const SENT_MS: u64 = 2_000;
+
+struct Standin {
+    state: PlatformState,
+    address: SocketAddr,
+    clock: Arc<MonotonicClock>,
+    _controller: StopController,
+}
+
+fn start(config: StandinConfig) -> Standin {
+    let state = PlatformState::new(config);
+    let listener = block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (controller, stop) = stop_pair();
+    let reject = |_: RejectReason| (503, String::new());
+    task::spawn(serve(listener, build_app(state.clone()), ServerConfig::new(reject), stop));
+    Standin { state, address, clock: Arc::default(), _controller: controller }
+}
+
+fn start_default() -> Standin {
+    start(StandinConfig::default())
+}
+
+impl Standin {
+    fn key_value(&self) -> HttpKeyValue {
+        HttpKeyValue::new(&PlatformConfig::new(vec![self.address]), self.clock.clone())
+    }
+
+    fn managed(&self, rank: CallRank) -> RankedKeyValue {
+        let config = ManagedConfig::new(1, 3).attempt_timeout_ms(200);
+        let inner = Arc::new(self.key_value());
+        PlatformClient::new(inner, self.clock.clone(), &config).ranked(rank)
+    }
+
+    fn limit(&self) -> Deadline {
+        self.after_ms(LIMIT_MS)
+    }
+
+    fn after_ms(&self, ms: u64) -> Deadline {
+        Deadline::after_ms(self.clock.now(), ms)
+    }
+
+    fn put(&self, name: &str) -> StoreRevision {
+        let swap = transaction(Vec::new(), name);
+        let swapping = self.key_value();
+        match block_on(swapping.compare_and_swap(&swap, self.limit())).unwrap() {
+            TransactionOutcome::Committed { revision } => revision,
+            TransactionOutcome::Conflict { .. } => panic!("a put without conditions was refused"),
+        }
+    }
+
+    fn watch(&self, from: u64) -> WatchOutcome {
+        let range = KeyRange::Prefix(key("z/"));
+        let request = WatchRequest { range, from: StoreRevision::new(from) };
+        block_on(self.key_value().watch(&request, self.limit())).unwrap()
+    }
+}
+
+fn key(text: &str) -> Key {
+    text.parse().unwrap()
+}
+
+fn transaction(compares: Vec<Compare>, name: &str) -> Transaction {
+    let value = Value::new(name.as_bytes().to_vec()).unwrap();
+    Transaction { compares, writes: vec![Write::Put { key: key(name), value, lease: None }] }
+}
+
+fn with_outage(outage: Outage) -> Faults {
+    Faults { outage, ..Faults::default() }
+}
+
+/// Waits until the stand-in shows a condition; guards the test itself against waiting forever.
+fn wait_until(standin: &Standin, condition: impl Fn() -> bool) {
+    let limit = standin.limit();
+    while !condition() {
+        assert!(!limit.has_passed(standin.clock.now()), "the condition did not come about");
+        block_on(task::sleep(std::time::Duration::from_millis(5)));
+    }
+}
+
+/// Guards against pages that leave out or repeat keys, or mix two states.
+#[test]
+fn pages_show_one_state_completely() {
+    // Arrange
+    let standin = start_default();
+    for name in ["a", "z/1", "z/2", "z/3", "z/4", "z0"] {
+        standin.put(name);
+    }
+    let key_value = standin.key_value();
+    let range = KeyRange::Prefix(key("z/"));
+    let mut request = RangeRequest { range, start: None, limit: 3, revision: None };
+
+    // Act
+    let first = block_on(key_value.range(&request, standin.limit())).unwrap();
+    standin.put("z/5");
+    request.start = first.next.clone();
+    request.revision = Some(first.revision);
+    let second = block_on(key_value.range(&request, standin.limit())).unwrap();
+
+    // Assert
+    let keys = first.entries.iter().chain(&second.entries).map(|entry| entry.key.as_str());
+    assert_eq!(keys.collect::<Vec<_>>(), ["z/1", "z/2", "z/3", "z/4"]);
+    assert_eq!(second.next, None);
+}
+
+/// Guards against two writers that both believe they changed the same state.
+#[test]
+fn of_two_racing_writers_one_wins_and_the_other_sees_the_change() {
+    // Arrange
+    let standin = start_default();
+    let revision = standin.put("z/1");
+    let swap = transaction(vec![Compare::ModRevision(key("z/1"), revision)], "z/1");
+    let (first, second) = (standin.key_value(), standin.key_value());
+
+    // Act
+    let racing = join(
+        first.compare_and_swap(&swap, standin.limit()),
+        second.compare_and_swap(&swap, standin.limit()),
+    );
+    let (first, second) = block_on(racing);
+
+    // Assert
+    let outcomes = [first.unwrap(), second.unwrap()];
+    let conflicts = outcomes.iter().filter_map(|outcome| match outcome {
+        TransactionOutcome::Conflict { entries, .. } => Some(entries[0].mod_revision),
+        TransactionOutcome::Committed { .. } => None,
+    });
+    assert_eq!(conflicts.collect::<Vec<_>>(), [revision.next()]);
+}
+
+/// Guards against a lost answer that is reported as a failure, and against a second effect.
+#[test]
+fn lost_answer_is_unknown_and_is_settled_by_reading_back() {
+    // Arrange
+    let standin = start_default();
+    standin.state.set_faults(Faults { lost_answers: 2, ..Faults::default() });
+    let command = Command::new(key("commands/1"), transaction(Vec::new(), "z/1"));
+    let swap = transaction(Vec::new(), "z/2");
+
+    // Act
+    let key_value = standin.key_value();
+    let plain = block_on(key_value.compare_and_swap(&swap, standin.after_ms(SENT_MS)));
+    let managed = standin.managed(CallRank::Command);
+    let outcome = block_on(managed.settle(&command, standin.limit()));
+
+    // Assert
+    assert_eq!(plain.unwrap_err().kind(), PlatformErrorKind::Unknown);
+    assert_eq!(outcome.settled, Settled::Committed);
+    assert_eq!(standin.state.stats().revision, 2);
+}
+
+/// Guards against a node that needs the platform at its start, and one that does not notice its
+/// return.
+#[test]
+fn platform_that_is_down_at_the_start_is_reached_when_it_returns() {
+    // Arrange
+    let faults = with_outage(Outage::Refuses);
+    let standin = start(StandinConfig { faults, ..StandinConfig::default() });
+    let managed = standin.managed(CallRank::Refresh);
+    let early = block_on(managed.get(&key("a"), standin.after_ms(50)));
+
+    // Act
+    let reading = task::spawn({
+        let (managed, limit) = (managed.clone(), standin.limit());
+        async move { managed.get(&key("a"), limit).await }
+    });
+    let before = standin.state.stats().reads.total;
+    wait_until(&standin, || standin.state.stats().reads.total > before);
+    standin.state.set_faults(Faults::default());
+    let late = block_on(reading);
+
+    // Assert
+    assert_eq!(early.unwrap_err().kind(), PlatformErrorKind::Unavailable);
+    assert!(late.is_ok());
+}
+
+/// Guards against a silent or slow platform that holds a call past its deadline.
+#[test]
+fn silent_and_slow_platforms_end_calls_at_their_deadline() {
+    // Arrange
+    let slow = Faults { slow_ms: LIMIT_MS, ..Faults::default() };
+    for faults in [with_outage(Outage::Silent), slow] {
+        let standin = start(StandinConfig { faults, ..StandinConfig::default() });
+        let key_value = standin.key_value();
+        let swap = transaction(Vec::new(), "z/1");
+
+        // Act
+        let read = block_on(key_value.get(&key("a"), standin.after_ms(SENT_MS)));
+        let write = block_on(key_value.compare_and_swap(&swap, standin.after_ms(SENT_MS)));
+
+        // Assert
+        assert_eq!(read.unwrap_err().kind(), PlatformErrorKind::Unavailable);
+        assert_eq!(write.unwrap_err().kind(), PlatformErrorKind::Unknown);
+    }
+}
+
+/// Guards against reads that fail although another platform address answers, and against a write
+/// that is sent to a second address after the first may have carried it out.
+#[test]
+fn reads_move_to_the_next_address_and_sent_writes_do_not() {
+    // Arrange
+    let (broken, healthy) = (start_default(), start_default());
+    broken.state.set_faults(with_outage(Outage::Silent));
+    let addresses = PlatformConfig::new(vec![broken.address, healthy.address]);
+    let (reader, writer) = (
+        HttpKeyValue::new(&addresses, healthy.clock.clone()),
+        HttpKeyValue::new(&addresses, healthy.clock.clone()),
+    );
+
+    // Act
+    let read = block_on(reader.get(&key("a"), healthy.after_ms(2 * SENT_MS)));
+    let swap = transaction(Vec::new(), "z/1");
+    let write = block_on(writer.compare_and_swap(&swap, healthy.after_ms(SENT_MS)));
+
+    // Assert
+    assert!(read.is_ok());
+    assert_eq!(write.unwrap_err().kind(), PlatformErrorKind::Unknown);
+    assert_eq!(healthy.state.stats().writes.total, 0);
+}
+
+/// Guards against changes that a watch misses, and against watches that stay after their client
+/// has gone.
+#[test]
+fn watch_reports_changes_and_is_counted_while_it_waits() {
+    // Arrange
+    let standin = start_default();
+    let watching = task::spawn({
+        let (key_value, limit) = (standin.key_value(), standin.limit());
+        let range = KeyRange::Prefix(key("z/"));
+        let request = WatchRequest { range, from: StoreRevision::new(1) };
+        async move { key_value.watch(&request, limit).await }
+    });
+    wait_until(&standin, || standin.state.stats().waiting_watches == 1);
+
+    // Act
+    standin.put("a");
+    standin.put("z/1");
+    let outcome = block_on(watching).unwrap();
+
+    // Assert
+    let WatchOutcome::Changes(changes) = outcome else { panic!("no changes: {outcome:?}") };
+    let [Change { revision, kind: ChangeKind::Put(entry) }] = &changes[..] else {
+        panic!("not one put: {changes:?}")
+    };
+    assert_eq!((revision.get(), entry.key.as_str()), (2, "z/1"));
+    wait_until(&standin, || standin.state.stats().waiting_watches == 0);
+}
+
+/// Guards against a watcher that misses changes after a compaction, an older state or a dropped
+/// connection.
+#[test]
+fn watch_says_when_it_has_to_read_anew() {
+    // Arrange
+    let standin = start_default();
+    for _ in 0..9 {
+        standin.put("z/1");
+    }
+    let dropped = Faults { watch_drop_percent: 100, ..Faults::default() };
+
+    // Act
+    standin.state.set_faults(dropped);
+    let range = KeyRange::Prefix(key("z/"));
+    let request = WatchRequest { range, from: StoreRevision::new(9) };
+    let dropped = block_on(standin.key_value().watch(&request, standin.limit()));
+    standin.state.set_faults(Faults { compact: true, ..Faults::default() });
+    let compacted = standin.watch(3);
+    standin.state.set_faults(Faults { restore_revision: Some(5), ..Faults::default() });
+    let restored = standin.watch(10);
+
+    // Assert
+    assert_eq!(dropped.unwrap_err().kind(), PlatformErrorKind::Unavailable);
+    assert_eq!(compacted, WatchOutcome::Compacted);
+    assert_eq!(restored, WatchOutcome::Restored { revision: StoreRevision::new(5) });
+}
+
+/// Guards against a lock that stays with a dead holder.
+#[test]
+fn lock_passes_on_with_a_higher_number_when_the_lease_expires() {
+    // Arrange
+    let standin = start_default();
+    let lock = |node: &str| {
+        let managed = standin.managed(CallRank::Lease);
+        let terms = LeaseTerms::new(1_000);
+        LeaseLock::new(managed, &key("driver"), node.parse().unwrap(), terms).unwrap()
+    };
+    let (first, second) = (lock("node-1"), lock("node-2"));
+    block_on(first.step(standin.limit())).unwrap();
+
+    // Act: the first holder does nothing any more.
+    wait_until(&standin, || {
+        matches!(block_on(second.step(standin.limit())), Ok(LockStatus::Held(_)))
+            && second.permit().is_some()
+    });
+
+    // Assert
+    assert_eq!(first.permit(), None);
+    let renewal = block_on(
+        standin.key_value().lease_keep_alive(yuccapass_platform::LeaseId::new(1), standin.limit()),
+    );
+    assert_eq!(renewal.unwrap_err().kind(), PlatformErrorKind::LeaseNotFound);
+}
+
+/// Guards against a renewal that does not keep the lease, and a revocation that keeps its keys.
+#[test]
+fn revoked_lease_deletes_its_keys() {
+    // Arrange
+    let standin = start_default();
+    let key_value = standin.key_value();
+    let ttl = LeaseTtl::new(LIMIT_MS / 1_000);
+    let grant = block_on(key_value.lease_grant(ttl, standin.limit())).unwrap();
+    let write = Write::Put { key: key("z/1"), value: Value::default(), lease: Some(grant.id) };
+    let swap = Transaction { compares: vec![Compare::Absent(key("z/1"))], writes: vec![write] };
+    block_on(key_value.compare_and_swap(&swap, standin.limit())).unwrap();
+
+    // Act
+    let renewed = block_on(key_value.lease_keep_alive(grant.id, standin.limit())).unwrap();
+    block_on(key_value.lease_revoke(grant.id, standin.limit())).unwrap();
+    let after = block_on(key_value.get(&key("z/1"), standin.limit())).unwrap();
+
+    // Assert
+    assert_eq!(renewed, grant);
+    assert_eq!(after.entry, None);
+}
+
+/// Guards against a value near the limit that does not survive the way there and back.
+#[test]
+fn largest_value_is_stored_and_read() {
+    // Arrange
+    let standin = start_default();
+    let key_value = standin.key_value();
+    let value = Value::new(vec![0xa5; yuccapass_platform::MAX_VALUE_BYTES]).unwrap();
+    let write = Write::Put { key: key("z/1"), value: value.clone(), lease: None };
+    let swap = Transaction { compares: Vec::new(), writes: vec![write] };
+
+    // Act
+    block_on(key_value.compare_and_swap(&swap, standin.limit())).unwrap();
+    let answer = block_on(key_value.get(&key("z/1"), standin.limit())).unwrap();
+
+    // Assert
+    assert!(answer.entry.unwrap().value == value);
+}
+
+/// Guards against a client that relies on a VM list without a lag.
+#[test]
+fn vm_list_lags_behind_its_changes() {
+    // Arrange
+    let lagging = StandinConfig { vm_lag_ms: LIMIT_MS, ..StandinConfig::default() };
+    let json = r#"{"vms":[{"id":"vm-1","address":"127.0.0.1:9","zone":"z","state":"leaving"}]}"#;
+    let listing: VmListing = serde_json::from_str(json).unwrap();
+    for (config, expected_vms) in [(lagging, 0), (StandinConfig::default(), 1)] {
+        let standin = start(config);
+        let config = PlatformConfig::new(vec![standin.address]);
+        let vm_list = HttpVmList::new(&config, standin.clock.clone());
+
+        // Act
+        standin.state.set_vms(listing.clone());
+        let read = block_on(vm_list.list(standin.limit())).unwrap();
+
+        // Assert
+        assert_eq!(read.vms.len(), expected_vms);
+    }
+}
