--- a/crates/standins/src/bin/yuccapass-standin/main.rs
+++ b/crates/standins/src/bin/yuccapass-standin/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use yuccapass_standins::platform::{self, PlatformArguments};
 
 /// Small stand-ins for the outside systems.
 #[derive(Debug, Parser)]
@@ -19,6 +20,8 @@
 enum Command {
     /// Runs a model endpoint.
     Engine(engine::EngineArguments),
+    /// Runs a platform: key-value service and VM list.
+    Platform(PlatformArguments),
 }
 
 fn main() -> ExitCode {
@@ -35,5 +38,6 @@
 async fn run(command: Command) -> std::io::Result<()> {
     match command {
         Command::Engine(arguments) => engine::run(arguments).await,
+        Command::Platform(arguments) => platform::run(arguments).await,
     }
 }
