decisions: configuration in chunks, the holder in force, operators' changes

Cause: 23,000 organisations do not fit into one value of the platform, a node that was replaced has to get its configuration from a neighbour, and an accepted change may never be lost. Change: module config splits a document into chunks of at most 64 KB whose borders depend on ids only, under one manifest with the last 128 commands; ConfigHolder collects manifests and chunks, refuses older revisions and histories that lack the active change, and puts complete and valid documents in force. Module change applies typed changes, makes a command id take effect once and detects conflicts. Models have versions and adapters per zone; types has CommandId.

--- a/crates/decisions/src/config/document.rs
+++ b/crates/decisions/src/config/document.rs
@@ -88,6 +88,32 @@
     pub store: Option<StoreId>,
     /// Replicas that may swap weights at the same time.
     pub max_swapping_replicas: u32,
+    /// Versions for zones that differ from `version`, sorted by zone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zone_versions: Vec<ZoneVersion>,
+    /// Adapters for zones that differ from `adapter`, sorted by zone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zone_adapters: Vec<ZoneAdapter>,
+}
+
+/// The weight version of a model in one zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZoneVersion {
+    /// The zone.
+    pub zone: ZoneId,
+    /// The version for new requests there.
+    pub version: WeightVersion,
+}
+
+/// The adapter of a model in one zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZoneAdapter {
+    /// The zone.
+    pub zone: ZoneId,
+    /// The adapter for new requests there, or none.
+    pub adapter: Option<AdapterId>,
 }
 
 /// A replica of a model engine.
@@ -174,6 +200,24 @@
     }
 }
 
+impl Model {
+    /// Returns the weight version for new requests in a zone.
+    pub fn version_in(&self, zone: &ZoneId) -> &WeightVersion {
+        match self.zone_versions.binary_search_by(|item| item.zone.cmp(zone)) {
+            Ok(position) => &self.zone_versions[position].version,
+            Err(_) => &self.version,
+        }
+    }
+
+    /// Returns the adapter for new requests in a zone.
+    pub fn adapter_in(&self, zone: &ZoneId) -> Option<&AdapterId> {
+        match self.zone_adapters.binary_search_by(|item| item.zone.cmp(zone)) {
+            Ok(position) => self.zone_adapters[position].adapter.as_ref(),
+            Err(_) => self.adapter.as_ref(),
+        }
+    }
+}
+
 impl Organisation {
     /// Returns whether the organisation may use a model.
     pub fn may_use_model(&self, model: &ModelId) -> bool {
--- a/crates/decisions/src/config/mod.rs
+++ b/crates/decisions/src/config/mod.rs
@@ -1,9 +1,26 @@
-//! The operators' configuration and its checks.
+//! The operators' configuration: document, checks, chunks and distribution.
+//!
+//! A document is stored and sent as content-addressed chunks under one [`Manifest`]. Replacing the
+//! manifest is the only compare-and-swap, so a change is atomic, and only the chunks that changed
+//! are moved. [`ConfigHolder`] collects manifests and chunks from the platform and from neighbours
+//! and decides which document is in force.
 
+mod active;
+mod chunk;
 mod document;
+mod holder;
+mod manifest;
+mod pending;
+mod split;
 mod validate;
 
+pub use active::ActiveConfig;
+pub use chunk::{ChunkHash, MAX_CHUNK_BYTES, Part, PartKind};
 pub use document::{
-    Class, Document, Endpoint, Model, Organisation, Service, Voter, Zone, ZoneState,
+    Class, Document, Endpoint, Model, Organisation, Service, Voter, Zone, ZoneAdapter, ZoneState,
+    ZoneVersion,
 };
+pub use holder::{Action, ConfigHolder, RejectReason, Source};
+pub use manifest::{AppliedCommand, MAX_COMMANDS, MAX_MANIFEST_BYTES, Manifest};
+pub use split::{ChunkSpan, split};
 pub use validate::{InvalidDocument, validate};
--- a/crates/decisions/src/config/validate.rs
+++ b/crates/decisions/src/config/validate.rs
@@ -5,6 +5,8 @@
 use smol_str::{SmolStr, format_smolstr};
 use snafu::Snafu;
 
+use yuccapass_types::ZoneId;
+
 use super::document::Document;
 
 /// Most endpoints in a document: several times the target of 850.
@@ -16,6 +18,17 @@
 /// Most bearer keys of one organisation.
 const MAX_KEYS: usize = 64;
 
+/// Most models and most services, and so most approvals of one organisation.
+///
+/// This and the next two bounds keep every single item of a document below the size of a chunk.
+const MAX_NAMES: usize = 256;
+
+/// Most voters of one zone: the target is 340 nodes in 6 zones.
+const MAX_VOTERS: usize = 256;
+
+/// Most addresses of one service.
+const MAX_ADDRESSES: usize = 1_024;
+
 /// Largest share of an organisation, so that sums of shares cannot overflow.
 const MAX_SHARE: u32 = 1_000_000;
 
@@ -29,7 +42,7 @@
 }
 
 impl InvalidDocument {
-    fn new(field: SmolStr, value: impl ToString, bound: impl Into<SmolStr>) -> Self {
+    pub(crate) fn new(field: SmolStr, value: impl ToString, bound: impl Into<SmolStr>) -> Self {
         Self { field, value: value.to_string().into(), bound: bound.into() }
     }
 
@@ -37,6 +50,16 @@
     pub fn field(&self) -> &str {
         &self.field
     }
+
+    /// Returns the value of the field.
+    pub fn value(&self) -> &str {
+        &self.value
+    }
+
+    /// Returns the bound that the value breaks.
+    pub fn bound(&self) -> &str {
+        &self.bound
+    }
 }
 
 /// Checks that a document can be put in force.
@@ -48,6 +71,10 @@
     check_orders(document)?;
     check_count("endpoints", document.endpoints.len(), MAX_ENDPOINTS)?;
     check_count("organisations", document.organisations.len(), MAX_ORGANISATIONS)?;
+    check_count("zones", document.zones.len(), MAX_NAMES)?;
+    check_count("classes", document.classes.len(), MAX_NAMES)?;
+    check_count("models", document.models.len(), MAX_NAMES)?;
+    check_count("services", document.services.len(), MAX_NAMES)?;
     check_voters(document)?;
     check_models(document)?;
     check_endpoints(document)?;
@@ -90,9 +117,11 @@
 fn check_voters(document: &Document) -> Result<(), InvalidDocument> {
     let mut seen = HashSet::new();
     for zone in &document.zones {
+        let field = format_smolstr!("zones.{}.voters", zone.id);
+        check_count(&field, zone.voters.len(), MAX_VOTERS)?;
+        check_sorted(&field, zone.voters.iter().map(|voter| &voter.id))?;
         for voter in &zone.voters {
             if !seen.insert(&voter.id) {
-                let field = format_smolstr!("zones.{}.voters", zone.id);
                 return Err(InvalidDocument::new(field, &voter.id, "a voter may stand only once"));
             }
         }
@@ -106,10 +135,26 @@
             let field = format_smolstr!("models.{}.max_swapping_replicas", model.id);
             return Err(InvalidDocument::new(field, 0, "it must be at least 1"));
         }
+        let zones = model.zone_versions.iter().map(|item| &item.zone);
+        check_zones(document, &format_smolstr!("models.{}.zone_versions", model.id), zones)?;
+        let zones = model.zone_adapters.iter().map(|item| &item.zone);
+        check_zones(document, &format_smolstr!("models.{}.zone_adapters", model.id), zones)?;
     }
     Ok(())
 }
 
+fn check_zones<'a>(
+    document: &Document,
+    field: &str,
+    mut zones: impl Iterator<Item = &'a ZoneId> + Clone,
+) -> Result<(), InvalidDocument> {
+    check_sorted(field, zones.clone())?;
+    match zones.find(|zone| document.zone(zone).is_none()) {
+        Some(zone) => Err(InvalidDocument::new(field.into(), zone, "there is no such zone")),
+        None => Ok(()),
+    }
+}
+
 fn check_endpoints(document: &Document) -> Result<(), InvalidDocument> {
     for endpoint in &document.endpoints {
         let field = |name: &str| format_smolstr!("endpoints.{}.{name}", endpoint.id);
@@ -140,6 +185,7 @@
             let bound = "there must be at least one";
             return Err(InvalidDocument::new(field("addresses"), "empty", bound));
         }
+        check_count(&field("addresses"), service.addresses.len(), MAX_ADDRESSES)?;
     }
     Ok(())
 }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,7 +5,9 @@
 //! spawns a task or logs, so that the daemon, a test and the load tool are equal front ends.
 //!
 //! * [`answer`]: puts the tokens of several attempts together into one whole answer.
-//! * [`config`]: the operators' configuration and its checks.
+//! * [`change`]: the operators' changes to the configuration.
+//! * [`config`]: the operators' configuration, its checks, chunks and distribution.
 
 pub mod answer;
+pub mod change;
 pub mod config;
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -211,6 +211,10 @@
     /// Identifies one request of a caller; quoted in logs and errors.
     RequestId, MAX_ID_BYTES, is_name_char
 }
+text_id! {
+    /// Identifies one operator command, so that a command sent twice takes effect once.
+    CommandId, MAX_ID_BYTES, is_name_char
+}
 text_id! {
     /// A caller's key for recognising that a request was sent before.
     IdempotencyKey, MAX_IDEMPOTENCY_KEY_BYTES, is_printable_ascii
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -20,8 +20,8 @@
 
 pub use block::{BLOCK_PROMPT_BYTES, BlockHash, CacheSalt, ParseBlockHashError, block_chain};
 pub use ids::{
-    AdapterId, ClassId, EndpointId, FencingNumber, IdempotencyKey, Incarnation, KeyHash, ModelId,
-    NodeId, OrganisationId, ParseIdError, ParseIdErrorKind, RegionId, RequestId, Revision,
+    AdapterId, ClassId, CommandId, EndpointId, FencingNumber, IdempotencyKey, Incarnation, KeyHash,
+    ModelId, NodeId, OrganisationId, ParseIdError, ParseIdErrorKind, RegionId, RequestId, Revision,
     ServiceId, StoreId, WeightVersion, ZoneId,
 };
 pub use result_code::{ResultCode, RunState};
--- a/crates/types/src/sorted_map.rs
+++ b/crates/types/src/sorted_map.rs
@@ -114,6 +114,16 @@
         self.entries.iter_mut().map(|(_, value)| value)
     }
 
+    /// Returns the entries in key order for changing their values.
+    pub fn entries_mut(&mut self) -> impl DoubleEndedIterator<Item = (&K, &mut V)> {
+        self.entries.iter_mut().map(|(key, value)| (&*key, value))
+    }
+
+    /// Returns the entries in key order by value.
+    pub fn into_entries(self) -> impl DoubleEndedIterator<Item = (K, V)> {
+        self.entries.into_iter()
+    }
+
     fn position(&self, key: &K) -> Result<usize, usize> {
         self.entries.binary_search_by(|(entry_key, _)| entry_key.cmp(key))
     }
