operators: the command language, its HTTP interface and a client

Cause: operators need one way to query and change the configuration from any node, for people and for scripts. Conclusion: the daemon can implement CommandHandler and add the routes.

--- /dev/null
+++ b/crates/operators/src/handler.rs
@@ -0,0 +1,166 @@
+//! The interface between the HTTP binding and the daemon.
+
+use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, ToSmolStr};
+use yuccapass_decisions::change::{Command, Conflict};
+use yuccapass_decisions::config::InvalidDocument;
+use yuccapass_types::{CommandId, ResultCode, Revision};
+
+use crate::statement::{Filter, Query};
+
+/// Answers operators' queries and commands; the daemon implements it.
+#[async_trait]
+pub trait CommandHandler: Send + Sync {
+    /// Answers a query.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is not available.
+    async fn query(&self, query: &Query) -> Result<Table, Refusal>;
+
+    /// Executes a command; a dry run does everything except writing.
+    async fn command(&self, command: Command, dry_run: bool) -> CommandAnswer;
+}
+
+/// What becomes of a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CommandAnswer {
+    /// The platform has confirmed the change.
+    Accepted(Acceptance),
+    /// The command certainly has no effect.
+    Refused(Refusal),
+    /// Another command changed the same object first; this one has no effect.
+    Conflict(ConflictAnswer),
+    /// Whether the command takes effect cannot be known yet.
+    Unknown(Refusal),
+}
+
+/// Tells that a command is accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acceptance {
+    /// The revision that the command made, or the present one if nothing had to change.
+    pub revision: Revision,
+    /// The change as a sentence.
+    pub description: SmolStr,
+    /// Nodes on which that revision or a newer one is in force, as far as this node knows.
+    pub in_force_nodes: u32,
+    /// Nodes that this node knows to be alive.
+    pub known_nodes: u32,
+    /// Whether the command had taken effect before.
+    pub repeated: bool,
+    /// Whether nothing was written, since this was a dry run.
+    pub dry_run: bool,
+}
+
+/// Tells why something is not done.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// The numbered code.
+    pub code: ResultCode,
+    /// The field or part that is at fault; empty if the code says it all.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub field: SmolStr,
+    /// The value of the field.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub value: SmolStr,
+    /// The bound that the value breaks, or what else is to be known.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub bound: SmolStr,
+}
+
+impl Refusal {
+    /// Makes a refusal that consists of a code.
+    pub fn new(code: ResultCode) -> Self {
+        let empty = SmolStr::default();
+        Self { code, field: empty.clone(), value: empty.clone(), bound: empty }
+    }
+
+    /// Adds what else is to be known.
+    pub fn detail(mut self, detail: impl std::fmt::Display) -> Self {
+        self.bound = detail.to_smolstr();
+        self
+    }
+}
+
+impl From<&InvalidDocument> for Refusal {
+    fn from(error: &InvalidDocument) -> Self {
+        Self {
+            code: ResultCode::InvalidConfiguration,
+            field: error.field().into(),
+            value: error.value().into(),
+            bound: error.bound().into(),
+        }
+    }
+}
+
+impl std::fmt::Display for Refusal {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} {}", self.code, self.code.text())?;
+        match (self.field.is_empty(), self.bound.is_empty()) {
+            (false, _) => write!(f, " {} is {}, but {}.", self.field, self.value, self.bound),
+            (true, false) => write!(f, " {}", self.bound),
+            (true, true) => Ok(()),
+        }
+    }
+}
+
+/// Tells the loser of two commands about the other one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConflictAnswer {
+    /// What both commands change.
+    pub object: SmolStr,
+    /// The newest revision.
+    pub revision: Revision,
+    /// The other command's id; none if it is too long ago to be remembered.
+    pub other_command: Option<CommandId>,
+    /// The revision that the other command made.
+    pub other_revision: Option<Revision>,
+    /// The other command as a sentence.
+    pub other_description: Option<SmolStr>,
+}
+
+impl From<&Conflict> for ConflictAnswer {
+    fn from(conflict: &Conflict) -> Self {
+        let other = conflict.other.as_ref();
+        Self {
+            object: conflict.object.to_smolstr(),
+            revision: conflict.revision,
+            other_command: other.map(|other| other.id.clone()),
+            other_revision: other.map(|other| other.revision),
+            other_description: other.map(|other| other.description.clone()),
+        }
+    }
+}
+
+/// The answer to a query.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    /// The revision of the configuration that the answer is about.
+    pub revision: Revision,
+    /// Names of the columns.
+    pub columns: Vec<SmolStr>,
+    /// The cells of each row; a cell with several values has `, ` between them.
+    pub rows: Vec<Vec<SmolStr>>,
+    /// Whether asking again would show the same; false while a rollout runs.
+    pub finished: bool,
+}
+
+impl Table {
+    /// Makes an empty table.
+    pub fn new(revision: Revision, columns: &[&str]) -> Self {
+        let columns = columns.iter().map(SmolStr::new).collect();
+        Self { revision, columns, rows: Vec::new(), finished: true }
+    }
+
+    /// Keeps the rows that meet all conditions.
+    pub fn narrow(&mut self, filters: &[Filter]) {
+        for filter in filters {
+            let column = self.columns.iter().position(|name| name == filter.field.word());
+            self.rows.retain(|row| {
+                let cell = column.and_then(|column| row.get(column));
+                cell.is_some_and(|cell| cell.split(", ").any(|value| value == filter.value))
+            });
+        }
+    }
+}
