--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,7 +5,8 @@
 //! spawns a task or logs, so that the daemon, a test and the load tool are equal front ends.
 //!
 //! * [`answer`]: puts the tokens of several attempts together into one whole answer.
-//! * [`config`]: the operators' configuration and its checks.
+//! * [`change`]: the operators' changes to the configuration.
+//! * [`config`]: the operators' configuration, its checks, chunks and distribution.
 //! * [`crash_guard`]: requests that crash the endpoints that run them.
 //! * [`endpoint_health`]: what an endpoint can bear now.
 //! * [`ledger`]: at-most-once execution of non-repeatable requests.
@@ -16,6 +17,7 @@
 //! * [`routing`]: the prefix index and the choice of an endpoint.
 
 pub mod answer;
+pub mod change;
 pub mod config;
 pub mod crash_guard;
 pub mod endpoint_health;
