yuccapassd: retry, resume and guard against crashing requests

Cause: an answer ended with its endpoint, and a request that crashes endpoints was free to go on. Change: a failed attempt is diagnosed, by a probe over a new connection where needed, and the retry plan decides; a repeatable answer is resumed from the last delivered token on another endpoint, over a new connection when the old one is silent. The fingerprints that ran at a crashed process become suspects, and the guard is asked before each attempt. Conclusion: crash counts are not yet shared between nodes.

--- a/crates/decisions/src/config/document.rs
+++ b/crates/decisions/src/config/document.rs
@@ -195,7 +195,10 @@
 
 impl Document {
     /// Returns the endpoints of a model.
-    pub fn endpoints_of<'a>(&'a self, model: &'a ModelId) -> impl Iterator<Item = &'a Endpoint> {
+    pub fn endpoints_of<'a, 'm>(
+        &'a self,
+        model: &'m ModelId,
+    ) -> impl Iterator<Item = &'a Endpoint> + use<'a, 'm> {
         self.endpoints.iter().filter(move |endpoint| endpoint.model == *model)
     }
 }
--- a/crates/yuccapassd/src/attempt.rs
+++ b/crates/yuccapassd/src/attempt.rs
@@ -2,16 +2,21 @@
 
 use std::sync::Arc;
 
+use yuccapass_decisions::retry::AttemptFailure;
 use yuccapass_endpoints::{
     EndpointError, EndpointErrorKind, GenerateRequest, StreamEvent, TokenStream,
 };
 use yuccapass_types::{Clock, Deadline, EndpointId, RunState, Tokens};
 
+use crate::crash_guard::SharedCrashGuard;
 use crate::endpoint_table::InFlight;
 
 /// How long cancelling an abandoned run may take.
 const CANCEL_TIMEOUT_MS: u64 = 2_000;
 
+/// How long an endpoint may take to answer a probe over a new connection.
+const PROBE_TIMEOUT_MS: u64 = 1_000;
+
 /// An event of an attempt that concerns the request.
 pub(crate) enum AttemptEvent {
     /// A token at its position in the answer.
@@ -38,13 +43,17 @@
         request: GenerateRequest,
         clock: Arc<dyn Clock>,
         stall_timeout_ms: u64,
-    ) -> Result<Self, EndpointError> {
-        let stream = in_flight.client().generate(&request).await?;
-        Ok(Self { in_flight, request, stream, clock, stall_timeout_ms })
+    ) -> Result<Self, Box<FailedAttempt>> {
+        match in_flight.client().generate(&request).await {
+            Ok(stream) => Ok(Self { in_flight, request, stream, clock, stall_timeout_ms }),
+            Err(error) => Err(Box::new(FailedAttempt { in_flight, request, clock, error })),
+        }
     }
 
-    pub(crate) fn endpoint(&self) -> &EndpointId {
-        self.in_flight.client().id()
+    /// Gives the attempt up because of an error.
+    pub(crate) fn fail(self, error: EndpointError) -> FailedAttempt {
+        let Self { in_flight, request, clock, .. } = self;
+        FailedAttempt { in_flight, request, clock, error }
     }
 
     /// Waits for the next event, at most for the stall timeout.
@@ -57,6 +66,56 @@
             StreamEvent::Mismatched => AttemptEvent::Mismatched,
         })
     }
+}
+
+/// An attempt that did not lead to the end of an answer.
+pub(crate) struct FailedAttempt {
+    in_flight: InFlight,
+    request: GenerateRequest,
+    clock: Arc<dyn Clock>,
+    pub(crate) error: EndpointError,
+}
+
+impl FailedAttempt {
+    pub(crate) fn endpoint(&self) -> &EndpointId {
+        self.in_flight.client().id()
+    }
+
+    /// Finds out how the attempt failed, which may take a probe over a new connection.
+    pub(crate) async fn diagnose(&self, crash_guard: &SharedCrashGuard) -> AttemptFailure {
+        match self.error.kind() {
+            EndpointErrorKind::Unreachable => AttemptFailure::ConnectFailed,
+            EndpointErrorKind::Overloaded => AttemptFailure::Overloaded,
+            EndpointErrorKind::WrongVersion => AttemptFailure::WrongVersion,
+            EndpointErrorKind::Timeout => match self.probe().await {
+                Probe::SameProcess => AttemptFailure::ConnectionSilent,
+                Probe::OtherProcess | Probe::NoAnswer => AttemptFailure::EndpointSilent,
+            },
+            EndpointErrorKind::Connection => {
+                self.in_flight.connection_broke();
+                if self.probe().await != Probe::SameProcess {
+                    let running = self.in_flight.take_crashed();
+                    if !running.is_empty() {
+                        crash_guard.record_crash(&running);
+                    }
+                }
+                AttemptFailure::ConnectionBroken
+            }
+            EndpointErrorKind::Protocol => AttemptFailure::ConnectionBroken,
+            _ => AttemptFailure::Rejected,
+        }
+    }
+
+    async fn probe(&self) -> Probe {
+        let deadline = Deadline::after_ms(self.clock.now(), PROBE_TIMEOUT_MS);
+        match self.in_flight.client().load_report(deadline).await {
+            Err(_) => Probe::NoAnswer,
+            Ok(report) if self.in_flight.is_other_process(report.incarnation) => {
+                Probe::OtherProcess
+            }
+            Ok(_) => Probe::SameProcess,
+        }
+    }
 
     /// Cancels the run over a new connection, for when its own connection may be silent.
     pub(crate) async fn cancel(self) {
@@ -71,6 +130,17 @@
     }
 }
 
+/// What a new connection to an endpoint shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Probe {
+    /// The process that the request was sent to answers.
+    SameProcess,
+    /// Another process answers: the earlier one has crashed.
+    OtherProcess,
+    /// Nothing answers.
+    NoAnswer,
+}
+
 /// Makes the error of an attempt whose tokens do not fit together.
 pub(crate) fn inconsistent(detail: &str) -> EndpointError {
     EndpointError::new(EndpointErrorKind::Protocol, RunState::Ran, detail)
--- a/crates/yuccapassd/src/endpoint_table.rs
+++ b/crates/yuccapassd/src/endpoint_table.rs
@@ -1,16 +1,22 @@
 //! Clients, load and health of the endpoints.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use yuccapass_decisions::config::{Document, Endpoint};
+use yuccapass_decisions::crash_guard::Fingerprint;
 use yuccapass_decisions::endpoint_health::{EndpointCondition, EndpointPhase};
+use yuccapass_decisions::routing::holder::HolderSlot;
+use yuccapass_decisions::routing::index::PrefixMatch;
 use yuccapass_decisions::routing::placement::{Candidate, ZoneDistance};
 use yuccapass_endpoints::{EndpointState, HttpEndpoint, LoadReport, ModelEndpoint};
 use yuccapass_http::ClientConfig;
 use yuccapass_types::{
-    Clock, Deadline, EndpointId, Instant, Sharded, SortedMap, Tokens, TokensPerSecond,
+    Clock, Deadline, EndpointId, Incarnation, Instant, Sharded, SortedMap, Tokens, TokensPerSecond,
 };
 
+use crate::prefix_cache_view::PrefixCacheView;
+
 /// A report that is older than this says nothing; the endpoint counts as silent.
 const REPORT_LIFETIME_MS: u64 = 5_000;
 
@@ -27,24 +33,45 @@
 }
 
 struct Entry {
+    /// Number of the endpoint in the prefix index.
+    slot: Option<HolderSlot>,
     client: Arc<dyn ModelEndpoint>,
-    /// Requests that this node runs there.
-    in_flight_requests: u32,
+    /// Requests that this node runs there, by a number of this table.
+    running: Vec<(u64, Fingerprint)>,
+    /// What ran there when the first connection to a process of the endpoint broke.
+    broken: Option<BrokenProcess>,
     load: Option<ReportedLoad>,
     mean_run_ms: u64,
 }
 
+/// The requests that a process of an endpoint may have crashed on.
+struct BrokenProcess {
+    incarnation: Option<Incarnation>,
+    running: Vec<Fingerprint>,
+}
+
 type Shard = SortedMap<EndpointId, Entry>;
 
+/// Where a candidate stands for a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CandidatePlace<'a> {
+    pub(crate) distance: ZoneDistance,
+    /// The longest known prefix of the prompt at each holder, by slot.
+    pub(crate) matches: &'a [PrefixMatch],
+}
+
 /// The endpoints that this node has met.
 pub(crate) struct EndpointTable {
     entries: Sharded<Shard>,
+    prefix_caches: Arc<PrefixCacheView>,
     clock: Arc<dyn Clock>,
+    next_number: AtomicU64,
 }
 
 impl EndpointTable {
-    pub(crate) fn new(clock: Arc<dyn Clock>) -> Arc<Self> {
-        Arc::new(Self { entries: Sharded::default(), clock })
+    pub(crate) fn new(prefix_caches: Arc<PrefixCacheView>, clock: Arc<dyn Clock>) -> Arc<Self> {
+        let next_number = AtomicU64::new(0);
+        Arc::new(Self { entries: Sharded::default(), prefix_caches, clock, next_number })
     }
 
     /// Returns the client of an endpoint.
@@ -68,34 +95,45 @@
     /// Drops the endpoints that the configuration no longer has and that run nothing.
     pub(crate) fn retain(&self, document: &Document) {
         self.entries.fold((), |(), shard| {
-            shard.retain(|id, entry| {
-                document.endpoint(id).is_some() || entry.in_flight_requests > 0
-            });
+            shard.retain(|id, entry| document.endpoint(id).is_some() || !entry.running.is_empty());
         });
     }
 
     /// Describes an endpoint for placement.
+    ///
+    /// Returns `None` if there are more endpoints than the prefix index has slots. `is_suspect` tells whether a fingerprint is that of another suspect request.
     pub(crate) fn candidate(
         &self,
         endpoint: &Endpoint,
-        distance: ZoneDistance,
-        cached_blocks: u32,
-    ) -> Candidate {
+        place: CandidatePlace<'_>,
+        is_suspect: impl Fn(Fingerprint) -> bool,
+    ) -> Option<Candidate> {
         let now = self.clock.now();
-        self.with_entry(endpoint, |entry| entry.candidate(endpoint, distance, cached_blocks, now))
+        self.with_entry(endpoint, |entry| {
+            let runs_other_suspect = entry.running.iter().any(|&(_, running)| is_suspect(running));
+            let candidate = entry.candidate(endpoint, place, now)?;
+            Some(Candidate { runs_other_suspect, ..candidate })
+        })
     }
 
     /// Counts a request at an endpoint until the guard is dropped.
-    pub(crate) fn begin(self: &Arc<Self>, endpoint: &Endpoint, prefill: Tokens) -> InFlight {
-        let client = self.with_entry(endpoint, |entry| {
-            entry.in_flight_requests += 1;
+    pub(crate) fn begin(
+        self: &Arc<Self>,
+        endpoint: &Endpoint,
+        fingerprint: Fingerprint,
+        prefill: Tokens,
+    ) -> InFlight {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let (client, incarnation) = self.with_entry(endpoint, |entry| {
+            entry.running.push((number, fingerprint));
             if let Some(load) = &mut entry.load {
                 load.sent_since_requests += 1;
                 load.sent_since = load.sent_since + prefill;
             }
-            Arc::clone(&entry.client)
+            (Arc::clone(&entry.client), entry.incarnation())
         });
-        InFlight { table: Arc::clone(self), client, start: self.clock.now() }
+        let table = Arc::clone(self);
+        InFlight { table, client, number, incarnation, start: self.clock.now() }
     }
 
     fn with_entry<R>(&self, endpoint: &Endpoint, action: impl FnOnce(&mut Entry) -> R) -> R {
@@ -109,8 +147,10 @@
         let clock = Arc::clone(&self.clock);
         let client = HttpEndpoint::new(endpoint.id.clone(), endpoint.address, config, clock);
         Entry {
+            slot: self.prefix_caches.slot_of(&endpoint.id),
             client: Arc::new(client),
-            in_flight_requests: 0,
+            running: Vec::new(),
+            broken: None,
             load: None,
             mean_run_ms: INITIAL_MEAN_RUN_MS,
         }
@@ -118,34 +158,39 @@
 }
 
 impl Entry {
+    fn incarnation(&self) -> Option<Incarnation> {
+        self.load.as_ref().map(|load| load.report.incarnation)
+    }
+
     fn candidate(
         &self,
         endpoint: &Endpoint,
-        distance: ZoneDistance,
-        cached_blocks: u32,
+        place: CandidatePlace<'_>,
         now: Instant,
-    ) -> Candidate {
+    ) -> Option<Candidate> {
+        let slot = self.slot?;
+        let known = place.matches.binary_search_by_key(&slot, |found| found.holder).ok();
         let load = self.load.as_ref();
         let report = load.map(|load| &load.report);
-        Candidate {
-            endpoint: endpoint.id.clone(),
-            distance,
+        Some(Candidate {
+            endpoint: slot,
+            distance: place.distance,
             health: self.condition(endpoint, now),
             running_requests: report.map_or(0, |report| report.running_requests),
             queued_requests: report.map_or(0, |report| report.queued_requests),
             prefill_backlog: report.map_or(Tokens::ZERO, |report| report.queued_prefill_tokens),
             report_age_ms: load.map_or(0, |load| load.report.age_ms + now.ms_since(load.received)),
             sent_since_requests: load
-                .map_or(self.in_flight_requests, |load| load.sent_since_requests),
+                .map_or(self.running.len() as u32, |load| load.sent_since_requests),
             sent_since: load.map_or(Tokens::ZERO, |load| load.sent_since),
             max_running_requests: report.map_or(1, |report| report.max_running_requests),
             prefill_rate: TokensPerSecond::new(
                 report.map_or(1, |report| report.prefill_tokens_per_s),
             ),
             mean_run_ms: self.mean_run_ms,
-            cached_blocks,
+            cached_blocks: known.map_or(0, |position| place.matches[position].blocks),
             runs_other_suspect: false,
-        }
+        })
     }
 
     fn condition(&self, endpoint: &Endpoint, now: Instant) -> EndpointCondition {
@@ -162,8 +207,8 @@
         EndpointCondition { phase, sustainable_requests }
     }
 
-    fn ended(&mut self, run_ms: u64) {
-        self.in_flight_requests -= 1;
+    fn ended(&mut self, number: u64, run_ms: u64) {
+        self.running.retain(|&(running, _)| running != number);
         // A moving mean over about eight answers.
         self.mean_run_ms = (self.mean_run_ms * 7 + run_ms) / 8;
     }
@@ -173,6 +218,8 @@
 pub(crate) struct InFlight {
     table: Arc<EndpointTable>,
     client: Arc<dyn ModelEndpoint>,
+    number: u64,
+    incarnation: Option<Incarnation>,
     start: Instant,
 }
 
@@ -180,6 +227,36 @@
     pub(crate) fn client(&self) -> &dyn ModelEndpoint {
         &*self.client
     }
+
+    /// Remembers what runs at the endpoint when its first connection breaks, before the requests
+    /// that notice it leave.
+    pub(crate) fn connection_broke(&self) {
+        let id = self.client.id();
+        self.table.entries.with(id, |shard| {
+            let Some(entry) = shard.get_mut(id) else { return };
+            let is_known =
+                entry.broken.as_ref().is_some_and(|broken| broken.incarnation == self.incarnation);
+            if !is_known {
+                let running = entry.running.iter().map(|&(_, fingerprint)| fingerprint).collect();
+                entry.broken = Some(BrokenProcess { incarnation: self.incarnation, running });
+            }
+        });
+    }
+
+    /// Returns whether the process that this request was sent to is another than `incarnation`.
+    pub(crate) fn is_other_process(&self, incarnation: Incarnation) -> bool {
+        self.incarnation.is_some_and(|own| own != incarnation)
+    }
+
+    /// Returns what ran at the endpoint when it crashed, to the first that asks.
+    pub(crate) fn take_crashed(&self) -> Vec<Fingerprint> {
+        let id = self.client.id();
+        self.table.entries.with(id, |shard| {
+            let broken = shard.get_mut(id).and_then(|entry| entry.broken.as_mut());
+            let own = broken.filter(|broken| broken.incarnation == self.incarnation);
+            own.map(|broken| std::mem::take(&mut broken.running)).unwrap_or_default()
+        })
+    }
 }
 
 impl Drop for InFlight {
@@ -188,7 +265,7 @@
         let run_ms = self.table.clock.now().ms_since(self.start);
         self.table.entries.with(id, |shard| {
             if let Some(entry) = shard.get_mut(id) {
-                entry.ended(run_ms);
+                entry.ended(self.number, run_ms);
             }
         });
     }
--- a/crates/yuccapassd/src/lib.rs
+++ b/crates/yuccapassd/src/lib.rs
@@ -13,6 +13,7 @@
 mod admin;
 mod attempt;
 mod configuration;
+mod crash_guard;
 mod endpoint_table;
 pub mod logs;
 mod metrics;
--- a/crates/yuccapassd/src/node.rs
+++ b/crates/yuccapassd/src/node.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 
 use async_std::net::TcpListener;
 use async_std::task::{self, JoinHandle};
@@ -11,12 +11,14 @@
 use yuccapass_callers::app::RequestIdSource;
 use yuccapass_callers::{CallerLimits, build_app, rejection_body};
 use yuccapass_decisions::config::{Document, InvalidDocument, validate};
+use yuccapass_decisions::retry::{RetryBudget, RetryBudgetSettings};
 use yuccapass_decisions::routing::index::IndexSettings;
 use yuccapass_http::{ServerConfig, StopController, StopSignal, serve, sleep_until, stop_pair};
-use yuccapass_types::{Clock, Deadline, MonotonicClock, NodeId, RequestId};
+use yuccapass_types::{Clock, Deadline, Incarnation, MonotonicClock, NodeId, RequestId};
 
 use crate::admin::{self, AdminState};
 use crate::configuration::Configuration;
+use crate::crash_guard::SharedCrashGuard;
 use crate::endpoint_table::EndpointTable;
 use crate::metrics::{Metrics, MetricsError};
 use crate::monitor;
@@ -98,11 +100,26 @@
         let revision = configuration.revision();
         let metrics =
             Arc::new(Metrics::new(settings.max_organisation_labels).context(MetricsSnafu)?);
+        let prefix_caches =
+            Arc::new(PrefixCacheView::new(IndexSettings::default(), Arc::clone(&clock)));
+        let incarnation = new_incarnation();
+        let endpoints = EndpointTable::new(Arc::clone(&prefix_caches), Arc::clone(&clock));
+        let node_id = settings.node_id.clone();
+        let crash_guard = Arc::new(SharedCrashGuard::new(node_id, incarnation, Arc::clone(&clock)));
+        let placer = Placer {
+            zone: settings.zone.clone(),
+            policy: settings.placement.policy(),
+            endpoints: Arc::clone(&endpoints),
+            prefix_caches: Arc::clone(&prefix_caches),
+            crash_guard: Arc::clone(&crash_guard),
+        };
         let core = Arc::new(Core {
             configuration,
-            endpoints: EndpointTable::new(Arc::clone(&clock)),
-            prefix_caches: PrefixCacheView::new(IndexSettings::default(), Arc::clone(&clock)),
-            placer: Placer::new(settings.zone.clone(), settings.placement.policy()),
+            endpoints,
+            prefix_caches,
+            crash_guard,
+            retry_budget: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
+            placer,
             metrics: Arc::clone(&metrics),
             clock: Arc::clone(&clock),
             stall_timeout_ms: settings.stall_timeout_ms,
@@ -114,7 +131,7 @@
             Arc::new(RequestPath::new(core)),
             caller_limits(&settings),
             Arc::clone(&clock),
-            request_ids(&settings.node_id),
+            request_ids(&settings.node_id, incarnation),
         );
         let caller_config =
             ServerConfig::new(rejection_body).max_connections(settings.max_connections);
@@ -190,10 +207,15 @@
         .max_deadline_ms(settings.max_deadline_ms)
 }
 
-/// Makes ids that stay unique when a node restarts: start time in milliseconds and a counter.
-fn request_ids(node: &NodeId) -> RequestIdSource {
+/// Returns a number that is larger than that of earlier processes: the time in milliseconds.
+fn new_incarnation() -> Incarnation {
     let start = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let start_ms = start.map_or(0, |start| start.as_millis() as u64);
+    Incarnation::new(start.map_or(0, |start| start.as_millis() as u64))
+}
+
+/// Makes ids that stay unique when a node restarts: start time in milliseconds and a counter.
+fn request_ids(node: &NodeId, incarnation: Incarnation) -> RequestIdSource {
+    let start_ms = incarnation.get();
     // A long node name is cut, so that the id always fits.
     let node: String = node.as_str().chars().take(24).collect();
     let counter = AtomicU64::new(0);
--- a/crates/yuccapassd/src/placer.rs
+++ b/crates/yuccapassd/src/placer.rs
@@ -1,6 +1,9 @@
 //! Placement of a request on an endpoint.
 
+use std::sync::Arc;
+
 use yuccapass_decisions::config::{Document, Endpoint, Model, ZoneState};
+use yuccapass_decisions::crash_guard::Fingerprint;
 use yuccapass_decisions::routing::placement::{
     NoPlacement, PlacementPolicy, PlacementRequest, ZoneDistance,
 };
@@ -9,7 +12,8 @@
     ZoneId, block_chain,
 };
 
-use crate::endpoint_table::EndpointTable;
+use crate::crash_guard::SharedCrashGuard;
+use crate::endpoint_table::{CandidatePlace, EndpointTable};
 use crate::prefix_cache_view::PrefixCacheView;
 
 /// Bytes of prompt text in a token, on average over the usual tokenizers and English text.
@@ -20,6 +24,7 @@
     pub(crate) salt: CacheSalt,
     chain: Vec<BlockHash>,
     tokens: Tokens,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 impl PlacedPrompt {
@@ -28,15 +33,16 @@
         let adapter = model.adapter.as_ref();
         let salt = CacheSalt::derive(organisation, &model.id, &model.version, adapter);
         let tokens = Tokens::new((prompt.len() as u64).div_ceil(BYTES_PER_TOKEN));
-        Self { salt, chain: block_chain(salt, prompt), tokens }
+        let fingerprint = Fingerprint::of(organisation, &model.id, prompt);
+        Self { salt, chain: block_chain(salt, prompt), tokens, fingerprint }
     }
 
-    fn request(&self) -> PlacementRequest {
+    fn request(&self, is_suspect: bool) -> PlacementRequest {
         PlacementRequest {
             prompt: self.tokens,
             prompt_blocks: self.chain.len() as u32,
             block_size: Bytes::new(BLOCK_PROMPT_BYTES as u64),
-            is_suspect: false,
+            is_suspect,
             sources: Vec::new(),
             link_allowance: Bytes::ZERO,
         }
@@ -51,27 +57,26 @@
 
 /// Chooses endpoints from where this node stands.
 pub(crate) struct Placer {
-    zone: ZoneId,
-    policy: Box<dyn PlacementPolicy>,
+    pub(crate) zone: ZoneId,
+    pub(crate) policy: Box<dyn PlacementPolicy>,
+    pub(crate) endpoints: Arc<EndpointTable>,
+    pub(crate) prefix_caches: Arc<PrefixCacheView>,
+    pub(crate) crash_guard: Arc<SharedCrashGuard>,
 }
 
 impl Placer {
-    pub(crate) fn new(zone: ZoneId, policy: Box<dyn PlacementPolicy>) -> Self {
-        Self { zone, policy }
-    }
-
     /// Chooses the endpoint for an attempt, other than those in `excluded`.
     pub(crate) fn place<'a>(
         &self,
         document: &'a Document,
-        model: &'a Model,
+        model: &Model,
         prompt: &PlacedPrompt,
-        endpoints: &EndpointTable,
-        caches: &PrefixCacheView,
         excluded: &[EndpointId],
     ) -> Result<Placed<'a>, NoPlacement> {
         let region = document.zone(&self.zone).map(|zone| &zone.region);
-        let matches = caches.lookup(&prompt.chain);
+        let matches = self.prefix_caches.lookup(&prompt.chain);
+        let is_suspect =
+            |other: Fingerprint| other != prompt.fingerprint && self.crash_guard.is_suspect(other);
         let mut considered = Vec::new();
         let mut candidates = Vec::new();
         for endpoint in document.endpoints_of(&model.id) {
@@ -79,11 +84,18 @@
             if excluded.contains(&endpoint.id) {
                 continue;
             }
-            let cached_blocks = matches.get(&endpoint.id).copied().unwrap_or(0);
-            candidates.push(endpoints.candidate(endpoint, distance, cached_blocks));
+            let place = CandidatePlace { distance, matches: &matches };
+            let Some(candidate) = self.endpoints.candidate(endpoint, place, is_suspect) else {
+                continue;
+            };
+            candidates.push(candidate);
             considered.push(endpoint);
         }
-        let placement = self.policy.place(&prompt.request(), &candidates, &mut rand::rng())?;
+        let placement = self.policy.place(
+            &prompt.request(self.crash_guard.is_suspect(prompt.fingerprint)),
+            &candidates,
+            &mut rand::rng(),
+        )?;
         let endpoint = considered[placement.candidate];
         Ok(Placed { endpoint, prefill: placement.prefill_tokens })
     }
--- a/crates/yuccapassd/src/prefix_cache_view.rs
+++ b/crates/yuccapassd/src/prefix_cache_view.rs
@@ -7,7 +7,7 @@
     CacheChange, CacheEvent, IndexAction, IndexSettings, ListedBlock, PrefixIndex, PrefixMatch,
 };
 use yuccapass_endpoints::{BlockListing, CacheEventBatch, CacheEventKind};
-use yuccapass_types::{BlockHash, Clock, EndpointId, SortedMap};
+use yuccapass_types::{BlockHash, Clock, EndpointId};
 
 /// The prefix index with the slots of its holders.
 pub(crate) struct PrefixCacheView {
@@ -21,12 +21,14 @@
         Self { index: PrefixIndex::new(settings), slots: Mutex::default(), clock }
     }
 
-    /// Returns the blocks of the longest known prefix of a chain at each endpoint that has one.
-    pub(crate) fn lookup(&self, chain: &[BlockHash]) -> SortedMap<EndpointId, u32> {
-        let matches = self.index.lookup(chain, self.clock.now());
-        self.with_slots(|slots| {
-            matches.into_iter().filter_map(|found| endpoint_match(slots, found)).collect()
-        })
+    /// Returns the longest known prefix of a chain at each holder that has one, by slot.
+    pub(crate) fn lookup(&self, chain: &[BlockHash]) -> Vec<PrefixMatch> {
+        self.index.lookup(chain, self.clock.now())
+    }
+
+    /// Returns the slot of an endpoint; `None` if there are too many endpoints.
+    pub(crate) fn slot_of(&self, endpoint: &EndpointId) -> Option<HolderSlot> {
+        self.assign(endpoint)
     }
 
     fn slot(&self, endpoint: &EndpointId) -> Option<HolderSlot> {
@@ -89,10 +91,3 @@
         action(&mut self.slots.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
-
-fn endpoint_match(slots: &HolderSlots, found: PrefixMatch) -> Option<(EndpointId, u32)> {
-    match slots.holder(found.holder)? {
-        Holder::Endpoint(endpoint) => Some((endpoint.clone(), found.blocks)),
-        Holder::Store(..) => None,
-    }
-}
--- a/crates/yuccapassd/src/request_path.rs
+++ b/crates/yuccapassd/src/request_path.rs
@@ -1,15 +1,17 @@
 //! From a caller's request to its answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use async_trait::async_trait;
 use yuccapass_callers::{
     AnswerStream, Failure, GenerationRequest, RequestHandler, ServiceRequest, ServiceResponse,
 };
 use yuccapass_decisions::config::Document;
+use yuccapass_decisions::retry::RetryBudget;
 use yuccapass_types::{Clock, KeyHash, ModelId, OrganisationId, ResultCode};
 
 use crate::configuration::Configuration;
+use crate::crash_guard::SharedCrashGuard;
 use crate::endpoint_table::EndpointTable;
 use crate::metrics::Metrics;
 use crate::placer::Placer;
@@ -20,13 +22,21 @@
 pub(crate) struct Core {
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) endpoints: Arc<EndpointTable>,
-    pub(crate) prefix_caches: PrefixCacheView,
+    pub(crate) prefix_caches: Arc<PrefixCacheView>,
+    pub(crate) crash_guard: Arc<SharedCrashGuard>,
+    pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) placer: Placer,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) stall_timeout_ms: u64,
 }
 
+impl Core {
+    pub(crate) fn with_retry_budget<R>(&self, action: impl FnOnce(&mut RetryBudget) -> R) -> R {
+        action(&mut self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
 /// Serves callers from the endpoints of the configuration in force.
 pub(crate) struct RequestPath {
     core: Arc<Core>,
@@ -59,7 +69,7 @@
         let arrival = self.core.clock.now();
         let active = self.core.configuration.active();
         check_approved(&active.document, &request)?;
-        let run = Run::new(Arc::clone(&self.core), active, request, arrival);
+        let run = Run::new(Arc::clone(&self.core), &active, request, arrival)?;
         Ok(Box::new(run.await_first_token().await?))
     }
 
--- a/crates/yuccapassd/src/run.rs
+++ b/crates/yuccapassd/src/run.rs
@@ -5,28 +5,41 @@
 use async_trait::async_trait;
 use yuccapass_callers::{AnswerStream, Failure, GenerationRequest};
 use yuccapass_decisions::answer::{AnswerProgress, EndAction, TokenAction};
+use yuccapass_decisions::config::{Document, Model};
+use yuccapass_decisions::crash_guard::Verdict;
+use yuccapass_decisions::retry::{AttemptFacts, RetryPlan, RetryTarget, plan_retry};
 use yuccapass_endpoints::{EndpointError, EndpointErrorKind, GenerateRequest};
-use yuccapass_types::{EndpointId, Instant, ResultCode};
+use yuccapass_types::{EndpointId, Instant, ResultCode, RunState, Tokens};
 
-use crate::attempt::{Attempt, AttemptEvent, inconsistent};
+use crate::attempt::{Attempt, AttemptEvent, FailedAttempt, inconsistent};
 use crate::configuration::ActiveDocument;
 use crate::metrics::RequestLabels;
-use crate::placer::PlacedPrompt;
+use crate::placer::{Placed, PlacedPrompt};
 use crate::request_path::Core;
 
+/// Most attempts for one request, over all endpoints.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Shortest time in which another attempt can bring a first token.
+const LEAST_ATTEMPT_MS: u64 = 20;
+
 /// A request that was admitted.
 pub(crate) struct Run {
     core: Arc<Core>,
-    /// The configuration that the request started with; it is used to the end.
-    active: Arc<ActiveDocument>,
     request: GenerationRequest,
     labels: RequestLabels,
     arrival: Instant,
     last_token: Option<Instant>,
     progress: AnswerProgress,
+    /// The model as it was when the first attempt began; an answer is continued by this version.
+    model: Model,
+    prompt: PlacedPrompt,
+    /// What is known of all attempts before the present one.
+    earlier_state: RunState,
     attempts: u32,
-    /// Endpoints at which an attempt failed.
-    failed_endpoints: Vec<EndpointId>,
+    /// Endpoints that are not tried again.
+    excluded: Vec<EndpointId>,
+    needs_new_connection: bool,
     attempt: Option<Attempt>,
     is_whole: bool,
     /// The first token, which is awaited before the caller gets a response.
@@ -36,26 +49,33 @@
 impl Run {
     pub(crate) fn new(
         core: Arc<Core>,
-        active: Arc<ActiveDocument>,
+        active: &ActiveDocument,
         request: GenerationRequest,
         arrival: Instant,
-    ) -> Self {
-        let labels = core.metrics.labels(&request.organisation, request.class.as_ref());
+    ) -> Result<Self, Failure> {
+        let model = current_model(&active.document, &request)?;
+        let prompt = PlacedPrompt::new(&request.organisation, &model, &request.prompt);
+        check_crash_guard(&core, &prompt, RunState::NotRun)?;
+        core.with_retry_budget(|budget| budget.record_request(arrival));
         core.metrics.answer_opened();
-        Self {
+        let labels = core.metrics.labels(&request.organisation, request.class.as_ref());
+        Ok(Self {
             core,
-            active,
-            request,
             labels,
             arrival,
             last_token: None,
             progress: AnswerProgress::default(),
+            model,
+            prompt,
+            earlier_state: RunState::NotRun,
             attempts: 0,
-            failed_endpoints: Vec::new(),
+            excluded: Vec::new(),
+            needs_new_connection: !request.is_repeatable,
+            request,
             attempt: None,
             is_whole: false,
             first: None,
-        }
+        })
     }
 
     /// Waits for the first token.
@@ -65,34 +85,49 @@
     }
 
     async fn next_token(&mut self) -> Result<Option<Vec<u8>>, Failure> {
-        if self.is_whole {
-            return Ok(None);
-        }
-        if self.attempt.is_none() {
-            self.attempt = Some(self.start_attempt().await?);
-        }
-        loop {
+        while !self.is_whole {
             match self.next_event().await {
                 Ok(Some(AttemptEvent::Token(_, json))) => {
                     self.count_token();
                     return Ok(Some(json));
                 }
-                Ok(Some(_)) => {
-                    self.is_whole = true;
-                    self.attempt = None;
-                    self.core.metrics.attempt_ended("complete");
-                    return Ok(None);
-                }
+                Ok(Some(_)) => self.complete(),
                 Ok(None) => {}
-                Err(error) => return Err(self.attempt_failed(error)),
+                Err(StepError::Attempt(failed)) => self.plan_next(failed).await?,
+                Err(StepError::Final(failure)) => return Err(failure),
             }
         }
+        Ok(None)
+    }
+
+    fn complete(&mut self) {
+        self.is_whole = true;
+        self.attempt = None;
+        self.core.metrics.attempt_ended("complete");
+        self.core.crash_guard.record_completion(self.prompt.fingerprint);
     }
 
-    /// Reads one event; `None` is an event that was dropped.
-    async fn next_event(&mut self) -> Result<Option<AttemptEvent>, EndpointError> {
-        let attempt = self.attempt.as_mut().ok_or_else(|| inconsistent("no attempt runs"))?;
-        let event = attempt.next().await?;
+    /// Reads one event, from a new attempt if none runs; `None` is an event that was dropped.
+    async fn next_event(&mut self) -> Result<Option<AttemptEvent>, StepError> {
+        let mut attempt = match self.attempt.take() {
+            Some(attempt) => attempt,
+            None => self.start_attempt().await?,
+        };
+        let checked = match attempt.next().await {
+            Ok(event) => self.check(event),
+            Err(error) => Err(error),
+        };
+        match checked {
+            Ok(event) => {
+                self.attempt = Some(attempt);
+                Ok(event)
+            }
+            Err(error) => Err(StepError::Attempt(Box::new(attempt.fail(error)))),
+        }
+    }
+
+    /// Drops an event that the caller must not see; fails if the answer would have a gap.
+    fn check(&mut self, event: AttemptEvent) -> Result<Option<AttemptEvent>, EndpointError> {
         match event {
             AttemptEvent::Mismatched => {
                 self.core.metrics.event_dropped("mismatched");
@@ -115,25 +150,16 @@
         }
     }
 
-    async fn start_attempt(&mut self) -> Result<Attempt, Failure> {
+    async fn start_attempt(&mut self) -> Result<Attempt, StepError> {
+        let active = self.core.configuration.active();
+        let document = &active.document;
+        if self.progress.delivered_tokens() == Tokens::ZERO {
+            self.use_current_model(document)?;
+        }
+        // Its earlier attempts, or those of other requests like it, may have crashed endpoints.
+        check_crash_guard(&self.core, &self.prompt, self.run_state()).map_err(StepError::Final)?;
+        let placed = self.place(document)?;
         self.attempts += 1;
-        let document = &self.active.document;
-        let model = document
-            .model(&self.request.model)
-            .ok_or_else(|| Failure::not_run(ResultCode::ModelNotFound))?;
-        let prompt = PlacedPrompt::new(&self.request.organisation, model, &self.request.prompt);
-        let placed = self
-            .core
-            .placer
-            .place(
-                document,
-                model,
-                &prompt,
-                &self.core.endpoints,
-                &self.core.prefix_caches,
-                &self.failed_endpoints,
-            )
-            .map_err(|reason| Failure::not_run(reason.result_code()))?;
         let class = self.request.class.as_ref().and_then(|class| document.class(class));
         let attempt = GenerateRequest {
             request_id: self.request.request_id.clone(),
@@ -142,37 +168,97 @@
             body: Arc::clone(&self.request.body),
             priority: class.map_or(0, |class| class.priority),
             deadline: self.request.deadline,
-            salt: prompt.salt,
-            version: model.version.clone(),
-            adapter: model.adapter.clone(),
+            salt: self.prompt.salt,
+            version: self.model.version.clone(),
+            adapter: self.model.adapter.clone(),
             resume_offset_tokens: self.progress.delivered_tokens(),
-            needs_new_connection: !self.request.is_repeatable,
+            needs_new_connection: self.needs_new_connection,
         };
-        let in_flight = self.core.endpoints.begin(placed.endpoint, placed.prefill);
+        let fingerprint = self.prompt.fingerprint;
+        let in_flight = self.core.endpoints.begin(placed.endpoint, fingerprint, placed.prefill);
         let clock = Arc::clone(&self.core.clock);
-        let starting = Attempt::start(in_flight, attempt, clock, self.core.stall_timeout_ms);
-        starting.await.map_err(|error| self.attempt_failed(error))
+        Attempt::start(in_flight, attempt, clock, self.core.stall_timeout_ms)
+            .await
+            .map_err(StepError::Attempt)
     }
 
-    fn attempt_failed(&mut self, error: EndpointError) -> Failure {
+    /// Takes the model as it is configured now, since a swap may have happened while waiting.
+    fn use_current_model(&mut self, document: &Document) -> Result<(), StepError> {
+        let model = current_model(document, &self.request).map_err(StepError::Final)?;
+        if model != self.model {
+            self.prompt =
+                PlacedPrompt::new(&self.request.organisation, &model, &self.request.prompt);
+            self.model = model;
+        }
+        Ok(())
+    }
+
+    fn place<'a>(&self, document: &'a Document) -> Result<Placed<'a>, StepError> {
+        let placed = self.core.placer.place(document, &self.model, &self.prompt, &self.excluded);
+        placed.map_err(|reason| {
+            StepError::Final(Failure::new(reason.result_code(), self.run_state()))
+        })
+    }
+
+    /// Returns what is known about the request before the present attempt.
+    fn run_state(&self) -> RunState {
+        match self.progress.delivered_tokens() {
+            Tokens::ZERO => self.earlier_state,
+            _ => RunState::Ran,
+        }
+    }
+
+    /// Decides what follows a failed attempt.
+    async fn plan_next(&mut self, failed: Box<FailedAttempt>) -> Result<(), Failure> {
         self.core.metrics.attempt_ended("failed");
-        if let Some(attempt) = self.attempt.take() {
-            self.failed_endpoints.push(attempt.endpoint().clone());
-            log::warn!(
-                request_id = self.request.request_id.as_str(),
-                endpoint = attempt.endpoint().as_str(),
-                attempt = self.attempts;
-                "an attempt failed: {error}"
-            );
-            async_std::task::spawn(attempt.cancel());
+        log::warn!(
+            request_id = self.request.request_id.as_str(),
+            endpoint = failed.endpoint().as_str(),
+            attempt = self.attempts;
+            "an attempt failed: {}", failed.error
+        );
+        if failed.error.kind() == EndpointErrorKind::InvalidRequest {
+            let run_state = failed.error.run_state();
+            let failure = Failure::new(ResultCode::EndpointRejected, run_state);
+            return Err(failure.detail(failed.error.to_string()));
+        }
+        let facts = self.facts(&failed).await;
+        let detail = failed.error.to_string();
+        let endpoint = failed.endpoint().clone();
+        async_std::task::spawn(failed.cancel());
+        let now = self.core.clock.now();
+        match self.core.with_retry_budget(|budget| plan_retry(&facts, budget, now)) {
+            RetryPlan::Fail { run_state, code } => {
+                Err(Failure::new(code, run_state).detail(detail))
+            }
+            RetryPlan::Retry { target, new_connection, .. } => {
+                self.earlier_state = facts.run_state();
+                self.needs_new_connection |= new_connection;
+                if target == RetryTarget::OtherEndpoint {
+                    self.excluded.push(endpoint);
+                }
+                Ok(())
+            }
+        }
+    }
+
+    async fn facts(&mut self, failed: &FailedAttempt) -> AttemptFacts {
+        let failure = failed.diagnose(&self.core.crash_guard).await;
+        let reported = failed.error.run_state();
+        AttemptFacts {
+            failure,
+            was_sent: reported != RunState::NotRun,
+            reported_state: Some(reported),
+            earlier_state: self.earlier_state,
+            delivered: self.progress.delivered_tokens(),
+            response_started: false,
+            can_resume: true,
+            is_repeatable: self.request.is_repeatable,
+            deadline: self.request.deadline,
+            least_attempt_ms: LEAST_ATTEMPT_MS,
+            attempts: self.attempts,
+            max_attempts: MAX_ATTEMPTS,
         }
-        let code = match (error.kind(), self.last_token) {
-            (EndpointErrorKind::Timeout, None) => ResultCode::EndpointTimeout,
-            (EndpointErrorKind::InvalidRequest, None) => ResultCode::EndpointRejected,
-            (_, None) => ResultCode::EndpointFailed,
-            (_, Some(_)) => ResultCode::StreamCut,
-        };
-        Failure::new(code, error.run_state()).detail(error.to_string())
     }
 
     fn count_token(&mut self) {
@@ -184,6 +270,32 @@
     }
 }
 
+/// Why there is no event.
+enum StepError {
+    /// The attempt failed; another may follow.
+    Attempt(Box<FailedAttempt>),
+    /// The request failed.
+    Final(Failure),
+}
+
+/// Refuses a request that has crashed endpoints too often.
+fn check_crash_guard(
+    core: &Core,
+    prompt: &PlacedPrompt,
+    run_state: RunState,
+) -> Result<(), Failure> {
+    let Verdict::Blocked { until } = core.crash_guard.verdict(prompt.fingerprint) else {
+        return Ok(());
+    };
+    let retry_after_ms = until.remaining_ms(core.clock.now());
+    Err(Failure::new(ResultCode::RequestBlocked, run_state).retry_after_ms(retry_after_ms))
+}
+
+fn current_model(document: &Document, request: &GenerationRequest) -> Result<Model, Failure> {
+    let model = document.model(&request.model).cloned();
+    model.ok_or_else(|| Failure::not_run(ResultCode::ModelNotFound))
+}
+
 impl Drop for Run {
     fn drop(&mut self) {
         let tokens = self.progress.delivered_tokens().get();
--- a/crates/yuccapassd/tests/common/mod.rs
+++ b/crates/yuccapassd/tests/common/mod.rs
@@ -94,56 +94,91 @@
     }
 }
 
-/// A daemon and one endpoint, as separate processes.
+/// An endpoint as a separate process.
+pub struct Engine {
+    pub process: Process,
+    pub address: SocketAddr,
+}
+
+/// Starts an endpoint and waits until it listens.
+pub fn start_engine(flags: &[&str]) -> Engine {
+    let address = loopback_address();
+    let mut arguments = words(&["engine", "--address"]);
+    arguments.push(address.to_string());
+    arguments.extend(words(flags));
+    let process = Process::spawn("yuccapass-standin", &arguments);
+    wait_listening(address);
+    Engine { process, address }
+}
+
+/// A daemon and its endpoints, as separate processes.
 pub struct Deployment {
-    pub engine: Process,
-    pub engine_address: SocketAddr,
+    pub engines: Vec<Engine>,
     pub node: Process,
     pub caller_address: SocketAddr,
     pub admin_address: SocketAddr,
     _configuration: ConfigurationFile,
 }
 
+impl Deployment {
+    /// Returns the sum of a count over all endpoints.
+    pub fn engine_count(&self, name: &str) -> u64 {
+        self.engines.iter().map(|engine| engine_count(engine.address, name)).sum()
+    }
+
+    /// Waits until the sum of a count over all endpoints has a value.
+    pub fn wait_engine_count(&self, name: &str, value: u64) {
+        let start = StdInstant::now();
+        while self.engine_count(name) != value {
+            assert!(start.elapsed() < START_TIMEOUT, "{name} does not become {value}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
 /// The key of the organisation that is approved for model `clip-models`.
 pub const APPROVED_KEY: &str = "key-approved";
 
 /// The key of an organisation that is approved for nothing.
 pub const UNAPPROVED_KEY: &str = "key-unapproved";
 
-/// Starts an engine and a node with extra flags for each.
+/// Starts one engine and a node with extra flags for each.
 pub fn start_deployment(engine_flags: &[&str], node_flags: &[&str]) -> Deployment {
-    let engine_address = loopback_address();
-    let caller_address = loopback_address();
-    let admin_address = loopback_address();
-    let mut engine_arguments = words(&["engine", "--address"]);
-    engine_arguments.push(engine_address.to_string());
-    engine_arguments.extend(words(engine_flags));
-    let engine = Process::spawn("yuccapass-standin", &engine_arguments);
-    wait_listening(engine_address);
-    let configuration = ConfigurationFile::write(&document(engine_address));
-    let mut node_arguments = words(&["--node-id", "node-a", "--zone", "burnaby-yard"]);
-    node_arguments.push(format!("--caller-address={caller_address}"));
-    node_arguments.push(format!("--admin-address={admin_address}"));
-    node_arguments.push(format!("--configuration-file={}", configuration.path.display()));
-    node_arguments.extend(words(node_flags));
-    let node = Process::spawn("yuccapassd", &node_arguments);
+    start_deployment_of(1, engine_flags, node_flags)
+}
+
+/// Starts several equal engines and a node with extra flags for each.
+pub fn start_deployment_of(
+    engine_count: usize,
+    engine_flags: &[&str],
+    node_flags: &[&str],
+) -> Deployment {
+    let engines: Vec<Engine> = (0..engine_count).map(|_| start_engine(engine_flags)).collect();
+    let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+    let configuration = ConfigurationFile::write(&document(&addresses));
+    let (caller_address, admin_address) = (loopback_address(), loopback_address());
+    let mut arguments = words(&["--node-id", "node-a", "--zone", "burnaby-yard"]);
+    arguments.push(format!("--caller-address={caller_address}"));
+    arguments.push(format!("--admin-address={admin_address}"));
+    arguments.push(format!("--configuration-file={}", configuration.path.display()));
+    arguments.extend(words(node_flags));
+    let node = Process::spawn("yuccapassd", &arguments);
     [caller_address, admin_address].into_iter().for_each(wait_listening);
     wait_ready(admin_address);
-    Deployment {
-        engine,
-        engine_address,
-        node,
-        caller_address,
-        admin_address,
-        _configuration: configuration,
-    }
+    Deployment { engines, node, caller_address, admin_address, _configuration: configuration }
 }
 
 fn words(words: &[&str]) -> Vec<String> {
     words.iter().map(|word| (*word).to_owned()).collect()
 }
 
-fn document(engine_address: SocketAddr) -> Value {
+fn document(engine_addresses: &[SocketAddr]) -> Value {
+    let endpoint = |(number, address): (usize, &SocketAddr)| {
+        json!({
+            "id": format!("clip-{number}"), "model": "clip-models", "zone": "burnaby-yard",
+            "address": address, "checks_fencing": true, "leaving": false, "cold_requests": 2,
+        })
+    };
     let organisation = |id: &str, key: &str, models: &[&str]| {
         json!({
             "id": id, "key_hashes": [KeyHash::of_key(key)], "models": models, "services": [],
@@ -160,11 +195,7 @@
             "id": "clip-models", "version": "v1", "adapter": null, "store": null,
             "max_swapping_replicas": 3,
         }],
-        "endpoints": [{
-            "id": "clip-1", "model": "clip-models", "zone": "burnaby-yard",
-            "address": engine_address, "checks_fencing": true, "leaving": false,
-            "cold_requests": 2,
-        }],
+        "endpoints": engine_addresses.iter().enumerate().map(endpoint).collect::<Vec<_>>(),
         "services": [],
         "organisations": [
             organisation("org-approved", APPROVED_KEY, &["clip-models"]),
@@ -199,13 +230,24 @@
     HttpClient::new(address, ClientConfig::default(), Arc::new(MonotonicClock::new()))
 }
 
-/// Makes a chat request.
+/// Makes a chat request with a short prompt.
 pub fn chat_request(client: &HttpClient, key: &str, tokens: u64, stream: bool) -> Request {
+    chat_request_with(client, key, "Are these clips sound?", tokens, stream)
+}
+
+/// Makes a chat request.
+pub fn chat_request_with(
+    client: &HttpClient,
+    key: &str,
+    prompt: &str,
+    tokens: u64,
+    stream: bool,
+) -> Request {
     let mut request = client.request(Method::Post, "/v1/chat/completions");
     request.insert_header("authorization", format!("Bearer {key}"));
     request.set_body(json!({
         "model": "clip-models",
-        "messages": [{"role": "user", "content": "Are these clips sound?"}],
+        "messages": [{"role": "user", "content": prompt}],
         "max_tokens": tokens,
         "stream": stream,
     }));
@@ -223,6 +265,14 @@
     serde_json::from_slice(&bytes).unwrap()
 }
 
+/// Switches faults of an engine.
+pub fn post_faults(engine_address: SocketAddr, command: Value) {
+    let client = client(engine_address);
+    let mut request = client.request(Method::Post, "/faults");
+    request.set_body(command);
+    assert!(send(&client, request).response().status().is_success());
+}
+
 /// Reads an event stream to its end: the texts of all tokens, and whether the end was announced.
 pub fn read_stream(exchange: &mut Exchange) -> (Vec<String>, bool) {
     let mut events = SseReader::new(exchange.response_mut().take_body());
@@ -247,11 +297,10 @@
     read_json(send(&client, request))[name].as_u64().unwrap()
 }
 
-/// Waits until a count of an engine has a value.
-pub fn wait_engine_count(engine_address: SocketAddr, name: &str, value: u64) {
-    let start = StdInstant::now();
-    while engine_count(engine_address, name) != value {
-        assert!(start.elapsed() < START_TIMEOUT, "{name} does not become {value}");
-        std::thread::sleep(Duration::from_millis(10));
+/// Checks that each token of an answer is there once and in order.
+pub fn assert_whole(texts: &[String], tokens: usize) {
+    assert_eq!(texts.len(), tokens);
+    for (offset, text) in texts.iter().enumerate() {
+        assert!(text.trim_end().ends_with(&format!(".{offset}")), "{text} at {offset}");
     }
 }
--- a/crates/yuccapassd/tests/end_to_end.rs
+++ b/crates/yuccapassd/tests/end_to_end.rs
@@ -3,18 +3,11 @@
 mod common;
 
 use common::{
-    APPROVED_KEY, UNAPPROVED_KEY, chat_request, client, engine_count, read_json, read_stream, send,
-    start_deployment, wait_engine_count,
+    APPROVED_KEY, UNAPPROVED_KEY, assert_whole, chat_request, client, read_json, read_stream, send,
+    start_deployment,
 };
 use http_types::StatusCode;
 
-fn assert_whole(texts: &[String], tokens: usize) {
-    assert_eq!(texts.len(), tokens);
-    for (offset, text) in texts.iter().enumerate() {
-        assert!(text.trim_end().ends_with(&format!(".{offset}")), "{text} at {offset}");
-    }
-}
-
 /// Guards against a streamed answer with a missing, doubled or reordered token.
 #[test]
 fn streamed_answer_arrives_whole() {
@@ -61,7 +54,7 @@
     drop(exchange);
 
     // Assert
-    wait_engine_count(deployment.engine_address, "cancelled_runs", 1);
+    deployment.wait_engine_count("cancelled_runs", 1);
 }
 
 /// Guards against requests without right that reach an endpoint.
@@ -86,7 +79,7 @@
             (Some(code), Some("not run"))
         );
     }
-    assert_eq!(engine_count(deployment.engine_address, "received_requests"), 0);
+    assert_eq!(deployment.engine_count("received_requests"), 0);
 }
 
 /// Guards against a body over the limit that is accepted or gets no clear error.
