--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 //! generator that it is given, and returns typed actions. Nothing reads a clock, opens a socket,
 //! spawns a task or logs, so that the daemon, a test and the load tool are equal front ends.
 //!
+//! * [`admission`]: which requests may run, and in which order.
 //! * [`answer`]: puts the tokens of several attempts together into one whole answer.
 //! * [`change`]: the operators' changes to the configuration.
 //! * [`config`]: the operators' configuration, its checks, chunks and distribution.
@@ -16,6 +17,7 @@
 //! * [`retry`]: whether and how a failed attempt is followed by another.
 //! * [`routing`]: the prefix index and the choice of an endpoint.
 
+pub mod admission;
 pub mod answer;
 pub mod change;
 pub mod config;
