--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,11 +7,13 @@
 //! * [`answer`]: puts the tokens of several attempts together into one whole answer.
 //! * [`config`]: the operators' configuration and its checks.
 //! * [`ledger`]: at-most-once execution of non-repeatable requests.
+//! * [`membership`]: which nodes there are, told by heartbeats.
 //! * [`permits`]: admission to cold endpoints.
 //! * [`quorum`]: in-memory majority votes.
 
 pub mod answer;
 pub mod config;
 pub mod ledger;
+pub mod membership;
 pub mod permits;
 pub mod quorum;
--- /dev/null
+++ b/crates/decisions/src/membership/heartbeat.rs
@@ -0,0 +1,97 @@
+//! The message that nodes send each other.
+
+use yuccapass_types::{OrganisationId, TokensPerSecond};
+
+use super::row::{Row, varint_bytes};
+
+/// Largest encoded heartbeat: at 2.5 heartbeats a second each way, 10 KB/s of the 23 KB/s that all
+/// control work may use.
+pub const MAX_HEARTBEAT_BYTES: usize = 2_048;
+
+/// Most rows of other nodes in a heartbeat.
+pub const MAX_ROWS: usize = 24;
+
+/// Most organisations whose usage is in a heartbeat.
+pub const MAX_USAGE: usize = 32;
+
+/// Most crash counts in a heartbeat.
+pub const MAX_CRASHES: usize = 16;
+
+/// Bytes that usage may take, so that a third of the message is left for rows at the least.
+const MAX_USAGE_BYTES: usize = 1_024;
+
+/// An organisation's use of the sending node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrganisationUsage {
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// Its tokens, prompt and response together.
+    pub tokens_per_s: TokensPerSecond,
+}
+
+/// How often a request crashed endpoints, as the sending node saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashCount {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Crashes.
+    pub count: u32,
+}
+
+/// A heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The sender's own row.
+    pub own: Row,
+    /// Rows of other nodes.
+    pub rows: Vec<Row>,
+    /// Use of the sender by organisations.
+    pub usage: Vec<OrganisationUsage>,
+    /// Crashes that the sender saw.
+    pub crashes: Vec<CrashCount>,
+}
+
+impl Heartbeat {
+    /// Makes a heartbeat without rows of other nodes; what does not fit is left out.
+    pub(crate) fn new(own: Row, usage: &[OrganisationUsage], crashes: &[CrashCount]) -> Self {
+        let mut room_bytes = MAX_USAGE_BYTES;
+        let fits = |usage: &&OrganisationUsage| {
+            let bytes = usage_bytes(usage);
+            let fits = bytes <= room_bytes;
+            room_bytes -= if fits { bytes } else { 0 };
+            fits
+        };
+        let usage = usage.iter().take(MAX_USAGE).filter(fits).cloned().collect();
+        let crashes = crashes.iter().take(MAX_CRASHES).copied().collect();
+        Self { own, rows: Vec::new(), usage, crashes }
+    }
+
+    /// Adds rows in their order until the message or the number of rows is full.
+    pub(crate) fn fill<'a>(&mut self, rows: impl Iterator<Item = &'a Row>) {
+        let mut bytes = self.encoded_bytes();
+        for row in rows {
+            let row_bytes = row.encoded_bytes();
+            if self.rows.len() == MAX_ROWS || bytes + row_bytes > MAX_HEARTBEAT_BYTES {
+                return;
+            }
+            bytes += row_bytes;
+            self.rows.push(row.clone());
+        }
+    }
+
+    /// Returns the most bytes that the message takes when it is encoded, without its envelope.
+    pub fn encoded_bytes(&self) -> usize {
+        let rows: usize = self.rows.iter().map(Row::encoded_bytes).sum();
+        let usage: usize = self.usage.iter().map(usage_bytes).sum();
+        let crashes: usize = self.crashes.iter().map(crash_bytes).sum();
+        self.own.encoded_bytes() + rows + usage + crashes
+    }
+}
+
+fn usage_bytes(usage: &OrganisationUsage) -> usize {
+    2 + 2 + usage.organisation.as_str().len() + 1 + varint_bytes(usage.tokens_per_s.get())
+}
+
+fn crash_bytes(crash: &CrashCount) -> usize {
+    2 + 1 + 8 + 1 + varint_bytes(u64::from(crash.count))
+}
--- /dev/null
+++ b/crates/decisions/src/membership/row.rs
@@ -0,0 +1,86 @@
+//! What a node says about itself.
+
+use std::net::SocketAddr;
+
+use yuccapass_types::{Incarnation, NodeId, Revision, TokensPerSecond, ZoneId};
+
+/// What a node says about its own life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RowState {
+    /// It takes work.
+    Up,
+    /// It finishes what runs and stops.
+    Leaving,
+    /// It has stopped.
+    Left,
+}
+
+/// A node's load, for display and for the choice of a neighbour.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadSummary {
+    /// Requests that run.
+    pub running_requests: u32,
+    /// Requests that wait.
+    pub queued_requests: u32,
+    /// Tokens that pass through the node.
+    pub tokens_per_s: TokensPerSecond,
+}
+
+/// A node's row, written by the node itself and passed on by others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// The node slot.
+    pub node: NodeId,
+    /// The process in the slot.
+    pub incarnation: Incarnation,
+    /// Counts the heartbeats of the process.
+    pub heartbeat: u64,
+    /// The node's zone.
+    pub zone: ZoneId,
+    /// Address for messages between nodes.
+    pub peer_address: SocketAddr,
+    /// Address for operators.
+    pub admin_address: SocketAddr,
+    /// Revision of the active configuration.
+    pub revision: Revision,
+    /// What the node says about its own life.
+    pub state: RowState,
+    /// Its load.
+    pub load: LoadSummary,
+}
+
+impl Row {
+    /// Returns whether this row is newer than `other`, a row of the same node.
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        (self.incarnation, self.heartbeat) > (other.incarnation, other.heartbeat)
+    }
+
+    /// Returns the most bytes that the row takes in a message.
+    pub(crate) fn encoded_bytes(&self) -> usize {
+        // Each field has one byte of key; texts and nested messages have one or two of length.
+        let texts = 4 + self.node.as_str().len() + self.zone.as_str().len();
+        let addresses = address_bytes(&self.peer_address) + address_bytes(&self.admin_address);
+        let numbers = [
+            self.incarnation.get(),
+            self.heartbeat,
+            self.revision.get(),
+            u64::from(self.load.running_requests),
+            u64::from(self.load.queued_requests),
+            self.load.tokens_per_s.get(),
+        ];
+        let varints: usize = numbers.into_iter().map(|number| 1 + varint_bytes(number)).sum();
+        3 + texts + addresses + varints + 2
+    }
+}
+
+pub(crate) fn varint_bytes(number: u64) -> usize {
+    (64 - (number | 1).leading_zeros() as usize).div_ceil(7)
+}
+
+/// An address is sent as its IP bytes followed by two bytes of port.
+fn address_bytes(address: &SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(_) => 2 + 4 + 2,
+        SocketAddr::V6(_) => 2 + 16 + 2,
+    }
+}
