--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`crash_guard`]: requests that crash the endpoints that run them.
 //! * [`endpoint_health`]: what an endpoint can bear now.
 //! * [`ledger`]: at-most-once execution of non-repeatable requests.
+//! * [`membership`]: which nodes there are, told by heartbeats.
 //! * [`permits`]: admission to cold endpoints.
 //! * [`platform_budget`]: calls to the platform: budget, backoff, lost answers and leases.
 //! * [`quorum`]: in-memory majority votes.
@@ -24,6 +25,7 @@
 pub mod crash_guard;
 pub mod endpoint_health;
 pub mod ledger;
+pub mod membership;
 pub mod permits;
 pub mod platform_budget;
 pub mod quorum;
