platform: report an outage, not the budget, when an outage used up the time

A read that is repeated during an outage could pass the gate just before its deadline and then be given up by the budget with OverBudget. Change: a call that is given up while the service is down fails with Unavailable.

--- a/crates/platform/src/managed.rs
+++ b/crates/platform/src/managed.rs
@@ -138,10 +138,7 @@
             match turn {
                 Turn::Go => return Ok(()),
                 Turn::WaitUntil(instant) => self.wait(instant, deadline).await,
-                Turn::GiveUp => {
-                    let detail = "the node's call budget had no room before the deadline";
-                    return Err(PlatformError::new(PlatformErrorKind::OverBudget, detail));
-                }
+                Turn::GiveUp => return Err(self.too_late()),
             }
         }
     }
@@ -153,14 +150,23 @@
             match admission {
                 Admission::Go => return Ok(()),
                 Admission::WaitUntil(_) if deadline.has_passed(now) => {
-                    let detail = "the platform is down or has just returned";
-                    return Err(PlatformError::new(PlatformErrorKind::Unavailable, detail));
+                    return Err(gate_closed());
                 }
                 Admission::WaitUntil(instant) => self.wait(instant, deadline).await,
             }
         }
     }
 
+    /// The error of a call whose deadline passed while it waited for the budget.
+    fn too_late(&self) -> PlatformError {
+        // The outage has used up the time, not the budget.
+        if self.is_down() {
+            return gate_closed();
+        }
+        let detail = "the node's call budget had no room before the deadline";
+        PlatformError::new(PlatformErrorKind::OverBudget, detail)
+    }
+
     async fn wait(&self, instant: Instant, deadline: Deadline) {
         sleep_until(&*self.clock, deadline.earlier(Deadline::after_ms(instant, 0))).await;
     }
@@ -196,6 +202,11 @@
     }
 }
 
+fn gate_closed() -> PlatformError {
+    let detail = "the platform is down or has just returned";
+    PlatformError::new(PlatformErrorKind::Unavailable, detail)
+}
+
 /// Gives a ticket back when its call is dropped while it waits.
 struct TicketGuard<'a> {
     client: &'a PlatformClient,
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -51,7 +51,7 @@
     }
 
     fn managed(&self, rank: CallRank) -> RankedKeyValue {
-        let config = ManagedConfig::new(1, 3).attempt_timeout_ms(200);
+        let config = ManagedConfig::new(1, 3).attempt_timeout_ms(SENT_MS);
         let inner = Arc::new(self.key_value());
         PlatformClient::new(inner, self.clock.clone(), &config).ranked(rank)
     }
@@ -181,7 +181,7 @@
     let faults = with_outage(Outage::Refuses);
     let standin = start(StandinConfig { faults, ..StandinConfig::default() });
     let managed = standin.managed(CallRank::Refresh);
-    let early = block_on(managed.get(&key("a"), standin.after_ms(50)));
+    let early = block_on(managed.get(&key("a"), standin.after_ms(SENT_MS)));
 
     // Act
     let reading = task::spawn({
