yuccapassd: queue requests fairly and follow the health of endpoints

Cause: a request failed at once when no endpoint had room, an organisation could take everything, and an endpoint in a cold start was known only from its report. Change: requests wait in a fair queue for each model and go when a dispatcher finds room; token limits of organisations; endpoint health from reports, refusals, failed connections and latency. Conclusion: limits count one node until membership is wired; cold endpoints need permits next.

--- a/crates/yuccapassd/src/attempt.rs
+++ b/crates/yuccapassd/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use yuccapass_decisions::endpoint_health::AttemptResult;
 use yuccapass_decisions::retry::AttemptFailure;
 use yuccapass_endpoints::{
     EndpointError, EndpointErrorKind, GenerateRequest, StreamEvent, TokenStream,
@@ -27,6 +28,15 @@
     Mismatched,
 }
 
+/// Times that an attempt is held against.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AttemptLimits {
+    /// How long the stream may be silent.
+    pub(crate) stall_timeout_ms: u64,
+    /// When placement expected the first token, from the start of the attempt.
+    pub(crate) expected_first_token_ms: u64,
+}
+
 /// A run at one endpoint; dropping it closes the connection, which cancels the run.
 pub(crate) struct Attempt {
     in_flight: InFlight,
@@ -34,6 +44,8 @@
     stream: Box<dyn TokenStream>,
     clock: Arc<dyn Clock>,
     stall_timeout_ms: u64,
+    /// Until the first token arrived.
+    expected_first_token_ms: Option<u64>,
 }
 
 impl Attempt {
@@ -42,14 +54,28 @@
         in_flight: InFlight,
         request: GenerateRequest,
         clock: Arc<dyn Clock>,
-        stall_timeout_ms: u64,
+        limits: AttemptLimits,
     ) -> Result<Self, Box<FailedAttempt>> {
         match in_flight.client().generate(&request).await {
-            Ok(stream) => Ok(Self { in_flight, request, stream, clock, stall_timeout_ms }),
+            Ok(stream) => Ok(Self {
+                in_flight,
+                request,
+                stream,
+                clock,
+                stall_timeout_ms: limits.stall_timeout_ms,
+                expected_first_token_ms: Some(limits.expected_first_token_ms),
+            }),
             Err(error) => Err(Box::new(FailedAttempt { in_flight, request, clock, error })),
         }
     }
 
+    /// Takes in that the first token of this attempt arrived.
+    pub(crate) fn first_token_arrived(&mut self) {
+        if let Some(expected_ms) = self.expected_first_token_ms.take() {
+            self.in_flight.first_token_arrived(expected_ms);
+        }
+    }
+
     /// Gives the attempt up because of an error.
     pub(crate) fn fail(self, error: EndpointError) -> FailedAttempt {
         let Self { in_flight, request, clock, .. } = self;
@@ -84,8 +110,14 @@
     /// Finds out how the attempt failed, which may take a probe over a new connection.
     pub(crate) async fn diagnose(&self, crash_guard: &SharedCrashGuard) -> AttemptFailure {
         match self.error.kind() {
-            EndpointErrorKind::Unreachable => AttemptFailure::ConnectFailed,
-            EndpointErrorKind::Overloaded => AttemptFailure::Overloaded,
+            EndpointErrorKind::Unreachable => {
+                self.in_flight.record_attempt(AttemptResult::ConnectionFailed);
+                AttemptFailure::ConnectFailed
+            }
+            EndpointErrorKind::Overloaded => {
+                self.in_flight.record_attempt(AttemptResult::Overloaded);
+                AttemptFailure::Overloaded
+            }
             EndpointErrorKind::WrongVersion => AttemptFailure::WrongVersion,
             EndpointErrorKind::Timeout => match self.probe().await {
                 Probe::SameProcess => AttemptFailure::ConnectionSilent,
--- a/crates/yuccapassd/src/endpoint_table.rs
+++ b/crates/yuccapassd/src/endpoint_table.rs
@@ -5,21 +5,20 @@
 
 use yuccapass_decisions::config::{Document, Endpoint};
 use yuccapass_decisions::crash_guard::Fingerprint;
-use yuccapass_decisions::endpoint_health::{EndpointCondition, EndpointPhase};
+use yuccapass_decisions::endpoint_health::{
+    AttemptResult, EndpointHealth, HealthReport, HealthSettings, LeavingSource, ReportedState,
+};
 use yuccapass_decisions::routing::holder::HolderSlot;
 use yuccapass_decisions::routing::index::PrefixMatch;
 use yuccapass_decisions::routing::placement::{Candidate, ZoneDistance};
 use yuccapass_endpoints::{EndpointState, HttpEndpoint, LoadReport, ModelEndpoint};
 use yuccapass_http::ClientConfig;
 use yuccapass_types::{
-    Clock, Deadline, EndpointId, Incarnation, Instant, Sharded, SortedMap, Tokens, TokensPerSecond,
+    Clock, EndpointId, Incarnation, Instant, Sharded, SortedMap, Tokens, TokensPerSecond,
 };
 
 use crate::prefix_cache_view::PrefixCacheView;
 
-/// A report that is older than this says nothing; the endpoint counts as silent.
-const REPORT_LIFETIME_MS: u64 = 5_000;
-
 /// Assumed until an answer was seen: a short answer at the target of 33 ms between tokens.
 const INITIAL_MEAN_RUN_MS: u64 = 2_000;
 
@@ -27,7 +26,6 @@
 struct ReportedLoad {
     report: LoadReport,
     received: Instant,
-    expiry: Deadline,
     sent_since_requests: u32,
     sent_since: Tokens,
 }
@@ -41,6 +39,7 @@
     /// What ran there when the first connection to a process of the endpoint broke.
     broken: Option<BrokenProcess>,
     load: Option<ReportedLoad>,
+    health: EndpointHealth,
     mean_run_ms: u64,
 }
 
@@ -85,11 +84,15 @@
         let load = ReportedLoad {
             report,
             received: now,
-            expiry: Deadline::after_ms(now, REPORT_LIFETIME_MS),
             sent_since_requests: 0,
             sent_since: Tokens::ZERO,
         };
-        self.with_entry(endpoint, |entry| entry.load = Some(load));
+        let health = health_report(&load.report);
+        self.with_entry(endpoint, |entry| {
+            entry.health.set_leaving(LeavingSource::Operators, endpoint.leaving);
+            entry.health.record_report(&health, now);
+            entry.load = Some(load);
+        });
     }
 
     /// Drops the endpoints that the configuration no longer has and that run nothing.
@@ -111,7 +114,7 @@
         let now = self.clock.now();
         self.with_entry(endpoint, |entry| {
             let runs_other_suspect = entry.running.iter().any(|&(_, running)| is_suspect(running));
-            let candidate = entry.candidate(endpoint, place, now)?;
+            let candidate = entry.candidate(place, now)?;
             Some(Candidate { runs_other_suspect, ..candidate })
         })
     }
@@ -133,7 +136,8 @@
             (Arc::clone(&entry.client), entry.incarnation())
         });
         let table = Arc::clone(self);
-        InFlight { table, client, number, incarnation, start: self.clock.now() }
+        let start = self.clock.now();
+        InFlight { table, client, number, incarnation, start }
     }
 
     fn with_entry<R>(&self, endpoint: &Endpoint, action: impl FnOnce(&mut Entry) -> R) -> R {
@@ -152,6 +156,10 @@
             running: Vec::new(),
             broken: None,
             load: None,
+            health: EndpointHealth::new(
+                HealthSettings::default().cold_requests(endpoint.cold_requests),
+                self.clock.now(),
+            ),
             mean_run_ms: INITIAL_MEAN_RUN_MS,
         }
     }
@@ -162,12 +170,7 @@
         self.load.as_ref().map(|load| load.report.incarnation)
     }
 
-    fn candidate(
-        &self,
-        endpoint: &Endpoint,
-        place: CandidatePlace<'_>,
-        now: Instant,
-    ) -> Option<Candidate> {
+    fn candidate(&self, place: CandidatePlace<'_>, now: Instant) -> Option<Candidate> {
         let slot = self.slot?;
         let known = place.matches.binary_search_by_key(&slot, |found| found.holder).ok();
         let load = self.load.as_ref();
@@ -175,7 +178,7 @@
         Some(Candidate {
             endpoint: slot,
             distance: place.distance,
-            health: self.condition(endpoint, now),
+            health: self.health.condition(now),
             running_requests: report.map_or(0, |report| report.running_requests),
             queued_requests: report.map_or(0, |report| report.queued_requests),
             prefill_backlog: report.map_or(Tokens::ZERO, |report| report.queued_prefill_tokens),
@@ -193,20 +196,6 @@
         })
     }
 
-    fn condition(&self, endpoint: &Endpoint, now: Instant) -> EndpointCondition {
-        let load = self.load.as_ref().filter(|load| !load.expiry.has_passed(now));
-        let (phase, sustainable_requests) = match load.map(|load| &load.report) {
-            _ if endpoint.leaving => (EndpointPhase::Leaving, 0),
-            None => (EndpointPhase::Silent, 0),
-            Some(report) => match report.state {
-                EndpointState::Cold => (EndpointPhase::Cold, endpoint.cold_requests),
-                EndpointState::Warm => (EndpointPhase::Warm, report.sustainable_requests),
-                EndpointState::Leaving => (EndpointPhase::Leaving, 0),
-            },
-        };
-        EndpointCondition { phase, sustainable_requests }
-    }
-
     fn ended(&mut self, number: u64, run_ms: u64) {
         self.running.retain(|&(running, _)| running != number);
         // A moving mean over about eight answers.
@@ -228,6 +217,24 @@
         &*self.client
     }
 
+    /// Takes in how the attempt went.
+    pub(crate) fn record_attempt(&self, result: AttemptResult) {
+        let id = self.client.id();
+        let now = self.table.clock.now();
+        self.table.entries.with(id, |shard| {
+            if let Some(entry) = shard.get_mut(id) {
+                entry.health.record_attempt(result, self.start, now);
+            }
+        });
+    }
+
+    /// Takes in that the first token arrived.
+    pub(crate) fn first_token_arrived(&self, expected_ms: u64) {
+        let latency_ms = self.table.clock.now().ms_since(self.start);
+        let incarnation = self.incarnation;
+        self.record_attempt(AttemptResult::Success { incarnation, latency_ms, expected_ms });
+    }
+
     /// Remembers what runs at the endpoint when its first connection breaks, before the requests
     /// that notice it leave.
     pub(crate) fn connection_broke(&self) {
@@ -270,3 +277,17 @@
         });
     }
 }
+
+fn health_report(report: &LoadReport) -> HealthReport {
+    HealthReport {
+        incarnation: report.incarnation,
+        state: match report.state {
+            EndpointState::Cold => ReportedState::Cold,
+            EndpointState::Warm => ReportedState::Warm,
+            EndpointState::Leaving => ReportedState::Leaving,
+        },
+        load_requests: report.running_requests.saturating_add(report.queued_requests),
+        sustainable_requests: report.sustainable_requests,
+        age_ms: report.age_ms,
+    }
+}
--- a/crates/yuccapassd/src/lib.rs
+++ b/crates/yuccapassd/src/lib.rs
@@ -6,14 +6,16 @@
 //! The other modules hold the node's state and connect the peers: `configuration` (the document in
 //! force), `endpoint_table`
 //! and `prefix_cache_view` (load and caches of the endpoints, kept up to date by `monitor`), `placer`
-//! (choice of an endpoint), `request_path`, `run` and
+//! (choice of an endpoint), `admission` and `dispatcher` (requests that wait), `request_path`, `run` and
 //! `attempt` (from a caller's request to its answer), `admin` (health,
 //! metrics and status), `metrics` and `logs`.
 
 mod admin;
+mod admission;
 mod attempt;
 mod configuration;
 mod crash_guard;
+mod dispatcher;
 mod endpoint_table;
 pub mod logs;
 mod metrics;
--- a/crates/yuccapassd/src/node.rs
+++ b/crates/yuccapassd/src/node.rs
@@ -10,6 +10,7 @@
 use snafu::{ResultExt, Snafu};
 use yuccapass_callers::app::RequestIdSource;
 use yuccapass_callers::{CallerLimits, build_app, rejection_body};
+use yuccapass_decisions::admission::limits::{LimitSettings, OrganisationLimits};
 use yuccapass_decisions::config::{Document, InvalidDocument, validate};
 use yuccapass_decisions::retry::{RetryBudget, RetryBudgetSettings};
 use yuccapass_decisions::routing::index::IndexSettings;
@@ -17,8 +18,10 @@
 use yuccapass_types::{Clock, Deadline, Incarnation, MonotonicClock, NodeId, RequestId};
 
 use crate::admin::{self, AdminState};
+use crate::admission::Admission;
 use crate::configuration::Configuration;
 use crate::crash_guard::SharedCrashGuard;
+use crate::dispatcher;
 use crate::endpoint_table::EndpointTable;
 use crate::metrics::{Metrics, MetricsError};
 use crate::monitor;
@@ -106,6 +109,7 @@
         let endpoints = EndpointTable::new(Arc::clone(&prefix_caches), Arc::clone(&clock));
         let node_id = settings.node_id.clone();
         let crash_guard = Arc::new(SharedCrashGuard::new(node_id, incarnation, Arc::clone(&clock)));
+        let (admission, woken) = Admission::new(Arc::clone(&clock));
         let placer = Placer {
             zone: settings.zone.clone(),
             policy: settings.placement.policy(),
@@ -120,10 +124,13 @@
             crash_guard,
             retry_budget: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
             placer,
+            admission,
+            limits: OrganisationLimits::new(LimitSettings::default()),
             metrics: Arc::clone(&metrics),
             clock: Arc::clone(&clock),
             stall_timeout_ms: settings.stall_timeout_ms,
         });
+        task::spawn(dispatcher::dispatch(Arc::clone(&core), woken));
         let is_ready = Arc::new(AtomicBool::new(false));
         task::spawn(monitor::follow_endpoints(Arc::clone(&core), Arc::clone(&is_ready)));
         let admin = AdminState { stop: stop_signal.clone(), is_ready, metrics };
--- a/crates/yuccapassd/src/placer.rs
+++ b/crates/yuccapassd/src/placer.rs
@@ -5,11 +5,11 @@
 use yuccapass_decisions::config::{Document, Endpoint, Model, ZoneState};
 use yuccapass_decisions::crash_guard::Fingerprint;
 use yuccapass_decisions::routing::placement::{
-    NoPlacement, PlacementPolicy, PlacementRequest, ZoneDistance,
+    Candidate, LeastLoadedPolicy, NoPlacement, PlacementPolicy, PlacementRequest, ZoneDistance,
 };
 use yuccapass_types::{
-    BLOCK_PROMPT_BYTES, BlockHash, Bytes, CacheSalt, EndpointId, OrganisationId, RegionId, Tokens,
-    ZoneId, block_chain,
+    BLOCK_PROMPT_BYTES, BlockHash, Bytes, CacheSalt, EndpointId, ModelId, OrganisationId, RegionId,
+    Tokens, ZoneId, block_chain,
 };
 
 use crate::crash_guard::SharedCrashGuard;
@@ -23,7 +23,7 @@
 pub(crate) struct PlacedPrompt {
     pub(crate) salt: CacheSalt,
     chain: Vec<BlockHash>,
-    tokens: Tokens,
+    pub(crate) tokens: Tokens,
     pub(crate) fingerprint: Fingerprint,
 }
 
@@ -41,10 +41,8 @@
         PlacementRequest {
             prompt: self.tokens,
             prompt_blocks: self.chain.len() as u32,
-            block_size: Bytes::new(BLOCK_PROMPT_BYTES as u64),
             is_suspect,
-            sources: Vec::new(),
-            link_allowance: Bytes::ZERO,
+            ..ordinary_request()
         }
     }
 }
@@ -53,6 +51,7 @@
 pub(crate) struct Placed<'a> {
     pub(crate) endpoint: &'a Endpoint,
     pub(crate) prefill: Tokens,
+    pub(crate) expected_first_token_ms: u64,
 }
 
 /// Chooses endpoints from where this node stands.
@@ -65,6 +64,20 @@
 }
 
 impl Placer {
+    /// Returns whether an ordinary request for a model could be placed now.
+    pub(crate) fn has_room(&self, document: &Document, model: &ModelId) -> bool {
+        let region = document.zone(&self.zone).map(|zone| &zone.region);
+        let candidates: Vec<Candidate> = document
+            .endpoints_of(model)
+            .filter_map(|endpoint| {
+                let distance = self.distance(document, region, endpoint)?;
+                let place = CandidatePlace { distance, matches: &[] };
+                self.endpoints.candidate(endpoint, place, |_| false)
+            })
+            .collect();
+        LeastLoadedPolicy.place(&ordinary_request(), &candidates, &mut rand::rng()).is_ok()
+    }
+
     /// Chooses the endpoint for an attempt, other than those in `excluded`.
     pub(crate) fn place<'a>(
         &self,
@@ -97,7 +110,11 @@
             &mut rand::rng(),
         )?;
         let endpoint = considered[placement.candidate];
-        Ok(Placed { endpoint, prefill: placement.prefill_tokens })
+        Ok(Placed {
+            endpoint,
+            prefill: placement.prefill_tokens,
+            expected_first_token_ms: placement.expected_first_token_us / 1_000,
+        })
     }
 
     /// Returns how far an endpoint is, or `None` if its zone gets no new work.
@@ -118,3 +135,15 @@
         })
     }
 }
+
+/// Makes a short request without anything particular.
+fn ordinary_request() -> PlacementRequest {
+    PlacementRequest {
+        prompt: Tokens::new(1),
+        prompt_blocks: 0,
+        block_size: Bytes::new(BLOCK_PROMPT_BYTES as u64),
+        is_suspect: false,
+        sources: Vec::new(),
+        link_allowance: Bytes::ZERO,
+    }
+}
--- a/crates/yuccapassd/src/request_path.rs
+++ b/crates/yuccapassd/src/request_path.rs
@@ -6,10 +6,12 @@
 use yuccapass_callers::{
     AnswerStream, Failure, GenerationRequest, RequestHandler, ServiceRequest, ServiceResponse,
 };
+use yuccapass_decisions::admission::limits::{LimitVerdict, OrganisationLimits, ZoneLimit};
 use yuccapass_decisions::config::Document;
 use yuccapass_decisions::retry::RetryBudget;
-use yuccapass_types::{Clock, KeyHash, ModelId, OrganisationId, ResultCode};
+use yuccapass_types::{Clock, KeyHash, ModelId, OrganisationId, ResultCode, TokensPerSecond};
 
+use crate::admission::Admission;
 use crate::configuration::Configuration;
 use crate::crash_guard::SharedCrashGuard;
 use crate::endpoint_table::EndpointTable;
@@ -26,6 +28,8 @@
     pub(crate) crash_guard: Arc<SharedCrashGuard>,
     pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) placer: Placer,
+    pub(crate) admission: Admission,
+    pub(crate) limits: OrganisationLimits,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) stall_timeout_ms: u64,
@@ -35,6 +39,23 @@
     pub(crate) fn with_retry_budget<R>(&self, action: impl FnOnce(&mut RetryBudget) -> R) -> R {
         action(&mut self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner))
     }
+
+    /// Holds a request against its organisation's limit, which all nodes of the zone share.
+    fn check_limit(&self, run: &Run, limit: TokensPerSecond) -> Result<(), Failure> {
+        let limit = ZoneLimit { limit, nodes: self.zone_nodes() };
+        let now = self.clock.now();
+        match self.limits.try_admit(run.organisation(), limit, run.cost(), now) {
+            LimitVerdict::Admitted => Ok(()),
+            LimitVerdict::Rejected { retry_after_ms } => {
+                Err(Failure::not_run(ResultCode::LimitReached).retry_after_ms(retry_after_ms))
+            }
+        }
+    }
+
+    /// Returns how many nodes of the zone are alive, this one included.
+    fn zone_nodes(&self) -> u32 {
+        1
+    }
 }
 
 /// Serves callers from the endpoints of the configuration in force.
@@ -68,8 +89,9 @@
     async fn generate(&self, request: GenerationRequest) -> Result<Box<dyn AnswerStream>, Failure> {
         let arrival = self.core.clock.now();
         let active = self.core.configuration.active();
-        check_approved(&active.document, &request)?;
+        let limit = check_approved(&active.document, &request)?;
         let run = Run::new(Arc::clone(&self.core), &active, request, arrival)?;
+        self.core.check_limit(&run, limit)?;
         Ok(Box::new(run.await_first_token().await?))
     }
 
@@ -78,13 +100,17 @@
     }
 }
 
-fn check_approved(document: &Document, request: &GenerationRequest) -> Result<(), Failure> {
+/// Checks that an organisation may use a model; returns its token rate limit.
+fn check_approved(
+    document: &Document,
+    request: &GenerationRequest,
+) -> Result<TokensPerSecond, Failure> {
     if document.model(&request.model).is_none() {
         return Err(Failure::not_run(ResultCode::ModelNotFound));
     }
     let organisation = document.organisation(&request.organisation);
-    match organisation.is_some_and(|organisation| organisation.may_use_model(&request.model)) {
-        true => Ok(()),
-        false => Err(Failure::not_run(ResultCode::NotApproved)),
-    }
+    organisation
+        .filter(|organisation| organisation.may_use_model(&request.model))
+        .map(|organisation| organisation.limit_tokens_per_s)
+        .ok_or_else(|| Failure::not_run(ResultCode::NotApproved))
 }
--- a/crates/yuccapassd/src/run.rs
+++ b/crates/yuccapassd/src/run.rs
@@ -4,14 +4,16 @@
 
 use async_trait::async_trait;
 use yuccapass_callers::{AnswerStream, Failure, GenerationRequest};
+use yuccapass_decisions::admission::fair_queue::QueuedRequest;
 use yuccapass_decisions::answer::{AnswerProgress, EndAction, TokenAction};
 use yuccapass_decisions::config::{Document, Model};
 use yuccapass_decisions::crash_guard::Verdict;
 use yuccapass_decisions::retry::{AttemptFacts, RetryPlan, RetryTarget, plan_retry};
+use yuccapass_decisions::routing::placement::NoPlacement;
 use yuccapass_endpoints::{EndpointError, EndpointErrorKind, GenerateRequest};
-use yuccapass_types::{EndpointId, Instant, ResultCode, RunState, Tokens};
+use yuccapass_types::{EndpointId, Instant, OrganisationId, ResultCode, RunState, Tokens};
 
-use crate::attempt::{Attempt, AttemptEvent, FailedAttempt, inconsistent};
+use crate::attempt::{Attempt, AttemptEvent, AttemptLimits, FailedAttempt, inconsistent};
 use crate::configuration::ActiveDocument;
 use crate::metrics::RequestLabels;
 use crate::placer::{Placed, PlacedPrompt};
@@ -23,6 +25,12 @@
 /// Shortest time in which another attempt can bring a first token.
 const LEAST_ATTEMPT_MS: u64 = 20;
 
+/// Answer length that is assumed if the caller names none.
+const DEFAULT_ANSWER_TOKENS: u64 = 256;
+
+/// When a caller may try again that found no endpoint: about when a report can show one.
+const NO_ENDPOINT_RETRY_MS: u64 = 1_000;
+
 /// A request that was admitted.
 pub(crate) struct Run {
     core: Arc<Core>,
@@ -34,6 +42,8 @@
     /// The model as it was when the first attempt began; an answer is continued by this version.
     model: Model,
     prompt: PlacedPrompt,
+    /// Expected tokens, prompt and answer together.
+    cost: Tokens,
     /// What is known of all attempts before the present one.
     earlier_state: RunState,
     attempts: u32,
@@ -58,6 +68,8 @@
         check_crash_guard(&core, &prompt, RunState::NotRun)?;
         core.with_retry_budget(|budget| budget.record_request(arrival));
         core.metrics.answer_opened();
+        let answer = request.max_tokens.map_or(DEFAULT_ANSWER_TOKENS, u64::from);
+        let cost = prompt.tokens + Tokens::new(answer);
         let labels = core.metrics.labels(&request.organisation, request.class.as_ref());
         Ok(Self {
             core,
@@ -67,6 +79,7 @@
             progress: AnswerProgress::default(),
             model,
             prompt,
+            cost,
             earlier_state: RunState::NotRun,
             attempts: 0,
             excluded: Vec::new(),
@@ -78,6 +91,15 @@
         })
     }
 
+    pub(crate) fn organisation(&self) -> &OrganisationId {
+        &self.request.organisation
+    }
+
+    /// Returns the expected tokens, prompt and answer together.
+    pub(crate) fn cost(&self) -> Tokens {
+        self.cost
+    }
+
     /// Waits for the first token.
     pub(crate) async fn await_first_token(mut self) -> Result<Self, Failure> {
         self.first = self.next_token().await?;
@@ -119,6 +141,9 @@
         };
         match checked {
             Ok(event) => {
+                if let Some(AttemptEvent::Token(..)) = event {
+                    attempt.first_token_arrived();
+                }
                 self.attempt = Some(attempt);
                 Ok(event)
             }
@@ -158,7 +183,7 @@
         }
         // Its earlier attempts, or those of other requests like it, may have crashed endpoints.
         check_crash_guard(&self.core, &self.prompt, self.run_state()).map_err(StepError::Final)?;
-        let placed = self.place(document)?;
+        let placed = self.place_in_turn(document).await?;
         self.attempts += 1;
         let class = self.request.class.as_ref().and_then(|class| document.class(class));
         let attempt = GenerateRequest {
@@ -177,9 +202,13 @@
         let fingerprint = self.prompt.fingerprint;
         let in_flight = self.core.endpoints.begin(placed.endpoint, fingerprint, placed.prefill);
         let clock = Arc::clone(&self.core.clock);
-        Attempt::start(in_flight, attempt, clock, self.core.stall_timeout_ms)
-            .await
-            .map_err(StepError::Attempt)
+        // The next request that waits may find room as well.
+        self.core.admission.wake(&self.model.id);
+        let limits = AttemptLimits {
+            stall_timeout_ms: self.core.stall_timeout_ms,
+            expected_first_token_ms: placed.expected_first_token_ms,
+        };
+        Attempt::start(in_flight, attempt, clock, limits).await.map_err(StepError::Attempt)
     }
 
     /// Takes the model as it is configured now, since a swap may have happened while waiting.
@@ -193,11 +222,51 @@
         Ok(())
     }
 
-    fn place<'a>(&self, document: &'a Document) -> Result<Placed<'a>, StepError> {
-        let placed = self.core.placer.place(document, &self.model, &self.prompt, &self.excluded);
-        placed.map_err(|reason| {
-            StepError::Final(Failure::new(reason.result_code(), self.run_state()))
-        })
+    /// Places the request, after those that wait already; waits if nothing has room.
+    async fn place_in_turn<'a>(&mut self, document: &'a Document) -> Result<Placed<'a>, StepError> {
+        let start = self.core.clock.now();
+        let mut may_place = !self.core.admission.has_waiting(&self.model.id);
+        loop {
+            if may_place {
+                match self.place(document) {
+                    Ok(placed) => {
+                        let now = self.core.clock.now();
+                        self.core.metrics.queue_waited(&self.labels, start, now);
+                        self.core.admission.sent(&self.model.id, self.cost);
+                        return Ok(placed);
+                    }
+                    Err(reason) if !can_wait_for(reason) => {
+                        let failure = Failure::new(reason.result_code(), self.run_state());
+                        return Err(StepError::Final(failure.retry_after_ms(NO_ENDPOINT_RETRY_MS)));
+                    }
+                    Err(_) => {}
+                }
+            }
+            let queued = self.queued_request(document);
+            let waiting = self.core.admission.wait_turn(&self.model.id, queued).await;
+            waiting.map_err(|failure| {
+                StepError::Final(Failure { run_state: self.run_state(), ..failure })
+            })?;
+            may_place = true;
+        }
+    }
+
+    fn place<'a>(&self, document: &'a Document) -> Result<Placed<'a>, NoPlacement> {
+        self.core.placer.place(document, &self.model, &self.prompt, &self.excluded)
+    }
+
+    fn queued_request(&self, document: &Document) -> QueuedRequest {
+        let class = self.request.class.as_ref().and_then(|class| document.class(class));
+        let organisation = document.organisation(&self.request.organisation);
+        QueuedRequest {
+            id: self.request.request_id.clone(),
+            organisation: self.request.organisation.clone(),
+            share: organisation.map_or(1, |organisation| organisation.share),
+            priority: class.map_or(0, |class| class.priority),
+            cost: self.cost,
+            least_run_ms: LEAST_ATTEMPT_MS,
+            deadline: self.request.deadline,
+        }
     }
 
     /// Returns what is known about the request before the present attempt.
@@ -270,6 +339,14 @@
     }
 }
 
+/// Returns whether room may come soon for a request that cannot be placed now.
+fn can_wait_for(reason: NoPlacement) -> bool {
+    match reason {
+        NoPlacement::NoEndpoint => false,
+        NoPlacement::WarmingUp | NoPlacement::Full | NoPlacement::NoSeparateEndpoint => true,
+    }
+}
+
 /// Why there is no event.
 enum StepError {
     /// The attempt failed; another may follow.
@@ -300,6 +377,8 @@
     fn drop(&mut self) {
         let tokens = self.progress.delivered_tokens().get();
         self.core.metrics.answer_closed(&self.labels, tokens, self.is_whole);
+        let used = self.prompt.tokens + self.progress.delivered_tokens();
+        self.core.limits.settle(&self.request.organisation, self.cost, used);
         log::info!(
             request_id = self.request.request_id.as_str(),
             organisation = self.request.organisation.as_str(),
