peers: messages and connections between nodes

Cause: heartbeats, votes, permits and configuration chunks need a way between nodes. Change: protobuf messages with checked conversion to the types of the decisions; PeerTransport with an implementation over TCP (length-delimited frames, connections on demand, used again for at most 60 s and closed after 30 s without use); a listener that hands messages to a PeerHandler and obeys the stop signal; counts of messages and bytes; frames of older incarnations are dropped. A passed deadline closes the connection and the other idle ones to that address. A reply names the process that sent it, so that a vote is counted for the node that gave it. Conclusion: the daemon can be wired to it.

--- a/crates/decisions/src/quorum/mod.rs
+++ b/crates/decisions/src/quorum/mod.rs
@@ -18,5 +18,5 @@
 pub use key::{AttemptId, RequestDigest, VoteKey, VoteKind};
 pub use panel::{ListedVoter, PANEL_SIZE, Panel, VoterList, VoterListId};
 pub use proposal::{Proposal, ProposalState, Tally};
-pub use vote_table::{Outcome, OutcomeState};
+pub use vote_table::{MAX_OUTCOME_BYTES, Outcome, OutcomeState};
 pub use voter::{Holder, VoteAnswer, VoteAsk, Voter, VoterConfig};
--- a/crates/decisions/src/quorum/vote_table.rs
+++ b/crates/decisions/src/quorum/vote_table.rs
@@ -7,7 +7,7 @@
 use super::key::{AttemptId, RequestDigest, VoteKey};
 
 /// Largest body of an outcome that is kept.
-pub(crate) const MAX_OUTCOME_BYTES: usize = 64 * 1024;
+pub const MAX_OUTCOME_BYTES: usize = 64 * 1024;
 
 /// The response to an executed request.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- /dev/null
+++ b/crates/peers/src/convert/frame.rs
@@ -0,0 +1,78 @@
+//! Conversion of envelopes.
+
+use yuccapass_types::Incarnation;
+
+use super::votes::{outcome_from_wire, vote_from_wire, vote_to_wire};
+use super::{id, required};
+use crate::error::DecodeError;
+use crate::message::{Frame, PeerMessage, Sender};
+use crate::wire::{WireBody, WireFrame, WireOutcome};
+
+impl From<Frame> for WireFrame {
+    fn from(frame: Frame) -> Self {
+        Self {
+            node: frame.sender.node.to_string(),
+            incarnation: frame.sender.incarnation.get(),
+            call: frame.call,
+            remaining_ms: frame.remaining_ms,
+            body: Some(frame.message.into()),
+        }
+    }
+}
+
+impl TryFrom<WireFrame> for Frame {
+    type Error = DecodeError;
+
+    fn try_from(wire: WireFrame) -> Result<Self, DecodeError> {
+        let incarnation = Incarnation::new(wire.incarnation);
+        let sender = Sender { node: id("sender", &wire.node)?, incarnation };
+        let message = required("body", wire.body)?.try_into()?;
+        Ok(Self { sender, call: wire.call, remaining_ms: wire.remaining_ms, message })
+    }
+}
+
+impl From<PeerMessage> for WireBody {
+    fn from(message: PeerMessage) -> Self {
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
+            PeerMessage::ConfigRequest(request) => Self::ConfigRequest(request.into()),
+            PeerMessage::ConfigChunk(chunk) => Self::ConfigChunk(chunk.into()),
+            PeerMessage::VoteRequest(ask) => Self::VoteRequest(ask.into()),
+            PeerMessage::VoteReply(answer) => Self::VoteReply(answer.into()),
+            PeerMessage::VoteRelease { key, attempt } => {
+                Self::VoteRelease(vote_to_wire(&key, attempt))
+            }
+            PeerMessage::Outcome { key, attempt, outcome } => Self::Outcome(WireOutcome {
+                vote: Some(vote_to_wire(&key, attempt)),
+                outcome: Some(outcome.into()),
+            }),
+            PeerMessage::PermitRequest(request) => Self::PermitRequest(request.into()),
+            PeerMessage::PermitReply(reply) => Self::PermitReply(reply.into()),
+        }
+    }
+}
+
+impl TryFrom<WireBody> for PeerMessage {
+    type Error = DecodeError;
+
+    fn try_from(wire: WireBody) -> Result<Self, DecodeError> {
+        Ok(match wire {
+            WireBody::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.try_into()?),
+            WireBody::ConfigRequest(request) => Self::ConfigRequest(request.try_into()?),
+            WireBody::ConfigChunk(chunk) => Self::ConfigChunk(chunk.try_into()?),
+            WireBody::VoteRequest(request) => Self::VoteRequest(request.try_into()?),
+            WireBody::VoteReply(reply) => Self::VoteReply(reply.try_into()?),
+            WireBody::VoteRelease(vote) => {
+                let (key, attempt) = vote_from_wire(Some(vote))?;
+                Self::VoteRelease { key, attempt }
+            }
+            WireBody::Outcome(outcome) => {
+                let (key, attempt) = vote_from_wire(outcome.vote)?;
+                let outcome = outcome_from_wire(outcome.outcome)?;
+                Self::Outcome { key, attempt, outcome }
+            }
+            WireBody::PermitRequest(request) => Self::PermitRequest(request.try_into()?),
+            WireBody::PermitReply(reply) => Self::PermitReply(reply.try_into()?),
+        })
+    }
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,1 +1,30 @@
 //! The interface between nodes: messages and connections.
+//!
+//! * [`PeerMessage`] is what nodes tell each other, in the types of the decisions; [`Frame`] adds the
+//!   sender and is what a connection carries.
+//! * [`PeerTransport`] sends messages; [`TcpTransport`] is its implementation over TCP.
+//! * [`serve`] accepts connections and gives each message to a [`PeerHandler`].
+//!
+//! A frame is a length of four bytes followed by a protobuf message. Times are sent as the
+//! milliseconds that remain.
+
+mod connection;
+mod convert;
+mod counters;
+mod error;
+mod incarnations;
+mod listener;
+mod message;
+mod node;
+mod transport;
+mod wire;
+
+pub use counters::{PeerCounters, PeerTraffic};
+pub use error::{DecodeError, PeerError, PeerErrorKind};
+pub use listener::{ListenerConfig, PeerHandler, serve};
+pub use message::{
+    ConfigChunk, ConfigRequest, Frame, MAX_CHUNK_BYTES, MAX_FRAME_BYTES, PeerMessage, PermitAction,
+    PermitRequest, Sender,
+};
+pub use node::PeerNode;
+pub use transport::{PeerTransport, Received, TcpTransport, TransportConfig};
--- /dev/null
+++ b/crates/peers/src/listener.rs
@@ -0,0 +1,164 @@
+//! Accepting messages from other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::channel::{Sender as DoneSender, bounded};
+use async_std::net::TcpListener;
+use async_std::task;
+use async_trait::async_trait;
+use futures::future::{Either, select};
+use futures::pin_mut;
+use yuccapass_http::StopSignal;
+use yuccapass_types::Deadline;
+
+use crate::connection::Connection;
+use crate::message::{Frame, PeerMessage, Sender};
+use crate::node::PeerNode;
+
+/// Pause after a failed accept, which is usually caused by too many open files.
+const ACCEPT_RETRY_MS: u64 = 50;
+
+/// Handles messages from other nodes.
+#[async_trait]
+pub trait PeerHandler: Send + Sync {
+    /// Handles a message; the result is sent back if the sender waits for a reply until `deadline`.
+    async fn handle(
+        &self,
+        from: Sender,
+        message: PeerMessage,
+        deadline: Deadline,
+    ) -> Option<PeerMessage>;
+}
+
+/// Settings of [`serve`].
+#[derive(Debug, Clone, Copy)]
+pub struct ListenerConfig {
+    idle_timeout_ms: u64,
+    max_connections: usize,
+}
+
+impl Default for ListenerConfig {
+    fn default() -> Self {
+        Self { idle_timeout_ms: 60_000, max_connections: 4_096 }
+    }
+}
+
+impl ListenerConfig {
+    /// Sets after which time without a frame a connection is closed; 60 s by default.
+    pub fn idle_timeout_ms(mut self, ms: u64) -> Self {
+        self.idle_timeout_ms = ms;
+        self
+    }
+
+    /// Sets how many connections may be open; 4,096 by default.
+    pub fn max_connections(mut self, count: usize) -> Self {
+        self.max_connections = count;
+        self
+    }
+}
+
+/// What all connections of a listener share.
+struct Service {
+    node: Arc<PeerNode>,
+    handler: Arc<dyn PeerHandler>,
+    config: ListenerConfig,
+    stop: StopSignal,
+}
+
+/// Accepts connections and handles their messages until the stop signal is closed; returns when the
+/// messages that were being handled are done.
+pub async fn serve(
+    listener: TcpListener,
+    node: Arc<PeerNode>,
+    handler: Arc<dyn PeerHandler>,
+    config: ListenerConfig,
+    stop: StopSignal,
+) {
+    let service = Arc::new(Service { node, handler, config, stop });
+    // Each connection holds a sender; the receiver ends when the last one is done.
+    let (done_sender, done_receiver) = bounded::<()>(1);
+    loop {
+        let accepting = listener.accept();
+        let closing = service.stop.closed();
+        pin_mut!(accepting, closing);
+        match select(closing, accepting).await {
+            Either::Left(_) => break,
+            Either::Right((Ok((stream, _)), _)) => {
+                // This function holds one sender itself.
+                if done_sender.sender_count() <= config.max_connections {
+                    let connection = Connection::new(stream, service.node.clock.now());
+                    task::spawn(serve_connection(
+                        Arc::clone(&service),
+                        connection,
+                        done_sender.clone(),
+                    ));
+                }
+            }
+            Either::Right((Err(error), _)) => {
+                log::warn!("accepting a connection from another node failed: {error}");
+                task::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+            }
+        }
+    }
+    drop(listener);
+    drop(done_sender);
+    // Nothing is ever sent, so this ends with an error when the last connection is done.
+    let _ = done_receiver.recv().await;
+}
+
+async fn serve_connection(
+    service: Arc<Service>,
+    mut connection: Connection,
+    _done: DoneSender<()>,
+) {
+    while let Some(frame) = service.next_frame(&mut connection).await {
+        if let Some(reply) = service.handle(frame).await
+            && !service.write(&mut connection, reply).await
+        {
+            return;
+        }
+    }
+}
+
+impl Service {
+    /// Waits for a valid frame; returns `None` if the connection is to be closed.
+    async fn next_frame(&self, connection: &mut Connection) -> Option<Frame> {
+        let reading = connection.read(&self.node.counters);
+        let closing = self.stop.closed();
+        pin_mut!(reading, closing);
+        let idle_timeout = Duration::from_millis(self.config.idle_timeout_ms);
+        let arrived = async_std::future::timeout(idle_timeout, select(closing, reading)).await;
+        let Ok(Either::Right((Ok(Some(bytes)), _))) = arrived else { return None };
+        match Frame::decode(&bytes) {
+            Ok(frame) => Some(frame),
+            Err(error) => {
+                log::warn!("closing a connection after a malformed frame: {error}");
+                None
+            }
+        }
+    }
+
+    /// Handles a frame; returns the reply if the sender waits for one.
+    async fn handle(&self, frame: Frame) -> Option<Frame> {
+        let Frame { sender, call, remaining_ms, message } = frame;
+        if !self.node.incarnations.accept(&sender.node, sender.incarnation) {
+            log::info!("dropping a frame of an older process of node {}", sender.node);
+            return None;
+        }
+        let deadline = Deadline::after_ms(self.node.clock.now(), remaining_ms);
+        let message = self.handler.handle(sender, message, deadline).await?;
+        (call != 0).then(|| Frame {
+            sender: self.node.sender.clone(),
+            call,
+            remaining_ms: 0,
+            message,
+        })
+    }
+
+    async fn write(&self, connection: &mut Connection, reply: Frame) -> bool {
+        let writing = connection.write(reply.encode(), &self.node.counters);
+        let timeout = Duration::from_millis(self.config.idle_timeout_ms);
+        matches!(async_std::future::timeout(timeout, writing).await, Ok(Ok(())))
+    }
+}
--- /dev/null
+++ b/crates/peers/src/node.rs
@@ -0,0 +1,30 @@
+//! What the two directions of a node's messages share.
+
+use std::sync::Arc;
+
+use yuccapass_types::Clock;
+
+use crate::counters::PeerCounters;
+use crate::incarnations::Incarnations;
+use crate::message::Sender;
+
+/// This process as others see it, with what its transport and its listener share.
+pub struct PeerNode {
+    pub(crate) sender: Sender,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) counters: PeerCounters,
+    pub(crate) incarnations: Incarnations,
+}
+
+impl PeerNode {
+    /// Makes the shared part of a process.
+    pub fn new(sender: Sender, clock: Arc<dyn Clock>) -> Self {
+        let (counters, incarnations) = (PeerCounters::default(), Incarnations::default());
+        Self { sender, clock, counters, incarnations }
+    }
+
+    /// Returns the counts of messages and bytes in both directions.
+    pub fn counters(&self) -> &PeerCounters {
+        &self.counters
+    }
+}
--- /dev/null
+++ b/crates/peers/src/transport.rs
@@ -0,0 +1,243 @@
+//! Sending messages to other nodes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use async_trait::async_trait;
+use yuccapass_http::with_deadline;
+use yuccapass_types::{Clock, Deadline, Sharded, SortedMap};
+
+use crate::connection::Connection;
+use crate::error::{PeerError, PeerErrorKind};
+use crate::message::{Frame, PeerMessage, Sender};
+use crate::node::PeerNode;
+
+/// A reply and the process that sent it.
+///
+/// The sender may be another node than the one expected at the address; a vote counts for the node
+/// that sent it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Received {
+    /// The process that replied.
+    pub sender: Sender,
+    /// Its reply.
+    pub message: PeerMessage,
+}
+
+/// Sends messages to other nodes.
+#[async_trait]
+pub trait PeerTransport: Send + Sync {
+    /// Sends a message that gets no reply; it may be lost without an error.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the message could not be written in time.
+    async fn send(&self, to: SocketAddr, message: PeerMessage) -> Result<(), PeerError>;
+
+    /// Sends a message and waits for its reply until the deadline.
+    ///
+    /// The message may arrive twice, so its handling must be idempotent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no valid reply arrived.
+    async fn call(
+        &self,
+        to: SocketAddr,
+        message: PeerMessage,
+        deadline: Deadline,
+    ) -> Result<Received, PeerError>;
+}
+
+/// Settings of [`TcpTransport`].
+#[derive(Debug, Clone, Copy)]
+pub struct TransportConfig {
+    idle_timeout_ms: u64,
+    send_timeout_ms: u64,
+    max_idle_per_address: usize,
+    max_age_ms: u64,
+}
+
+impl Default for TransportConfig {
+    fn default() -> Self {
+        Self {
+            idle_timeout_ms: 30_000,
+            send_timeout_ms: 1_000,
+            max_idle_per_address: 4,
+            max_age_ms: 60_000,
+        }
+    }
+}
+
+impl TransportConfig {
+    /// Sets after which time without use a connection is closed; 30 s by default, which has to be
+    /// shorter than the listener's time, so that no message is written to a closing connection.
+    pub fn idle_timeout_ms(mut self, ms: u64) -> Self {
+        self.idle_timeout_ms = ms;
+        self
+    }
+
+    /// Sets how long writing a one-way message may take; 1 s by default.
+    pub fn send_timeout_ms(mut self, ms: u64) -> Self {
+        self.send_timeout_ms = ms;
+        self
+    }
+
+    /// Sets how many idle connections to one address are kept; 4 by default.
+    pub fn max_idle_per_address(mut self, count: usize) -> Self {
+        self.max_idle_per_address = count;
+        self
+    }
+
+    /// Sets after which age a connection is not used again; 60 s by default.
+    ///
+    /// A one-way message on a connection that has gone silent is lost without an error; the limit
+    /// ends such a connection.
+    pub fn max_age_ms(mut self, ms: u64) -> Self {
+        self.max_age_ms = ms;
+        self
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    close_at: Deadline,
+}
+
+type IdlePool = SortedMap<SocketAddr, Vec<Idle>>;
+
+/// Sends messages over TCP, with connections that are opened on demand and used again.
+pub struct TcpTransport {
+    node: Arc<PeerNode>,
+    config: TransportConfig,
+    idle: Sharded<IdlePool>,
+    next_call: AtomicU64,
+}
+
+impl TcpTransport {
+    /// Makes a transport for a process.
+    pub fn new(node: Arc<PeerNode>, config: TransportConfig) -> Self {
+        Self { node, config, idle: Sharded::default(), next_call: AtomicU64::new(1) }
+    }
+
+    /// Closes connections that were not used for long; to be called every few seconds.
+    pub fn close_idle(&self) {
+        let now = self.node.clock.now();
+        self.idle.fold((), |(), pool| {
+            pool.retain(|_, idle| {
+                idle.retain(|idle| !idle.close_at.has_passed(now));
+                !idle.is_empty()
+            });
+        });
+    }
+
+    /// Returns the number of idle connections.
+    pub fn idle_connections(&self) -> usize {
+        self.idle.fold(0, |sum, pool| sum + pool.values().map(Vec::len).sum::<usize>())
+    }
+
+    fn take_idle(&self, to: SocketAddr) -> Option<Connection> {
+        let now = self.node.clock.now();
+        self.idle.with(&to, |pool| {
+            let idle = pool.get_mut(&to)?;
+            idle.retain(|idle| !idle.close_at.has_passed(now) && !idle.connection.is_stale());
+            idle.pop().map(|idle| idle.connection)
+        })
+    }
+
+    fn keep(&self, to: SocketAddr, connection: Connection) {
+        let unused = Deadline::after_ms(self.node.clock.now(), self.config.idle_timeout_ms);
+        let old = Deadline::after_ms(connection.opened_at(), self.config.max_age_ms);
+        let close_at = unused.earlier(old);
+        self.idle.with(&to, |pool| {
+            let idle = pool.get_or_insert_with(to, Vec::new);
+            if idle.len() < self.config.max_idle_per_address {
+                idle.push(Idle { connection, close_at });
+            }
+        });
+    }
+
+    fn frame(&self, call: u64, message: PeerMessage, deadline: Deadline) -> Frame {
+        let remaining_ms = deadline.remaining_ms(self.node.clock.now());
+        Frame { sender: self.node.sender.clone(), call, remaining_ms, message }
+    }
+
+    async fn connection(&self, to: SocketAddr) -> Result<Connection, PeerError> {
+        if let Some(connection) = self.take_idle(to) {
+            return Ok(connection);
+        }
+        let now = self.node.clock.now();
+        Connection::open(to, now).await.map_err(|error| failed(PeerErrorKind::Connect, &error))
+    }
+
+    async fn exchange(&self, to: SocketAddr, frame: Frame) -> Result<Received, PeerError> {
+        let call = frame.call;
+        let mut connection = self.connection(to).await?;
+        let lost = |error: std::io::Error| failed(PeerErrorKind::Connection, &error);
+        connection.write(frame.encode(), &self.node.counters).await.map_err(lost)?;
+        let bytes = connection.read(&self.node.counters).await.map_err(lost)?;
+        let Some(bytes) = bytes else {
+            return Err(PeerError::new(PeerErrorKind::Connection, "closed before the reply"));
+        };
+        let reply = Frame::decode(&bytes)?;
+        if reply.call != call {
+            return Err(PeerError::new(PeerErrorKind::Protocol, "the reply is to another call"));
+        }
+        if !self.node.incarnations.accept(&reply.sender.node, reply.sender.incarnation) {
+            let detail = reply.sender.node.to_string();
+            return Err(PeerError::new(PeerErrorKind::OldIncarnation, detail));
+        }
+        self.keep(to, connection);
+        Ok(Received { sender: reply.sender, message: reply.message })
+    }
+}
+
+#[async_trait]
+impl PeerTransport for TcpTransport {
+    async fn send(&self, to: SocketAddr, message: PeerMessage) -> Result<(), PeerError> {
+        let deadline = Deadline::after_ms(self.node.clock.now(), self.config.send_timeout_ms);
+        let frame = self.frame(0, message, deadline);
+        let sending = async {
+            let mut connection = self.connection(to).await?;
+            let written = connection.write(frame.encode(), &self.node.counters).await;
+            written.map_err(|error| failed(PeerErrorKind::Connection, &error))?;
+            self.keep(to, connection);
+            Ok(())
+        };
+        within(&*self.node.clock, deadline, sending).await
+    }
+
+    async fn call(
+        &self,
+        to: SocketAddr,
+        message: PeerMessage,
+        deadline: Deadline,
+    ) -> Result<Received, PeerError> {
+        let call = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let frame = self.frame(call, message, deadline);
+        // Dropping the exchange at the deadline closes its connection, so a late reply cannot be
+        // taken for the reply to a later call.
+        let result = within(&*self.node.clock, deadline, self.exchange(to, frame)).await;
+        if result.as_ref().is_err_and(|error| error.kind() == PeerErrorKind::Timeout) {
+            // The other idle connections to the node may have gone silent for the same reason.
+            self.idle.with(&to, |pool| pool.remove(&to));
+        }
+        result
+    }
+}
+
+async fn within<T>(
+    clock: &dyn Clock,
+    deadline: Deadline,
+    exchange: impl Future<Output = Result<T, PeerError>>,
+) -> Result<T, PeerError> {
+    match with_deadline(clock, deadline, exchange).await {
+        Ok(result) => result,
+        Err(expired) => Err(PeerError::new(PeerErrorKind::Timeout, expired.to_string())),
+    }
+}
+
+fn failed(kind: PeerErrorKind, error: &std::io::Error) -> PeerError {
+    PeerError::new(kind, error.to_string())
+}
--- /dev/null
+++ b/crates/peers/src/wire.rs
@@ -0,0 +1,201 @@
+//! The protobuf messages.
+//!
+//! Every field of a released message keeps its tag and type; new fields get new tags.
+
+use bytes::Bytes;
+use prost::{Message, Oneof};
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireFrame {
+    #[prost(string, tag = "1")]
+    pub(crate) node: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) call: u64,
+    #[prost(uint64, tag = "4")]
+    pub(crate) remaining_ms: u64,
+    #[prost(oneof = "WireBody", tags = "5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    pub(crate) body: Option<WireBody>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+pub(crate) enum WireBody {
+    #[prost(message, tag = "5")]
+    Heartbeat(WireHeartbeat),
+    #[prost(message, tag = "6")]
+    ConfigRequest(WireConfigRequest),
+    #[prost(message, tag = "7")]
+    ConfigChunk(WireConfigChunk),
+    #[prost(message, tag = "8")]
+    VoteRequest(WireVoteRequest),
+    #[prost(message, tag = "9")]
+    VoteReply(WireVoteReply),
+    #[prost(message, tag = "10")]
+    VoteRelease(WireVote),
+    #[prost(message, tag = "11")]
+    Outcome(WireOutcome),
+    #[prost(message, tag = "12")]
+    PermitRequest(WirePermitRequest),
+    #[prost(message, tag = "13")]
+    PermitReply(WirePermitReply),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireHeartbeat {
+    #[prost(message, optional, tag = "1")]
+    pub(crate) own: Option<WireRow>,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) rows: Vec<WireRow>,
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) usage: Vec<WireUsage>,
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) crashes: Vec<WireCrash>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireRow {
+    #[prost(string, tag = "1")]
+    pub(crate) node: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) heartbeat: u64,
+    #[prost(string, tag = "4")]
+    pub(crate) zone: String,
+    /// IP address of 4 or 16 bytes followed by the port in two bytes.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub(crate) peer_address: Bytes,
+    #[prost(bytes = "bytes", tag = "6")]
+    pub(crate) admin_address: Bytes,
+    #[prost(uint64, tag = "7")]
+    pub(crate) revision: u64,
+    #[prost(uint32, tag = "8")]
+    pub(crate) state: u32,
+    #[prost(uint32, tag = "9")]
+    pub(crate) running_requests: u32,
+    #[prost(uint32, tag = "10")]
+    pub(crate) queued_requests: u32,
+    #[prost(uint64, tag = "11")]
+    pub(crate) tokens_per_s: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireUsage {
+    #[prost(string, tag = "1")]
+    pub(crate) organisation: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) tokens_per_s: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireCrash {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) fingerprint: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) count: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireConfigRequest {
+    #[prost(uint64, tag = "1")]
+    pub(crate) revision: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub(crate) chunk: Bytes,
+    #[prost(uint64, tag = "3")]
+    pub(crate) offset_bytes: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireConfigChunk {
+    #[prost(uint64, tag = "1")]
+    pub(crate) revision: u64,
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub(crate) bytes: Option<Bytes>,
+}
+
+/// A key and an attempt.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireVote {
+    #[prost(uint32, tag = "1")]
+    pub(crate) kind: u32,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub(crate) key: Bytes,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) attempt: Option<WireNumbered>,
+}
+
+/// The number that a process gave to an attempt or a permit.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireNumbered {
+    #[prost(string, tag = "1")]
+    pub(crate) node: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) number: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireVoteRequest {
+    #[prost(message, optional, tag = "1")]
+    pub(crate) vote: Option<WireVote>,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub(crate) digest: Bytes,
+    #[prost(fixed64, tag = "3")]
+    pub(crate) list: u64,
+    #[prost(string, tag = "4")]
+    pub(crate) zone: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireVoteReply {
+    #[prost(uint32, tag = "1")]
+    pub(crate) kind: u32,
+    #[prost(fixed64, tag = "2")]
+    pub(crate) list: u64,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) holder: Option<WireNumbered>,
+    #[prost(bytes = "bytes", tag = "4")]
+    pub(crate) digest: Bytes,
+    #[prost(message, optional, tag = "5")]
+    pub(crate) outcome: Option<WireOutcomeState>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireOutcomeState {
+    #[prost(uint32, tag = "1")]
+    pub(crate) kind: u32,
+    #[prost(uint32, tag = "2")]
+    pub(crate) status: u32,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub(crate) body: Bytes,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireOutcome {
+    #[prost(message, optional, tag = "1")]
+    pub(crate) vote: Option<WireVote>,
+    #[prost(message, optional, tag = "2")]
+    pub(crate) outcome: Option<WireOutcomeState>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WirePermitRequest {
+    #[prost(string, tag = "1")]
+    pub(crate) endpoint: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) incarnation: u64,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) permit: Option<WireNumbered>,
+    #[prost(uint32, tag = "4")]
+    pub(crate) action: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WirePermitReply {
+    #[prost(uint32, tag = "1")]
+    pub(crate) kind: u32,
+    #[prost(uint64, tag = "2")]
+    pub(crate) remaining_ms: u64,
+}
--- /dev/null
+++ b/crates/peers/tests/messages.rs
@@ -0,0 +1,198 @@
+//! Tests of encoding and of the checks on what comes from other nodes.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use yuccapass_decisions::membership::{
+    CrashCount, Heartbeat, LoadSummary, OrganisationUsage, Row, RowState,
+};
+use yuccapass_decisions::permits::{PermitId, PermitReply};
+use yuccapass_decisions::quorum::{
+    AttemptId, Holder, Outcome, OutcomeState, RequestDigest, VoteAnswer, VoteAsk, VoteKey,
+    VoterListId,
+};
+use yuccapass_peers::{
+    ConfigChunk, ConfigRequest, Frame, MAX_CHUNK_BYTES, PeerMessage, PermitAction, PermitRequest,
+    Sender,
+};
+use yuccapass_types::{Incarnation, Revision, TokensPerSecond};
+
+fn attempt(number: u64) -> AttemptId {
+    AttemptId { node: "node-1".parse().unwrap(), incarnation: Incarnation::new(number), number }
+}
+
+fn row(number: u64, state: RowState, name: &str) -> Row {
+    Row {
+        node: name.parse().unwrap(),
+        incarnation: Incarnation::new(number),
+        heartbeat: number,
+        zone: name.parse().unwrap(),
+        peer_address: "127.0.0.1:7001".parse().unwrap(),
+        admin_address: "[::1]:7002".parse().unwrap(),
+        revision: Revision::new(number),
+        state,
+        load: LoadSummary {
+            running_requests: number as u32,
+            queued_requests: 0,
+            tokens_per_s: TokensPerSecond::new(number),
+        },
+    }
+}
+
+fn heartbeat(number: u64, rows: usize, name: &str) -> Heartbeat {
+    let usage = OrganisationUsage {
+        organisation: name.parse().unwrap(),
+        tokens_per_s: TokensPerSecond::new(number),
+    };
+    Heartbeat {
+        own: row(number, RowState::Leaving, name),
+        rows: vec![row(number, RowState::Left, name); rows],
+        usage: vec![usage; 3],
+        crashes: vec![CrashCount { fingerprint: number, count: 2 }],
+    }
+}
+
+fn outcomes(body: &[u8]) -> [OutcomeState; 3] {
+    let recorded = OutcomeState::Recorded(Outcome { status: 201, body: Arc::from(body) });
+    [OutcomeState::Pending, OutcomeState::NotKept, recorded]
+}
+
+/// Makes messages of all kinds.
+fn messages(number: u64, body: &[u8]) -> Vec<PeerMessage> {
+    let organisation = "org".parse().unwrap();
+    let key = VoteKey::ledger(&organisation, &"key".parse().unwrap());
+    let digest = RequestDigest::of_request("POST", "/", body);
+    let (list, zone) = (VoterListId::new(number), "zone-1".parse().unwrap());
+    let mut messages = vec![
+        PeerMessage::Heartbeat(heartbeat(number, 24, "node-1")),
+        PeerMessage::VoteRequest(VoteAsk { key, attempt: attempt(number), digest, list, zone }),
+        PeerMessage::VoteRelease { key, attempt: attempt(number) },
+    ];
+    let revision = Revision::new(number);
+    for chunk in [None, Some([7; 32])] {
+        let request = ConfigRequest { revision, chunk, offset_bytes: number };
+        messages.push(PeerMessage::ConfigRequest(request));
+    }
+    for bytes in [None, Some(body.to_vec().into())] {
+        messages.push(PeerMessage::ConfigChunk(ConfigChunk { revision, bytes }));
+    }
+    for outcome in outcomes(body) {
+        let holder = Holder { attempt: attempt(number), digest, outcome: outcome.clone() };
+        messages.push(PeerMessage::VoteReply(VoteAnswer::HeldBy(holder)));
+        messages.push(PeerMessage::Outcome { key, attempt: attempt(number), outcome });
+    }
+    let answers =
+        [VoteAnswer::Granted, VoteAnswer::Abstained, VoteAnswer::WrongList(list), VoteAnswer::Full];
+    messages.extend(answers.map(PeerMessage::VoteReply));
+    for action in [PermitAction::Acquire, PermitAction::Renew, PermitAction::Release] {
+        let permit =
+            PermitId { node: "node-2".parse().unwrap(), incarnation: Incarnation::new(1), number };
+        let (endpoint, incarnation) = ("endpoint".parse().unwrap(), Incarnation::new(number));
+        let request = PermitRequest { endpoint, incarnation, permit, action };
+        messages.push(PeerMessage::PermitRequest(request));
+    }
+    let granted = PermitReply::Granted { remaining_ms: number };
+    let replies = [granted, PermitReply::Full, PermitReply::NotReady, PermitReply::NotOwner];
+    messages.extend(replies.map(PeerMessage::PermitReply));
+    messages
+}
+
+fn frame(message: PeerMessage) -> Frame {
+    let sender = Sender { node: "node-9".parse().unwrap(), incarnation: Incarnation::new(3) };
+    Frame { sender, call: 4, remaining_ms: 5, message }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(15),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a field that is lost or changed on the way.
+    #[test]
+    fn messages_survive_encoding(
+        number: u64, body in proptest::collection::vec(any::<u8>(), 0..300)
+    ) {
+        // Arrange
+        for message in messages(number, &body) {
+            let sent = frame(message);
+
+            // Act
+            let received = Frame::decode(&sent.clone().encode());
+
+            // Assert
+            prop_assert_eq!(received, Ok(sent));
+        }
+    }
+
+    /// Guards against a decoder that panics on bytes that are no message.
+    #[test]
+    fn arbitrary_bytes_do_not_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        // Arrange, act and assert: only a panic fails.
+        let _ = Frame::decode(&bytes);
+    }
+
+    /// Guards against a decoder that panics on a message that was damaged, or a decoded message that
+    /// cannot be encoded again.
+    #[test]
+    fn damaged_messages_do_not_panic(
+        number: u64, kind in any::<prop::sample::Index>(),
+        damage in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        // Arrange
+        let messages = messages(number, b"body");
+        let mut bytes = frame(messages[kind.index(messages.len())].clone()).encode().to_vec();
+        for (position, byte) in damage {
+            let position = position.index(bytes.len());
+            bytes[position] = byte;
+        }
+
+        // Act
+        let whole = Frame::decode(&bytes);
+        let _ = Frame::decode(&bytes[..cut.index(bytes.len())]);
+
+        // Assert
+        if let Ok(decoded) = whole {
+            prop_assert_eq!(Frame::decode(&decoded.clone().encode()), Ok(decoded));
+        }
+    }
+
+    /// Guards against a heartbeat whose encoding exceeds what membership counts.
+    #[test]
+    fn encoded_heartbeat_fits_its_counted_size(number: u64, rows in 0_usize..25) {
+        // Arrange
+        let heartbeat = heartbeat(number, rows, &"n".repeat(64));
+        let counted_bytes = heartbeat.encoded_bytes();
+
+        // Act
+        let encoded = frame(PeerMessage::Heartbeat(heartbeat)).encode();
+
+        // Assert: the envelope is the sender, three numbers and the length of the body.
+        prop_assert!(encoded.len() <= counted_bytes + 2 + 64 + 3 * 11 + 4);
+    }
+}
+
+/// Guards against another node making this one keep more than the bounds allow.
+#[test]
+fn messages_beyond_the_bounds_are_rejected() {
+    // Arrange
+    let too_long = vec![0; MAX_CHUNK_BYTES + 1];
+    let chunk = ConfigChunk { revision: Revision::new(1), bytes: Some(too_long.clone().into()) };
+    let [_, _, outcome] = outcomes(&too_long);
+    let key = VoteKey::permit(&"endpoint".parse().unwrap(), Incarnation::new(1));
+    let cases = [
+        (PeerMessage::Heartbeat(heartbeat(1, 25, "node-1")), "rows"),
+        (PeerMessage::ConfigChunk(chunk), "bytes"),
+        (PeerMessage::Outcome { key, attempt: attempt(1), outcome }, "outcome.body"),
+    ];
+    for (message, field) in cases {
+        // Act
+        let error = Frame::decode(&frame(message).encode()).unwrap_err();
+
+        // Assert
+        assert_eq!(error.field(), field);
+    }
+}
