--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,7 @@
 //! A client with a pool of connections to one peer address.
 
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use async_std::net::TcpStream;
@@ -156,12 +157,17 @@
             None => self.connect(deadline).await?,
         };
         stream.reset_count();
-        let sending = async_h1::connect(stream.clone(), request);
+        // async-h1 panics if a header of the response has a byte outside ASCII.
+        let sending = AssertUnwindSafe(async_h1::connect(stream.clone(), request)).catch_unwind();
         match with_deadline(&*self.clock, deadline, sending).await {
-            Ok(Ok(response)) => Ok(Exchange::new(self, stream, response)),
-            Ok(Err(error)) => {
+            Ok(Ok(Ok(response))) => Ok(Exchange::new(self, stream, response)),
+            Ok(Ok(Err(error))) => {
                 Err(self.error(HttpErrorKind::Connection, stream.written_bytes(), error))
             }
+            Ok(Err(_panic)) => {
+                let text = "the response could not be decoded";
+                Err(self.error(HttpErrorKind::Connection, stream.written_bytes(), text))
+            }
             Err(expired) => {
                 Err(self.error(HttpErrorKind::Timeout, stream.written_bytes(), expired))
             }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,8 +1,9 @@
 //! An accept loop for a tide application, with a graceful stop.
 
 use std::future::Future;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use async_h1::server::{ConnectionStatus, Server as ConnectionServer};
@@ -10,7 +11,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::future::{Either, select};
-use futures::{AsyncWriteExt, pin_mut};
+use futures::{AsyncWriteExt, FutureExt, pin_mut};
 use http_types::headers::CONNECTION;
 use http_types::{Request, Response};
 
@@ -176,18 +177,27 @@
 {
     let _ = stream.set_nodelay(true);
     let handle = ConnectionHandle::new(stream.clone());
-    let respond = |request| respond(&app, &handle, &stop, request);
+    let has_begun = AtomicBool::new(false);
+    let respond = |request| {
+        has_begun.store(true, Ordering::Relaxed);
+        respond(&app, &handle, &stop, request)
+    };
     let mut server = ConnectionServer::new(stream.clone(), respond);
     while request_arrives(&stream, &config, &stop).await {
-        match server.accept_one().await {
-            Ok(ConnectionStatus::KeepAlive) => {}
-            Ok(ConnectionStatus::Close) => break,
-            Err(error) => {
-                log::debug!("a connection ended: {error}");
-                reject(stream, config.rejection_body, RejectReason::InvalidHead).await;
-                break;
-            }
+        has_begun.store(false, Ordering::Relaxed);
+        // async-h1 panics if a header of the request has a byte outside ASCII.
+        match AssertUnwindSafe(server.accept_one()).catch_unwind().await {
+            Ok(Ok(ConnectionStatus::KeepAlive)) => continue,
+            Ok(Ok(ConnectionStatus::Close)) => break,
+            Ok(Err(error)) => log::debug!("a connection ended: {error}"),
+            Err(_panic) => log::warn!("a connection ended by a panic"),
+        }
+        // Once the application has the request, a rejection would be untrue, and it would end up in
+        // the middle of the response.
+        if !has_begun.load(Ordering::Relaxed) {
+            reject(stream, config.rejection_body, RejectReason::InvalidHead).await;
         }
+        break;
     }
 }
 
--- a/crates/standins/src/bin/yuccapass-standin/engine.rs
+++ b/crates/standins/src/bin/yuccapass-standin/engine.rs
@@ -7,7 +7,11 @@
 use yuccapass_standins::engine::{Engine, EngineConfig, Faults, build_app};
 use yuccapass_types::{Incarnation, MonotonicClock, TokensPerSecond, WeightVersion};
 
-/// Settings of a model endpoint. All random choices depend on the seed only.
+/// Runs a model endpoint.
+///
+/// All random choices depend on the seed only. GET /stats has counts, GET /journal lists the runs that
+/// began, and POST /faults with {"set": {...}, "actions": ["crash", "fall_back_to_cold",
+/// "silence_connections"]} switches faults.
 #[derive(Debug, Args)]
 pub(crate) struct EngineArguments {
     /// Address to listen on.
@@ -72,14 +76,10 @@
     exit_on_crash: bool,
     /// Faults that are on from the start, as the JSON object of `set` in POST /faults, for example
     /// {"crash_marker": "boom", "slow_factor": 2}; GET /faults shows all fields.
-    #[arg(long, value_parser = parse_faults, default_value = "{}")]
+    #[arg(long, value_parser = crate::server::parse_json::<Faults>, default_value = "{}")]
     faults: Faults,
 }
 
-fn parse_faults(text: &str) -> Result<Faults, serde_json::Error> {
-    serde_json::from_str(text)
-}
-
 impl EngineArguments {
     fn config(&self) -> EngineConfig {
         EngineConfig::default()
--- a/crates/standins/src/bin/yuccapass-standin/main.rs
+++ b/crates/standins/src/bin/yuccapass-standin/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod server;
+mod service;
 
 use std::process::ExitCode;
 
@@ -17,8 +18,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Runs a model endpoint.
     Engine(engine::EngineArguments),
+    Service(service::ServiceArguments),
 }
 
 fn main() -> ExitCode {
@@ -35,5 +36,6 @@
 async fn run(command: Command) -> std::io::Result<()> {
     match command {
         Command::Engine(arguments) => engine::run(arguments).await,
+        Command::Service(arguments) => service::run(arguments).await,
     }
 }
--- a/crates/standins/src/bin/yuccapass-standin/server.rs
+++ b/crates/standins/src/bin/yuccapass-standin/server.rs
@@ -1,8 +1,9 @@
-//! Serving of a stand-in's application.
+//! What all subcommands need.
 
 use std::net::SocketAddr;
 
 use async_std::net::TcpListener;
+use serde::de::DeserializeOwned;
 use yuccapass_http::{RejectReason, ServerConfig, serve, stop_pair};
 
 /// Serves until the process is ended.
@@ -20,3 +21,8 @@
 fn rejection_body(_reason: RejectReason) -> (u16, String) {
     (503, "{}".to_owned())
 }
+
+/// Parses an argument in JSON.
+pub(crate) fn parse_json<T: DeserializeOwned>(text: &str) -> Result<T, serde_json::Error> {
+    serde_json::from_str(text)
+}
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -10,16 +10,18 @@
 };
 
 use super::answer::AnswerSource;
+use super::begun_run::BegunRun;
 use super::cache::{CacheChange, PrefixCache};
 use super::config::EngineConfig;
 use super::deployment::{Deployment, OrderProgress, OrderTimes};
 use super::events::EventLog;
-use super::faults::{FaultAction, Faults, draw};
-use super::journal::{Journal, JournalEntry, JournalListing, marker_of};
+use super::faults::{FaultAction, Faults};
 use super::load::LoadHistory;
 use super::payload::{block_payload, payload_position};
 use super::scheduler::{RunId, Scheduler};
 use super::warm_up::WarmUp;
+use crate::draw::draw;
+use crate::journal::{Journal, JournalListing, marker_of};
 
 /// Prompt bytes of one token.
 const TOKEN_PROMPT_BYTES: u64 = 4;
@@ -129,7 +131,7 @@
     deployment: Deployment,
     warm_up: WarmUp,
     load: LoadHistory,
-    journal: Journal,
+    journal: Journal<BegunRun>,
     stats: EngineStats,
     signals: Vec<RunSignal>,
 }
@@ -416,7 +418,7 @@
     }
 
     /// Returns the record of begun runs.
-    pub fn journal(&self) -> JournalListing {
+    pub fn journal(&self) -> JournalListing<BegunRun> {
         self.journal.listing()
     }
 
@@ -503,8 +505,8 @@
         }
     }
 
-    fn journal_entry(&self, incarnation: Incarnation) -> JournalEntry {
-        JournalEntry {
+    fn journal_entry(&self, incarnation: Incarnation) -> BegunRun {
+        BegunRun {
             request_id: self.request.request_id.to_string(),
             attempt: self.request.attempt.clone(),
             marker: marker_of(&self.request.prompt),
--- a/crates/standins/src/engine/http/generate.rs
+++ b/crates/standins/src/engine/http/generate.rs
@@ -14,8 +14,8 @@
 use super::control::refused;
 use super::stream::{AnswerPlan, AnswerStream, stream_answer};
 use super::{EngineRequest, connection_of};
+use crate::draw::draw;
 use crate::engine::core::{Refusal, RunRequest, SubmitError};
-use crate::engine::faults::draw;
 
 /// Answer length if the request names none.
 const DEFAULT_ANSWER_TOKENS: u64 = 16;
--- a/crates/standins/src/engine/http/stream.rs
+++ b/crates/standins/src/engine/http/stream.rs
@@ -10,9 +10,9 @@
 use yuccapass_openai::Api;
 use yuccapass_types::Instant;
 
+use crate::draw::draw;
 use crate::engine::answer::{append_done_event, append_token_event};
 use crate::engine::core::RunEnd;
-use crate::engine::faults::draw;
 use crate::engine::scheduler::RunId;
 use crate::engine::shared::{Engine, RunWaiter};
 
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -7,11 +7,12 @@
 //! * `scheduler`: continuous batching with priorities and a shared prefill rate.
 //! * `cache`, `events`, `payload`: the prefix cache, its published changes and its exported blocks.
 //! * `deployment`: weight version, adapters, leaving, and orders with fencing numbers.
-//! * `warm_up`, `load`, `journal`: cold start, lagged load reports, and a record of begun runs.
+//! * `warm_up`, `load`, `begun_run`: cold start, lagged load reports, and a record of begun runs.
 //! * `answer`: the tokens of an answer.
 //! * `core`, `shared`, `http`: everything together; see above.
 
 mod answer;
+mod begun_run;
 mod cache;
 mod config;
 mod core;
@@ -19,7 +20,6 @@
 mod events;
 mod faults;
 mod http;
-mod journal;
 mod load;
 mod payload;
 mod scheduler;
@@ -27,12 +27,12 @@
 mod warm_up;
 
 pub use answer::{AnswerSource, answer_text};
+pub use begun_run::BegunRun;
 pub use cache::PrefixCache;
 pub use config::EngineConfig;
 pub use core::{EngineCore, EngineStats, Refusal, RunEnd, RunRequest, RunSignal, SubmitError};
-pub use faults::{FaultAction, FaultCommand, Faults, draw};
+pub use faults::{FaultAction, FaultCommand, Faults};
 pub use http::build_app;
-pub use journal::{Journal, JournalEntry, JournalListing, marker_of};
 pub use payload::block_payload;
 pub use scheduler::{RunId, Scheduler};
 pub use shared::Engine;
--- a/crates/standins/src/engine/journal.rs
+++ b/crates/standins/src/journal.rs
@@ -1,55 +1,39 @@
-//! A record of the requests that the engine began to run.
+//! Bounded records of what a stand-in ran, for checkers.
 
 use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
-use yuccapass_types::Incarnation;
 
-/// What surrounds a marker in a prompt.
+/// What surrounds a marker in a prompt or body.
 const MARKER_START: &str = "[[";
 const MARKER_END: &str = "]]";
 
-/// A run that the engine began.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct JournalEntry {
-    /// The request.
-    pub request_id: String,
-    /// Which attempt of the request.
-    pub attempt: String,
-    /// The text between `[[` and `]]` in the prompt, or nothing.
-    pub marker: String,
-    /// Tokens that the attempt skipped.
-    pub resume_offset_tokens: u64,
-    /// The engine process.
-    pub incarnation: Incarnation,
-}
-
-/// The response to `GET /journal`.
+/// The response to a request for a journal.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct JournalListing {
+pub struct JournalListing<T> {
     /// Entries that were removed because the journal was full; a checker that counts runs requires
     /// that it is 0.
     pub removed_entries: u64,
     /// The entries, oldest first.
-    pub entries: Vec<JournalEntry>,
+    pub entries: Vec<T>,
 }
 
-/// A bounded record of begun runs, which outlives a crash of the engine.
+/// A bounded record, which outlives a crash of the stand-in.
 #[derive(Debug)]
-pub struct Journal {
+pub struct Journal<T> {
     max_entries: usize,
     removed_entries: u64,
-    entries: VecDeque<JournalEntry>,
+    entries: VecDeque<T>,
 }
 
-impl Journal {
+impl<T: Clone> Journal<T> {
     /// Makes an empty journal.
     pub fn new(max_entries: usize) -> Self {
         Self { max_entries, removed_entries: 0, entries: VecDeque::new() }
     }
 
     /// Adds an entry and removes the oldest one if there are too many.
-    pub fn add(&mut self, entry: JournalEntry) {
+    pub fn add(&mut self, entry: T) {
         self.entries.push_back(entry);
         if self.entries.len() > self.max_entries {
             self.entries.pop_front();
@@ -58,17 +42,17 @@
     }
 
     /// Returns all entries that are kept.
-    pub fn listing(&self) -> JournalListing {
+    pub fn listing(&self) -> JournalListing<T> {
         let entries = self.entries.iter().cloned().collect();
         JournalListing { removed_entries: self.removed_entries, entries }
     }
 }
 
-/// Returns the last marker of a prompt: the text between `[[` and `]]`.
+/// Returns the last marker of a prompt or body: the text between `[[` and `]]`.
 ///
 /// The last one, because a prompt that returns repeats the earlier ones.
-pub fn marker_of(prompt: &[u8]) -> String {
-    let text = String::from_utf8_lossy(prompt);
+pub fn marker_of(bytes: &[u8]) -> String {
+    let text = String::from_utf8_lossy(bytes);
     let Some((_, behind)) = text.rsplit_once(MARKER_START) else { return String::new() };
     behind.split_once(MARKER_END).map(|(marker, _)| marker.to_owned()).unwrap_or_default()
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,13 @@
 //! Small stand-ins for the outside systems, for tests and trials.
 //!
 //! * [`engine`]: a model endpoint.
+//! * [`service`]: a plain service.
+//! * [`journal`], [`mod@draw`]: records for checkers, and seeded random choices, which they share.
 
+pub mod draw;
 pub mod engine;
+pub mod journal;
+pub mod service;
+
+pub use draw::draw;
+pub use journal::{Journal, JournalListing, marker_of};
