--- a/crates/standins/src/bin/yuccapass-standin/main.rs
+++ b/crates/standins/src/bin/yuccapass-standin/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod server;
+mod service;
 
 use std::process::ExitCode;
 
@@ -18,10 +19,10 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Runs a model endpoint.
     Engine(engine::EngineArguments),
     /// Runs a platform: key-value service and VM list.
     Platform(PlatformArguments),
+    Service(service::ServiceArguments),
 }
 
 fn main() -> ExitCode {
@@ -39,5 +40,6 @@
     match command {
         Command::Engine(arguments) => engine::run(arguments).await,
         Command::Platform(arguments) => platform::run(arguments).await,
+        Command::Service(arguments) => service::run(arguments).await,
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,14 @@
 //!
 //! * [`engine`]: a model endpoint.
 //! * [`platform`]: key-value service and VM list.
+//! * [`service`]: a plain service.
+//! * [`journal`], [`mod@draw`]: records for checkers, and seeded random choices, which they share.
 
+pub mod draw;
 pub mod engine;
 pub mod platform;
+pub mod journal;
+pub mod service;
+
+pub use draw::draw;
+pub use journal::{Journal, JournalListing, marker_of};
