decisions: share unchanged organisations between revisions

Change: types has Shared, a reference-counted value with copy on write; a document lists Shared<Organisation>.

--- a/crates/decisions/examples/measure_config.rs
+++ b/crates/decisions/examples/measure_config.rs
@@ -17,7 +17,7 @@
 const CHANGES: usize = 40;
 
 /// Revisions that are held at the same time.
-const HELD: usize = 20;
+const HELD: usize = 100;
 
 /// Endpoints of the target size.
 const ENDPOINTS: usize = 850;
@@ -163,7 +163,7 @@
         zones: zones.iter().map(|name| zone(name)).collect(),
         models: models.iter().map(|name| model(name)).collect(),
         endpoints: (0..ENDPOINTS).map(|number| endpoint(number, &models, &zones)).collect(),
-        organisations: (0..count).map(|number| organisation(number, &models)).collect(),
+        organisations: (0..count).map(|number| organisation(number, &models).into()).collect(),
         ..Document::default()
     }
 }
--- a/crates/decisions/src/change/apply.rs
+++ b/crates/decisions/src/change/apply.rs
@@ -1,7 +1,9 @@
 //! Applying a change to a document.
 
 use smol_str::SmolStr;
-use yuccapass_types::{AdapterId, ModelId, OrganisationId, ServiceId, WeightVersion, ZoneId};
+use yuccapass_types::{
+    AdapterId, ModelId, OrganisationId, ServiceId, Shared, WeightVersion, ZoneId,
+};
 
 use super::edit::{add_to_set, find, insert_new, missing, put, remove, remove_from_set};
 use super::sentence::{ApprovalTarget, Change, TargetKind};
@@ -68,7 +70,9 @@
                 share: *share,
                 limit_tokens_per_s: *limit,
             };
-            insert_new(&mut document.organisations, "organisation", created, |item| &item.id)?;
+            insert_new(&mut document.organisations, "organisation", created.into(), |item| {
+                &item.id
+            })?;
         }
         Change::RemoveOrganisation(id) => {
             remove(&mut document.organisations, "organisation", id, |item| &item.id)?;
@@ -195,7 +199,7 @@
     document: &'a mut Document,
     id: &OrganisationId,
 ) -> Result<&'a mut Organisation, InvalidDocument> {
-    find(&mut document.organisations, "organisation", id, |item| &item.id)
+    find(&mut document.organisations, "organisation", id, |item| &item.id).map(Shared::make_mut)
 }
 
 fn zone<'a>(document: &'a mut Document, id: &ZoneId) -> Result<&'a mut Zone, InvalidDocument> {
--- a/crates/decisions/src/config/chunk.rs
+++ b/crates/decisions/src/config/chunk.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 use smol_str::{SmolStr, format_smolstr};
+use yuccapass_types::Shared;
 
 use super::document::{Class, Document, Endpoint, Model, Organisation, Service, Zone};
 use super::validate::InvalidDocument;
@@ -104,7 +105,7 @@
     Models, models, Model;
     Endpoints, endpoints, Endpoint;
     Services, services, Service;
-    Organisations, organisations, Organisation;
+    Organisations, organisations, Shared<Organisation>;
 }
 
 impl Part {
--- a/crates/decisions/src/config/document.rs
+++ b/crates/decisions/src/config/document.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use yuccapass_types::{
     AdapterId, ClassId, EndpointId, KeyHash, ModelId, NodeId, OrganisationId, RegionId, Revision,
-    ServiceId, StoreId, TokensPerSecond, WeightVersion, ZoneId,
+    ServiceId, Shared, StoreId, TokensPerSecond, WeightVersion, ZoneId,
 };
 
 /// Everything that operators decide, at one revision.
@@ -26,8 +26,8 @@
     pub endpoints: Vec<Endpoint>,
     /// Plain services.
     pub services: Vec<Service>,
-    /// Organisations.
-    pub organisations: Vec<Organisation>,
+    /// Organisations; unchanged ones are shared between the documents of several revisions.
+    pub organisations: Vec<Shared<Organisation>>,
 }
 
 /// Whether a zone gets new work.
--- a/crates/decisions/tests/changes.rs
+++ b/crates/decisions/tests/changes.rs
@@ -161,6 +161,23 @@
     assert_eq!(versions(&everywhere), ["v3", "v3"]);
 }
 
+/// Guards against revisions that each hold a copy of all organisations: a running request keeps the
+/// revision that it began with.
+#[test]
+fn revisions_share_unchanged_organisations() {
+    // Arrange
+    let current = config(100);
+
+    // Act
+    let next = execute_new(&current, &command("c1", set_share(7, 9))).config;
+
+    // Assert
+    let pairs = current.document().organisations.iter().zip(&next.document().organisations);
+    let copied: Vec<usize> =
+        pairs.enumerate().filter(|(_, (a, b))| !a.is_same(b)).map(|(at, _)| at).collect();
+    assert_eq!(copied, [7]);
+}
+
 /// The naive version of an organisation: share, limit, keys, and whether `clip-models` is approved.
 type Naive = (u32, u64, BTreeSet<u8>, bool);
 
@@ -250,14 +267,15 @@
         let mut key_hashes: Vec<_> =
             keys.iter().map(|key| KeyHash::of_key(&key.to_string())).collect();
         key_hashes.sort_unstable();
-        expected.organisations.push(yuccapass_decisions::config::Organisation {
+        let organisation = yuccapass_decisions::config::Organisation {
             id: id(&format!("o{who}")),
             key_hashes,
             models: approved.then(|| id("clip-models")).into_iter().collect(),
             services: Vec::new(),
             share: *share,
             limit_tokens_per_s: TokensPerSecond::new(*limit),
-        });
+        };
+        expected.organisations.push(organisation.into());
     }
     expected
 }
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -40,7 +40,7 @@
         revision: Revision::new(1),
         zones: vec![zone("burnaby-yard"), zone("kamloops-yard")],
         models: vec![model],
-        organisations: (0..organisation_count).map(organisation).collect(),
+        organisations: (0..organisation_count).map(|number| organisation(number).into()).collect(),
         ..Document::default()
     }
 }
--- a/crates/decisions/tests/config_chunks.rs
+++ b/crates/decisions/tests/config_chunks.rs
@@ -85,7 +85,7 @@
         // Arrange
         let mut document = document(kept.len());
         for (position, count) in keys.iter().enumerate() {
-            let organisation = &mut document.organisations[position * 3];
+            let organisation = document.organisations[position * 3].make_mut();
             let more = (0..*count).map(|key| KeyHash::of_key(&format!("{position}-{key}")));
             organisation.key_hashes.extend(more);
             organisation.key_hashes.sort_unstable();
--- a/crates/decisions/tests/config_holder.rs
+++ b/crates/decisions/tests/config_holder.rs
@@ -153,7 +153,7 @@
     // Arrange
     let mut bad = document(10);
     bad.revision = Revision::new(2);
-    bad.organisations[4].share = 0;
+    bad.organisations[4].make_mut().share = 0;
     let (manifest, chunks) = unchecked(&bad);
     let mut holder = ConfigHolder::new(Some(config(10)));
     holder.offer_manifest(NOW, node("b"), &manifest.encode());
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,12 +8,14 @@
 //! * [`time`]: instants and deadlines on a process-local monotonic clock.
 //! * [`block`]: salted hash chains over prompt prefixes.
 //! * [`sharded`] and [`sorted_map`]: the collections that state is kept in.
+//! * [`shared`]: values that several copies of a collection share.
 //! * [`result_code`]: the numbered codes that callers and operators see.
 
 pub mod block;
 pub mod ids;
 pub mod result_code;
 pub mod sharded;
+pub mod shared;
 pub mod sorted_map;
 pub mod time;
 pub mod units;
@@ -26,6 +28,7 @@
 };
 pub use result_code::{ResultCode, RunState};
 pub use sharded::Sharded;
+pub use shared::Shared;
 pub use sorted_map::SortedMap;
 pub use time::{Clock, Deadline, Instant, MonotonicClock};
 pub use units::{
