--- a/crates/decisions/src/change/apply.rs
+++ b/crates/decisions/src/change/apply.rs
@@ -1,7 +1,9 @@
 //! Applying a change to a document.
 
 use smol_str::SmolStr;
-use yuccapass_types::{AdapterId, ModelId, OrganisationId, ServiceId, WeightVersion, ZoneId};
+use yuccapass_types::{
+    AdapterId, ModelId, OrganisationId, ServiceId, Shared, WeightVersion, ZoneId,
+};
 
 use super::edit::{add_to_set, find, insert_new, missing, put, remove, remove_from_set};
 use super::sentence::{ApprovalTarget, Change, TargetKind};
@@ -21,9 +23,18 @@
 ///
 /// Returns the field, its value and the bound that it breaks.
 pub fn apply(document: &Document, change: &Change) -> Result<Document, InvalidDocument> {
+    let next = apply_unchecked(document, change)?;
+    validate(&next)?;
+    Ok(next)
+}
+
+/// Applies a change and leaves the checks of the whole document to the caller.
+pub(super) fn apply_unchecked(
+    document: &Document,
+    change: &Change,
+) -> Result<Document, InvalidDocument> {
     let mut next = document.clone();
     edit(&mut next, change)?;
-    validate(&next)?;
     Ok(next)
 }
 
@@ -68,7 +79,9 @@
                 share: *share,
                 limit_tokens_per_s: *limit,
             };
-            insert_new(&mut document.organisations, "organisation", created, |item| &item.id)?;
+            insert_new(&mut document.organisations, "organisation", created.into(), |item| {
+                &item.id
+            })?;
         }
         Change::RemoveOrganisation(id) => {
             remove(&mut document.organisations, "organisation", id, |item| &item.id)?;
@@ -195,7 +208,7 @@
     document: &'a mut Document,
     id: &OrganisationId,
 ) -> Result<&'a mut Organisation, InvalidDocument> {
-    find(&mut document.organisations, "organisation", id, |item| &item.id)
+    find(&mut document.organisations, "organisation", id, |item| &item.id).map(Shared::make_mut)
 }
 
 fn zone<'a>(document: &'a mut Document, id: &ZoneId) -> Result<&'a mut Zone, InvalidDocument> {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,8 +7,8 @@
 
 pub mod draw;
 pub mod engine;
-pub mod platform;
 pub mod journal;
+pub mod platform;
 pub mod service;
 
 pub use draw::draw;
