decisions: rollout driver that another driver can continue

Cause: weight, adapter and role orders have to reach every replica of a model while it is served, and drivers die, get paused and are replaced. Change: rollout::Driver takes reports, order results, the permit of its lease and the time, and returns writes of progress, orders and reports. It writes before it acts, drains a replica before it loads, keeps to the limits on replicas out of service, loads and failures, and turns back, also after it has finished. eligible_version says which replica takes new requests of which version. Conclusion: a driver whose orders to turn back overtake its own earlier order is excluded only while the earlier order ends at its deadline.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,7 +7,9 @@
 //! * [`answer`]: puts the tokens of several attempts together into one whole answer.
 //! * [`config`]: the operators' configuration and its checks.
 //! * [`platform_budget`]: calls to the platform: budget, backoff, lost answers and leases.
+//! * [`rollout`]: orders to the replicas of a model, a few at a time.
 
 pub mod answer;
 pub mod config;
 pub mod platform_budget;
+pub mod rollout;
--- /dev/null
+++ b/crates/decisions/tests/rollout_world/mod.rs
@@ -0,0 +1,256 @@
+//! Replicas, a platform and the owner of a driver in virtual time.
+
+use yuccapass_decisions::platform_budget::{Asked, LeaseHolder, LeaseTerms};
+use yuccapass_decisions::rollout::{
+    Action, Driver, Ended, OrderId, OrderResult, Plan, Progress, ReplicaOrder, ReplicaReport,
+    ReplicaState, Reports, Role, Target, WriteOutcome,
+};
+use yuccapass_types::{EndpointId, FencingNumber, Incarnation, Instant, WeightVersion};
+
+pub const LEASE_MS: u64 = 8_000;
+const TICK_MS: u64 = 50;
+const REPORT_EVERY_MS: u64 = 300;
+
+/// Longest rollout in virtual time; 8 replicas one by one with restarts need a few minutes.
+const LIMIT_MS: u64 = 30 * 60 * 1_000;
+
+#[derive(Debug, Clone)]
+pub struct Replica {
+    pub version: WeightVersion,
+    pub leaving: bool,
+    pub busy_until_ms: u64,
+    pub loading: Option<(u64, WeightVersion)>,
+    pub incarnation: u64,
+    pub fails_to_load: bool,
+    pub checks_fencing: bool,
+    pub restarts_at_ms: Option<u64>,
+    highest_fencing: FencingNumber,
+}
+
+/// A driver with its lease, as its process holds them.
+pub struct Owner {
+    pub driver: Driver,
+    pub holder: LeaseHolder,
+    pub pending: Vec<Action>,
+    revision: u64,
+    results: Vec<(u64, EndpointId, OrderId, OrderResult)>,
+}
+
+pub struct World {
+    pub now_ms: u64,
+    pub replicas: Vec<Replica>,
+    pub stored: Vec<u8>,
+    pub orders: Vec<(u64, FencingNumber, EndpointId, ReplicaOrder)>,
+    stored_revision: u64,
+    reports: Reports,
+    max_swapping: usize,
+    max_loads: usize,
+}
+
+pub fn version(text: &str) -> WeightVersion {
+    text.parse().unwrap()
+}
+
+pub fn endpoint(index: usize) -> EndpointId {
+    format!("replica-{index}").parse().unwrap()
+}
+
+pub fn plan(max_swapping: u32) -> Plan {
+    let target = |text| Target::Version(version(text));
+    Plan::new("m".parse().unwrap(), target("v1"), target("v2"), max_swapping).load_limit_ms(20_000)
+}
+
+impl World {
+    pub fn new(replica_count: usize, plan: Plan, max_swapping: usize, max_loads: usize) -> Self {
+        let replica = Replica {
+            version: version("v1"),
+            leaving: false,
+            busy_until_ms: 0,
+            loading: None,
+            incarnation: 1,
+            fails_to_load: false,
+            checks_fencing: false,
+            restarts_at_ms: None,
+            highest_fencing: FencingNumber::default(),
+        };
+        let progress = Progress::new(plan, (0..replica_count).map(endpoint));
+        Self {
+            now_ms: 1_000,
+            replicas: vec![replica; replica_count],
+            stored: progress.encode().unwrap(),
+            orders: Vec::new(),
+            stored_revision: 1,
+            reports: Reports::new(),
+            max_swapping,
+            max_loads,
+        }
+    }
+
+    pub fn now(&self) -> Instant {
+        Instant::from_ms(self.now_ms)
+    }
+
+    pub fn progress(&self) -> Progress {
+        Progress::decode(&self.stored).unwrap()
+    }
+
+    pub fn versions(&self) -> Vec<&str> {
+        self.replicas.iter().map(|replica| replica.version.as_str()).collect()
+    }
+
+    /// Starts a driver under a lease that has just been granted.
+    pub fn take_over(&self, fencing: u64) -> Owner {
+        let mut holder = LeaseHolder::new(LeaseTerms::new(LEASE_MS));
+        holder.acquired(Asked::at(self.now()), LEASE_MS, FencingNumber::new(fencing));
+        let driver = Driver::resume(self.progress(), holder.permit(self.now()).unwrap());
+        let revision = self.stored_revision;
+        Owner { driver, holder, pending: Vec::new(), revision, results: Vec::new() }
+    }
+
+    /// Lets time pass and checks that the model stays served within its limits.
+    pub fn tick(&mut self) {
+        self.now_ms += TICK_MS;
+        for (index, replica) in self.replicas.iter_mut().enumerate() {
+            tick_replica(replica, self.now_ms);
+            if self.now_ms.is_multiple_of(REPORT_EVERY_MS) {
+                self.reports.insert(endpoint(index), report(replica, self.now_ms));
+            }
+        }
+        let count = |matches: fn(&Replica) -> bool| {
+            self.replicas.iter().filter(|replica| matches(replica)).count()
+        };
+        let out_of_service = count(|replica| replica.leaving || replica.loading.is_some());
+        assert!(out_of_service <= self.max_swapping, "{out_of_service} replicas out of service");
+        assert!(out_of_service < self.replicas.len(), "the model is not served");
+        assert!(count(|replica| replica.loading.is_some()) <= self.max_loads, "too many loads");
+    }
+
+    pub fn pass_ms(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        while self.now_ms < end_ms {
+            self.tick();
+        }
+    }
+
+    /// Runs a driver until it ends; returns `None` if it dies at its `kill_at`th action, before or
+    /// after the action takes effect.
+    pub fn run(&mut self, owner: &mut Owner, kill_at: usize, after_effect: bool) -> Option<Ended> {
+        let mut actions = 0;
+        let limit_ms = self.now_ms + LIMIT_MS;
+        while owner.driver.ended().is_none() {
+            assert!(self.now_ms < limit_ms, "the rollout does not end");
+            self.prepare(owner, true);
+            while !owner.pending.is_empty() {
+                actions += 1;
+                if actions > kill_at && !after_effect {
+                    return None;
+                }
+                self.carry_out_next(owner);
+                if actions > kill_at {
+                    return None;
+                }
+            }
+            self.tick();
+        }
+        owner.driver.ended()
+    }
+
+    /// Renews the lease, passes on results and takes the next actions.
+    pub fn prepare(&mut self, owner: &mut Owner, renews: bool) {
+        let now = self.now();
+        if renews {
+            owner.holder.renewed(Asked::at(now), LEASE_MS, now);
+        }
+        let arrived: Vec<_> =
+            owner.results.extract_if(.., |(at_ms, ..)| *at_ms <= self.now_ms).collect();
+        for (_, endpoint, id, result) in arrived {
+            owner.driver.order_answered(&endpoint, id, result, now);
+        }
+        owner.pending = owner.driver.step(now, owner.holder.permit(now), &self.reports);
+        owner.pending.retain(|action| !matches!(action, Action::WaitUntil(_)));
+    }
+
+    /// Carries out an action as the daemon does: an order only after the permit was asked again.
+    pub fn carry_out_next(&mut self, owner: &mut Owner) {
+        match owner.pending.remove(0) {
+            Action::WriteProgress(progress) => {
+                let outcome = match owner.revision == self.stored_revision {
+                    true => WriteOutcome::Written,
+                    false => WriteOutcome::Conflict,
+                };
+                if outcome == WriteOutcome::Written {
+                    self.stored = progress.encode().unwrap();
+                    self.stored_revision += 1;
+                    owner.revision = self.stored_revision;
+                }
+                owner.driver.progress_written(&progress, outcome);
+            }
+            Action::GiveOrder { id, endpoint, order, fencing, deadline } => {
+                let now = self.now();
+                let may_send = owner.holder.permit(now).is_some() && !deadline.has_passed(now);
+                let (at_ms, result) = match may_send {
+                    true => self.order(&endpoint, order, fencing),
+                    false => (self.now_ms, OrderResult::Failed),
+                };
+                owner.results.push((at_ms, endpoint, id, result));
+            }
+            Action::WaitUntil(_) | Action::Report(_) => {}
+        }
+    }
+
+    fn order(
+        &mut self,
+        endpoint: &EndpointId,
+        order: ReplicaOrder,
+        fencing: FencingNumber,
+    ) -> (u64, OrderResult) {
+        let index: usize = endpoint.as_str().trim_start_matches("replica-").parse().unwrap();
+        let replica = &mut self.replicas[index];
+        if replica.checks_fencing && fencing < replica.highest_fencing {
+            return (self.now_ms, OrderResult::Fenced);
+        }
+        replica.highest_fencing = replica.highest_fencing.max(fencing);
+        self.orders.push((self.now_ms, fencing, endpoint.clone(), order.clone()));
+        match order {
+            ReplicaOrder::Drain => replica.leaving = true,
+            ReplicaOrder::Return => replica.leaving = false,
+            ReplicaOrder::Load(_) if replica.fails_to_load => {
+                return (self.now_ms + 1_000, OrderResult::Failed);
+            }
+            ReplicaOrder::Load(Target::Version(version)) => {
+                replica.loading = Some((self.now_ms + 1_000, version));
+                return (self.now_ms + 1_000, OrderResult::Done);
+            }
+            ReplicaOrder::Load(_) => {}
+        }
+        (self.now_ms + TICK_MS, OrderResult::Done)
+    }
+}
+
+fn tick_replica(replica: &mut Replica, now_ms: u64) {
+    if let Some((_, version)) = replica.loading.take_if(|(end_ms, _)| *end_ms <= now_ms) {
+        replica.version = version;
+    }
+    if replica.restarts_at_ms.take_if(|at_ms| *at_ms <= now_ms).is_some() {
+        replica.incarnation += 1;
+        replica.leaving = false;
+        replica.loading = None;
+        replica.busy_until_ms = 0;
+    }
+}
+
+fn report(replica: &Replica, now_ms: u64) -> ReplicaReport {
+    let state = match replica.leaving {
+        true => ReplicaState::Leaving,
+        false => ReplicaState::Warm,
+    };
+    ReplicaReport {
+        incarnation: Incarnation::new(replica.incarnation),
+        state,
+        version: replica.version.clone(),
+        adapters: Vec::new(),
+        role: Role::Mixed,
+        unfinished_requests: u32::from(now_ms < replica.busy_until_ms),
+        reported_at: Instant::from_ms(now_ms),
+    }
+}
