decisions: spread probes that are given up without an outcome

Cause: a probe that passes the outage gate reserved the next one for a fixed time, so the nodes of a fleet whose probes were given up together probed together again. Change: the reservation is drawn from the upper half of the limit. A new test fails without the jitter.

--- a/crates/decisions/examples/measure_platform.rs
+++ b/crates/decisions/examples/measure_platform.rs
@@ -165,8 +165,8 @@
         }
     }
 
-    fn may_call(&mut self, now: Instant) -> bool {
-        if self.gate.admit(CallRank::Refresh, now) != Admission::Go {
+    fn may_call(&mut self, now: Instant, random: &mut StdRng) -> bool {
+        if self.gate.admit(CallRank::Refresh, now, random) != Admission::Go {
             return false;
         }
         let deadline = Deadline::after_ms(now, 1);
@@ -179,7 +179,7 @@
     /// Makes the reads that the node may make now and returns their number.
     fn tick_gated(&mut self, now: Instant, is_up: bool, random: &mut StdRng) -> u32 {
         let mut calls = 0;
-        while self.remaining_reads > 0 && self.may_call(now) {
+        while self.remaining_reads > 0 && self.may_call(now, random) {
             calls += 1;
             if !is_up {
                 self.gate.failed(now, random);
--- a/crates/decisions/src/platform_budget/outage_gate.rs
+++ b/crates/decisions/src/platform_budget/outage_gate.rs
@@ -60,7 +60,7 @@
     }
 
     /// Asks whether a call may be made; during an outage the call that passes is the probe.
-    pub fn admit(&mut self, rank: CallRank, now: Instant) -> Admission {
+    pub fn admit(&mut self, rank: CallRank, now: Instant, random: &mut dyn Rng) -> Admission {
         if rank == CallRank::Command {
             return Admission::Go;
         }
@@ -68,8 +68,10 @@
         match &mut self.state {
             State::Up => Admission::Go,
             State::Down { next_probe, .. } if now >= *next_probe => {
-                // Until its outcome is known no other call passes, unless it takes too long.
-                *next_probe = Deadline::after_ms(now, probe_limit_ms).instant();
+                // Until its outcome is known no other call passes, unless it takes too long. Without
+                // jitter, nodes whose probes are given up together would probe together again.
+                let wait_ms = random.random_range(probe_limit_ms / 2..=probe_limit_ms);
+                *next_probe = Deadline::after_ms(now, wait_ms).instant();
                 Admission::Go
             }
             State::Down { next_probe, .. } => Admission::WaitUntil(*next_probe),
--- a/crates/decisions/tests/platform_budget.rs
+++ b/crates/decisions/tests/platform_budget.rs
@@ -212,7 +212,9 @@
     for now_ms in (0..OUTAGE_MS + 30_000).step_by(10) {
         for (gate, has_returned) in gates.iter_mut().zip(&mut has_returned) {
             let was_down = gate.is_down();
-            if *has_returned || gate.admit(CallRank::Refresh, at(now_ms)) != Admission::Go {
+            if *has_returned
+                || gate.admit(CallRank::Refresh, at(now_ms), &mut random) != Admission::Go
+            {
                 continue;
             }
             match now_ms < OUTAGE_MS {
@@ -237,6 +239,29 @@
     assert!(most_in_window(&probes, 1_000) <= WRITES_PER_S);
 }
 
+/// Guards against nodes that probe together again after their probes were given up together.
+#[test]
+fn probes_that_are_given_up_do_not_recur_in_step() {
+    // Arrange
+    let mut random = random();
+    let mut gates = vec![OutageGate::new(340); 340];
+    gates.iter_mut().for_each(|gate| gate.failed(at(0), &mut random));
+
+    // Act: every probe that passes is given up without an outcome.
+    let mut probes = Vec::new();
+    for now_ms in (1_000..30_000).step_by(10) {
+        for gate in &mut gates {
+            if gate.admit(CallRank::Refresh, at(now_ms), &mut random) == Admission::Go {
+                probes.push(now_ms);
+            }
+        }
+    }
+
+    // Assert
+    probes.retain(|&probe| probe > 2_000);
+    assert!(most_in_window(&probes, 1_000) <= WRITES_PER_S);
+}
+
 /// Guards against a refresh that waits seconds because one call failed.
 #[test]
 fn short_failure_delays_refreshes_only_shortly() {
@@ -249,7 +274,7 @@
     gate.succeeded(at(1_050), &mut random);
 
     // Assert
-    assert_eq!(gate.admit(CallRank::Refresh, at(1_100)), Admission::Go);
+    assert_eq!(gate.admit(CallRank::Refresh, at(1_100), &mut random), Admission::Go);
 }
 
 /// Guards against a holder that acts after a pause in which its lease expired.
--- a/crates/platform/src/managed.rs
+++ b/crates/platform/src/managed.rs
@@ -146,7 +146,11 @@
     async fn pass_gate(&self, rank: CallRank, deadline: Deadline) -> Result<(), PlatformError> {
         loop {
             let now = self.clock.now();
-            let admission = self.lock().gate.admit(rank, now);
+            let admission = {
+                let mut guard = self.lock();
+                let State { gate, random, .. } = &mut *guard;
+                gate.admit(rank, now, random)
+            };
             match admission {
                 Admission::Go => return Ok(()),
                 Admission::WaitUntil(_) if deadline.has_passed(now) => {
