--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`platform_budget`]: calls to the platform: budget, backoff, lost answers and leases.
 //! * [`quorum`]: in-memory majority votes.
 //! * [`retry`]: whether and how a failed attempt is followed by another.
+//! * [`rollout`]: orders to the replicas of a model, a few at a time.
 //! * [`routing`]: the prefix index and the choice of an endpoint.
 
 pub mod admission;
@@ -30,4 +31,5 @@
 pub mod platform_budget;
 pub mod quorum;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
