decisions: compare the placement policies in a discrete-event model

Cause: the policies have to be judged by time to first token, recomputed work and refusals, with prompts that return after the caches have evicted them. The round robin counted all candidates and so gave the endpoint behind each gap several turns; it now counts those that take work, and a test guards it.

--- /dev/null
+++ b/crates/decisions/examples/compare_policies/workload.rs
@@ -0,0 +1,96 @@
+//! Prompts that return after long gaps.
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use yuccapass_decisions::routing::placement::PlacementRequest;
+use yuccapass_types::{BlockHash, Bytes, Tokens};
+
+/// Prompt tokens in a block.
+pub const BLOCK_TOKENS: u64 = 64;
+/// KV cache bytes of a block.
+pub const BLOCK_BYTES: u64 = 1_000_000;
+
+const ORGANISATIONS: usize = 10;
+const CONVERSATIONS: usize = 1_200;
+/// Blocks that a conversation grows by each time it returns.
+const GROWTH_BLOCKS: usize = 2;
+const MAX_BLOCKS: usize = 128;
+
+struct Conversation {
+    chain: Vec<BlockHash>,
+    length_blocks: usize,
+    /// Blocks that any endpoint processed before.
+    processed_blocks: usize,
+}
+
+/// All conversations of all organisations.
+pub struct Workload {
+    conversations: Vec<Conversation>,
+}
+
+/// A request of a conversation.
+#[derive(Clone)]
+pub struct Prompt {
+    pub chain: Vec<BlockHash>,
+    /// Blocks that any endpoint processed before.
+    pub processed_blocks: usize,
+    pub answer_tokens: u64,
+}
+
+impl Workload {
+    pub fn new(random: &mut StdRng) -> Self {
+        let prefixes: Vec<Vec<BlockHash>> = (0..ORGANISATIONS).map(|_| blocks(random, 8)).collect();
+        let conversations = (0..CONVERSATIONS).map(|_| {
+            // A few organisations are large.
+            let organisation =
+                random.random_range(0..ORGANISATIONS).min(random.random_range(0..10));
+            let mut chain = prefixes[organisation].clone();
+            chain.extend(blocks(random, MAX_BLOCKS - chain.len()));
+            let length_blocks = random.random_range(16..100);
+            Conversation { chain, length_blocks, processed_blocks: 0 }
+        });
+        Self { conversations: conversations.collect() }
+    }
+
+    /// Returns the mean length of a prompt.
+    pub fn mean_prompt_tokens(&self) -> u64 {
+        let blocks: usize = self.conversations.iter().map(|c| c.length_blocks).sum();
+        blocks as u64 * BLOCK_TOKENS / self.conversations.len() as u64
+    }
+
+    /// Draws the next request; each conversation returns after a random gap.
+    pub fn next(&mut self, random: &mut StdRng) -> Prompt {
+        let number = random.random_range(0..self.conversations.len());
+        let conversation = &mut self.conversations[number];
+        let prompt = Prompt {
+            chain: conversation.chain[..conversation.length_blocks].to_vec(),
+            processed_blocks: conversation.processed_blocks,
+            answer_tokens: random.random_range(20..100),
+        };
+        conversation.processed_blocks = conversation.length_blocks;
+        conversation.length_blocks = (conversation.length_blocks + GROWTH_BLOCKS).min(MAX_BLOCKS);
+        prompt
+    }
+}
+
+impl Prompt {
+    pub fn tokens(&self) -> u64 {
+        self.chain.len() as u64 * BLOCK_TOKENS
+    }
+
+    /// Returns the request for placement, without import sources.
+    pub fn request(&self) -> PlacementRequest {
+        PlacementRequest {
+            prompt: Tokens::new(self.tokens()),
+            prompt_blocks: self.chain.len() as u32,
+            block_size: Bytes::new(BLOCK_BYTES),
+            is_suspect: false,
+            sources: Vec::new(),
+            link_allowance: Bytes::ZERO,
+        }
+    }
+}
+
+fn blocks(random: &mut StdRng, count: usize) -> Vec<BlockHash> {
+    (0..count).map(|_| BlockHash::from_bits(random.random())).collect()
+}
--- a/crates/decisions/src/routing/placement/baseline.rs
+++ b/crates/decisions/src/routing/placement/baseline.rs
@@ -38,9 +38,9 @@
         _random: &mut dyn Rng,
     ) -> Result<Placement, NoPlacement> {
         let eligible = eligible(request, candidates)?;
-        let turn = self.next.fetch_add(1, Ordering::Relaxed) % candidates.len();
-        let after = eligible.partition_point(|&position| position < turn);
-        let position = eligible[after % eligible.len()];
+        // The turn counts eligible candidates only: counting all of them sent every turn of a gap to
+        // the candidate behind it.
+        let position = eligible[self.next.fetch_add(1, Ordering::Relaxed) % eligible.len()];
         Ok(candidates[position].plain_placement(request, position))
     }
 }
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -258,6 +258,24 @@
     assert_eq!(used, [true; 10]);
 }
 
+/// Guards against a round robin that serves the endpoints behind a gap more often than others.
+#[test]
+fn round_robin_is_even_over_those_that_take_work() {
+    // Arrange
+    let mut candidates = candidates(8);
+    (0..5).for_each(|position| candidates[position].distance = ZoneDistance::OtherRegion);
+    let policy = RoundRobinPolicy::default();
+    let mut sent = [0; 8];
+
+    // Act
+    for _ in 0..30 {
+        sent[place(&policy, &request(), &candidates).unwrap().candidate] += 1;
+    }
+
+    // Assert
+    assert_eq!(sent, [0, 0, 0, 0, 0, 10, 10, 10]);
+}
+
 /// Guards against a prompt shorter than a block that counts as cached.
 #[test]
 fn prompt_without_a_whole_block_is_not_cached() {
