--- a/crates/decisions/src/config/chunk.rs
+++ b/crates/decisions/src/config/chunk.rs
@@ -25,6 +25,16 @@
     pub fn of(bytes: &[u8]) -> Self {
         Self(*blake3::hash(bytes).as_bytes())
     }
+
+    /// Wraps the bytes of a hash that a message carries.
+    pub const fn from_bytes(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the bytes of the hash.
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
 }
 
 impl fmt::Display for ChunkHash {
--- a/crates/decisions/src/crash_guard.rs
+++ b/crates/decisions/src/crash_guard.rs
@@ -236,6 +236,14 @@
             .retain(|_, counts| !Deadline::after_ms(counts.last_crash, block_ms).has_passed(now));
     }
 
+    /// Returns how many fingerprints are blocked.
+    pub fn blocked(&self, now: Instant) -> usize {
+        let is_blocked = |&&fingerprint: &&Fingerprint| {
+            matches!(self.verdict(fingerprint, now), Verdict::Blocked { .. })
+        };
+        self.counts.keys().filter(is_blocked).count()
+    }
+
     /// Returns the number of fingerprints in the table.
     pub fn len(&self) -> usize {
         self.counts.len()
--- a/crates/decisions/src/ledger/attempt.rs
+++ b/crates/decisions/src/ledger/attempt.rs
@@ -160,6 +160,12 @@
         self.proposal.withdraw()
     }
 
+    /// Ends an attempt whose receiver said that the request did not run; returns the voters to which
+    /// a release is to be sent.
+    pub fn withdraw_without_effect(&mut self) -> Vec<NodeId> {
+        self.proposal.withdraw_without_effect()
+    }
+
     fn finished_decision(&self, holder: &Holder) -> Option<LedgerDecision> {
         if holder.outcome != OutcomeState::Pending && holder.digest != self.digest {
             return Some(reject(ResultCode::KeyReused, RunState::Ran));
@@ -167,7 +173,7 @@
         match &holder.outcome {
             OutcomeState::Pending => None,
             OutcomeState::Recorded(outcome) => Some(LedgerDecision::Return(outcome.clone())),
-            OutcomeState::NotKept => Some(reject(ResultCode::OutcomeUnknown, RunState::Ran)),
+            OutcomeState::NotKept => Some(reject(ResultCode::OutcomeUnknown, RunState::Unknown)),
         }
     }
 }
--- a/crates/decisions/src/membership/heartbeat.rs
+++ b/crates/decisions/src/membership/heartbeat.rs
@@ -34,8 +34,12 @@
 pub struct CrashCount {
     /// Fingerprint of the request.
     pub fingerprint: u64,
+    /// Orders what the sending process says about crashes; larger is newer.
+    pub number: u64,
     /// Crashes.
     pub count: u32,
+    /// Time since the last of them.
+    pub age_ms: u64,
 }
 
 /// A heartbeat.
@@ -93,5 +97,6 @@
 }
 
 fn crash_bytes(crash: &CrashCount) -> usize {
-    2 + 1 + 8 + 1 + varint_bytes(u64::from(crash.count))
+    let numbers = [crash.number, u64::from(crash.count), crash.age_ms];
+    2 + 1 + 8 + numbers.into_iter().map(|number| 1 + varint_bytes(number)).sum::<usize>()
 }
--- a/crates/decisions/src/permits/owner.rs
+++ b/crates/decisions/src/permits/owner.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Sets what the endpoint sustains from all nodes together, as it warms up.
+    pub fn set_max_requests(&mut self, max_requests: u32) {
+        self.max_requests = max_requests;
+    }
+
     /// Notes a load report of the endpoint.
     ///
     /// `taken_at` is the earliest instant that the report may describe: when it was asked for, less
--- a/crates/decisions/src/quorum/proposal.rs
+++ b/crates/decisions/src/quorum/proposal.rs
@@ -155,9 +155,19 @@
         if self.was_sent {
             return None;
         }
+        Some(self.end())
+    }
+
+    /// Ends a proposal whose winner has acted, but certainly without effect: whatever received the
+    /// request said that it did not run. Returns the voters to which a release is to be sent.
+    pub fn withdraw_without_effect(&mut self) -> Vec<NodeId> {
+        self.end()
+    }
+
+    fn end(&mut self) -> Vec<NodeId> {
         self.withdrawn = true;
         let may_have_voted =
             |node: &&NodeId| matches!(self.answers.get(node), None | Some(VoteAnswer::Granted));
-        Some(self.panel.nodes().iter().filter(may_have_voted).cloned().collect())
+        self.panel.nodes().iter().filter(may_have_voted).cloned().collect()
     }
 }
--- a/crates/decisions/src/quorum/vote_table.rs
+++ b/crates/decisions/src/quorum/vote_table.rs
@@ -25,7 +25,8 @@
     Pending,
     /// The request ran with this outcome.
     Recorded(Outcome),
-    /// The request ran, but its outcome was too large or there was no memory for it.
+    /// The request ran, or may have run, and its outcome is not known here: it was too large, there
+    /// was no memory for it, or its endpoint failed.
     NotKept,
 }
 
--- a/crates/decisions/tests/membership.rs
+++ b/crates/decisions/tests/membership.rs
@@ -263,7 +263,15 @@
     let usage =
         |index| OrganisationUsage { organisation: long(index).parse().unwrap(), tokens_per_s };
     membership.set_usage((0..100).map(usage).collect());
-    membership.set_crashes(vec![CrashCount { fingerprint: 1, count: u32::MAX }; 100]);
+    membership.set_crashes(vec![
+        CrashCount {
+            fingerprint: 1,
+            number: u64::MAX,
+            count: u32::MAX,
+            age_ms: u64::MAX
+        };
+        100
+    ]);
 
     // Act
     let heartbeat = membership.heartbeat();
--- a/crates/peers/src/convert/members.rs
+++ b/crates/peers/src/convert/members.rs
@@ -19,8 +19,12 @@
             organisation: usage.organisation.to_string(),
             tokens_per_s: usage.tokens_per_s.get(),
         };
-        let crash =
-            |crash: CrashCount| WireCrash { fingerprint: crash.fingerprint, count: crash.count };
+        let crash = |crash: CrashCount| WireCrash {
+            fingerprint: crash.fingerprint,
+            count: crash.count,
+            number: crash.number,
+            age_ms: crash.age_ms,
+        };
         Self {
             own: Some(heartbeat.own.into()),
             rows: heartbeat.rows.into_iter().map(WireRow::from).collect(),
@@ -42,8 +46,12 @@
             let tokens_per_s = TokensPerSecond::new(usage.tokens_per_s);
             Ok(OrganisationUsage { organisation, tokens_per_s })
         };
-        let crash =
-            |crash: WireCrash| CrashCount { fingerprint: crash.fingerprint, count: crash.count };
+        let crash = |crash: WireCrash| CrashCount {
+            fingerprint: crash.fingerprint,
+            number: crash.number,
+            count: crash.count,
+            age_ms: crash.age_ms,
+        };
         Ok(Self {
             own: required("own", wire.own)?.try_into()?,
             rows: wire.rows.into_iter().map(Row::try_from).collect::<Result<_, _>>()?,
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -94,6 +94,10 @@
     pub(crate) fingerprint: u64,
     #[prost(uint32, tag = "2")]
     pub(crate) count: u32,
+    #[prost(uint64, tag = "3")]
+    pub(crate) number: u64,
+    #[prost(uint64, tag = "4")]
+    pub(crate) age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -49,7 +49,7 @@
         own: row(number, RowState::Leaving, name),
         rows: vec![row(number, RowState::Left, name); rows],
         usage: vec![usage; 3],
-        crashes: vec![CrashCount { fingerprint: number, count: 2 }],
+        crashes: vec![CrashCount { fingerprint: number, number, count: 2, age_ms: 5 }],
     }
 }
 
--- a/crates/yuccapassd/src/admission.rs
+++ b/crates/yuccapassd/src/admission.rs
@@ -114,6 +114,13 @@
         })
     }
 
+    /// Returns how many requests wait.
+    pub(crate) fn waiting_requests(&self) -> u32 {
+        self.queues.fold(0, |sum, shard| {
+            sum + shard.values().map(|model_queue| model_queue.queue.len() as u32).sum::<u32>()
+        })
+    }
+
     /// Tells that a model may have room.
     pub(crate) fn wake(&self, model: &ModelId) {
         let _ = self.wake.try_send(model.clone());
--- /dev/null
+++ b/crates/yuccapassd/src/commands.rs
@@ -0,0 +1,305 @@
+//! Operators' queries and commands.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use yuccapass_decisions::change::{Accepted, Command, ExecuteError, Next, execute};
+use yuccapass_decisions::config::{ActiveConfig, Manifest, Source};
+use yuccapass_decisions::platform_budget::CallRank;
+use yuccapass_http::sleep_until;
+use yuccapass_operators::{
+    Acceptance, CommandAnswer, CommandHandler, ConflictAnswer, Query, Refusal, Subject, Table,
+    show_document,
+};
+use yuccapass_platform::{
+    Compare, Entry, KeyValue, PlatformClient, PlatformError, PlatformErrorKind, RankedKeyValue,
+    Transaction, TransactionOutcome, Value, Write,
+};
+use yuccapass_types::{Deadline, ModelId, ResultCode, Revision};
+
+use crate::fleet::ConfigurationSync;
+use crate::fleet::configuration_sync::{chunk_key, manifest_key};
+use crate::request_path::Core;
+
+/// How long a command may take.
+const COMMAND_TIMEOUT_MS: u64 = 10_000;
+
+/// How long an accepted command waits for the other nodes before it reports how many have it.
+const SPREAD_WAIT_MS: u64 = 3_000;
+
+/// Pause between two looks at the other nodes, and before another try after a lost race.
+const PAUSE_MS: u64 = 50;
+
+/// Most tries against other operators' commands.
+const MAX_TRIES: u32 = 8;
+
+/// Answers operators from this node's state and the platform.
+pub(crate) struct Commands {
+    pub(crate) core: Arc<Core>,
+    pub(crate) sync: Arc<ConfigurationSync>,
+    pub(crate) platform: Option<Arc<PlatformClient>>,
+}
+
+/// The manifest that the platform holds.
+struct Held {
+    entry: Option<Entry>,
+    config: Arc<ActiveConfig>,
+}
+
+#[async_trait]
+impl CommandHandler for Commands {
+    async fn query(&self, query: &Query) -> Result<Table, Refusal> {
+        let active = self.core.configuration.active();
+        match query {
+            Query::Rollout(model) => self.rollout(model),
+            Query::Show { subject, filters } => {
+                let mut table = match subject {
+                    Subject::Nodes => self.nodes(),
+                    Subject::Requests => self.requests(),
+                    _ => show_document(&active.config, *subject, filters)
+                        .ok_or_else(|| Refusal::new(ResultCode::NotFound))?,
+                };
+                table.narrow(filters);
+                Ok(table)
+            }
+        }
+    }
+
+    async fn command(&self, command: Command, dry_run: bool) -> CommandAnswer {
+        let Some(platform) = &self.platform else {
+            let refusal = Refusal::new(ResultCode::PlatformUnavailable);
+            return CommandAnswer::Refused(refusal.detail("this node has no platform address"));
+        };
+        let key_value = platform.ranked(CallRank::Command);
+        let deadline = Deadline::after_ms(self.core.clock.now(), COMMAND_TIMEOUT_MS);
+        for _ in 0..MAX_TRIES {
+            match self.try_command(&key_value, &command, dry_run, deadline).await {
+                Ok(Some(answer)) => return answer,
+                Ok(None) => self.pause(PAUSE_MS).await,
+                Err(error) => return CommandAnswer::Refused(unavailable(&error)),
+            }
+        }
+        let refusal = Refusal::new(ResultCode::Conflict);
+        CommandAnswer::Refused(refusal.detail("other commands were faster each time"))
+    }
+}
+
+impl Commands {
+    /// Tries a command against what the platform holds now; `None` if another command was faster.
+    ///
+    /// An error means that nothing was written.
+    async fn try_command(
+        &self,
+        key_value: &RankedKeyValue,
+        command: &Command,
+        dry_run: bool,
+        deadline: Deadline,
+    ) -> Result<Option<CommandAnswer>, PlatformError> {
+        let Some(held) = self.held(key_value, deadline).await? else { return Ok(None) };
+        let next = match execute(&held.config, command) {
+            Ok(Accepted::Write(next)) => next,
+            Ok(Accepted::Repeated(revision)) => {
+                return Ok(Some(self.accepted(command, revision, true, dry_run).await));
+            }
+            Ok(Accepted::Unchanged(revision)) => {
+                return Ok(Some(self.accepted(command, revision, false, dry_run).await));
+            }
+            Err(ExecuteError::Refused { error }) => {
+                return Ok(Some(CommandAnswer::Refused(Refusal::from(&error))));
+            }
+            Err(ExecuteError::Conflict { conflict }) => {
+                return Ok(Some(CommandAnswer::Conflict(ConflictAnswer::from(&*conflict))));
+            }
+        };
+        if dry_run {
+            let revision = next.config.manifest().revision;
+            return Ok(Some(self.accepted(command, revision, false, true).await));
+        }
+        self.write_chunks(key_value, &held, &next, deadline).await?;
+        self.swap_manifest(key_value, command, &held, &next, deadline).await
+    }
+
+    /// Reads the manifest and puts its configuration in force here first; `None` if that takes
+    /// another try.
+    async fn held(
+        &self,
+        key_value: &RankedKeyValue,
+        deadline: Deadline,
+    ) -> Result<Option<Held>, PlatformError> {
+        let entry = key_value.get(&manifest_key(), deadline).await?.entry;
+        if let Some(entry) = &entry {
+            self.sync.offer_manifest(Source::Platform, entry.value.as_bytes()).await;
+        }
+        let config = Arc::clone(&self.core.configuration.active().config);
+        let is_in_force = entry.as_ref().is_none_or(|entry| {
+            Manifest::decode(entry.value.as_bytes())
+                .is_ok_and(|manifest| manifest == *config.manifest())
+        });
+        Ok(is_in_force.then_some(Held { entry, config }))
+    }
+
+    /// Writes the chunks that the platform lacks. They are named by their content, so writing one
+    /// twice changes nothing, and none counts before the manifest names it.
+    async fn write_chunks(
+        &self,
+        key_value: &RankedKeyValue,
+        held: &Held,
+        next: &Next,
+        deadline: Deadline,
+    ) -> Result<(), PlatformError> {
+        // The first manifest is written by a node that started from a file.
+        let is_first = held.entry.is_none();
+        for hash in &next.config.manifest().chunks {
+            let is_new = next.new_chunks.iter().any(|(new, _)| new == hash);
+            if !is_first && !is_new {
+                continue;
+            }
+            let Some(bytes) = next.config.chunk_bytes(hash) else { continue };
+            let value = Value::new(bytes).map_err(|error| invalid_value(&error))?;
+            let write = Write::Put { key: chunk_key(hash), value, lease: None };
+            let transaction = Transaction { compares: Vec::new(), writes: vec![write] };
+            key_value.compare_and_swap(&transaction, deadline).await?;
+        }
+        Ok(())
+    }
+
+    async fn swap_manifest(
+        &self,
+        key_value: &RankedKeyValue,
+        command: &Command,
+        held: &Held,
+        next: &Next,
+        deadline: Deadline,
+    ) -> Result<Option<CommandAnswer>, PlatformError> {
+        let key = manifest_key();
+        let compare = match &held.entry {
+            Some(entry) => Compare::ModRevision(key.clone(), entry.mod_revision),
+            None => Compare::Absent(key.clone()),
+        };
+        let manifest = next.config.manifest();
+        let value = Value::new(manifest.encode()).map_err(|error| invalid_value(&error))?;
+        let write = Write::Put { key, value: value.clone(), lease: None };
+        let transaction = Transaction { compares: vec![compare], writes: vec![write] };
+        match key_value.compare_and_swap(&transaction, deadline).await {
+            Ok(TransactionOutcome::Committed { .. }) => {
+                self.sync.offer_manifest(Source::Platform, value.as_bytes()).await;
+                Ok(Some(self.accepted(command, manifest.revision, false, false).await))
+            }
+            Ok(TransactionOutcome::Conflict { .. }) => Ok(None),
+            Err(error) if error.kind() == PlatformErrorKind::Unknown => {
+                Ok(Some(self.read_back(key_value, command, deadline).await))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Finds out whether a command took effect whose answer was lost.
+    async fn read_back(
+        &self,
+        key_value: &RankedKeyValue,
+        command: &Command,
+        deadline: Deadline,
+    ) -> CommandAnswer {
+        let unknown = Refusal::new(ResultCode::CommandOutcomeUnknown);
+        let Ok(answer) = key_value.get(&manifest_key(), deadline).await else {
+            return CommandAnswer::Unknown(unknown);
+        };
+        let Some(entry) = answer.entry else { return CommandAnswer::Unknown(unknown) };
+        let manifest = Manifest::decode(entry.value.as_bytes()).ok();
+        match manifest.as_ref().and_then(|manifest| manifest.command(&command.id)) {
+            Some(applied) => {
+                let revision = applied.revision;
+                self.sync.offer_manifest(Source::Platform, entry.value.as_bytes()).await;
+                self.accepted(command, revision, false, false).await
+            }
+            // The write may still be on its way.
+            None => CommandAnswer::Unknown(unknown),
+        }
+    }
+
+    async fn accepted(
+        &self,
+        command: &Command,
+        revision: Revision,
+        repeated: bool,
+        dry_run: bool,
+    ) -> CommandAnswer {
+        let limit = Deadline::after_ms(self.core.clock.now(), SPREAD_WAIT_MS);
+        let (mut in_force_nodes, mut known_nodes) = self.core.members.in_force(revision);
+        while !dry_run && in_force_nodes < known_nodes && !limit.has_passed(self.core.clock.now()) {
+            self.pause(PAUSE_MS).await;
+            (in_force_nodes, known_nodes) = self.core.members.in_force(revision);
+        }
+        CommandAnswer::Accepted(Acceptance {
+            revision,
+            description: command.change.to_smolstr(),
+            in_force_nodes,
+            known_nodes,
+            repeated,
+            dry_run,
+        })
+    }
+
+    async fn pause(&self, ms: u64) {
+        let deadline = Deadline::after_ms(self.core.clock.now(), ms);
+        sleep_until(&*self.core.clock, deadline).await;
+    }
+
+    fn nodes(&self) -> Table {
+        let columns = ["node", "zone", "state", "revision", "running", "queued", "admin address"];
+        let mut table = Table::new(self.core.configuration.revision(), &columns);
+        for status in self.core.members.statuses() {
+            let row = &status.row;
+            table.rows.push(vec![
+                row.node.to_smolstr(),
+                row.zone.to_smolstr(),
+                SmolStr::new(status.state),
+                row.revision.to_smolstr(),
+                format_smolstr!("{}", row.load.running_requests),
+                format_smolstr!("{}", row.load.queued_requests),
+                row.admin_address.to_smolstr(),
+            ]);
+        }
+        table
+    }
+
+    fn requests(&self) -> Table {
+        let columns = ["request", "organisation", "model", "endpoint", "age in ms"];
+        let mut table = Table::new(self.core.configuration.revision(), &columns);
+        table.rows = self.core.endpoints.running_rows();
+        table
+    }
+
+    /// Shows which version each replica of a model serves.
+    fn rollout(&self, model: &ModelId) -> Result<Table, Refusal> {
+        let active = self.core.configuration.active();
+        let document = active.document();
+        let found = document.model(model).ok_or_else(|| {
+            Refusal::new(ResultCode::ModelNotFound).detail(format_smolstr!("there is no {model}"))
+        })?;
+        let columns = ["endpoint", "zone", "wanted version", "version", "state"];
+        let mut table = Table::new(document.revision, &columns);
+        for endpoint in document.endpoints_of(model) {
+            let wanted = found.version_in(&endpoint.zone);
+            let (version, state) = self.core.endpoints.version_and_phase(endpoint);
+            table.finished &= version.as_ref() == Some(wanted);
+            table.rows.push(vec![
+                endpoint.id.to_smolstr(),
+                endpoint.zone.to_smolstr(),
+                wanted.to_smolstr(),
+                version.map_or_else(|| SmolStr::new("unknown"), |version| version.to_smolstr()),
+                SmolStr::new(state),
+            ]);
+        }
+        Ok(table)
+    }
+}
+
+fn unavailable(error: &PlatformError) -> Refusal {
+    Refusal::new(ResultCode::PlatformUnavailable).detail(error)
+}
+
+fn invalid_value(error: &impl std::fmt::Display) -> PlatformError {
+    PlatformError::new(PlatformErrorKind::Protocol, error.to_string())
+}
--- a/crates/yuccapassd/src/crash_guard.rs
+++ b/crates/yuccapassd/src/crash_guard.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
+use async_std::channel::{Receiver, Sender, bounded};
 use yuccapass_decisions::crash_guard::{
     CrashGuard, CrashGuardSettings, CrashReport, Fingerprint, Verdict,
 };
@@ -13,12 +14,19 @@
 pub(crate) struct SharedCrashGuard {
     guard: Mutex<CrashGuard>,
     clock: Arc<dyn Clock>,
+    counted: Sender<()>,
 }
 
 impl SharedCrashGuard {
-    pub(crate) fn new(node: NodeId, incarnation: Incarnation, clock: Arc<dyn Clock>) -> Self {
+    /// Makes an empty guard and the receiver of a signal for each crash that this node counts.
+    pub(crate) fn new(
+        node: NodeId,
+        incarnation: Incarnation,
+        clock: Arc<dyn Clock>,
+    ) -> (Self, Receiver<()>) {
         let guard = CrashGuard::new(node, incarnation, CrashGuardSettings::default());
-        Self { guard: Mutex::new(guard), clock }
+        let (counted, receiver) = bounded(1);
+        (Self { guard: Mutex::new(guard), clock, counted }, receiver)
     }
 
     pub(crate) fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
@@ -33,6 +41,14 @@
     pub(crate) fn record_crash(&self, running: &[Fingerprint]) {
         let now = self.clock.now();
         self.with(|guard| guard.record_crash(running, now));
+        // One signal that waits is enough for several crashes.
+        let _ = self.counted.try_send(());
+    }
+
+    /// Returns how many fingerprints are blocked.
+    pub(crate) fn blocked(&self) -> usize {
+        let now = self.clock.now();
+        self.with(|guard| guard.blocked(now))
     }
 
     pub(crate) fn record_completion(&self, fingerprint: Fingerprint) {
--- a/crates/yuccapassd/src/dispatcher.rs
+++ b/crates/yuccapassd/src/dispatcher.rs
@@ -26,7 +26,7 @@
 /// Lets one request go if there is room; it wakes the dispatcher again once it is placed.
 fn offer(core: &Core, model: &ModelId) {
     let active = core.configuration.active();
-    if core.admission.has_waiting(model) && core.placer.has_room(&active.document, model) {
+    if core.admission.has_waiting(model) && core.placer.has_room(active.document(), model) {
         core.admission.release_next(model);
     }
 }
--- a/crates/yuccapassd/src/endpoint_table.rs
+++ b/crates/yuccapassd/src/endpoint_table.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use smol_str::{SmolStr, ToSmolStr};
 use yuccapass_decisions::config::{Document, Endpoint};
 use yuccapass_decisions::crash_guard::Fingerprint;
 use yuccapass_decisions::endpoint_health::{
-    AttemptResult, EndpointHealth, HealthReport, HealthSettings, LeavingSource, ReportedState,
+    AttemptResult, EndpointHealth, EndpointPhase, HealthReport, HealthSettings, LeavingSource,
+    ReportedState,
 };
 use yuccapass_decisions::routing::holder::HolderSlot;
 use yuccapass_decisions::routing::index::PrefixMatch;
@@ -14,7 +16,8 @@
 use yuccapass_endpoints::{EndpointState, HttpEndpoint, LoadReport, ModelEndpoint};
 use yuccapass_http::ClientConfig;
 use yuccapass_types::{
-    Clock, EndpointId, Incarnation, Instant, Sharded, SortedMap, Tokens, TokensPerSecond,
+    Clock, EndpointId, Incarnation, Instant, ModelId, OrganisationId, RequestId, Sharded,
+    SortedMap, Tokens, TokensPerSecond, WeightVersion,
 };
 
 use crate::prefix_cache_view::PrefixCacheView;
@@ -33,9 +36,10 @@
 struct Entry {
     /// Number of the endpoint in the prefix index.
     slot: Option<HolderSlot>,
+    model: ModelId,
     client: Arc<dyn ModelEndpoint>,
     /// Requests that this node runs there, by a number of this table.
-    running: Vec<(u64, Fingerprint)>,
+    running: Vec<RunningRequest>,
     /// What ran there when the first connection to a process of the endpoint broke.
     broken: Option<BrokenProcess>,
     load: Option<ReportedLoad>,
@@ -43,6 +47,21 @@
     mean_run_ms: u64,
 }
 
+/// What is remembered of a running request.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestNote {
+    pub(crate) id: RequestId,
+    pub(crate) organisation: OrganisationId,
+    pub(crate) fingerprint: Fingerprint,
+}
+
+#[derive(Debug)]
+struct RunningRequest {
+    number: u64,
+    start: Instant,
+    request: RequestNote,
+}
+
 /// The requests that a process of an endpoint may have crashed on.
 struct BrokenProcess {
     incarnation: Option<Incarnation>,
@@ -95,6 +114,54 @@
         });
     }
 
+    /// Returns how many requests this node runs.
+    pub(crate) fn running_requests(&self) -> u32 {
+        self.entries.fold(0, |sum, shard| {
+            sum + shard.values().map(|entry| entry.running.len() as u32).sum::<u32>()
+        })
+    }
+
+    /// Lists the running requests: request, organisation, model, endpoint, age.
+    pub(crate) fn running_rows(&self) -> Vec<Vec<SmolStr>> {
+        let now = self.clock.now();
+        self.entries.fold(Vec::new(), |mut rows, shard| {
+            for (id, entry) in shard.iter() {
+                rows.extend(entry.running.iter().map(|running| {
+                    vec![
+                        running.request.id.to_smolstr(),
+                        running.request.organisation.to_smolstr(),
+                        entry.model.to_smolstr(),
+                        id.to_smolstr(),
+                        now.ms_since(running.start).to_smolstr(),
+                    ]
+                }));
+            }
+            rows
+        })
+    }
+
+    /// Returns the version that an endpoint last reported, and its phase in words.
+    pub(crate) fn version_and_phase(
+        &self,
+        endpoint: &Endpoint,
+    ) -> (Option<WeightVersion>, &'static str) {
+        let now = self.clock.now();
+        self.with_entry(endpoint, |entry| {
+            let version = entry.load.as_ref().map(|load| load.report.version.clone());
+            (version, phase_name(entry.health.condition(now).phase))
+        })
+    }
+
+    /// Returns what an endpoint sustains while it is cold or warms up, and its process.
+    pub(crate) fn cold_process(&self, endpoint: &Endpoint) -> Option<(Incarnation, u32)> {
+        let now = self.clock.now();
+        self.with_entry(endpoint, |entry| {
+            let condition = entry.health.condition(now);
+            let incarnation = entry.incarnation().filter(|_| condition.needs_permit())?;
+            Some((incarnation, condition.sustainable_requests))
+        })
+    }
+
     /// Drops the endpoints that the configuration no longer has and that run nothing.
     pub(crate) fn retain(&self, document: &Document) {
         self.entries.fold((), |(), shard| {
@@ -113,7 +180,8 @@
     ) -> Option<Candidate> {
         let now = self.clock.now();
         self.with_entry(endpoint, |entry| {
-            let runs_other_suspect = entry.running.iter().any(|&(_, running)| is_suspect(running));
+            let runs_other_suspect =
+                entry.running.iter().any(|running| is_suspect(running.request.fingerprint));
             let candidate = entry.candidate(place, now)?;
             Some(Candidate { runs_other_suspect, ..candidate })
         })
@@ -123,12 +191,13 @@
     pub(crate) fn begin(
         self: &Arc<Self>,
         endpoint: &Endpoint,
-        fingerprint: Fingerprint,
+        request: RequestNote,
         prefill: Tokens,
     ) -> InFlight {
+        let start = self.clock.now();
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (client, incarnation) = self.with_entry(endpoint, |entry| {
-            entry.running.push((number, fingerprint));
+            entry.running.push(RunningRequest { number, start, request });
             if let Some(load) = &mut entry.load {
                 load.sent_since_requests += 1;
                 load.sent_since = load.sent_since + prefill;
@@ -136,7 +205,6 @@
             (Arc::clone(&entry.client), entry.incarnation())
         });
         let table = Arc::clone(self);
-        let start = self.clock.now();
         InFlight { table, client, number, incarnation, start }
     }
 
@@ -152,6 +220,7 @@
         let client = HttpEndpoint::new(endpoint.id.clone(), endpoint.address, config, clock);
         Entry {
             slot: self.prefix_caches.slot_of(&endpoint.id),
+            model: endpoint.model.clone(),
             client: Arc::new(client),
             running: Vec::new(),
             broken: None,
@@ -197,7 +266,7 @@
     }
 
     fn ended(&mut self, number: u64, run_ms: u64) {
-        self.running.retain(|&(running, _)| running != number);
+        self.running.retain(|running| running.number != number);
         // A moving mean over about eight answers.
         self.mean_run_ms = (self.mean_run_ms * 7 + run_ms) / 8;
     }
@@ -244,7 +313,8 @@
             let is_known =
                 entry.broken.as_ref().is_some_and(|broken| broken.incarnation == self.incarnation);
             if !is_known {
-                let running = entry.running.iter().map(|&(_, fingerprint)| fingerprint).collect();
+                let running =
+                    entry.running.iter().map(|running| running.request.fingerprint).collect();
                 entry.broken = Some(BrokenProcess { incarnation: self.incarnation, running });
             }
         });
@@ -278,6 +348,17 @@
     }
 }
 
+fn phase_name(phase: EndpointPhase) -> &'static str {
+    match phase {
+        EndpointPhase::Unknown => "unknown",
+        EndpointPhase::Cold => "cold",
+        EndpointPhase::Warming => "warming",
+        EndpointPhase::Warm => "warm",
+        EndpointPhase::Silent => "silent",
+        EndpointPhase::Leaving => "leaving",
+    }
+}
+
 fn health_report(report: &LoadReport) -> HealthReport {
     HealthReport {
         incarnation: report.incarnation,
--- /dev/null
+++ b/crates/yuccapassd/src/fleet/members.rs
@@ -0,0 +1,203 @@
+//! The nodes that this node knows.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use yuccapass_decisions::membership::{
+    Heartbeat, HeartbeatTarget, LoadSummary, MemberEvent, MemberState, Membership,
+    MembershipConfig, OrganisationUsage, Row, RowState, VmHint,
+};
+use yuccapass_types::{
+    Clock, Deadline, Incarnation, NodeId, OrganisationId, Revision, SortedMap, TokensPerSecond,
+    ZoneId,
+};
+
+/// How long a report of organisations' usage is used.
+const USAGE_LIFETIME_MS: u64 = 15_000;
+
+/// This process as others see it.
+#[derive(Debug, Clone)]
+pub(crate) struct Identity {
+    pub(crate) node: NodeId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) zone: ZoneId,
+    pub(crate) peer_address: SocketAddr,
+    pub(crate) admin_address: SocketAddr,
+}
+
+struct ReportedUsage {
+    expiry: Deadline,
+    usage: Vec<OrganisationUsage>,
+}
+
+/// A node for display.
+#[derive(Debug, Clone)]
+pub(crate) struct NodeStatus {
+    pub(crate) row: Row,
+    pub(crate) state: &'static str,
+}
+
+/// Membership and what heartbeats report besides.
+///
+/// The table has one lock: it changes a few times a second.
+pub(crate) struct Members {
+    identity: Identity,
+    table: Mutex<Membership>,
+    usage: Mutex<SortedMap<NodeId, ReportedUsage>>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Members {
+    pub(crate) fn new(identity: Identity, seeds: Vec<SocketAddr>, clock: Arc<dyn Clock>) -> Self {
+        let own = Row {
+            node: identity.node.clone(),
+            incarnation: identity.incarnation,
+            heartbeat: 0,
+            zone: identity.zone.clone(),
+            peer_address: identity.peer_address,
+            admin_address: identity.admin_address,
+            revision: Revision::default(),
+            state: RowState::Up,
+            load: LoadSummary::default(),
+        };
+        let table = Membership::new(own, seeds, MembershipConfig::default(), clock.now());
+        Self { identity, table: Mutex::new(table), usage: Mutex::default(), clock }
+    }
+
+    pub(crate) fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Changes what this node says about itself.
+    pub(crate) fn update(&self, change: impl FnOnce(&mut Membership)) {
+        change(&mut lock(&self.table));
+    }
+
+    /// Takes the platform's list of VMs.
+    pub(crate) fn set_vms(&self, vms: Vec<VmHint>) {
+        self.update(|table| table.set_vms(vms));
+    }
+
+    /// Counts a heartbeat; returns it with its targets and what has changed.
+    pub(crate) fn tick(&self) -> (Heartbeat, Vec<HeartbeatTarget>, Vec<MemberEvent>) {
+        let now = self.clock.now();
+        let mut table = lock(&self.table);
+        let (targets, events) = table.tick(now, &mut rand::rng());
+        (table.heartbeat(), targets, events)
+    }
+
+    /// Takes a heartbeat of another node.
+    pub(crate) fn receive(&self, heartbeat: &Heartbeat) -> Vec<MemberEvent> {
+        let now = self.clock.now();
+        if heartbeat.own.zone == self.identity.zone {
+            let expiry = Deadline::after_ms(now, USAGE_LIFETIME_MS);
+            let reported = ReportedUsage { expiry, usage: heartbeat.usage.clone() };
+            lock(&self.usage).insert(heartbeat.own.node.clone(), reported);
+        }
+        lock(&self.table).receive(heartbeat, now)
+    }
+
+    /// Returns the heartbeat of this second for the other nodes of the zone.
+    pub(crate) fn zone_heartbeat(&self) -> (Heartbeat, Vec<SocketAddr>) {
+        let table = lock(&self.table);
+        let members = table
+            .members()
+            .filter(|member| member.row().zone == self.identity.zone && is_present(member.state()));
+        (table.heartbeat(), members.map(|member| member.row().peer_address).collect())
+    }
+
+    /// Returns how many nodes of the zone are alive, this one included.
+    pub(crate) fn zone_nodes(&self) -> u32 {
+        let table = lock(&self.table);
+        let others = table
+            .members()
+            .filter(|member| member.row().zone == self.identity.zone && is_present(member.state()));
+        1 + others.count() as u32
+    }
+
+    /// Returns how many nodes are known to be alive, this one included.
+    pub(crate) fn fleet_nodes(&self) -> u32 {
+        let table = lock(&self.table);
+        1 + table.members().filter(|member| is_present(member.state())).count() as u32
+    }
+
+    /// Returns on how many of the known nodes a revision or a newer one is in force.
+    pub(crate) fn in_force(&self, revision: Revision) -> (u32, u32) {
+        let statuses = self.statuses();
+        let present = statuses.iter().filter(|status| status.state != "dead");
+        let (mut in_force, mut known) = (0, 0);
+        for status in present.filter(|status| status.state != "left") {
+            known += 1;
+            in_force += u32::from(status.row.revision >= revision);
+        }
+        (in_force, known)
+    }
+
+    /// Returns whether this node is one of the `count` nodes of the zone that do a task for all.
+    ///
+    /// Nodes that disagree about membership may both think so, which only costs calls.
+    pub(crate) fn is_among_first(&self, count: usize) -> bool {
+        let table = lock(&self.table);
+        let before = table.members().filter(|member| {
+            member.row().zone == self.identity.zone
+                && member.state() == MemberState::Alive
+                && member.row().node < self.identity.node
+        });
+        before.count() < count
+    }
+
+    /// Returns the demand of an organisation at the other nodes of the zone, if all have reported.
+    pub(crate) fn other_demand(&self, organisation: &OrganisationId) -> Option<TokensPerSecond> {
+        let now = self.clock.now();
+        let peers: Vec<NodeId> = {
+            let table = lock(&self.table);
+            let peers = table.members().filter(|member| {
+                member.row().zone == self.identity.zone && is_present(member.state())
+            });
+            peers.map(|member| member.row().node.clone()).collect()
+        };
+        let usage = lock(&self.usage);
+        let demands = peers.iter().map(|node| {
+            let reported = usage.get(node).filter(|reported| !reported.expiry.has_passed(now))?;
+            let of_organisation =
+                reported.usage.iter().find(|usage| usage.organisation == *organisation);
+            Some(of_organisation.map_or(TokensPerSecond::ZERO, |usage| usage.tokens_per_s))
+        });
+        demands.sum()
+    }
+
+    /// Returns all known nodes, this one included, in the order of their ids.
+    pub(crate) fn statuses(&self) -> Vec<NodeStatus> {
+        let table = lock(&self.table);
+        let own = NodeStatus { row: table.own().clone(), state: own_state(table.own().state) };
+        let others = table.members().map(|member| NodeStatus {
+            row: member.row().clone(),
+            state: match member.state() {
+                MemberState::Alive if member.is_leaving() => "leaving",
+                MemberState::Alive => "alive",
+                MemberState::Suspect => "suspect",
+                MemberState::Dead => "dead",
+                MemberState::Left => "left",
+            },
+        });
+        let mut statuses: Vec<NodeStatus> = others.chain([own]).collect();
+        statuses.sort_by(|a, b| a.row.node.cmp(&b.row.node));
+        statuses
+    }
+}
+
+fn own_state(state: RowState) -> &'static str {
+    match state {
+        RowState::Up => "alive",
+        RowState::Leaving => "leaving",
+        RowState::Left => "left",
+    }
+}
+
+fn is_present(state: MemberState) -> bool {
+    matches!(state, MemberState::Alive | MemberState::Suspect)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/yuccapassd/src/fleet/peer_handler.rs
@@ -0,0 +1,88 @@
+//! Answers the messages of other nodes.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use yuccapass_decisions::config::ChunkHash;
+use yuccapass_decisions::permits::PermitReply;
+use yuccapass_peers::{
+    ConfigChunk, ConfigRequest, MAX_CHUNK_BYTES, PeerHandler, PeerMessage, PermitRequest, Sender,
+};
+use yuccapass_types::Deadline;
+
+use crate::fleet::permits::ColdProcess;
+use crate::fleet::{ConfigurationSync, heartbeats};
+use crate::request_path::Core;
+
+/// Answers the messages of other nodes from this node's state.
+pub(crate) struct FleetHandler {
+    pub(crate) core: Arc<Core>,
+    pub(crate) sync: Arc<ConfigurationSync>,
+}
+
+#[async_trait]
+impl PeerHandler for FleetHandler {
+    async fn handle(
+        &self,
+        _from: Sender,
+        message: PeerMessage,
+        _deadline: Deadline,
+    ) -> Option<PeerMessage> {
+        let core = &self.core;
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => {
+                heartbeats::receive(core, &self.sync, &heartbeat);
+                None
+            }
+            PeerMessage::ConfigRequest(request) => Some(self.configuration_part(&request)),
+            PeerMessage::VoteRequest(ask) => Some(PeerMessage::VoteReply(core.votes.answer(&ask))),
+            PeerMessage::VoteRelease { key, attempt } => {
+                core.votes.release_own(&key, &attempt);
+                None
+            }
+            PeerMessage::Outcome { key, attempt, outcome } => {
+                core.votes.record_own(&key, &attempt, outcome);
+                None
+            }
+            PeerMessage::PermitRequest(request) => Some(self.permit(&request)),
+            PeerMessage::ConfigChunk(_)
+            | PeerMessage::VoteReply(_)
+            | PeerMessage::PermitReply(_) => None,
+        }
+    }
+}
+
+impl FleetHandler {
+    fn configuration_part(&self, request: &ConfigRequest) -> PeerMessage {
+        let active = self.core.configuration.active();
+        let manifest = active.config.manifest();
+        let bytes = match request.chunk {
+            Some(hash) => active.config.chunk_bytes(&ChunkHash::from_bytes(hash)),
+            None => manifest_part(&manifest.encode(), request.offset_bytes),
+        };
+        let bytes = bytes.map(Bytes::from);
+        PeerMessage::ConfigChunk(ConfigChunk { revision: manifest.revision, bytes })
+    }
+
+    fn permit(&self, request: &PermitRequest) -> PeerMessage {
+        let active = self.core.configuration.active();
+        let Some(endpoint) = active.document().endpoint(&request.endpoint) else {
+            return PeerMessage::PermitReply(PermitReply::NotOwner);
+        };
+        let cold = ColdProcess {
+            endpoint: request.endpoint.clone(),
+            incarnation: request.incarnation,
+            zone: endpoint.zone.clone(),
+            max_requests: endpoint.cold_requests,
+        };
+        let reply = self.core.permits.answer(&cold, &request.permit, request.action);
+        PeerMessage::PermitReply(reply)
+    }
+}
+
+fn manifest_part(manifest: &[u8], offset_bytes: u64) -> Option<Vec<u8>> {
+    let start = usize::try_from(offset_bytes).ok()?;
+    let rest = manifest.get(start..)?;
+    Some(rest[..rest.len().min(MAX_CHUNK_BYTES)].to_vec())
+}
--- a/crates/yuccapassd/src/lib.rs
+++ b/crates/yuccapassd/src/lib.rs
@@ -6,25 +6,30 @@
 //! The other modules hold the node's state and connect the peers: `configuration` (the document in
 //! force), `endpoint_table`
 //! and `prefix_cache_view` (load and caches of the endpoints, kept up to date by `monitor`), `placer`
-//! (choice of an endpoint), `admission` and `dispatcher` (requests that wait), `request_path`, `run` and
+//! (choice of an endpoint), `admission` and `dispatcher` (requests that wait), `fleet`
+//! (what this node does together with the others), `commands` (operators' queries and commands), `request_path`, `run` and
 //! `attempt` (from a caller's request to its answer), `admin` (health,
 //! metrics and status), `metrics` and `logs`.
 
 mod admin;
 mod admission;
 mod attempt;
+mod commands;
 mod configuration;
 mod crash_guard;
 mod dispatcher;
 mod endpoint_table;
+mod fleet;
 pub mod logs;
 mod metrics;
 mod monitor;
 pub mod node;
 mod placer;
 mod prefix_cache_view;
+mod recorded_answer;
 mod request_path;
 mod run;
+mod services;
 pub mod settings;
 
 pub use metrics::MetricsError;
--- a/crates/yuccapassd/src/metrics.rs
+++ b/crates/yuccapassd/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider, UpDownCounter};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider, UpDownCounter};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
@@ -62,6 +62,7 @@
     attempts: Counter<u64>,
     dropped_events: Counter<u64>,
     open_answers: UpDownCounter<i64>,
+    blocked_requests: Gauge<u64>,
 }
 
 impl Metrics {
@@ -115,6 +116,10 @@
                 .i64_up_down_counter("yuccapass_open_answers")
                 .with_description("Answers that are being delivered.")
                 .build(),
+            blocked_requests: meter
+                .u64_gauge("yuccapass_blocked_requests")
+                .with_description("Requests that are refused because they crashed endpoints.")
+                .build(),
             organisations: Mutex::default(),
             max_organisation_labels,
             _provider: provider,
@@ -194,6 +199,10 @@
         self.attempts.add(1, &[KeyValue::new("result", result)]);
     }
 
+    pub(crate) fn blocked_requests(&self, count: u64) {
+        self.blocked_requests.record(count, &[]);
+    }
+
     pub(crate) fn event_dropped(&self, reason: &'static str) {
         self.dropped_events.add(1, &[KeyValue::new("reason", reason)]);
     }
--- a/crates/yuccapassd/src/monitor.rs
+++ b/crates/yuccapassd/src/monitor.rs
@@ -31,7 +31,7 @@
     let mut followers: SortedMap<EndpointId, (Endpoint, task::JoinHandle<()>)> = SortedMap::new();
     loop {
         let active = core.configuration.active();
-        let document = &active.document;
+        let document = active.document();
         let stale: Vec<EndpointId> = followers
             .iter()
             .filter(|(id, (followed, _))| document.endpoint(id) != Some(followed))
@@ -59,7 +59,7 @@
 
 async fn read_all(core: &Core) {
     let active = core.configuration.active();
-    let reads = active.document.endpoints.iter().map(|endpoint| async move {
+    let reads = active.document().endpoints.iter().map(|endpoint| async move {
         let client = core.endpoints.client(endpoint);
         if let Err(error) = poll(core, endpoint, &*client).await {
             log::warn!(endpoint = endpoint.id.as_str(); "an endpoint cannot be read: {error}");
@@ -85,8 +85,11 @@
     client: &dyn ModelEndpoint,
 ) -> Result<(), EndpointError> {
     let deadline = Deadline::after_ms(core.clock.now(), POLL_TIMEOUT_MS);
+    let asked = core.clock.now();
     let report = client.load_report(deadline).await?;
-    core.endpoints.reported(endpoint, report);
+    core.endpoints.reported(endpoint, report.clone());
+    let sustainable = core.endpoints.cold_process(endpoint).map(|(_, requests)| requests);
+    core.permits.reported(&endpoint.id, &report, sustainable, asked);
     let after_sequence = core.prefix_caches.events_after(&endpoint.id);
     let batch = client.cache_events(after_sequence, deadline).await?;
     if core.prefix_caches.apply_events(&endpoint.id, &batch) {
--- a/crates/yuccapassd/src/placer.rs
+++ b/crates/yuccapassd/src/placer.rs
@@ -8,8 +8,8 @@
     Candidate, LeastLoadedPolicy, NoPlacement, PlacementPolicy, PlacementRequest, ZoneDistance,
 };
 use yuccapass_types::{
-    BLOCK_PROMPT_BYTES, BlockHash, Bytes, CacheSalt, EndpointId, ModelId, OrganisationId, RegionId,
-    Tokens, ZoneId, block_chain,
+    AdapterId, BLOCK_PROMPT_BYTES, BlockHash, Bytes, CacheSalt, EndpointId, ModelId,
+    OrganisationId, RegionId, Tokens, WeightVersion, ZoneId, block_chain,
 };
 
 use crate::crash_guard::SharedCrashGuard;
@@ -28,8 +28,8 @@
 }
 
 impl PlacedPrompt {
-    /// Hashes a prompt for the version of the model that is in force.
-    pub(crate) fn new(organisation: &OrganisationId, model: &Model, prompt: &[u8]) -> Self {
+    /// Hashes a prompt for a version of a model.
+    pub(crate) fn new(organisation: &OrganisationId, model: &ServedModel, prompt: &[u8]) -> Self {
         let adapter = model.adapter.as_ref();
         let salt = CacheSalt::derive(organisation, &model.id, &model.version, adapter);
         let tokens = Tokens::new((prompt.len() as u64).div_ceil(BYTES_PER_TOKEN));
@@ -47,11 +47,20 @@
     }
 }
 
+/// A model with the version that a request uses.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct ServedModel {
+    pub(crate) id: ModelId,
+    pub(crate) version: WeightVersion,
+    pub(crate) adapter: Option<AdapterId>,
+}
+
 /// The endpoint for an attempt.
 pub(crate) struct Placed<'a> {
     pub(crate) endpoint: &'a Endpoint,
     pub(crate) prefill: Tokens,
     pub(crate) expected_first_token_ms: u64,
+    pub(crate) needs_permit: bool,
 }
 
 /// Chooses endpoints from where this node stands.
@@ -82,7 +91,7 @@
     pub(crate) fn place<'a>(
         &self,
         document: &'a Document,
-        model: &Model,
+        model: &ServedModel,
         prompt: &PlacedPrompt,
         excluded: &[EndpointId],
     ) -> Result<Placed<'a>, NoPlacement> {
@@ -97,6 +106,9 @@
             if excluded.contains(&endpoint.id) {
                 continue;
             }
+            if !self.serves(endpoint, &model.version) {
+                continue;
+            }
             let place = CandidatePlace { distance, matches: &matches };
             let Some(candidate) = self.endpoints.candidate(endpoint, place, is_suspect) else {
                 continue;
@@ -114,9 +126,40 @@
             endpoint,
             prefill: placement.prefill_tokens,
             expected_first_token_ms: placement.expected_first_token_us / 1_000,
+            needs_permit: placement.needs_permit,
         })
     }
 
+    /// Returns the version of a model that a new request from here uses: the configured one as soon
+    /// as an endpoint serves it, and until then the one that the endpoints serve.
+    pub(crate) fn served_model(&self, document: &Document, model: &Model) -> ServedModel {
+        let wanted = model.version_in(&self.zone);
+        let served = document.endpoints_of(&model.id).filter_map(|endpoint| {
+            self.distance(document, None, endpoint)?;
+            let (version, phase) = self.endpoints.version_and_phase(endpoint);
+            version.filter(|_| phase != "leaving" && phase != "silent")
+        });
+        let mut other = None;
+        for version in served {
+            if version == *wanted {
+                other = None;
+                break;
+            }
+            other = Some(version);
+        }
+        ServedModel {
+            id: model.id.clone(),
+            version: other.unwrap_or_else(|| wanted.clone()),
+            adapter: model.adapter_in(&self.zone).cloned(),
+        }
+    }
+
+    /// Returns whether an endpoint serves a version, as far as it has reported.
+    fn serves(&self, endpoint: &Endpoint, version: &WeightVersion) -> bool {
+        let (reported, _) = self.endpoints.version_and_phase(endpoint);
+        reported.is_none_or(|reported| reported == *version)
+    }
+
     /// Returns how far an endpoint is, or `None` if its zone gets no new work.
     fn distance(
         &self,
--- a/crates/yuccapassd/src/request_path.rs
+++ b/crates/yuccapassd/src/request_path.rs
@@ -8,6 +8,7 @@
 };
 use yuccapass_decisions::admission::limits::{LimitVerdict, OrganisationLimits, ZoneLimit};
 use yuccapass_decisions::config::Document;
+use yuccapass_decisions::quorum::RequestDigest;
 use yuccapass_decisions::retry::RetryBudget;
 use yuccapass_types::{Clock, KeyHash, ModelId, OrganisationId, ResultCode, TokensPerSecond};
 
@@ -15,10 +16,15 @@
 use crate::configuration::Configuration;
 use crate::crash_guard::SharedCrashGuard;
 use crate::endpoint_table::EndpointTable;
+use crate::fleet::ledger::{Claimed, KeyedRequest, Ledger};
+use crate::fleet::permits::Permits;
+use crate::fleet::{Members, Votes};
 use crate::metrics::Metrics;
 use crate::placer::Placer;
 use crate::prefix_cache_view::PrefixCacheView;
+use crate::recorded_answer::RecordedAnswer;
 use crate::run::Run;
+use crate::services::{self, ServiceTable};
 
 /// What all requests of a node share.
 pub(crate) struct Core {
@@ -30,6 +36,11 @@
     pub(crate) placer: Placer,
     pub(crate) admission: Admission,
     pub(crate) limits: OrganisationLimits,
+    pub(crate) members: Arc<Members>,
+    pub(crate) votes: Arc<Votes>,
+    pub(crate) ledger: Ledger,
+    pub(crate) permits: Arc<Permits>,
+    pub(crate) services: ServiceTable,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) stall_timeout_ms: u64,
@@ -54,7 +65,7 @@
 
     /// Returns how many nodes of the zone are alive, this one included.
     fn zone_nodes(&self) -> u32 {
-        1
+        self.members.zone_nodes()
     }
 }
 
@@ -78,7 +89,7 @@
 
     fn models(&self, organisation: &OrganisationId) -> Vec<ModelId> {
         let active = self.core.configuration.active();
-        let organisation = active.document.organisation(organisation);
+        let organisation = active.document().organisation(organisation);
         organisation.map(|organisation| organisation.models.clone()).unwrap_or_default()
     }
 
@@ -89,17 +100,35 @@
     async fn generate(&self, request: GenerationRequest) -> Result<Box<dyn AnswerStream>, Failure> {
         let arrival = self.core.clock.now();
         let active = self.core.configuration.active();
-        let limit = check_approved(&active.document, &request)?;
-        let run = Run::new(Arc::clone(&self.core), &active, request, arrival)?;
+        let limit = check_approved(active.document(), &request)?;
+        let keyed = keyed_request(&request);
+        let mut run = Run::new(Arc::clone(&self.core), &active, request, arrival)?;
         self.core.check_limit(&run, limit)?;
+        if let Some(keyed) = keyed {
+            match self.core.ledger.claim(&keyed).await? {
+                Claimed::Recorded(outcome) => return Ok(Box::new(RecordedAnswer::new(&outcome))),
+                Claimed::Run(claim) => run.set_claim(claim),
+            }
+        }
         Ok(Box::new(run.await_first_token().await?))
     }
 
-    async fn call_service(&self, _request: ServiceRequest) -> Result<ServiceResponse, Failure> {
-        Err(Failure::not_run(ResultCode::ServiceNotFound))
+    async fn call_service(&self, request: ServiceRequest) -> Result<ServiceResponse, Failure> {
+        services::call(&self.core, request).await
     }
 }
 
+/// Returns what identifies a request that must run at most once and carries a key.
+fn keyed_request(request: &GenerationRequest) -> Option<KeyedRequest> {
+    let key = request.idempotency_key.clone().filter(|_| !request.is_repeatable)?;
+    Some(KeyedRequest {
+        organisation: request.organisation.clone(),
+        key,
+        digest: RequestDigest::of_request("POST", request.api.path(), &request.body),
+        deadline: request.deadline,
+    })
+}
+
 /// Checks that an organisation may use a model; returns its token rate limit.
 fn check_approved(
     document: &Document,
--- a/crates/yuccapassd/src/run.rs
+++ b/crates/yuccapassd/src/run.rs
@@ -6,17 +6,25 @@
 use yuccapass_callers::{AnswerStream, Failure, GenerationRequest};
 use yuccapass_decisions::admission::fair_queue::QueuedRequest;
 use yuccapass_decisions::answer::{AnswerProgress, EndAction, TokenAction};
-use yuccapass_decisions::config::{Document, Model};
+use yuccapass_decisions::config::Document;
 use yuccapass_decisions::crash_guard::Verdict;
+use yuccapass_decisions::quorum::OutcomeState;
 use yuccapass_decisions::retry::{AttemptFacts, RetryPlan, RetryTarget, plan_retry};
 use yuccapass_decisions::routing::placement::NoPlacement;
 use yuccapass_endpoints::{EndpointError, EndpointErrorKind, GenerateRequest};
-use yuccapass_types::{EndpointId, Instant, OrganisationId, ResultCode, RunState, Tokens};
+use yuccapass_http::sleep_until;
+use yuccapass_types::{
+    Deadline, EndpointId, Instant, OrganisationId, ResultCode, RunState, Tokens,
+};
 
 use crate::attempt::{Attempt, AttemptEvent, AttemptLimits, FailedAttempt, inconsistent};
 use crate::configuration::ActiveDocument;
+use crate::endpoint_table::RequestNote;
+use crate::fleet::ledger::Claim;
+use crate::fleet::permits::{ColdProcess, Permit};
 use crate::metrics::RequestLabels;
-use crate::placer::{Placed, PlacedPrompt};
+use crate::placer::{Placed, PlacedPrompt, ServedModel};
+use crate::recorded_answer::AnswerRecorder;
 use crate::request_path::Core;
 
 /// Most attempts for one request, over all endpoints.
@@ -31,6 +39,9 @@
 /// When a caller may try again that found no endpoint: about when a report can show one.
 const NO_ENDPOINT_RETRY_MS: u64 = 1_000;
 
+/// Pause before a permit is asked for again; a permit is given back when a request ends.
+const PERMIT_PAUSE_MS: u64 = 100;
+
 /// A request that was admitted.
 pub(crate) struct Run {
     core: Arc<Core>,
@@ -40,7 +51,7 @@
     last_token: Option<Instant>,
     progress: AnswerProgress,
     /// The model as it was when the first attempt began; an answer is continued by this version.
-    model: Model,
+    model: ServedModel,
     prompt: PlacedPrompt,
     /// Expected tokens, prompt and answer together.
     cost: Tokens,
@@ -51,7 +62,11 @@
     excluded: Vec<EndpointId>,
     needs_new_connection: bool,
     attempt: Option<Attempt>,
+    /// The permit of the present attempt, held until its endpoint has nothing more to do for it.
+    permit: Option<Permit>,
     is_whole: bool,
+    /// The right to run a request with an idempotency key, and its answer so far.
+    claim: Option<(Claim, AnswerRecorder)>,
     /// The first token, which is awaited before the caller gets a response.
     first: Option<Vec<u8>>,
 }
@@ -63,7 +78,7 @@
         request: GenerationRequest,
         arrival: Instant,
     ) -> Result<Self, Failure> {
-        let model = current_model(&active.document, &request)?;
+        let model = current_model(&core, active.document(), &request)?;
         let prompt = PlacedPrompt::new(&request.organisation, &model, &request.prompt);
         check_crash_guard(&core, &prompt, RunState::NotRun)?;
         core.with_retry_budget(|budget| budget.record_request(arrival));
@@ -86,7 +101,9 @@
             needs_new_connection: !request.is_repeatable,
             request,
             attempt: None,
+            permit: None,
             is_whole: false,
+            claim: None,
             first: None,
         })
     }
@@ -100,6 +117,11 @@
         self.cost
     }
 
+    /// Lets a request with an idempotency key run.
+    pub(crate) fn set_claim(&mut self, claim: Claim) {
+        self.claim = Some((claim, AnswerRecorder::default()));
+    }
+
     /// Waits for the first token.
     pub(crate) async fn await_first_token(mut self) -> Result<Self, Failure> {
         self.first = self.next_token().await?;
@@ -111,20 +133,41 @@
             match self.next_event().await {
                 Ok(Some(AttemptEvent::Token(_, json))) => {
                     self.count_token();
+                    if let Some((_, recorder)) = &mut self.claim {
+                        recorder.add(&json);
+                    }
                     return Ok(Some(json));
                 }
                 Ok(Some(_)) => self.complete(),
                 Ok(None) => {}
-                Err(StepError::Attempt(failed)) => self.plan_next(failed).await?,
-                Err(StepError::Final(failure)) => return Err(failure),
+                Err(StepError::Attempt(failed)) => {
+                    let planned = self.plan_next(failed).await;
+                    planned.map_err(|failure| self.end_claim(failure))?;
+                }
+                Err(StepError::Final(failure)) => return Err(self.end_claim(failure)),
             }
         }
         Ok(None)
     }
 
+    /// Ends the claim of a request that failed.
+    fn end_claim(&mut self, failure: Failure) -> Failure {
+        if let Some((claim, _)) = self.claim.take() {
+            match failure.run_state {
+                RunState::NotRun => claim.release_not_run(),
+                RunState::Ran | RunState::Unknown => claim.record(OutcomeState::NotKept),
+            }
+        }
+        failure
+    }
+
     fn complete(&mut self) {
         self.is_whole = true;
         self.attempt = None;
+        self.permit = None;
+        if let Some((claim, recorder)) = self.claim.take() {
+            claim.record(recorder.outcome());
+        }
         self.core.metrics.attempt_ended("complete");
         self.core.crash_guard.record_completion(self.prompt.fingerprint);
     }
@@ -177,13 +220,13 @@
 
     async fn start_attempt(&mut self) -> Result<Attempt, StepError> {
         let active = self.core.configuration.active();
-        let document = &active.document;
+        let document = active.document();
         if self.progress.delivered_tokens() == Tokens::ZERO {
             self.use_current_model(document)?;
         }
         // Its earlier attempts, or those of other requests like it, may have crashed endpoints.
         check_crash_guard(&self.core, &self.prompt, self.run_state()).map_err(StepError::Final)?;
-        let placed = self.place_in_turn(document).await?;
+        let (placed, permit) = self.place_in_turn(document).await?;
         self.attempts += 1;
         let class = self.request.class.as_ref().and_then(|class| document.class(class));
         let attempt = GenerateRequest {
@@ -199,8 +242,12 @@
             resume_offset_tokens: self.progress.delivered_tokens(),
             needs_new_connection: self.needs_new_connection,
         };
-        let fingerprint = self.prompt.fingerprint;
-        let in_flight = self.core.endpoints.begin(placed.endpoint, fingerprint, placed.prefill);
+        let note = RequestNote {
+            id: self.request.request_id.clone(),
+            organisation: self.request.organisation.clone(),
+            fingerprint: self.prompt.fingerprint,
+        };
+        let in_flight = self.core.endpoints.begin(placed.endpoint, note, placed.prefill);
         let clock = Arc::clone(&self.core.clock);
         // The next request that waits may find room as well.
         self.core.admission.wake(&self.model.id);
@@ -208,12 +255,19 @@
             stall_timeout_ms: self.core.stall_timeout_ms,
             expected_first_token_ms: placed.expected_first_token_ms,
         };
+        self.permit = permit;
+        if let Some((claim, _)) = &mut self.claim
+            && !claim.start_sending(&*self.core.clock)
+        {
+            let failure = Failure::new(ResultCode::DeadlinePassed, self.earlier_state);
+            return Err(StepError::Final(failure));
+        }
         Attempt::start(in_flight, attempt, clock, limits).await.map_err(StepError::Attempt)
     }
 
     /// Takes the model as it is configured now, since a swap may have happened while waiting.
     fn use_current_model(&mut self, document: &Document) -> Result<(), StepError> {
-        let model = current_model(document, &self.request).map_err(StepError::Final)?;
+        let model = current_model(&self.core, document, &self.request).map_err(StepError::Final)?;
         if model != self.model {
             self.prompt =
                 PlacedPrompt::new(&self.request.organisation, &model, &self.request.prompt);
@@ -223,17 +277,24 @@
     }
 
     /// Places the request, after those that wait already; waits if nothing has room.
-    async fn place_in_turn<'a>(&mut self, document: &'a Document) -> Result<Placed<'a>, StepError> {
+    async fn place_in_turn<'a>(
+        &mut self,
+        document: &'a Document,
+    ) -> Result<(Placed<'a>, Option<Permit>), StepError> {
         let start = self.core.clock.now();
         let mut may_place = !self.core.admission.has_waiting(&self.model.id);
         loop {
             if may_place {
                 match self.place(document) {
                     Ok(placed) => {
+                        let Some(permit) = self.permit_for(document, &placed).await else {
+                            self.wait_for_permit().await?;
+                            continue;
+                        };
                         let now = self.core.clock.now();
                         self.core.metrics.queue_waited(&self.labels, start, now);
                         self.core.admission.sent(&self.model.id, self.cost);
-                        return Ok(placed);
+                        return Ok((placed, permit));
                     }
                     Err(reason) if !can_wait_for(reason) => {
                         let failure = Failure::new(reason.result_code(), self.run_state());
@@ -255,6 +316,40 @@
         self.core.placer.place(document, &self.model, &self.prompt, &self.excluded)
     }
 
+    /// Asks for a permit if the endpoint is cold; `None` if there is none to be had now.
+    async fn permit_for(
+        &mut self,
+        document: &Document,
+        placed: &Placed<'_>,
+    ) -> Option<Option<Permit>> {
+        if !placed.needs_permit || document.zones.iter().all(|zone| zone.voters.is_empty()) {
+            return Some(None);
+        }
+        let endpoint = placed.endpoint;
+        let Some((incarnation, max_requests)) = self.core.endpoints.cold_process(endpoint) else {
+            return Some(None);
+        };
+        let cold = ColdProcess {
+            endpoint: endpoint.id.clone(),
+            incarnation,
+            zone: endpoint.zone.clone(),
+            max_requests,
+        };
+        let permit = self.core.permits.acquire(&cold).await?;
+        permit.start().then_some(Some(permit))
+    }
+
+    async fn wait_for_permit(&mut self) -> Result<(), StepError> {
+        let now = self.core.clock.now();
+        if self.request.deadline.has_passed(now) {
+            let failure = Failure::new(ResultCode::EndpointsWarmingUp, self.run_state());
+            return Err(StepError::Final(failure));
+        }
+        let pause = Deadline::after_ms(now, PERMIT_PAUSE_MS).earlier(self.request.deadline);
+        sleep_until(&*self.core.clock, pause).await;
+        Ok(())
+    }
+
     fn queued_request(&self, document: &Document) -> QueuedRequest {
         let class = self.request.class.as_ref().and_then(|class| document.class(class));
         let organisation = document.organisation(&self.request.organisation);
@@ -368,13 +463,23 @@
     Err(Failure::new(ResultCode::RequestBlocked, run_state).retry_after_ms(retry_after_ms))
 }
 
-fn current_model(document: &Document, request: &GenerationRequest) -> Result<Model, Failure> {
-    let model = document.model(&request.model).cloned();
-    model.ok_or_else(|| Failure::not_run(ResultCode::ModelNotFound))
+fn current_model(
+    core: &Core,
+    document: &Document,
+    request: &GenerationRequest,
+) -> Result<ServedModel, Failure> {
+    let model = document.model(&request.model);
+    model
+        .map(|model| core.placer.served_model(document, model))
+        .ok_or_else(|| Failure::not_run(ResultCode::ModelNotFound))
 }
 
 impl Drop for Run {
     fn drop(&mut self) {
+        // The caller left: its run is cancelled, but began.
+        if let Some((claim, _)) = self.claim.take().filter(|_| self.attempts > 0) {
+            claim.record(OutcomeState::NotKept);
+        }
         let tokens = self.progress.delivered_tokens().get();
         self.core.metrics.answer_closed(&self.labels, tokens, self.is_whole);
         let used = self.prompt.tokens + self.progress.delivered_tokens();
--- a/crates/yuccapassd/src/settings.rs
+++ b/crates/yuccapassd/src/settings.rs
@@ -10,7 +10,7 @@
 use yuccapass_decisions::routing::placement::{
     CostPolicy, LeastLoadedPolicy, PlacementPolicy, RandomPolicy, RoundRobinPolicy,
 };
-use yuccapass_types::{NodeId, ZoneId};
+use yuccapass_types::{KeyHash, NodeId, ZoneId};
 
 /// Longest accepted duration setting: an hour.
 const MAX_DURATION_MS: u64 = 3_600_000;
@@ -39,6 +39,32 @@
     #[arg(long, env = "YUCCAPASS_ADMIN_ADDRESS", default_value = "127.0.0.1:8081")]
     pub admin_address: SocketAddr,
 
+    /// Address for messages from other nodes; others must reach it as it is written here.
+    #[arg(long, env = "YUCCAPASS_PEER_ADDRESS", default_value = "127.0.0.1:8082")]
+    pub peer_address: SocketAddr,
+
+    /// Addresses of other nodes to start with, for messages between nodes, separated by commas.
+    #[arg(long, env = "YUCCAPASS_SEEDS", value_delimiter = ',')]
+    pub seeds: Vec<SocketAddr>,
+
+    /// Addresses of the platform's key-value service and VM list, separated by commas.
+    #[arg(long, env = "YUCCAPASS_PLATFORM", value_delimiter = ',')]
+    pub platform: Vec<SocketAddr>,
+
+    /// BLAKE3 hashes of the operators' bearer keys, separated by commas; without any, no command is
+    /// accepted.
+    #[arg(long, env = "YUCCAPASS_OPERATOR_KEY_HASHES", value_delimiter = ',')]
+    pub operator_key_hashes: Vec<KeyHash>,
+
+    /// How long an idempotency key is remembered, in milliseconds; the same on all nodes.
+    #[arg(long, env = "YUCCAPASS_LEDGER_WINDOW_MS", default_value_t = 900_000)]
+    pub ledger_window_ms: u64,
+
+    /// How long after its vote a request with an idempotency key may be sent, in milliseconds; the
+    /// same on all nodes.
+    #[arg(long, env = "YUCCAPASS_LEDGER_SEND_WITHIN_MS", default_value_t = 30_000)]
+    pub ledger_send_within_ms: u64,
+
     /// JSON file with the configuration to start with, until a newer one is known.
     #[arg(long, env = "YUCCAPASS_CONFIGURATION_FILE")]
     pub configuration_file: Option<PathBuf>,
@@ -132,6 +158,8 @@
         check_range("default-deadline-ms", self.default_deadline_ms, 1, self.max_deadline_ms)?;
         let labels = self.max_organisation_labels as u64;
         check_range("max-organisation-labels", labels, 1, 100_000)?;
+        check_range("ledger-window-ms", self.ledger_window_ms, 1_000, 24 * MAX_DURATION_MS)?;
+        check_range("ledger-send-within-ms", self.ledger_send_within_ms, 100, MAX_DURATION_MS)?;
         check_range("stop-grace-ms", self.stop_grace_ms, 0, MAX_DURATION_MS)?;
         check_range("stall-timeout-ms", self.stall_timeout_ms, 10, MAX_DURATION_MS)
     }
--- a/crates/yuccapassd/tests/common/mod.rs
+++ b/crates/yuccapassd/tests/common/mod.rs
@@ -102,8 +102,13 @@
 
 /// Starts an endpoint and waits until it listens.
 pub fn start_engine(flags: &[&str]) -> Engine {
+    start_standin("engine", flags)
+}
+
+/// Starts a stand-in and waits until it listens.
+pub fn start_standin(kind: &str, flags: &[&str]) -> Engine {
     let address = loopback_address();
-    let mut arguments = words(&["engine", "--address"]);
+    let mut arguments = words(&[kind, "--address"]);
     arguments.push(address.to_string());
     arguments.extend(words(flags));
     let process = Process::spawn("yuccapass-standin", &arguments);
@@ -111,16 +116,39 @@
     Engine { process, address }
 }
 
-/// A daemon and its endpoints, as separate processes.
-pub struct Deployment {
-    pub engines: Vec<Engine>,
-    pub node: Process,
+/// A daemon as a separate process.
+pub struct NodeProcess {
+    pub process: Process,
     pub caller_address: SocketAddr,
     pub admin_address: SocketAddr,
+}
+
+/// What a deployment consists of.
+#[derive(Default)]
+pub struct Plan<'a> {
+    pub engines: usize,
+    pub engine_flags: &'a [&'a str],
+    pub nodes: usize,
+    pub node_flags: &'a [&'a str],
+    pub has_platform: bool,
+    pub has_service: bool,
+}
+
+/// Daemons, endpoints, a platform and a plain service, as separate processes.
+pub struct Deployment {
+    pub engines: Vec<Engine>,
+    pub nodes: Vec<NodeProcess>,
+    pub platform: Option<Engine>,
+    pub service: Option<Engine>,
     _configuration: ConfigurationFile,
 }
 
 impl Deployment {
+    /// Returns a client of a node's address for callers.
+    pub fn caller(&self, node: usize) -> Arc<HttpClient> {
+        client(self.nodes[node].caller_address)
+    }
+
     /// Returns the sum of a count over all endpoints.
     pub fn engine_count(&self, name: &str) -> u64 {
         self.engines.iter().map(|engine| engine_count(engine.address, name)).sum()
@@ -128,11 +156,17 @@
 
     /// Waits until the sum of a count over all endpoints has a value.
     pub fn wait_engine_count(&self, name: &str, value: u64) {
-        let start = StdInstant::now();
-        while self.engine_count(name) != value {
-            assert!(start.elapsed() < START_TIMEOUT, "{name} does not become {value}");
-            std::thread::sleep(Duration::from_millis(10));
-        }
+        let what = format!("{name} does not become {value}");
+        wait_until(&what, || self.engine_count(name) == value);
+    }
+}
+
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = StdInstant::now();
+    while !condition() {
+        assert!(start.elapsed() < START_TIMEOUT, "{what}");
+        std::thread::sleep(Duration::from_millis(10));
     }
 }
 
@@ -142,6 +176,9 @@
 /// The key of an organisation that is approved for nothing.
 pub const UNAPPROVED_KEY: &str = "key-unapproved";
 
+/// The key of an operator.
+pub const OPERATOR_KEY: &str = "key-operator";
+
 /// Starts one engine and a node with extra flags for each.
 pub fn start_deployment(engine_flags: &[&str], node_flags: &[&str]) -> Deployment {
     start_deployment_of(1, engine_flags, node_flags)
@@ -149,46 +186,84 @@
 
 /// Starts several equal engines and a node with extra flags for each.
 pub fn start_deployment_of(
-    engine_count: usize,
+    engines: usize,
     engine_flags: &[&str],
     node_flags: &[&str],
 ) -> Deployment {
-    let engines: Vec<Engine> = (0..engine_count).map(|_| start_engine(engine_flags)).collect();
+    start(&Plan { engines, engine_flags, nodes: 1, node_flags, ..Plan::default() })
+}
+
+/// Starts all processes of a plan; all nodes are voters of one zone.
+pub fn start(plan: &Plan<'_>) -> Deployment {
+    let engines: Vec<Engine> = (0..plan.engines).map(|_| start_engine(plan.engine_flags)).collect();
+    let platform = plan.has_platform.then(|| start_standin("platform", &[]));
+    let service = plan.has_service.then(|| start_standin("service", &[]));
     let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
-    let configuration = ConfigurationFile::write(&document(&addresses));
+    let peers: Vec<SocketAddr> = (0..plan.nodes).map(|_| loopback_address()).collect();
+    let service_address = service.as_ref().map(|service| service.address);
+    let configuration = ConfigurationFile::write(&document(&addresses, &peers, service_address));
+    let platform_address = platform.as_ref().map(|platform: &Engine| platform.address);
+    let nodes: Vec<NodeProcess> = (0..plan.nodes)
+        .map(|number| start_node(number, &peers, platform_address, &configuration, plan.node_flags))
+        .collect();
+    nodes.iter().for_each(|node| wait_ready(node.admin_address));
+    Deployment { engines, nodes, platform, service, _configuration: configuration }
+}
+
+fn start_node(
+    number: usize,
+    peers: &[SocketAddr],
+    platform: Option<SocketAddr>,
+    configuration: &ConfigurationFile,
+    flags: &[&str],
+) -> NodeProcess {
     let (caller_address, admin_address) = (loopback_address(), loopback_address());
-    let mut arguments = words(&["--node-id", "node-a", "--zone", "burnaby-yard"]);
+    let mut arguments = words(&["--zone", "burnaby-yard"]);
+    arguments.push(format!("--node-id=node-{number}"));
     arguments.push(format!("--caller-address={caller_address}"));
     arguments.push(format!("--admin-address={admin_address}"));
+    arguments.push(format!("--peer-address={}", peers[number]));
     arguments.push(format!("--configuration-file={}", configuration.path.display()));
-    arguments.extend(words(node_flags));
-    let node = Process::spawn("yuccapassd", &arguments);
-    [caller_address, admin_address].into_iter().for_each(wait_listening);
-    wait_ready(admin_address);
-    Deployment { engines, node, caller_address, admin_address, _configuration: configuration }
+    arguments.push(format!("--operator-key-hashes={}", KeyHash::of_key(OPERATOR_KEY)));
+    let seeds: Vec<String> = peers.iter().map(SocketAddr::to_string).collect();
+    arguments.push(format!("--seeds={}", seeds.join(",")));
+    arguments.extend(platform.map(|address| format!("--platform={address}")));
+    arguments.extend(words(flags));
+    let process = Process::spawn("yuccapassd", &arguments);
+    [caller_address, admin_address, peers[number]].into_iter().for_each(wait_listening);
+    NodeProcess { process, caller_address, admin_address }
 }
 
 fn words(words: &[&str]) -> Vec<String> {
     words.iter().map(|word| (*word).to_owned()).collect()
 }
 
-fn document(engine_addresses: &[SocketAddr]) -> Value {
+fn document(
+    engine_addresses: &[SocketAddr],
+    peers: &[SocketAddr],
+    service: Option<SocketAddr>,
+) -> Value {
+    let voter = |(number, address): (usize, &SocketAddr)| json!({"id": format!("node-{number}"), "address": address});
     let endpoint = |(number, address): (usize, &SocketAddr)| {
         json!({
             "id": format!("clip-{number}"), "model": "clip-models", "zone": "burnaby-yard",
             "address": address, "checks_fencing": true, "leaving": false, "cold_requests": 2,
         })
     };
-    let organisation = |id: &str, key: &str, models: &[&str]| {
+    let organisation = |id: &str, key: &str, models: &[&str], services: &[&str]| {
         json!({
-            "id": id, "key_hashes": [KeyHash::of_key(key)], "models": models, "services": [],
+            "id": id, "key_hashes": [KeyHash::of_key(key)], "models": models, "services": services,
             "share": 1, "limit_tokens_per_s": "1000000 tokens/s",
         })
     };
+    let approved_services: &[&str] = if service.is_some() { &["yard-ledger"] } else { &[] };
     json!({
         "revision": "1",
         "zones": [
-            {"id": "burnaby-yard", "region": "lower-mainland", "state": "in", "voters": []}
+            {
+                "id": "burnaby-yard", "region": "lower-mainland", "state": "in",
+                "voters": peers.iter().enumerate().map(voter).collect::<Vec<_>>(),
+            },
         ],
         "classes": [],
         "models": [{
@@ -196,10 +271,15 @@
             "max_swapping_replicas": 3,
         }],
         "endpoints": engine_addresses.iter().enumerate().map(endpoint).collect::<Vec<_>>(),
-        "services": [],
+        "services": service
+            .map(|address| json!({
+                "id": "yard-ledger", "zone": "burnaby-yard", "addresses": [address],
+            }))
+            .into_iter()
+            .collect::<Vec<_>>(),
         "organisations": [
-            organisation("org-approved", APPROVED_KEY, &["clip-models"]),
-            organisation("org-unapproved", UNAPPROVED_KEY, &[]),
+            organisation("org-approved", APPROVED_KEY, &["clip-models"], approved_services),
+            organisation("org-unapproved", UNAPPROVED_KEY, &[], &[]),
         ],
     })
 }
@@ -265,6 +345,25 @@
     serde_json::from_slice(&bytes).unwrap()
 }
 
+/// Sends a sentence of the command language to a node.
+pub fn operate(admin_address: SocketAddr, command: &str, id: &str) -> Value {
+    let client = client(admin_address);
+    let mut request = client.request(Method::Post, "/operators/commands");
+    request.insert_header("authorization", format!("Bearer {OPERATOR_KEY}"));
+    request.set_body(json!({"command": command, "command_id": id}));
+    read_json(send(&client, request))
+}
+
+/// Reads a metric without labels; 0 if it has no value yet.
+pub fn metric(admin_address: SocketAddr, name: &str) -> f64 {
+    let client = client(admin_address);
+    let exchange = send(&client, client.request(Method::Get, "/metrics"));
+    let (_, bytes) = block_on(exchange.read_body(8 << 20, Deadline::NEVER)).unwrap();
+    let text = String::from_utf8(bytes).unwrap();
+    let line = text.lines().find(|line| line.starts_with(name));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or_default()
+}
+
 /// Switches faults of an engine.
 pub fn post_faults(engine_address: SocketAddr, command: Value) {
     let client = client(engine_address);
--- a/crates/yuccapassd/tests/end_to_end.rs
+++ b/crates/yuccapassd/tests/end_to_end.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{
-    APPROVED_KEY, UNAPPROVED_KEY, assert_whole, chat_request, client, read_json, read_stream, send,
+    APPROVED_KEY, UNAPPROVED_KEY, assert_whole, chat_request, read_json, read_stream, send,
     start_deployment,
 };
 use http_types::StatusCode;
@@ -13,7 +13,7 @@
 fn streamed_answer_arrives_whole() {
     // Arrange
     let deployment = start_deployment(&["--token-time-ms", "1"], &[]);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
 
     // Act
     let mut exchange = send(&client, chat_request(&client, APPROVED_KEY, 50, true));
@@ -29,7 +29,7 @@
 fn answer_in_one_piece_has_all_tokens() {
     // Arrange
     let deployment = start_deployment(&["--token-time-ms", "1"], &[]);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
 
     // Act
     let exchange = send(&client, chat_request(&client, APPROVED_KEY, 5, false));
@@ -47,7 +47,7 @@
 fn caller_that_leaves_cancels_its_run() {
     // Arrange
     let deployment = start_deployment(&["--token-time-ms", "20"], &[]);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
     let exchange = send(&client, chat_request(&client, APPROVED_KEY, 100_000, true));
 
     // Act
@@ -62,7 +62,7 @@
 fn bad_key_and_unapproved_organisation_are_refused_before_the_endpoint() {
     // Arrange
     let deployment = start_deployment(&[], &[]);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
     let cases = [
         ("key-nobody", StatusCode::Unauthorized, "YP-1005"),
         (UNAPPROVED_KEY, StatusCode::Forbidden, "YP-1006"),
@@ -87,7 +87,7 @@
 fn body_over_the_limit_gets_its_code() {
     // Arrange
     let deployment = start_deployment(&[], &["--max-body-bytes", "1024"]);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
     let mut request = chat_request(&client, APPROVED_KEY, 5, true);
     request.set_body("x".repeat(1025));
 
@@ -104,13 +104,13 @@
 fn graceful_stop_in_mid_stream_loses_nothing() {
     // Arrange
     let mut deployment = start_deployment(&["--token-time-ms", "20"], &["--stop-grace-ms", "50"]);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
     let mut exchange = send(&client, chat_request(&client, APPROVED_KEY, 50, true));
 
     // Act
-    deployment.node.signal("TERM");
+    deployment.nodes[0].process.signal("TERM");
     let (texts, is_done) = read_stream(&mut exchange);
-    let exit_code = deployment.node.wait();
+    let exit_code = deployment.nodes[0].process.wait();
 
     // Assert
     assert_whole(&texts, 50);
--- /dev/null
+++ b/crates/yuccapassd/tests/fleet.rs
@@ -0,0 +1,302 @@
+//! Several nodes together, as separate processes.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{
+    APPROVED_KEY, Deployment, Plan, chat_request, chat_request_with, metric, operate, read_json,
+    send, start, wait_until,
+};
+use http_types::{Method, Request};
+use serde_json::{Value, json};
+use yuccapass_http::HttpClient;
+
+/// Short times, so that a restarted voter votes again soon.
+const SHORT_LEDGER: [&str; 4] = ["--ledger-window-ms", "1000", "--ledger-send-within-ms", "1000"];
+
+fn start_three_nodes(engine_flags: &[&str]) -> Deployment {
+    start(&Plan {
+        engines: 2,
+        engine_flags,
+        nodes: 3,
+        node_flags: &SHORT_LEDGER,
+        has_platform: true,
+        has_service: true,
+    })
+}
+
+fn revision_of(admin_address: SocketAddr) -> String {
+    let answer = operate(admin_address, "show configuration", "unused");
+    answer["revision"].as_str().unwrap_or_default().to_owned()
+}
+
+fn wait_revision(deployment: &Deployment, revision: &str) {
+    wait_until(&format!("revision {revision} is not in force everywhere"), || {
+        deployment.nodes.iter().all(|node| revision_of(node.admin_address) == revision)
+    });
+}
+
+/// Makes a call of the plain service that must run at most once.
+fn booking(client: &HttpClient, key: &str) -> Request {
+    let mut request = client.request(Method::Post, "/services/yard-ledger/bookings");
+    request.insert_header("authorization", format!("Bearer {APPROVED_KEY}"));
+    request.insert_header("idempotency-key", key);
+    request.insert_header("x-not-repeatable", "true");
+    request.set_body(json!({"slot": 4}).to_string());
+    request
+}
+
+/// Sends a call with fresh keys until the voters vote: they abstain for some time after a start.
+fn wait_for_voters(deployment: &Deployment) {
+    let client = deployment.caller(0);
+    let mut number = 0;
+    wait_until("the voters do not vote", || {
+        number += 1;
+        let exchange = send(&client, booking(&client, &format!("probe-{number}")));
+        exchange.response().status().is_success()
+    });
+}
+
+fn effects(deployment: &Deployment, key: &str) -> usize {
+    let client = common::client(deployment.service.as_ref().unwrap().address);
+    let journal = read_json(send(&client, client.request(Method::Get, "/standin/journal")));
+    let entries = journal["entries"].as_array().unwrap();
+    entries.iter().filter(|entry| entry["idempotency_key"] == key).count()
+}
+
+/// Guards against a change that reaches only the node that accepted it, and against a command that
+/// takes effect twice.
+#[test]
+fn accepted_change_is_in_force_on_all_nodes_and_takes_effect_once() {
+    // Arrange
+    let deployment = start_three_nodes(&[]);
+    let command = "create organisation hinge-fitters with share 2 and limit 5000 tokens/s";
+
+    // Act
+    let accepted = operate(deployment.nodes[2].admin_address, command, "change-1");
+    wait_revision(&deployment, "2");
+    let repeated = operate(deployment.nodes[0].admin_address, command, "change-1");
+
+    // Assert
+    assert_eq!(accepted["result"], "accepted", "{accepted}");
+    assert_eq!(accepted["revision"], "2");
+    assert_eq!(repeated["repeated"], true, "{repeated}");
+    assert_eq!(repeated["revision"], "2");
+}
+
+/// Guards against two operators who both believe that their change won.
+#[test]
+fn racing_operators_get_one_winner_and_one_conflict() {
+    // Arrange
+    let deployment = start_three_nodes(&[]);
+    let order = |node: usize, share: u32| {
+        let client = common::client(deployment.nodes[node].admin_address);
+        let mut request = client.request(Method::Post, "/operators/commands");
+        request.insert_header("authorization", format!("Bearer {}", common::OPERATOR_KEY));
+        request.set_body(json!({
+            "command": format!("set share of org-approved to {share}"),
+            "command_id": format!("race-{node}"),
+            "expected_revision": "1",
+        }));
+        read_json(send(&client, request))
+    };
+
+    // Act
+    let answers: Vec<Value> = std::thread::scope(|scope| {
+        let orders: Vec<_> =
+            [(0, 5), (1, 7)].map(|(node, share)| scope.spawn(move || order(node, share))).into();
+        orders.into_iter().map(|order| order.join().unwrap()).collect()
+    });
+
+    // Assert
+    let count = |result: &str| answers.iter().filter(|answer| answer["result"] == result).count();
+    assert_eq!((count("accepted"), count("conflict")), (1, 1), "{answers:?}");
+    let conflict = answers.iter().find(|answer| answer["result"] == "conflict").unwrap();
+    assert!(conflict["other_description"].as_str().unwrap().contains("share"));
+}
+
+/// Guards against new work for a zone that operators took out, from any node.
+#[test]
+fn zone_taken_out_gets_no_new_work() {
+    // Arrange
+    let deployment = start_three_nodes(&["--token-time-ms", "1"]);
+    let taken_out =
+        operate(deployment.nodes[0].admin_address, "take zone burnaby-yard out", "out-1");
+    assert_eq!(taken_out["result"], "accepted", "{taken_out}");
+    wait_revision(&deployment, "2");
+    let before = deployment.engine_count("received_requests");
+
+    // Act
+    let errors: Vec<Value> = (0..3)
+        .map(|node| {
+            let client = deployment.caller(node);
+            read_json(send(&client, chat_request(&client, APPROVED_KEY, 2, false)))
+        })
+        .collect();
+
+    // Assert
+    for error in errors {
+        assert_eq!(error["error"]["code"], "YP-2004", "{error}");
+    }
+    assert_eq!(deployment.engine_count("received_requests"), before);
+}
+
+/// Guards against an outage of the platform that stops requests or accepts commands.
+#[test]
+fn platform_outage_refuses_commands_and_leaves_requests_alone() {
+    // Arrange
+    let mut deployment = start_three_nodes(&["--token-time-ms", "1"]);
+    drop(deployment.platform.take());
+
+    // Act
+    let refused = operate(deployment.nodes[0].admin_address, "take zone burnaby-yard out", "out-2");
+    let client = deployment.caller(0);
+    let answer = read_json(send(&client, chat_request(&client, APPROVED_KEY, 2, false)));
+
+    // Assert
+    assert_eq!(refused["result"], "refused", "{refused}");
+    assert_eq!(answer["choices"][0]["finish_reason"], "stop", "{answer}");
+    assert_eq!(revision_of(deployment.nodes[0].admin_address), "1");
+}
+
+/// Guards against a second effect when a caller sends the same key to all nodes at once.
+#[test]
+fn same_key_at_all_nodes_has_one_effect_and_one_outcome() {
+    // Arrange
+    let deployment = start_three_nodes(&[]);
+    wait_for_voters(&deployment);
+
+    // Act
+    let outcomes: Vec<(u16, Vec<u8>)> = std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..3)
+            .map(|node| {
+                let client = deployment.caller(node);
+                scope.spawn(move || {
+                    let exchange = send(&client, booking(&client, "booking-1"));
+                    let reading = exchange.read_body(1 << 20, yuccapass_types::Deadline::NEVER);
+                    let (response, body) = async_std::task::block_on(reading).unwrap();
+                    (response.status().into(), body)
+                })
+            })
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+
+    // Assert
+    assert_eq!(effects(&deployment, "booking-1"), 1);
+    for outcome in &outcomes {
+        assert_eq!(outcome, &outcomes[0]);
+        assert_eq!(outcome.0, 200);
+    }
+}
+
+/// Guards against a second effect after the node that ran the request has died.
+#[test]
+fn key_of_a_dead_node_is_not_run_again() {
+    // Arrange
+    let mut deployment = start_three_nodes(&[]);
+    wait_for_voters(&deployment);
+    let client = deployment.caller(0);
+    let first = send(&client, booking(&client, "booking-2"));
+    assert!(first.response().status().is_success());
+    wait_until("the outcome is not recorded", || {
+        let client = deployment.caller(1);
+        send(&client, booking(&client, "booking-2")).response().status().is_success()
+    });
+
+    // Act
+    deployment.nodes[0].process.signal("KILL");
+    let client = deployment.caller(2);
+    let again = send(&client, booking(&client, "booking-2"));
+
+    // Assert
+    assert_eq!(effects(&deployment, "booking-2"), 1);
+    assert!(again.response().status().is_success());
+}
+
+/// Guards against a run where no majority can be asked.
+#[test]
+fn node_without_a_majority_refuses_keyed_requests_truthfully() {
+    // Arrange
+    let mut deployment = start_three_nodes(&[]);
+    wait_for_voters(&deployment);
+    deployment.nodes[1].process.signal("KILL");
+    deployment.nodes[2].process.signal("KILL");
+
+    // Act
+    let client = deployment.caller(0);
+    let error = read_json(send(&client, booking(&client, "booking-3")));
+
+    // Assert
+    assert_eq!(error["error"]["code"], "YP-4003", "{error}");
+    assert_eq!(error["error"]["run_state"], "unknown");
+    assert_eq!(effects(&deployment, "booking-3"), 0);
+}
+
+/// Guards against a cold endpoint that falls over because each node sends what it alone would bear.
+#[test]
+fn cold_endpoint_survives_a_burst_from_all_nodes() {
+    // Arrange
+    let flags = ["--cold", "--cold-requests", "2", "--warm-up-ms", "1500", "--token-time-ms", "5"];
+    let deployment = start(&Plan {
+        engines: 1,
+        engine_flags: &flags,
+        nodes: 3,
+        node_flags: &SHORT_LEDGER,
+        ..Plan::default()
+    });
+
+    // Act
+    let answers: Vec<Value> = std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..24)
+            .map(|number| {
+                let client = deployment.caller(number % 3);
+                scope.spawn(move || {
+                    let prompt = format!("question {number}");
+                    read_json(send(
+                        &client,
+                        chat_request_with(&client, APPROVED_KEY, &prompt, 20, false),
+                    ))
+                })
+            })
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+
+    // Assert
+    assert_eq!(deployment.engine_count("crashes"), 0);
+    for answer in answers {
+        assert_eq!(answer["choices"][0]["finish_reason"], "stop", "{answer}");
+    }
+}
+
+/// Guards against a crashing request that its caller takes from node to node.
+#[test]
+fn crash_counts_of_one_node_block_a_request_at_another() {
+    // Arrange
+    let faults = r#"{"crash_marker": "bent clip"}"#;
+    let deployment = start(&Plan {
+        engines: 3,
+        engine_flags: &["--faults", faults],
+        nodes: 3,
+        node_flags: &SHORT_LEDGER,
+        ..Plan::default()
+    });
+    let crashing = |node: usize| {
+        let client = deployment.caller(node);
+        read_json(send(&client, chat_request_with(&client, APPROVED_KEY, "a bent clip", 5, false)))
+    };
+
+    // Act
+    let first = crashing(0);
+    wait_until("the other node does not hear of the crashes", || {
+        metric(deployment.nodes[1].admin_address, "yuccapass_blocked_requests") == 1.0
+    });
+    let second = crashing(1);
+
+    // Assert
+    assert!(first["error"].is_object(), "{first}");
+    assert_eq!(second["error"]["code"], "YP-2006", "{second}");
+    assert_eq!(deployment.engine_count("crashes"), 2);
+}
--- a/crates/yuccapassd/tests/request_faults.rs
+++ b/crates/yuccapassd/tests/request_faults.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{
-    APPROVED_KEY, Deployment, assert_whole, chat_request, chat_request_with, client, engine_count,
+    APPROVED_KEY, Deployment, assert_whole, chat_request, chat_request_with, engine_count,
     post_faults, read_json, read_stream, send, start_deployment, start_deployment_of,
 };
 use serde_json::json;
@@ -12,7 +12,7 @@
 /// Opens a stream of 100 tokens at two engines with 20 ms between tokens.
 fn open_slow_stream(node_flags: &[&str]) -> (Deployment, Exchange) {
     let deployment = start_deployment_of(2, &["--token-time-ms", "20"], node_flags);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
     let exchange = send(&client, chat_request(&client, APPROVED_KEY, 100, true));
     (deployment, exchange)
 }
@@ -61,7 +61,7 @@
     // Arrange
     let faults = r#"{"mismatch_probability": 0.5, "late_probability": 1.0, "late_ms": 50}"#;
     let deployment = start_deployment(&["--token-time-ms", "1", "--faults", faults], &[]);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
 
     // Act
     let mut exchange = send(&client, chat_request(&client, APPROVED_KEY, 100, true));
@@ -79,7 +79,7 @@
     // Arrange
     let faults = r#"{"crash_marker": "bent clip"}"#;
     let deployment = start_deployment_of(4, &["--token-time-ms", "1", "--faults", faults], &[]);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
     let crashing = || chat_request_with(&client, APPROVED_KEY, "a bent clip", 5, false);
 
     // Act
@@ -99,7 +99,7 @@
     // Arrange
     let faults = r#"{"crash_marker": "book"}"#;
     let deployment = start_deployment_of(2, &["--faults", faults], &[]);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
     let mut request = chat_request_with(&client, APPROVED_KEY, "book the furnace", 5, false);
     request.insert_header("x-not-repeatable", "true");
 
@@ -116,7 +116,7 @@
 fn request_goes_elsewhere_when_an_endpoint_does_not_answer() {
     // Arrange
     let mut deployment = start_deployment_of(2, &["--token-time-ms", "1"], &[]);
-    let client = client(deployment.caller_address);
+    let client = deployment.caller(0);
     drop(deployment.engines.remove(0));
 
     // Act
