decisions: count late requests in the policy comparison

Cause: at 150% load the cost policy showed no imports at all. Its imports waited at the store's links beyond the end of the run and were counted nowhere; refused requests also counted as processed. Change: requests without a first token after 15 s are late, those of the last 15 s are not counted, and a conversation grows when its prompt was processed.

--- a/crates/decisions/examples/compare_policies/main.rs
+++ b/crates/decisions/examples/compare_policies/main.rs
@@ -28,8 +28,8 @@
     let seed = std::env::args().nth(1).map_or(Ok(1), |text| text.parse())?;
     println!("seeds {seed} to {}", seed + SEEDS - 1);
     println!(
-        "{:>6} {:>12} {:>9} {:>9} {:>12} {:>9} {:>9}",
-        "load", "policy", "p50 ms", "p95 ms", "recomputed", "refused", "imported"
+        "{:>6} {:>12} {:>9} {:>9} {:>12} {:>9} {:>9} {:>9}",
+        "load", "policy", "p50 ms", "p95 ms", "recomputed", "refused", "late", "imported"
     );
     for load_percent in LOADS_PERCENT {
         for (name, policy) in policies() {
@@ -61,11 +61,12 @@
     };
     let share = |part: u64, whole: u64| part as f64 * 100.0 / whole.max(1) as f64;
     println!(
-        "{load_percent:>5}% {name:>12} {:>9} {:>9} {:>11.1}% {:>8.1}% {:>8.1}%",
+        "{load_percent:>5}% {name:>12} {:>9} {:>9} {:>11.1}% {:>8.1}% {:>8.1}% {:>8.1}%",
         quantile_ms(50),
         quantile_ms(95),
         share(outcome.recomputed_tokens, outcome.prompt_tokens),
-        share(outcome.refused, outcome.refused + times.len() as u64),
+        share(outcome.refused, outcome.arrived),
+        share(outcome.late(), outcome.arrived),
         share(outcome.imported_tokens, outcome.prompt_tokens),
     );
 }
--- a/crates/decisions/examples/compare_policies/simulation.rs
+++ b/crates/decisions/examples/compare_policies/simulation.rs
@@ -32,7 +32,10 @@
 const REPORT_EVERY_US: u64 = 500_000;
 const REPORT_LAG_US: u64 = 200_000;
 const WARM_UP_US: u64 = 90_000_000;
-const END_US: u64 = 180_000_000;
+const END_US: u64 = 195_000_000;
+/// Requests without a first token by then are late; those that arrive in the last of this time are
+/// not counted.
+const DEADLINE_US: u64 = 15_000_000;
 const MEAN_RUN_MS: u64 = 2_200;
 
 /// Results of runs.
@@ -42,9 +45,22 @@
     pub prompt_tokens: u64,
     pub recomputed_tokens: u64,
     pub imported_tokens: u64,
+    pub arrived: u64,
     pub refused: u64,
 }
 
+impl Outcome {
+    /// Returns the requests that were not refused and yet had no first token in time.
+    pub fn late(&self) -> u64 {
+        let timely = self.first_token_us.iter().filter(|&&us| us <= DEADLINE_US).count();
+        self.arrived - self.refused - timely as u64
+    }
+}
+
+fn is_counted(arrived_us: u64) -> bool {
+    (WARM_UP_US..END_US - DEADLINE_US).contains(&arrived_us)
+}
+
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
@@ -168,12 +184,13 @@
     fn arrive(&mut self, now_us: u64, outcome: &mut Outcome) {
         let wait: f64 = -(1.0 - self.random.random::<f64>()).ln();
         self.schedule(now_us + (wait * self.gap_us as f64) as u64, Event::Arrival);
+        outcome.arrived += u64::from(is_counted(now_us));
         let node = self.random.random_range(0..self.nodes.len());
         let prompt = self.workload.next(&mut self.random);
         let (request, candidates) = self.view(node, &prompt, now_us);
         match self.policy.place(&request, &candidates, &mut self.random) {
             Ok(placement) => self.send(node, &request, placement, prompt, now_us),
-            Err(_) => outcome.refused += u64::from(now_us >= WARM_UP_US),
+            Err(_) => outcome.refused += u64::from(is_counted(now_us)),
         }
     }
 
@@ -266,10 +283,11 @@
 
     fn reach_endpoint(&mut self, place: usize, now_us: u64, outcome: &mut Outcome) {
         let Some((endpoint, job)) = self.in_transfer[place].take() else { return };
+        let arrived_us = job.arrived_us;
         if self.engines[endpoint].accept(job, now_us) {
             self.start_prefill(endpoint, now_us);
         } else {
-            outcome.refused += u64::from(now_us >= WARM_UP_US);
+            outcome.refused += u64::from(is_counted(arrived_us));
         }
     }
 
@@ -282,8 +300,9 @@
     fn end_prefill(&mut self, endpoint: usize, now_us: u64, outcome: &mut Outcome) {
         let Some(done) = self.engines[endpoint].end_prefill(now_us) else { return };
         let prompt = &done.job.prompt;
+        self.workload.complete(prompt);
         let decode_us = prompt.answer_tokens * DECODE_US_PER_TOKEN;
-        if done.job.arrived_us >= WARM_UP_US {
+        if is_counted(done.job.arrived_us) {
             let new_blocks = prompt.chain.len() - prompt.processed_blocks;
             let new_tokens = new_blocks as u64 * BLOCK_TOKENS;
             outcome.first_token_us.push(now_us - done.job.arrived_us);
--- a/crates/decisions/examples/compare_policies/workload.rs
+++ b/crates/decisions/examples/compare_policies/workload.rs
@@ -31,6 +31,7 @@
 /// A request of a conversation.
 #[derive(Clone)]
 pub struct Prompt {
+    conversation: usize,
     pub chain: Vec<BlockHash>,
     /// Blocks that any endpoint processed before.
     pub processed_blocks: usize,
@@ -59,17 +60,24 @@
     }
 
     /// Draws the next request; each conversation returns after a random gap.
-    pub fn next(&mut self, random: &mut StdRng) -> Prompt {
+    pub fn next(&self, random: &mut StdRng) -> Prompt {
         let number = random.random_range(0..self.conversations.len());
-        let conversation = &mut self.conversations[number];
-        let prompt = Prompt {
+        let conversation = &self.conversations[number];
+        Prompt {
+            conversation: number,
             chain: conversation.chain[..conversation.length_blocks].to_vec(),
             processed_blocks: conversation.processed_blocks,
             answer_tokens: random.random_range(20..100),
-        };
-        conversation.processed_blocks = conversation.length_blocks;
-        conversation.length_blocks = (conversation.length_blocks + GROWTH_BLOCKS).min(MAX_BLOCKS);
-        prompt
+        }
+    }
+
+    /// Records that a prompt was processed; its conversation has grown when it returns.
+    pub fn complete(&mut self, prompt: &Prompt) {
+        let conversation = &mut self.conversations[prompt.conversation];
+        let processed = prompt.chain.len();
+        conversation.processed_blocks = conversation.processed_blocks.max(processed);
+        let grown = (processed + GROWTH_BLOCKS).min(MAX_BLOCKS);
+        conversation.length_blocks = conversation.length_blocks.max(grown);
     }
 }
 
