decisions: give each import source a byte allowance

Cause: imports piled up at the links of the store; only the link between regions had a budget. Change: an import source carries the allowance of the links on the way, which the node takes from a LinkBudget for each; as many blocks are imported as it covers. This replaces the flag for crossing regions. At light load the even division among nodes leaves some of the links unused.

--- a/crates/decisions/examples/compare_policies/simulation.rs
+++ b/crates/decisions/examples/compare_policies/simulation.rs
@@ -28,7 +28,8 @@
 const CACHE_BLOCKS: usize = 500;
 /// Memory and disk of the store, in blocks, with their rates and latencies.
 const TIERS: [(usize, u64, u64); 2] = [(16_000, 400_000_000, 2), (160_000, 150_000_000, 10)];
-const LINK_BYTES_PER_S: u64 = 3_750_000;
+/// Nodes in the region of the store.
+const STORE_NODES: u32 = 8;
 const REPORT_EVERY_US: u64 = 500_000;
 const REPORT_LAG_US: u64 = 200_000;
 const WARM_UP_US: u64 = 90_000_000;
@@ -77,7 +78,8 @@
     reports: Vec<Report>,
     /// Time and tokens of what was sent to each endpoint since its report.
     sent: Vec<Vec<(u64, u64)>>,
-    link: LinkBudget,
+    /// This node's part of the link of each tier.
+    links: [LinkBudget; 2],
 }
 
 pub struct Simulation<'a> {
@@ -120,12 +122,13 @@
         let prompt_us = workload.mean_prompt_tokens() * 1_000_000 / PREFILL_TOKENS_PER_S;
         let gap_us = prompt_us * 100 / load_percent / ENDPOINT_ZONES.len() as u64;
         let endpoints = ENDPOINT_ZONES.len();
-        let link_rate = BytesPerSecond::new(LINK_BYTES_PER_S);
         let nodes = NODE_ZONES.iter().map(|&zone| Node {
             zone,
             reports: vec![Report::default(); endpoints],
             sent: vec![Vec::new(); endpoints],
-            link: LinkBudget::new(link_rate, 2, instant(0)),
+            links: TIERS.map(|(_, rate, _)| {
+                LinkBudget::new(BytesPerSecond::new(rate), STORE_NODES, instant(0))
+            }),
         });
         let indexes = [0, 1].map(|_| PrefixIndex::new(IndexSettings::default()));
         for (number, &zone) in ENDPOINT_ZONES.iter().enumerate() {
@@ -189,7 +192,7 @@
         let prompt = self.workload.next(&mut self.random);
         let (request, candidates) = self.view(node, &prompt, now_us);
         match self.policy.place(&request, &candidates, &mut self.random) {
-            Ok(placement) => self.send(node, &request, placement, prompt, now_us),
+            Ok(placement) => self.send(node, placement, prompt, now_us),
             Err(_) => outcome.refused += u64::from(is_counted(now_us)),
         }
     }
@@ -207,7 +210,6 @@
             .collect();
         set_cached_blocks(&mut candidates, &matches);
         let mut request = prompt.request();
-        request.link_allowance = self.nodes[node].link.available(instant(now_us));
         for (tier, &(_, rate, latency_ms)) in TIERS.iter().enumerate() {
             request.sources.push(ImportSource {
                 // The store is in the first region, and each region has an index of its own.
@@ -217,7 +219,7 @@
                     .map_or(0, |m| m.blocks),
                 rate: BytesPerSecond::new(rate),
                 latency_ms,
-                crosses_regions: own_region != 0,
+                allowance: self.nodes[node].links[tier].available(instant(now_us)),
             });
         }
         (request, candidates)
@@ -253,21 +255,12 @@
         }
     }
 
-    fn send(
-        &mut self,
-        node: usize,
-        request: &PlacementRequest,
-        placement: Placement,
-        prompt: Prompt,
-        now_us: u64,
-    ) {
+    fn send(&mut self, node: usize, placement: Placement, prompt: Prompt, now_us: u64) {
         let endpoint = placement.candidate;
         let mut sent_us = now_us;
         let mut imported_blocks = 0;
         if let Some(import) = placement.import {
-            if request.sources[import.source].crosses_regions {
-                self.nodes[node].link.try_take(import.bytes, instant(now_us));
-            }
+            self.nodes[node].links[import.source].try_take(import.bytes, instant(now_us));
             let (_, rate, latency_ms) = TIERS[import.source];
             let free_us = self.store_free_us[import.source].max(now_us);
             let done_us = free_us + import.bytes.get() * 1_000_000 / rate;
--- a/crates/decisions/examples/compare_policies/workload.rs
+++ b/crates/decisions/examples/compare_policies/workload.rs
@@ -94,7 +94,6 @@
             block_size: Bytes::new(BLOCK_BYTES),
             is_suspect: false,
             sources: Vec::new(),
-            link_allowance: Bytes::ZERO,
         }
     }
 }
--- a/crates/decisions/examples/measure_routing.rs
+++ b/crates/decisions/examples/measure_routing.rs
@@ -141,7 +141,7 @@
         blocks,
         rate: BytesPerSecond::new(rate),
         latency_ms: 2,
-        crosses_regions: false,
+        allowance: Bytes::new(100_000_000),
     };
     PlacementRequest {
         prompt: Tokens::new(u64::from(prompt_blocks) * 64),
@@ -149,7 +149,6 @@
         block_size: Bytes::new(200_000),
         is_suspect: false,
         sources: vec![source(prompt_blocks / 2, 200_000_000), source(prompt_blocks, 50_000_000)],
-        link_allowance: Bytes::ZERO,
     }
 }
 
--- a/crates/decisions/src/routing/placement/candidate.rs
+++ b/crates/decisions/src/routing/placement/candidate.rs
@@ -63,8 +63,8 @@
     pub rate: BytesPerSecond,
     /// Time until it begins to send.
     pub latency_ms: u64,
-    /// Whether its link crosses to another region.
-    pub crosses_regions: bool,
+    /// What the byte budgets of the links on the way allow this node now.
+    pub allowance: Bytes,
 }
 
 /// A request to place.
@@ -80,8 +80,6 @@
     pub is_suspect: bool,
     /// Holders from which blocks can be imported.
     pub sources: Vec<ImportSource>,
-    /// What the link between regions allows now.
-    pub link_allowance: Bytes,
 }
 
 impl PlacementRequest {
--- a/crates/decisions/src/routing/placement/cost.rs
+++ b/crates/decisions/src/routing/placement/cost.rs
@@ -227,18 +227,21 @@
     best
 }
 
+/// Returns the import of as many blocks as the allowance covers, and its time.
 fn import_plan(
     request: &PlacementRequest,
     source: &ImportSource,
     position: usize,
     cached: u32,
 ) -> Option<(ImportPlan, u64)> {
-    let blocks = source.blocks.min(request.prompt_blocks).checked_sub(cached)?;
-    let bytes = Bytes::new(request.block_size.get().saturating_mul(u64::from(blocks)));
-    let is_allowed = !source.crosses_regions || bytes <= request.link_allowance;
-    if blocks == 0 || source.rate.get() == 0 || !is_allowed {
+    let missing = source.blocks.min(request.prompt_blocks).checked_sub(cached)?;
+    let block_bytes = request.block_size.get().max(1);
+    let allowed = source.allowance.get() / block_bytes;
+    let blocks = missing.min(u32::try_from(allowed).unwrap_or(u32::MAX));
+    if blocks == 0 || source.rate.get() == 0 {
         return None;
     }
+    let bytes = Bytes::new(block_bytes.saturating_mul(u64::from(blocks)));
     let transfer_us = bytes.get().saturating_mul(1_000_000) / source.rate.get();
     let time_us = source.latency_ms.saturating_mul(1000).saturating_add(transfer_us);
     Some((ImportPlan { source: position, from_block: cached, blocks, bytes }, time_us))
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -46,7 +46,6 @@
         block_size: Bytes::new(100_000),
         is_suspect: false,
         sources: Vec::new(),
-        link_allowance: Bytes::ZERO,
     }
 }
 
@@ -175,7 +174,7 @@
         blocks: 64,
         rate: BytesPerSecond::new(rate),
         latency_ms: 1,
-        crosses_regions: false,
+        allowance: Bytes::new(u64::MAX),
     };
     let fast = PlacementRequest { sources: vec![source(0), source(100_000_000)], ..request() };
     let slow = PlacementRequest { sources: vec![source(1_000_000)], ..request() };
@@ -191,29 +190,28 @@
     assert_eq!((with_slow.import, with_slow.prefill_tokens), (None, Tokens::new(4_096)));
 }
 
-/// Guards against imports beyond the budget of the link between regions.
+/// Guards against imports beyond the budget of a link.
 #[test]
-fn import_across_regions_stays_inside_the_allowance() {
+fn import_stays_inside_the_allowance() {
     // Arrange
-    let source = ImportSource {
-        blocks: 64,
-        rate: BytesPerSecond::new(100_000_000),
-        latency_ms: 12,
-        crosses_regions: true,
-    };
-    let allowance = |bytes| PlacementRequest {
-        sources: vec![source],
-        link_allowance: Bytes::new(bytes),
+    let allowing = |bytes| PlacementRequest {
+        sources: vec![ImportSource {
+            blocks: 64,
+            rate: BytesPerSecond::new(100_000_000),
+            latency_ms: 12,
+            allowance: Bytes::new(bytes),
+        }],
         ..request()
     };
 
     // Act
-    let inside = place(&CostPolicy::default(), &allowance(6_400_000), &candidates(1)).unwrap();
-    let outside = place(&CostPolicy::default(), &allowance(6_399_999), &candidates(1)).unwrap();
+    let blocks = [6_400_000, 6_399_999, 99_999].map(|bytes| {
+        let placement = place(&CostPolicy::default(), &allowing(bytes), &candidates(1)).unwrap();
+        (placement.import.map(|plan| plan.blocks), placement.prefill_tokens.get())
+    });
 
     // Assert
-    assert!(inside.import.is_some());
-    assert!(outside.import.is_none());
+    assert_eq!(blocks, [(Some(64), 1), (Some(63), 64), (None, 4_096)]);
 }
 
 /// Guards against a popular prefix whose requests all go to the one endpoint that has it.
@@ -307,13 +305,16 @@
     };
     let mut prepare = prefill(candidate.cached_blocks);
     for source in &request.sources {
-        let blocks = source.blocks.saturating_sub(candidate.cached_blocks);
-        let bytes = f64::from(blocks) * request.block_size.get() as f64;
-        let is_allowed = !source.crosses_regions || bytes <= request.link_allowance.get() as f64;
-        if blocks > 0 && is_allowed {
-            let transfer = bytes / (source.rate.get() as f64 / 1000.0);
-            let total = source.latency_ms as f64 + transfer + prefill(source.blocks);
-            prepare = prepare.min(total);
+        let missing = source.blocks.saturating_sub(candidate.cached_blocks);
+        let block_bytes = request.block_size.get() as f64;
+        // All that is allowed is taken, if anything is.
+        let fitting = (0..=missing)
+            .rev()
+            .find(|&blocks| f64::from(blocks) * block_bytes <= source.allowance.get() as f64);
+        if let Some(blocks) = fitting.filter(|&blocks| blocks > 0) {
+            let transfer = f64::from(blocks) * block_bytes / (source.rate.get() as f64 / 1000.0);
+            let rest = prefill(candidate.cached_blocks + blocks);
+            prepare = prepare.min(source.latency_ms as f64 + transfer + rest);
         }
     }
     let distance = match candidate.distance {
@@ -346,12 +347,12 @@
 }
 
 fn any_source() -> impl Strategy<Value = ImportSource> {
-    (0u32..=64, 1u64..200, 0u64..20, any::<bool>()).prop_map(
-        |(blocks, rate, latency_ms, crosses_regions)| ImportSource {
+    (0u32..=64, 1u64..200, 0u64..20, 0u64..6_400_000).prop_map(
+        |(blocks, rate, latency_ms, allowance)| ImportSource {
             blocks,
             rate: BytesPerSecond::new(rate * 1_000_000),
             latency_ms,
-            crosses_regions,
+            allowance: Bytes::new(allowance),
         },
     )
 }
@@ -369,12 +370,10 @@
     fn choice_is_nearly_the_best_of_all(
         candidates in prop::collection::vec(any_candidate(), 1..12),
         sources in prop::collection::vec(any_source(), 0..4),
-        allowance in 0u64..6_400_000,
         seed in any::<u64>(),
     ) {
         // Arrange
-        let request =
-            PlacementRequest { sources, link_allowance: Bytes::new(allowance), ..request() };
+        let request = PlacementRequest { sources, ..request() };
         let has_near = candidates.iter().any(|c| c.distance != ZoneDistance::OtherRegion);
         let usable = |c: &&Candidate| !has_near || c.distance != ZoneDistance::OtherRegion;
         let costs = candidates.iter().filter(usable).map(|c| naive_cost_ms(&request, c));
