decisions: give each node of the policy comparison its own policy

Cause: all nodes shared one round robin, so its turns were in step over the whole fleet, which real nodes cannot do. Change: each node makes its own policy.

--- a/crates/decisions/examples/compare_policies/main.rs
+++ b/crates/decisions/examples/compare_policies/main.rs
@@ -15,10 +15,10 @@
 use std::error::Error;
 
 use yuccapass_decisions::routing::placement::{
-    CostPolicy, LeastLoadedPolicy, PlacementPolicy, RandomPolicy, RoundRobinPolicy,
+    CostPolicy, LeastLoadedPolicy, RandomPolicy, RoundRobinPolicy,
 };
 
-use simulation::{Outcome, Simulation};
+use simulation::{MakePolicy, Outcome, Simulation};
 
 /// Load as a percentage of the capacity.
 const LOADS_PERCENT: [u64; 2] = [40, 150];
@@ -32,10 +32,10 @@
         "load", "policy", "p50 ms", "p95 ms", "recomputed", "refused", "late", "imported"
     );
     for load_percent in LOADS_PERCENT {
-        for (name, policy) in policies() {
+        for (name, policy) in POLICIES {
             let mut outcome = Outcome::default();
             for seed in seed..seed + SEEDS {
-                Simulation::new(&*policy, load_percent, seed).run(&mut outcome);
+                Simulation::new(policy, load_percent, seed).run(&mut outcome);
             }
             print_row(load_percent, name, &mut outcome);
         }
@@ -43,14 +43,12 @@
     Ok(())
 }
 
-fn policies() -> Vec<(&'static str, Box<dyn PlacementPolicy>)> {
-    vec![
-        ("cost", Box::new(CostPolicy::default())),
-        ("random", Box::new(RandomPolicy)),
-        ("round robin", Box::new(RoundRobinPolicy::default())),
-        ("least loaded", Box::new(LeastLoadedPolicy)),
-    ]
-}
+const POLICIES: [(&str, MakePolicy); 4] = [
+    ("cost", || Box::new(CostPolicy::default())),
+    ("random", || Box::new(RandomPolicy)),
+    ("round robin", || Box::new(RoundRobinPolicy::default())),
+    ("least loaded", || Box::new(LeastLoadedPolicy)),
+];
 
 fn print_row(load_percent: u64, name: &str, outcome: &mut Outcome) {
     outcome.first_token_us.sort_unstable();
--- a/crates/decisions/examples/compare_policies/simulation.rs
+++ b/crates/decisions/examples/compare_policies/simulation.rs
@@ -39,6 +39,9 @@
 const DEADLINE_US: u64 = 15_000_000;
 const MEAN_RUN_MS: u64 = 2_200;
 
+/// Makes the policy of one node.
+pub type MakePolicy = fn() -> Box<dyn PlacementPolicy>;
+
 /// Results of runs.
 #[derive(Default)]
 pub struct Outcome {
@@ -75,6 +78,7 @@
 
 struct Node {
     zone: usize,
+    policy: Box<dyn PlacementPolicy>,
     reports: Vec<Report>,
     /// Time and tokens of what was sent to each endpoint since its report.
     sent: Vec<Vec<(u64, u64)>>,
@@ -82,8 +86,7 @@
     links: [LinkBudget; 2],
 }
 
-pub struct Simulation<'a> {
-    policy: &'a dyn PlacementPolicy,
+pub struct Simulation {
     random: StdRng,
     workload: Workload,
     gap_us: u64,
@@ -115,8 +118,8 @@
     Instant::from_ms(us / 1_000)
 }
 
-impl<'a> Simulation<'a> {
-    pub fn new(policy: &'a dyn PlacementPolicy, load_percent: u64, seed: u64) -> Self {
+impl Simulation {
+    pub fn new(make_policy: MakePolicy, load_percent: u64, seed: u64) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         let workload = Workload::new(&mut random);
         let prompt_us = workload.mean_prompt_tokens() * 1_000_000 / PREFILL_TOKENS_PER_S;
@@ -124,6 +127,7 @@
         let endpoints = ENDPOINT_ZONES.len();
         let nodes = NODE_ZONES.iter().map(|&zone| Node {
             zone,
+            policy: make_policy(),
             reports: vec![Report::default(); endpoints],
             sent: vec![Vec::new(); endpoints],
             links: TIERS.map(|(_, rate, _)| {
@@ -141,7 +145,6 @@
             );
         }
         let mut simulation = Self {
-            policy,
             random,
             workload,
             gap_us,
@@ -191,7 +194,7 @@
         let node = self.random.random_range(0..self.nodes.len());
         let prompt = self.workload.next(&mut self.random);
         let (request, candidates) = self.view(node, &prompt, now_us);
-        match self.policy.place(&request, &candidates, &mut self.random) {
+        match self.nodes[node].policy.place(&request, &candidates, &mut self.random) {
             Ok(placement) => self.send(node, placement, prompt, now_us),
             Err(_) => outcome.refused += u64::from(is_counted(now_us)),
         }
