--- a/crates/decisions/src/routing/placement/cost.rs
+++ b/crates/decisions/src/routing/placement/cost.rs
@@ -15,7 +15,6 @@
     other_zone_us: u64,
     other_region_us: u64,
     wait_weight_percent: u64,
-    work_weight_percent: u64,
     tie_us: u64,
     tie_percent: u64,
 }
@@ -28,7 +27,6 @@
             other_zone_us: 2_000,
             other_region_us: 24_000,
             wait_weight_percent: 100,
-            work_weight_percent: 100,
             tie_us: 2_000,
             tie_percent: 5,
         }
@@ -54,14 +52,6 @@
         self
     }
 
-    /// Sets the weight of prompt processing against imports; default 100 %.
-    ///
-    /// Processing delays the requests behind this one, which its own time to first token leaves out.
-    pub fn work_weight_percent(mut self, work_weight_percent: u64) -> Self {
-        self.work_weight_percent = work_weight_percent;
-        self
-    }
-
     /// Sets the difference below which costs count as equal; default 2 ms or 5 %.
     pub fn tie(mut self, tie_us: u64, tie_percent: u64) -> Self {
         self.tie_us = tie_us;
@@ -114,14 +104,14 @@
         let mut costs = Vec::with_capacity(eligible.len());
         let mut best_us = u64::MAX;
         let mut limit_us = u64::MAX;
-        let mut preparations = Preparations::new(request, self.settings.work_weight_percent);
+        let mut preparations = Preparations::new(request);
         for position in eligible {
             let candidate = &candidates[position];
             let arrival_us = self.arrival_cost_us(candidate);
             if arrival_us > limit_us {
                 continue;
             }
-            let cost_us = arrival_us.saturating_add(preparations.cost_us(candidate));
+            let cost_us = arrival_us.saturating_add(preparations.time_us(candidate));
             if cost_us < best_us {
                 best_us = cost_us;
                 limit_us = self.tie_limit_us(best_us);
@@ -130,44 +120,33 @@
         }
         costs.retain(|&(cost_us, _)| cost_us <= limit_us);
         let position = less_loaded_of_two(&costs, candidates, random);
-        let candidate = &candidates[position];
-        let preparation = best_preparation(request, candidate, self.settings.work_weight_percent);
-        Ok(placement(request, candidate, position, preparation))
+        Ok(placement(request, &candidates[position], position))
     }
 }
 
-/// How a prompt is prepared at a candidate.
-#[derive(Debug, Clone, Copy)]
-struct Preparation {
-    import: Option<ImportPlan>,
-    time_us: u64,
-    cost_us: u64,
-}
-
-/// Weighted preparation costs of one request.
+/// Preparation times of one request.
 ///
 /// Most candidates of a fleet have the same blocks and the same rate, so the last result is kept.
 struct Preparations<'a> {
     request: &'a PlacementRequest,
-    work_weight_percent: u64,
     last: Option<(u32, TokensPerSecond, u64)>,
 }
 
 impl<'a> Preparations<'a> {
-    fn new(request: &'a PlacementRequest, work_weight_percent: u64) -> Self {
-        Self { request, work_weight_percent, last: None }
+    fn new(request: &'a PlacementRequest) -> Self {
+        Self { request, last: None }
     }
 
-    fn cost_us(&mut self, candidate: &Candidate) -> u64 {
+    fn time_us(&mut self, candidate: &Candidate) -> u64 {
         let (blocks, rate) = (candidate.cached_blocks, candidate.prefill_rate);
-        if let Some((last_blocks, last_rate, cost_us)) = self.last
+        if let Some((last_blocks, last_rate, time_us)) = self.last
             && (last_blocks, last_rate) == (blocks, rate)
         {
-            return cost_us;
+            return time_us;
         }
-        let cost_us = best_preparation(self.request, candidate, self.work_weight_percent).cost_us;
-        self.last = Some((blocks, rate, cost_us));
-        cost_us
+        let (_, time_us) = best_preparation(self.request, candidate);
+        self.last = Some((blocks, rate, time_us));
+        time_us
     }
 }
 
@@ -182,17 +161,12 @@
     if rank(first) <= rank(second) { first.1 } else { second.1 }
 }
 
-fn placement(
-    request: &PlacementRequest,
-    candidate: &Candidate,
-    position: usize,
-    preparation: Preparation,
-) -> Placement {
-    let import = preparation.import;
+fn placement(request: &PlacementRequest, candidate: &Candidate, position: usize) -> Placement {
+    let (import, prepare_us) = best_preparation(request, candidate);
     let present = import.map_or(candidate.cached_blocks, |plan| plan.from_block + plan.blocks);
     Placement {
         candidate: position,
-        expected_first_token_us: wait_us(candidate).saturating_add(preparation.time_us),
+        expected_first_token_us: wait_us(candidate).saturating_add(prepare_us),
         prefill_tokens: request.uncached(present),
         import,
         needs_permit: candidate.health.needs_permit(),
@@ -232,29 +206,22 @@
     tokens.get().saturating_mul(1_000_000) / candidate.prefill_rate.get().max(1)
 }
 
-/// Returns the way to get the prompt processed that costs least.
+/// Returns the quickest way to get the prompt processed, and its time.
 fn best_preparation(
     request: &PlacementRequest,
     candidate: &Candidate,
-    work_weight_percent: u64,
-) -> Preparation {
-    let prepare = |import: Option<ImportPlan>, present: u32, import_us: u64| {
-        let work_us = prefill_us(candidate, request.uncached(present));
-        let weighted_us = work_us.saturating_mul(work_weight_percent) / 100;
-        Preparation {
-            import,
-            time_us: import_us.saturating_add(work_us),
-            cost_us: import_us.saturating_add(weighted_us),
-        }
-    };
+) -> (Option<ImportPlan>, u64) {
     let cached = candidate.cached_blocks;
-    let mut best = prepare(None, cached, 0);
+    let plain_us = prefill_us(candidate, request.uncached(cached));
+    let mut best = (None, plain_us);
     for (position, source) in request.sources.iter().enumerate() {
-        if let Some((plan, import_us)) = import_plan(request, source, position, cached) {
-            let with_import = prepare(Some(plan), plan.from_block + plan.blocks, import_us);
-            if with_import.cost_us < best.cost_us {
-                best = with_import;
-            }
+        let Some((plan, import_us)) = import_plan(request, source, position, cached) else {
+            continue;
+        };
+        let rest = request.uncached(plan.from_block + plan.blocks);
+        let total_us = import_us.saturating_add(prefill_us(candidate, rest));
+        if total_us < best.1 {
+            best = (Some(plan), total_us);
         }
     }
     best
