decisions: bound the expected wait at an endpoint

Cause: at 150% load requests wait 5 to 8 s at the endpoints; by then what was cached or imported for them is evicted, so 87.6% of the prompt work is done again. Change: the cost policy skips endpoints whose expected wait is above 500 ms and answers Full if none is left, so that the request waits at its node. Actual waits exceed it by far, because several nodes fill the same endpoint between two reports.

--- a/crates/decisions/src/routing/placement/cost.rs
+++ b/crates/decisions/src/routing/placement/cost.rs
@@ -15,18 +15,20 @@
     other_zone_us: u64,
     other_region_us: u64,
     wait_weight_percent: u64,
+    max_wait_us: u64,
     tie_us: u64,
     tie_percent: u64,
 }
 
 impl Default for CostSettings {
-    /// 2 ms for another zone, 24 ms for another region, queue wait counted once, costs within 2 ms
-    /// or 5 % taken as equal.
+    /// 2 ms for another zone, 24 ms for another region, queue wait counted once and at most
+    /// 500 ms, costs within 2 ms or 5 % taken as equal.
     fn default() -> Self {
         Self {
             other_zone_us: 2_000,
             other_region_us: 24_000,
             wait_weight_percent: 100,
+            max_wait_us: 500_000,
             tie_us: 2_000,
             tie_percent: 5,
         }
@@ -52,6 +54,15 @@
         self
     }
 
+    /// Sets the longest expected queue wait at an endpoint; default 500 ms.
+    ///
+    /// Work beyond it waits at the node, where it stays fair and can still choose. With the prompt's
+    /// processing, 500 ms keep within 1.2 s to first token.
+    pub fn max_wait_us(mut self, max_wait_us: u64) -> Self {
+        self.max_wait_us = max_wait_us;
+        self
+    }
+
     /// Sets the difference below which costs count as equal; default 2 ms or 5 %.
     pub fn tie(mut self, tie_us: u64, tie_percent: u64) -> Self {
         self.tie_us = tie_us;
@@ -75,15 +86,20 @@
         Self { settings }
     }
 
-    /// Returns the weighted cost without the preparation of the prompt.
-    fn arrival_cost_us(&self, candidate: &Candidate) -> u64 {
+    /// Returns the weighted cost without the preparation of the prompt, or `None` if the wait is too
+    /// long.
+    fn arrival_cost_us(&self, candidate: &Candidate) -> Option<u64> {
+        let wait_us = wait_us(candidate);
+        if wait_us > self.settings.max_wait_us {
+            return None;
+        }
         let distance_us = match candidate.distance {
             ZoneDistance::SameZone => 0,
             ZoneDistance::SameRegion => self.settings.other_zone_us,
             ZoneDistance::OtherRegion => self.settings.other_region_us,
         };
-        let wait_us = wait_us(candidate).saturating_mul(self.settings.wait_weight_percent) / 100;
-        distance_us.saturating_add(wait_us)
+        let weighted_us = wait_us.saturating_mul(self.settings.wait_weight_percent) / 100;
+        Some(distance_us.saturating_add(weighted_us))
     }
 
     /// Returns the highest cost that still is a near tie with `best_us`.
@@ -107,10 +123,8 @@
         let mut preparations = Preparations::new(request);
         for position in eligible {
             let candidate = &candidates[position];
-            let arrival_us = self.arrival_cost_us(candidate);
-            if arrival_us > limit_us {
-                continue;
-            }
+            let arrival_us = self.arrival_cost_us(candidate).filter(|&us| us <= limit_us);
+            let Some(arrival_us) = arrival_us else { continue };
             let cost_us = arrival_us.saturating_add(preparations.time_us(candidate));
             if cost_us < best_us {
                 best_us = cost_us;
@@ -119,6 +133,9 @@
             costs.push((cost_us, position));
         }
         costs.retain(|&(cost_us, _)| cost_us <= limit_us);
+        if costs.is_empty() {
+            return Err(NoPlacement::Full);
+        }
         let position = less_loaded_of_two(&costs, candidates, random);
         Ok(placement(request, &candidates[position], position))
     }
