decisions: measure heartbeats against the number of nodes

Cause: the limits of 23 KB/s for all control work and 14 s for a revision hold at 340 nodes, and a live node must not be taken for dead.

--- /dev/null
+++ b/crates/decisions/examples/measure_membership.rs
@@ -0,0 +1,369 @@
+//! Measures heartbeats against the number of nodes, in a seeded in-memory run with 1 % loss.
+//!
+//! ```text
+//! cargo run --release -p yuccapass-decisions --example measure_membership -- [NODES...]
+//! ```
+//!
+//! For each number of nodes and each of three seeds the run warms up for 60 s, counts traffic and
+//! false alarms for 60 s, publishes a revision at one node, and then stops another node. Printed is
+//! the worst of the three seeds.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Instant as WallInstant;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use yuccapass_decisions::membership::{
+    Heartbeat, LoadSummary, MemberEvent, MemberState, Membership, MembershipConfig,
+    OrganisationUsage, Row, RowState,
+};
+use yuccapass_types::{Incarnation, Instant, Revision, TokensPerSecond};
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+const LOSS: f64 = 0.01;
+const WARM_UP_MS: u64 = 60_000;
+const QUIET_MS: u64 = 60_000;
+/// Longest wait for a revision or a death to be known everywhere.
+const SPREAD_MS: u64 = 120_000;
+/// Envelope of a frame, its length, and TCP and IP headers with an acknowledgement.
+const OVERHEAD_BYTES: usize = 30 + 4 + 80;
+
+enum Event {
+    Tick(usize),
+    Deliver {
+        to: usize,
+        heartbeat: Box<Heartbeat>,
+    },
+    /// A node has fetched the configuration of a neighbour.
+    Fetched {
+        node: usize,
+        revision: Revision,
+    },
+}
+
+#[derive(Default, Clone, Copy)]
+struct Traffic {
+    messages: u64,
+    bytes: u64,
+}
+
+struct Node {
+    membership: Membership,
+    sent: Traffic,
+    received: Traffic,
+    suspects: usize,
+    deaths: usize,
+}
+
+struct Run {
+    rng: StdRng,
+    now_ms: u64,
+    sequence: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: Vec<Option<Event>>,
+    free: Vec<usize>,
+    nodes: Vec<Node>,
+    stopped: Option<usize>,
+}
+
+#[derive(Default)]
+struct Figures {
+    sent_bytes_per_s: f64,
+    busiest_bytes_per_s: f64,
+    messages_per_s: f64,
+    suspects: usize,
+    deaths: usize,
+    revision_ms: Option<u64>,
+    dead_in_zone_ms: Option<u64>,
+    dead_everywhere_ms: Option<u64>,
+    us_per_node_s: f64,
+}
+
+fn zones(count: usize) -> usize {
+    if count < 24 { 3 } else { 6 }
+}
+
+fn address(index: usize) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([127, 0, (index / 250) as u8, (index % 250) as u8], 7_000))
+}
+
+fn row(index: usize, count: usize) -> Row {
+    let zone = format!("zone-{}", index % zones(count));
+    Row {
+        node: format!("{zone}-node-{index}").parse().expect("valid id"),
+        incarnation: Incarnation::new(1_790_000_000),
+        heartbeat: 0,
+        zone: zone.parse().expect("valid id"),
+        peer_address: address(index),
+        admin_address: address(index),
+        revision: Revision::new(1_000),
+        state: RowState::Up,
+        load: LoadSummary {
+            running_requests: 120,
+            queued_requests: 10,
+            tokens_per_s: TokensPerSecond::new(4_400),
+        },
+    }
+}
+
+fn node(index: usize, count: usize) -> Node {
+    let seeds = (0..3.min(count)).map(address).collect();
+    let config = MembershipConfig::default();
+    let mut membership = Membership::new(row(index, count), seeds, config, Instant::from_ms(0));
+    let usage = |number: usize| OrganisationUsage {
+        organisation: format!("organisation-{number}").parse().expect("valid id"),
+        tokens_per_s: TokensPerSecond::new(300),
+    };
+    membership.set_usage((0..32).map(usage).collect());
+    let (sent, received) = (Traffic::default(), Traffic::default());
+    Node { membership, sent, received, suspects: 0, deaths: 0 }
+}
+
+impl Run {
+    fn new(count: usize, seed: u64) -> Self {
+        let mut run = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now_ms: 0,
+            sequence: 0,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            free: Vec::new(),
+            nodes: (0..count).map(|index| node(index, count)).collect(),
+            stopped: None,
+        };
+        for index in 0..count {
+            let phase_ms = run.rng.random_range(0..1_000);
+            run.at(phase_ms, Event::Tick(index));
+        }
+        run
+    }
+
+    fn at(&mut self, ms: u64, event: Event) {
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.events.push(None);
+            self.events.len() - 1
+        });
+        self.events[slot] = Some(event);
+        self.sequence += 1;
+        self.queue.push(Reverse((ms, self.sequence, slot)));
+    }
+
+    /// Runs up to a time, or until `done` returns true.
+    fn run_until(&mut self, end_ms: u64, done: impl Fn(&Self) -> bool) -> bool {
+        while let Some(&Reverse((ms, _, slot))) = self.queue.peek() {
+            if ms >= end_ms {
+                break;
+            }
+            self.queue.pop();
+            self.now_ms = ms;
+            self.free.push(slot);
+            let event = self.events[slot].take().expect("each slot is used once");
+            if self.handle(event) && done(self) {
+                return true;
+            }
+        }
+        self.now_ms = end_ms;
+        done(self)
+    }
+
+    /// Handles an event; returns whether a state that is waited for may have changed.
+    fn handle(&mut self, event: Event) -> bool {
+        let now = Instant::from_ms(self.now_ms);
+        match event {
+            Event::Tick(index) => self.tick(index, now),
+            Event::Deliver { to, heartbeat } => self.deliver(to, &heartbeat, now),
+            Event::Fetched { node, revision } => {
+                let membership = &mut self.nodes[node].membership;
+                if membership.own().revision < revision {
+                    membership.set_revision(revision);
+                }
+                true
+            }
+        }
+    }
+
+    fn tick(&mut self, index: usize, now: Instant) -> bool {
+        if self.stopped == Some(index) {
+            return false;
+        }
+        self.at(self.now_ms + 1_000, Event::Tick(index));
+        let (targets, events) = self.nodes[index].membership.tick(now, &mut self.rng);
+        self.send(index, &targets);
+        self.count(index, &events)
+    }
+
+    fn send(&mut self, from: usize, targets: &[yuccapass_decisions::membership::HeartbeatTarget]) {
+        for target in targets {
+            let to = self.index_of(target.address);
+            let heartbeat = self.nodes[from].membership.heartbeat();
+            let bytes = (heartbeat.encoded_bytes() + OVERHEAD_BYTES) as u64;
+            let sent = &mut self.nodes[from].sent;
+            (sent.messages, sent.bytes) = (sent.messages + 1, sent.bytes + bytes);
+            if !self.rng.random_bool(LOSS) {
+                let ms = self.now_ms + self.latency_ms(from, to);
+                self.at(ms, Event::Deliver { to, heartbeat: Box::new(heartbeat) });
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: usize, heartbeat: &Heartbeat, now: Instant) -> bool {
+        if self.stopped == Some(to) {
+            return false;
+        }
+        let received = &mut self.nodes[to].received;
+        received.messages += 1;
+        received.bytes += (heartbeat.encoded_bytes() + OVERHEAD_BYTES) as u64;
+        let events = self.nodes[to].membership.receive(heartbeat, now);
+        for event in &events {
+            if let MemberEvent::NewerRevision { address, revision, .. } = event {
+                self.fetch(to, self.index_of(*address), *revision);
+            }
+        }
+        self.count(to, &events)
+    }
+
+    /// Fetches a configuration with a request and a reply, either of which may be lost.
+    fn fetch(&mut self, node: usize, from: usize, revision: Revision) {
+        let is_lost = self.rng.random_bool(LOSS) || self.rng.random_bool(LOSS);
+        if !is_lost && self.stopped != Some(from) {
+            let ms = self.now_ms + 2 * self.latency_ms(node, from);
+            self.at(ms, Event::Fetched { node, revision });
+        }
+    }
+
+    fn count(&mut self, index: usize, events: &[MemberEvent]) -> bool {
+        let node = &mut self.nodes[index];
+        for event in events {
+            match event {
+                MemberEvent::Changed { state: MemberState::Suspect, .. } => node.suspects += 1,
+                MemberEvent::Changed { state: MemberState::Dead, .. } => node.deaths += 1,
+                _ => {}
+            }
+        }
+        !events.is_empty()
+    }
+
+    fn index_of(&self, address: std::net::SocketAddr) -> usize {
+        let std::net::IpAddr::V4(ip) = address.ip() else { unreachable!("only IPv4 is used") };
+        let [_, _, high, low] = ip.octets();
+        usize::from(high) * 250 + usize::from(low)
+    }
+
+    /// The first half of the zones is one region, the second half the other.
+    fn latency_ms(&self, from: usize, to: usize) -> u64 {
+        let zones = zones(self.nodes.len());
+        let region = |index: usize| (index % zones) * 2 / zones;
+        if region(from) == region(to) { 1 } else { 12 }
+    }
+}
+
+fn measure(count: usize, seed: u64) -> Figures {
+    let wall = WallInstant::now();
+    let mut run = Run::new(count, seed);
+    run.run_until(WARM_UP_MS, |_| false);
+    for node in &mut run.nodes {
+        (node.sent, node.received) = (Traffic::default(), Traffic::default());
+        (node.suspects, node.deaths) = (0, 0);
+    }
+    run.run_until(WARM_UP_MS + QUIET_MS, |_| false);
+    let mut figures = traffic(&run);
+    let us = wall.elapsed().as_secs_f64() * 1e6;
+    figures.us_per_node_s = us / count as f64 / ((WARM_UP_MS + QUIET_MS) as f64 / 1e3);
+    measure_revision(&mut run, &mut figures);
+    measure_death(&mut run, &mut figures);
+    figures
+}
+
+fn traffic(run: &Run) -> Figures {
+    let (count, seconds) = (run.nodes.len() as f64, QUIET_MS as f64 / 1e3);
+    let total = |field: fn(&Node) -> u64| run.nodes.iter().map(field).sum::<u64>() as f64;
+    let both = |node: &Node| node.sent.bytes + node.received.bytes;
+    let busiest = run.nodes.iter().map(both).max().unwrap_or(0);
+    Figures {
+        sent_bytes_per_s: total(|node| node.sent.bytes) / count / seconds,
+        busiest_bytes_per_s: busiest as f64 / seconds,
+        messages_per_s: total(|node| node.sent.messages) / count / seconds,
+        suspects: run.nodes.iter().map(|node| node.suspects).sum(),
+        deaths: run.nodes.iter().map(|node| node.deaths).sum(),
+        ..Figures::default()
+    }
+}
+
+fn measure_revision(run: &mut Run, figures: &mut Figures) {
+    let (start_ms, revision) = (run.now_ms, Revision::new(1_001));
+    let first = run.rng.random_range(0..run.nodes.len());
+    run.nodes[first].membership.set_revision(revision);
+    let known = run.run_until(start_ms + SPREAD_MS, |run| {
+        run.nodes.iter().all(|node| node.membership.own().revision == revision)
+    });
+    figures.revision_ms = known.then(|| run.now_ms - start_ms);
+}
+
+fn measure_death(run: &mut Run, figures: &mut Figures) {
+    let (start_ms, count) = (run.now_ms, run.nodes.len());
+    let stopped = 3 + run.rng.random_range(0..count - 3);
+    run.stopped = Some(stopped);
+    let id = run.nodes[stopped].membership.own().node.clone();
+    let knows = |node: &Node| {
+        node.membership.member(&id).is_none_or(|member| member.state() == MemberState::Dead)
+    };
+    let zone_of = |index: usize| index % zones(count);
+    let others = |run: &Run, near: bool| {
+        let is_wanted =
+            |index: &usize| *index != stopped && (!near || zone_of(*index) == zone_of(stopped));
+        (0..count).filter(is_wanted).all(|index| knows(&run.nodes[index]))
+    };
+    let in_zone = run.run_until(start_ms + SPREAD_MS, |run| others(run, true));
+    figures.dead_in_zone_ms = in_zone.then(|| run.now_ms - start_ms);
+    let everywhere = run.run_until(start_ms + SPREAD_MS, |run| others(run, false));
+    figures.dead_everywhere_ms = everywhere.then(|| run.now_ms - start_ms);
+}
+
+fn worst(all: &[Figures]) -> Figures {
+    let largest = |field: fn(&Figures) -> f64| all.iter().map(field).fold(0.0, f64::max);
+    let latest = |field: fn(&Figures) -> Option<u64>| {
+        all.iter().map(field).try_fold(0, |worst, ms| Some(worst.max(ms?)))
+    };
+    Figures {
+        sent_bytes_per_s: largest(|figures| figures.sent_bytes_per_s),
+        busiest_bytes_per_s: largest(|figures| figures.busiest_bytes_per_s),
+        messages_per_s: largest(|figures| figures.messages_per_s),
+        suspects: all.iter().map(|figures| figures.suspects).max().unwrap_or(0),
+        deaths: all.iter().map(|figures| figures.deaths).max().unwrap_or(0),
+        revision_ms: latest(|figures| figures.revision_ms),
+        dead_in_zone_ms: latest(|figures| figures.dead_in_zone_ms),
+        dead_everywhere_ms: latest(|figures| figures.dead_everywhere_ms),
+        us_per_node_s: largest(|figures| figures.us_per_node_s),
+    }
+}
+
+fn seconds(ms: Option<u64>) -> String {
+    ms.map_or("never".to_owned(), |ms| format!("{:.1}", ms as f64 / 1e3))
+}
+
+fn main() {
+    let named: Vec<usize> =
+        std::env::args().skip(1).map(|text| text.parse().expect("a number of nodes")).collect();
+    let counts = if named.is_empty() { vec![8, 40, 85, 170, 340] } else { named };
+    println!(
+        "nodes  sent msg/s  sent B/s  busiest B/s both ways  false suspects  false deaths  \
+         revision s  dead in zone s  dead everywhere s  us/node/s"
+    );
+    for count in counts {
+        let all: Vec<Figures> = SEEDS.iter().map(|&seed| measure(count, seed)).collect();
+        let worst = worst(&all);
+        println!(
+            "{count:5}  {:10.2}  {:8.0}  {:21.0}  {:14}  {:12}  {:>10}  {:>14}  {:>17}  {:9.0}",
+            worst.messages_per_s,
+            worst.sent_bytes_per_s,
+            worst.busiest_bytes_per_s,
+            worst.suspects,
+            worst.deaths,
+            seconds(worst.revision_ms),
+            seconds(worst.dead_in_zone_ms),
+            seconds(worst.dead_everywhere_ms),
+            worst.us_per_node_s,
+        );
+    }
+}
