membership: reply to heartbeats

Change: Membership::reply makes a heartbeat of at most 1 KB for the sender of a heartbeat. At 340 nodes a heartbeat has no room for all pulses.

--- a/crates/decisions/examples/measure_membership.rs
+++ b/crates/decisions/examples/measure_membership.rs
@@ -15,8 +15,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use yuccapass_decisions::membership::{
-    Heartbeat, LoadSummary, MemberEvent, MemberState, Membership, MembershipConfig,
-    OrganisationUsage, Row, RowState,
+    Heartbeat, HeartbeatTarget, LoadSummary, MemberEvent, MemberState, Membership,
+    MembershipConfig, OrganisationUsage, Row, RowState,
 };
 use yuccapass_types::{Incarnation, Instant, Revision, TokensPerSecond};
 
@@ -32,8 +32,10 @@
 enum Event {
     Tick(usize),
     Deliver {
+        from: usize,
         to: usize,
         heartbeat: Box<Heartbeat>,
+        is_reply: bool,
     },
     /// A node has fetched the configuration of a neighbour.
     Fetched {
@@ -172,7 +174,9 @@
         let now = Instant::from_ms(self.now_ms);
         match event {
             Event::Tick(index) => self.tick(index, now),
-            Event::Deliver { to, heartbeat } => self.deliver(to, &heartbeat, now),
+            Event::Deliver { from, to, heartbeat, is_reply } => {
+                self.deliver(from, to, &heartbeat, is_reply)
+            }
             Event::Fetched { node, revision } => {
                 let membership = &mut self.nodes[node].membership;
                 if membership.own().revision < revision {
@@ -193,33 +197,41 @@
         self.count(index, &events)
     }
 
-    fn send(&mut self, from: usize, targets: &[yuccapass_decisions::membership::HeartbeatTarget]) {
+    fn send(&mut self, from: usize, targets: &[HeartbeatTarget]) {
         for target in targets {
-            let to = self.index_of(target.address);
             let heartbeat = self.nodes[from].membership.heartbeat();
-            let bytes = (heartbeat.encoded_bytes() + OVERHEAD_BYTES) as u64;
-            let sent = &mut self.nodes[from].sent;
-            (sent.messages, sent.bytes) = (sent.messages + 1, sent.bytes + bytes);
-            if !self.rng.random_bool(LOSS) {
-                let ms = self.now_ms + self.latency_ms(from, to);
-                self.at(ms, Event::Deliver { to, heartbeat: Box::new(heartbeat) });
-            }
+            self.post(from, self.index_of(target.address), heartbeat, false);
         }
     }
 
-    fn deliver(&mut self, to: usize, heartbeat: &Heartbeat, now: Instant) -> bool {
+    fn post(&mut self, from: usize, to: usize, heartbeat: Heartbeat, is_reply: bool) {
+        let bytes = (heartbeat.encoded_bytes() + OVERHEAD_BYTES) as u64;
+        let sent = &mut self.nodes[from].sent;
+        (sent.messages, sent.bytes) = (sent.messages + 1, sent.bytes + bytes);
+        if !self.rng.random_bool(LOSS) {
+            let ms = self.now_ms + self.latency_ms(from, to);
+            self.at(ms, Event::Deliver { from, to, heartbeat: Box::new(heartbeat), is_reply });
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, heartbeat: &Heartbeat, is_reply: bool) -> bool {
         if self.stopped == Some(to) {
             return false;
         }
         let received = &mut self.nodes[to].received;
         received.messages += 1;
         received.bytes += (heartbeat.encoded_bytes() + OVERHEAD_BYTES) as u64;
+        let now = Instant::from_ms(self.now_ms);
         let events = self.nodes[to].membership.receive(heartbeat, now);
         for event in &events {
             if let MemberEvent::NewerRevision { address, revision, .. } = event {
                 self.fetch(to, self.index_of(*address), *revision);
             }
         }
+        if !is_reply {
+            let reply = self.nodes[to].membership.reply();
+            self.post(to, from, reply, true);
+        }
         self.count(to, &events)
     }
 
--- a/crates/decisions/src/membership/heartbeat.rs
+++ b/crates/decisions/src/membership/heartbeat.rs
@@ -4,10 +4,15 @@
 
 use super::row::{Row, varint_bytes};
 
-/// Largest encoded heartbeat: at 2.5 heartbeats a second each way, 10 KB/s of the 23 KB/s that all
-/// control work may use.
+/// Largest encoded heartbeat.
+///
+/// At 2.5 heartbeats and as many replies a second in each direction, a node exchanges at most 16 KB/s
+/// of the 23 KB/s that all control work may use.
 pub const MAX_HEARTBEAT_BYTES: usize = 2_048;
 
+/// Largest encoded reply to a heartbeat.
+pub const MAX_REPLY_BYTES: usize = 1_024;
+
 /// Most rows of other nodes in a heartbeat.
 pub const MAX_ROWS: usize = 24;
 
@@ -20,8 +25,8 @@
 /// Bytes that usage may take.
 const MAX_USAGE_BYTES: usize = 640;
 
-/// Bytes that are kept free of pulses, for rows.
-const ROW_BYTES: usize = 512;
+/// Share of a message that is kept free of pulses, for rows.
+const ROW_SHARE: usize = 4;
 
 /// Most pulses in a heartbeat, by their smallest size.
 pub const MAX_PULSES: usize = MAX_HEARTBEAT_BYTES / 5;
@@ -89,11 +94,11 @@
     }
 
     /// Adds pulses in their order until only the bytes for rows are left.
-    pub(crate) fn fill_pulses(&mut self, pulses: impl Iterator<Item = Pulse>) {
+    pub(crate) fn fill_pulses(&mut self, pulses: impl Iterator<Item = Pulse>, max_bytes: usize) {
         let mut bytes = self.encoded_bytes();
         for pulse in pulses {
             bytes += pulse_bytes(&pulse);
-            if bytes + ROW_BYTES > MAX_HEARTBEAT_BYTES {
+            if bytes + max_bytes / ROW_SHARE > max_bytes {
                 return;
             }
             self.pulses.push(pulse);
@@ -101,11 +106,11 @@
     }
 
     /// Adds rows in their order until the message or the number of rows is full.
-    pub(crate) fn fill_rows<'a>(&mut self, rows: impl Iterator<Item = &'a Row>) {
+    pub(crate) fn fill_rows<'a>(&mut self, rows: impl Iterator<Item = &'a Row>, max_bytes: usize) {
         let mut bytes = self.encoded_bytes();
         for row in rows {
             let row_bytes = row.encoded_bytes();
-            if self.rows.len() == MAX_ROWS || bytes + row_bytes > MAX_HEARTBEAT_BYTES {
+            if self.rows.len() == MAX_ROWS || bytes + row_bytes > max_bytes {
                 return;
             }
             bytes += row_bytes;
--- a/crates/decisions/src/membership/mod.rs
+++ b/crates/decisions/src/membership/mod.rs
@@ -14,8 +14,8 @@
 mod targets;
 
 pub use heartbeat::{
-    CrashCount, Heartbeat, MAX_CRASHES, MAX_HEARTBEAT_BYTES, MAX_PULSES, MAX_ROWS, MAX_USAGE,
-    OrganisationUsage, Pulse,
+    CrashCount, Heartbeat, MAX_CRASHES, MAX_HEARTBEAT_BYTES, MAX_PULSES, MAX_REPLY_BYTES, MAX_ROWS,
+    MAX_USAGE, OrganisationUsage, Pulse,
 };
 pub use member::{Member, MemberState};
 pub use row::{LoadSummary, Row, RowState};
--- a/crates/decisions/src/membership/table.rs
+++ b/crates/decisions/src/membership/table.rs
@@ -6,7 +6,9 @@
 use rand::Rng;
 use yuccapass_types::{Instant, NodeId, Revision, SortedMap};
 
-use super::heartbeat::{CrashCount, Heartbeat, OrganisationUsage, Pulse};
+use super::heartbeat::{
+    CrashCount, Heartbeat, MAX_HEARTBEAT_BYTES, MAX_REPLY_BYTES, OrganisationUsage, Pulse,
+};
 use super::member::{Member, MemberState};
 use super::row::{LoadSummary, Row, RowState, process_id};
 use super::targets::{HeartbeatTarget, VmHint, choose};
@@ -178,16 +180,29 @@
     /// It has the counters that rose last, and the rows that were passed on least often since their
     /// content changed, so that news is spread first and all rows in turn after it.
     pub fn heartbeat(&mut self) -> Heartbeat {
-        let mut heartbeat = Heartbeat::new(self.own.clone(), &self.usage, &self.crashes);
+        let heartbeat = Heartbeat::new(self.own.clone(), &self.usage, &self.crashes);
+        self.filled(heartbeat, MAX_HEARTBEAT_BYTES)
+    }
+
+    /// Makes the reply to a heartbeat, which has no usage and no crash counts.
+    ///
+    /// Who sends a heartbeat thus hears something each time, while heartbeats from others arrive by
+    /// chance.
+    pub fn reply(&mut self) -> Heartbeat {
+        let heartbeat = Heartbeat::new(self.own.clone(), &[], &[]);
+        self.filled(heartbeat, MAX_REPLY_BYTES)
+    }
+
+    fn filled(&mut self, mut heartbeat: Heartbeat, max_bytes: usize) -> Heartbeat {
         // A suspect or dead member's row is not passed on: it tells nothing new, and an old copy
         // must not come back to a node that has forgotten it.
         let is_news =
             |member: &&Member| matches!(member.state, MemberState::Alive | MemberState::Left);
         let mut news: Vec<&Member> = self.members.values().filter(is_news).collect();
         news.sort_by_key(|member| Reverse(member.heard_at));
-        heartbeat.fill_pulses(news.iter().map(|member| member.pulse()));
+        heartbeat.fill_pulses(news.iter().map(|member| member.pulse()), max_bytes);
         news.sort_by_key(|member| member.passed_on);
-        heartbeat.fill_rows(news.into_iter().map(Member::row));
+        heartbeat.fill_rows(news.into_iter().map(Member::row), max_bytes);
         for row in &heartbeat.rows {
             if let Some(member) = self.members.get_mut(&row.node) {
                 member.passed_on += 1;
--- a/crates/decisions/tests/membership.rs
+++ b/crates/decisions/tests/membership.rs
@@ -10,8 +10,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use yuccapass_decisions::membership::{
-    CrashCount, Heartbeat, LoadSummary, MAX_HEARTBEAT_BYTES, MemberEvent, MemberState, Membership,
-    MembershipConfig, OrganisationUsage, Row, RowState, VmHint,
+    CrashCount, Heartbeat, LoadSummary, MAX_HEARTBEAT_BYTES, MAX_REPLY_BYTES, MemberEvent,
+    MemberState, Membership, MembershipConfig, OrganisationUsage, Row, RowState, VmHint,
 };
 use yuccapass_types::{Incarnation, Instant, Revision, TokensPerSecond};
 
@@ -266,11 +266,13 @@
     membership.set_crashes(vec![CrashCount { fingerprint: 1, count: u32::MAX }; 100]);
 
     // Act
-    let heartbeat = membership.heartbeat();
+    let (heartbeat, reply) = (membership.heartbeat(), membership.reply());
 
     // Assert
     assert!(heartbeat.encoded_bytes() <= MAX_HEARTBEAT_BYTES);
     assert!(heartbeat.rows.len() >= 2);
+    assert!(reply.encoded_bytes() <= MAX_REPLY_BYTES);
+    assert!(!reply.rows.is_empty());
 }
 
 /// Guards against a counter without its row being dropped, or reviving another process.
