membership: pass on the counters of the own zone first

Change: pulses of the own zone come first and the others in turn; usage and crash counts stay in the zone.

--- a/crates/decisions/examples/measure_membership.rs
+++ b/crates/decisions/examples/measure_membership.rs
@@ -199,7 +199,7 @@
 
     fn send(&mut self, from: usize, targets: &[HeartbeatTarget]) {
         for target in targets {
-            let heartbeat = self.nodes[from].membership.heartbeat();
+            let heartbeat = self.nodes[from].membership.heartbeat(target);
             self.post(from, self.index_of(target.address), heartbeat, false);
         }
     }
--- a/crates/decisions/src/membership/member.rs
+++ b/crates/decisions/src/membership/member.rs
@@ -32,14 +32,24 @@
     pub(crate) ended_at: Instant,
     /// How often the row was passed on since its content changed.
     pub(crate) passed_on: u64,
+    /// The last message that had the counter, for passing on all in turn.
+    pub(crate) pulse_sent: u64,
     pub(crate) vm_leaving: bool,
 }
 
 impl Member {
     pub(crate) fn new(row: Row, vm_leaving: bool, now: Instant) -> Self {
         let (counter, state) = (row.heartbeat, state_of(&row));
-        let (heard_at, ended_at, passed_on) = (now, now, 0);
-        Self { row, counter, state, heard_at, ended_at, passed_on, vm_leaving }
+        Self {
+            row,
+            counter,
+            state,
+            heard_at: now,
+            ended_at: now,
+            passed_on: 0,
+            pulse_sent: 0,
+            vm_leaving,
+        }
     }
 
     /// Takes a newer row; returns whether the state has changed.
--- a/crates/decisions/src/membership/table.rs
+++ b/crates/decisions/src/membership/table.rs
@@ -85,6 +85,8 @@
     usage: Vec<OrganisationUsage>,
     crashes: Vec<CrashCount>,
     last_tick: Instant,
+    /// Counts the heartbeats and replies that were made.
+    messages: u64,
     /// Members by the number that stands for them in pulses.
     by_process: SortedMap<u32, NodeId>,
 }
@@ -101,6 +103,7 @@
             usage: Vec::new(),
             crashes: Vec::new(),
             last_tick: now,
+            messages: 0,
             by_process: SortedMap::new(),
         }
     }
@@ -175,12 +178,18 @@
         (targets, events)
     }
 
-    /// Makes a heartbeat.
+    /// Makes the heartbeat for a target.
     ///
-    /// It has the counters that rose last, and the rows that were passed on least often since their
-    /// content changed, so that news is spread first and all rows in turn after it.
-    pub fn heartbeat(&mut self) -> Heartbeat {
-        let heartbeat = Heartbeat::new(self.own.clone(), &self.usage, &self.crashes);
+    /// It has the counters of this zone, then those of others that were passed on the longest time
+    /// ago, and the rows that were passed on least often since their content changed. Usage and
+    /// crash counts are shared in the zone only.
+    pub fn heartbeat(&mut self, target: &HeartbeatTarget) -> Heartbeat {
+        let member = target.node.as_ref().and_then(|node| self.members.get(node));
+        let is_near = member.is_none_or(|member| member.row.zone == self.own.zone);
+        let heartbeat = match is_near {
+            true => Heartbeat::new(self.own.clone(), &self.usage, &self.crashes),
+            false => Heartbeat::new(self.own.clone(), &[], &[]),
+        };
         self.filled(heartbeat, MAX_HEARTBEAT_BYTES)
     }
 
@@ -197,16 +206,19 @@
         // A suspect or dead member's row is not passed on: it tells nothing new, and an old copy
         // must not come back to a node that has forgotten it.
         let is_news =
-            |member: &&Member| matches!(member.state, MemberState::Alive | MemberState::Left);
-        let mut news: Vec<&Member> = self.members.values().filter(is_news).collect();
-        news.sort_by_key(|member| Reverse(member.heard_at));
+            |member: &&mut Member| matches!(member.state, MemberState::Alive | MemberState::Left);
+        let own_zone = &self.own.zone;
+        let mut news: Vec<&mut Member> = self.members.values_mut().filter(is_news).collect();
+        news.sort_by_key(|member| (member.row.zone != *own_zone, member.pulse_sent));
         heartbeat.fill_pulses(news.iter().map(|member| member.pulse()), max_bytes);
-        news.sort_by_key(|member| member.passed_on);
-        heartbeat.fill_rows(news.into_iter().map(Member::row), max_bytes);
-        for row in &heartbeat.rows {
-            if let Some(member) = self.members.get_mut(&row.node) {
-                member.passed_on += 1;
-            }
+        self.messages += 1;
+        for member in news.iter_mut().take(heartbeat.pulses.len()) {
+            member.pulse_sent = self.messages;
+        }
+        news.sort_by_key(|member| (member.passed_on, Reverse(member.heard_at)));
+        heartbeat.fill_rows(news.iter().map(|member| &member.row), max_bytes);
+        for member in news.iter_mut().take(heartbeat.rows.len()) {
+            member.passed_on += 1;
         }
         heartbeat
     }
--- a/crates/decisions/tests/membership.rs
+++ b/crates/decisions/tests/membership.rs
@@ -10,8 +10,9 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use yuccapass_decisions::membership::{
-    CrashCount, Heartbeat, LoadSummary, MAX_HEARTBEAT_BYTES, MAX_REPLY_BYTES, MemberEvent,
-    MemberState, Membership, MembershipConfig, OrganisationUsage, Row, RowState, VmHint,
+    CrashCount, Heartbeat, HeartbeatTarget, LoadSummary, MAX_HEARTBEAT_BYTES, MAX_REPLY_BYTES,
+    MemberEvent, MemberState, Membership, MembershipConfig, OrganisationUsage, Row, RowState,
+    VmHint,
 };
 use yuccapass_types::{Incarnation, Instant, Revision, TokensPerSecond};
 
@@ -46,6 +47,11 @@
     Membership::new(row(0, 1, 0), vec![address(9)], MembershipConfig::default(), at(0))
 }
 
+/// An address at which no member is known.
+fn target() -> HeartbeatTarget {
+    HeartbeatTarget { node: None, address: address(500) }
+}
+
 fn rng() -> StdRng {
     StdRng::seed_from_u64(5)
 }
@@ -112,7 +118,7 @@
     membership.receive(&message(row(3, 1, 1), vec![]), at(3_000));
 
     // Act
-    let rows = membership.heartbeat().rows;
+    let rows = membership.heartbeat(&target()).rows;
 
     // Assert
     assert_eq!(rows, [row(3, 1, 1), left]);
@@ -205,7 +211,7 @@
     // Act
     membership.tick(at(600_000), &mut rng);
     let after_pause = state(&membership, 1);
-    let rows = membership.heartbeat().rows;
+    let rows = membership.heartbeat(&target()).rows;
     silence(&mut membership, 601_000, 603_000);
 
     // Assert
@@ -266,7 +272,7 @@
     membership.set_crashes(vec![CrashCount { fingerprint: 1, count: u32::MAX }; 100]);
 
     // Act
-    let (heartbeat, reply) = (membership.heartbeat(), membership.reply());
+    let (heartbeat, reply) = (membership.heartbeat(&target()), membership.reply());
 
     // Assert
     assert!(heartbeat.encoded_bytes() <= MAX_HEARTBEAT_BYTES);
@@ -285,7 +291,7 @@
     let mut membership = membership();
     membership.receive(&message(row(1, 1, 4), vec![row(3, 1, 5), row(4, 2, 1)]), at(0));
     silence(&mut membership, 1_000, 3_000);
-    let heartbeat = Heartbeat { rows: vec![], ..other.heartbeat() };
+    let heartbeat = Heartbeat { rows: vec![], ..other.heartbeat(&target()) };
 
     // Act
     membership.receive(&heartbeat, at(3_000));
