stores: put, get, delete and status of sealed blocks, with a stand-in

Cause: store VMs had neither client nor stand-in; and a body that ended before its stated length was returned as complete by Exchange::read_body, left to each caller to notice. Change: BlockStore and HttpStore move sealed blocks and verify them before sending and after receiving; errors have a kind. The stand-in has a bounded memory and disk tier, a link whose transfers share a byte rate, and can be full, tear a block or crash in the middle of a transfer. A body that ends early is a connection error. SealedBlock moved to types and its headers to http, since endpoints and store VMs share them. Property tests keep no failure files. Conclusion: blocks are verified on both sides; eviction from a full store is left to its users.

--- a/crates/endpoints/src/http_endpoint.rs
+++ b/crates/endpoints/src/http_endpoint.rs
@@ -6,14 +6,17 @@
 use async_trait::async_trait;
 use http_types::{Body, Method, Request, Response, StatusCode};
 use serde::de::DeserializeOwned;
-use yuccapass_http::{ClientConfig, ConnectionChoice, Exchange, HttpClient, with_deadline};
-use yuccapass_types::{BlockHash, Clock, Deadline, EndpointId, RequestId, RunState, Tokens};
+use yuccapass_http::{
+    ClientConfig, ConnectionChoice, Exchange, HttpClient, block_headers, with_deadline,
+};
+use yuccapass_types::{
+    BlockHash, Clock, Deadline, EndpointId, RequestId, RunState, SealedBlock, Tokens,
+};
 
-use crate::block_headers;
 use crate::error::{EndpointError, EndpointErrorKind};
 use crate::model_endpoint::{
-    BlockListing, CacheEventBatch, GenerateRequest, LoadReport, ModelEndpoint, Order, SealedBlock,
-    StreamEvent, TokenStream, headers,
+    BlockListing, CacheEventBatch, GenerateRequest, LoadReport, ModelEndpoint, Order, StreamEvent,
+    TokenStream, headers,
 };
 use crate::sse::SseReader;
 
--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -2,11 +2,9 @@
 //!
 //! * [`model_endpoint`]: the trait object at the border and its messages.
 //! * [`http_endpoint`]: the client that speaks HTTP/1.1 with server-sent events to an engine.
-//! * [`block_headers`]: the headers that carry the seal of an exported block.
 //! * [`sse`]: reading of server-sent events.
 //! * [`error`]: what can go wrong, and what is then known about the run.
 
-pub mod block_headers;
 pub mod error;
 pub mod http_endpoint;
 pub mod model_endpoint;
@@ -16,7 +14,7 @@
 pub use http_endpoint::HttpEndpoint;
 pub use model_endpoint::{
     BlockListing, CacheEvent, CacheEventBatch, CacheEventKind, EndpointState, GenerateRequest,
-    ListedBlock, LoadReport, ModelEndpoint, Order, OrderKind, SealedBlock, StreamEvent,
-    TokenStream, headers,
+    ListedBlock, LoadReport, ModelEndpoint, Order, OrderKind, StreamEvent, TokenStream, headers,
 };
 pub use sse::{SseEvent, SseReader};
+pub use yuccapass_types::SealedBlock;
--- a/crates/endpoints/tests/sse.rs
+++ b/crates/endpoints/tests/sse.rs
@@ -19,7 +19,9 @@
 
 fn runner() -> TestRunner {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
-    TestRunner::new_with_rng(Config::with_cases(512), rng)
+    // A failure is reported with its input; files beside the test are not wanted.
+    let cases = Config { failure_persistence: None, ..Config::with_cases(512) };
+    TestRunner::new_with_rng(cases, rng)
 }
 
 /// Guards against a panic or an endless loop on bytes that are not of the protocol, and against
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -266,7 +266,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks, the deadline passes, or the body has more than `max_bytes`.
+    /// Fails if the connection breaks or ends before the body, the deadline passes, or the body has
+    /// more than `max_bytes`.
     pub async fn read_body(
         mut self,
         max_bytes: usize,
@@ -279,6 +280,7 @@
         let fail = |kind, detail: String| client.error(kind, written_bytes, detail);
         let mut bytes = Vec::new();
         let mut body = self.response.take_body();
+        let announced_bytes = body.len();
         let mut limited = (&mut body).take(max_bytes as u64 + 1);
         with_deadline(&*client.clock, deadline, limited.read_to_end(&mut bytes))
             .await
@@ -288,6 +290,10 @@
             let detail = format!("the response body has more than {max_bytes} bytes");
             return Err(fail(HttpErrorKind::Connection, detail));
         }
+        if announced_bytes.is_some_and(|length| bytes.len() < length) {
+            let detail = format!("the connection ended after {} bytes of the body", bytes.len());
+            return Err(fail(HttpErrorKind::Connection, detail));
+        }
         let response = self.response.clone();
         self.finish();
         Ok((response, bytes))
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 plumbing that the peer crates share, over async-h1.
 //!
+//! * [`block_headers`]: the headers that carry the seal of a KV cache block.
 //! * [`client`]: one pool of connections for each peer address. An error says whether any byte of
 //!   the request was written, since that decides whether the request may be sent again.
 //! * [`mod@pipe`]: a byte pipe from the task that makes a body to the connection that sends it.
@@ -7,6 +8,7 @@
 //! * [`stop`]: the two-phase stop signal that a server obeys.
 //! * [`wait`]: waiting with deadlines.
 
+pub mod block_headers;
 pub mod client;
 pub mod pipe;
 pub mod server;
--- a/crates/standins/src/bin/yuccapass-standin/main.rs
+++ b/crates/standins/src/bin/yuccapass-standin/main.rs
@@ -3,6 +3,7 @@
 mod engine;
 mod server;
 mod service;
+mod store;
 
 use std::process::ExitCode;
 
@@ -20,6 +21,7 @@
 enum Command {
     Engine(engine::EngineArguments),
     Service(service::ServiceArguments),
+    Store(store::StoreArguments),
 }
 
 fn main() -> ExitCode {
@@ -37,5 +39,6 @@
     match command {
         Command::Engine(arguments) => engine::run(arguments).await,
         Command::Service(arguments) => service::run(arguments).await,
+        Command::Store(arguments) => store::run(arguments).await,
     }
 }
--- a/crates/standins/src/engine/http/control.rs
+++ b/crates/standins/src/engine/http/control.rs
@@ -6,7 +6,8 @@
 use serde::Deserialize;
 use serde_json::json;
 use tide::Server;
-use yuccapass_endpoints::{Order, SealedBlock, block_headers, headers};
+use yuccapass_endpoints::{Order, SealedBlock, headers};
+use yuccapass_http::block_headers;
 use yuccapass_types::BlockHash;
 
 use super::{EngineRequest, json_response};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! * [`engine`]: a model endpoint.
 //! * [`service`]: a plain service.
+//! * [`store`]: a store VM.
 //! * [`journal`], [`mod@draw`]: records for checkers, and seeded random choices, which they share.
 
 pub mod draw;
 pub mod engine;
 pub mod journal;
 pub mod service;
+pub mod store;
 
 pub use draw::draw;
 pub use journal::{Journal, JournalListing, marker_of};
--- /dev/null
+++ b/crates/standins/src/store/http.rs
@@ -0,0 +1,153 @@
+//! The HTTP interface of the stand-in.
+
+use std::sync::Arc;
+
+use async_std::task;
+use futures::AsyncReadExt;
+use http_types::{Body, Response};
+use yuccapass_http::{ConnectionHandle, PipeWriter, block_headers, pipe};
+use yuccapass_stores::refusals;
+use yuccapass_types::{BlockHash, Bytes, SealedBlock};
+
+use super::shared::{Store, StoreFaults, TransferFaults};
+
+/// Bytes that are sent or received at once on a link with a rate.
+const PIECE_BYTES: usize = 16 * 1024;
+
+type StoreRequest = tide::Request<Arc<Store>>;
+
+/// Builds the application of a store VM.
+pub fn build_app(store: Arc<Store>) -> tide::Server<impl Clone + Send + Sync + use<> + 'static> {
+    let mut app = tide::with_state(store);
+    app.at("/status").get(status);
+    app.at("/blocks/:hash").put(put).get(get).delete(delete);
+    app.at("/faults").post(set_faults);
+    app.at("/crash").post(crash);
+    app
+}
+
+async fn status(request: StoreRequest) -> tide::Result {
+    let mut response = Response::new(200);
+    response.set_body(Body::from_json(&request.state().status())?);
+    Ok(response.into())
+}
+
+async fn set_faults(mut request: StoreRequest) -> tide::Result {
+    let faults: StoreFaults = request.body_json().await?;
+    request.state().set_faults(faults);
+    Ok(Response::new(204).into())
+}
+
+async fn crash(request: StoreRequest) -> tide::Result {
+    request.state().crash();
+    Ok(Response::new(204).into())
+}
+
+async fn delete(request: StoreRequest) -> tide::Result {
+    let Some(hash) = hash_of(&request) else { return Ok(Response::new(400).into()) };
+    request.state().delete(hash);
+    // A body of a known length, so that the connection can be used again.
+    json_response(200)
+}
+
+async fn put(mut request: StoreRequest) -> tide::Result {
+    let Some(hash) = hash_of(&request) else { return Ok(Response::new(400).into()) };
+    let Some(payload) = receive(&mut request).await? else {
+        return Ok(Response::new(500).into());
+    };
+    let header = |name: &str| request.header(name).map(|values| values.as_str());
+    let Some((generation, checksum)) = block_headers::parse(header) else {
+        return refused(400, refusals::TORN);
+    };
+    let block = SealedBlock { hash, generation, checksum, payload };
+    if !block.is_intact() {
+        return refused(422, refusals::TORN);
+    }
+    match request.state().put(block) {
+        Ok(()) => json_response(200),
+        Err(_) => refused(507, refusals::FULL),
+    }
+}
+
+/// Reads a payload at the rate of the link; returns `None` if the VM crashes while it does.
+async fn receive(request: &mut StoreRequest) -> tide::Result<Option<Vec<u8>>> {
+    let store = Arc::clone(request.state());
+    let faults = store.begin_transfer();
+    let mut body = request.take_body();
+    let crash_at = faults.crashes.then(|| body.len().unwrap_or(0) / 2);
+    let (mut payload, mut piece) = (Vec::new(), vec![0; PIECE_BYTES]);
+    loop {
+        if crash_at.is_some_and(|bytes| payload.len() >= bytes) {
+            crash_connection(&store, request.ext::<ConnectionHandle>());
+            return Ok(None);
+        }
+        let count = body.read(&mut piece).await?;
+        if count == 0 {
+            return Ok(Some(payload));
+        }
+        payload.extend_from_slice(&piece[..count]);
+        store.transfer(Bytes::new(count as u64)).await;
+    }
+}
+
+async fn get(request: StoreRequest) -> tide::Result {
+    let Some(hash) = hash_of(&request) else { return Ok(Response::new(400).into()) };
+    let store = Arc::clone(request.state());
+    let Some(block) = store.get(hash) else { return refused(404, refusals::MISSING) };
+    let faults = store.begin_transfer();
+    let mut payload = block.payload.clone();
+    if faults.is_torn {
+        let half = payload.len() / 2;
+        payload[half..].fill(0);
+    }
+    let mut response = Response::new(200);
+    block_headers::insert(&block, |name, value| {
+        response.insert_header(name, value);
+    });
+    let (writer, reader) = pipe(PIECE_BYTES);
+    response.set_body(Body::from_reader(reader, Some(payload.len())));
+    let connection = request.ext::<ConnectionHandle>().cloned();
+    task::spawn(send(store, payload, faults, connection, writer));
+    Ok(response.into())
+}
+
+/// Writes a payload at the rate of the link.
+async fn send(
+    store: Arc<Store>,
+    payload: Vec<u8>,
+    faults: TransferFaults,
+    connection: Option<ConnectionHandle>,
+    writer: PipeWriter,
+) {
+    let end = if faults.crashes { payload.len() / 2 } else { payload.len() };
+    for piece in payload[..end].chunks(PIECE_BYTES) {
+        store.transfer(Bytes::new(piece.len() as u64)).await;
+        if writer.write(&[piece]).await.is_err() {
+            return;
+        }
+    }
+    if faults.crashes {
+        crash_connection(&store, connection.as_ref());
+    }
+}
+
+fn crash_connection(store: &Store, connection: Option<&ConnectionHandle>) {
+    store.crash();
+    connection.into_iter().for_each(ConnectionHandle::abort);
+}
+
+fn hash_of(request: &StoreRequest) -> Option<BlockHash> {
+    request.param("hash").ok()?.parse().ok()
+}
+
+fn json_response(status: u16) -> tide::Result {
+    let mut response = Response::new(status);
+    response.set_body("{}");
+    Ok(response.into())
+}
+
+fn refused(status: u16, reason: &str) -> tide::Result {
+    let mut response = Response::new(status);
+    response.insert_header(refusals::HEADER, reason);
+    Ok(response.into())
+}
--- a/crates/standins/tests/engine_core.rs
+++ b/crates/standins/tests/engine_core.rs
@@ -174,7 +174,9 @@
 #[test]
 fn events_replay_to_the_listing() {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
-    let mut runner = TestRunner::new_with_rng(Config::with_cases(64), rng);
+    // A failure is reported with its input; files beside the test are not wanted.
+    let cases = Config { failure_persistence: None, ..Config::with_cases(64) };
+    let mut runner = TestRunner::new_with_rng(cases, rng);
     let prompts = prop::collection::vec((0..4usize, 0..12usize), 1..30);
     let property = |prompts: Vec<(usize, usize)>| {
         // Arrange
--- /dev/null
+++ b/crates/stores/src/block_store.rs
@@ -0,0 +1,77 @@
+//! The trait object at the border to store VMs, and its messages.
+
+use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
+use yuccapass_types::{BlockHash, Bytes, Deadline, Incarnation, SealedBlock, StoreId};
+
+use crate::error::StoreError;
+
+/// The header that names the reason of a refusal, and its values.
+pub mod refusals {
+    /// Name of the header.
+    pub const HEADER: &str = "x-refusal";
+    /// The store VM does not have the block.
+    pub const MISSING: &str = "missing";
+    /// The block does not match its checksum.
+    pub const TORN: &str = "torn";
+    /// There is no room for the block.
+    pub const FULL: &str = "full";
+}
+
+/// The use of a tier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TierStatus {
+    /// Bytes of all blocks in the tier.
+    pub used_bytes: Bytes,
+    /// Bytes that the tier holds at most.
+    pub capacity_bytes: Bytes,
+}
+
+/// The use of a store VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreStatus {
+    /// The store process; a new one may have lost blocks.
+    pub incarnation: Incarnation,
+    /// Number of blocks in both tiers.
+    pub blocks: u64,
+    /// The memory tier.
+    pub memory: TierStatus,
+    /// The disk tier.
+    pub disk: TierStatus,
+}
+
+/// One store VM.
+#[async_trait]
+pub trait BlockStore: Send + Sync {
+    /// Returns the store that the VM belongs to.
+    fn id(&self) -> &StoreId;
+
+    /// Stores a block, in place of an earlier one with the same hash.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the block is not intact, there is no room, or the store VM cannot be reached.
+    async fn put(&self, block: &SealedBlock, deadline: Deadline) -> Result<(), StoreError>;
+
+    /// Reads a block.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store VM does not have the block, returns one that is not intact, or cannot be
+    /// reached.
+    async fn get(&self, block: BlockHash, deadline: Deadline) -> Result<SealedBlock, StoreError>;
+
+    /// Deletes a block.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store VM cannot be reached. It is no error if it does not have the block.
+    async fn delete(&self, block: BlockHash, deadline: Deadline) -> Result<(), StoreError>;
+
+    /// Reads the use of the tiers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store VM cannot be reached or does not answer in time.
+    async fn status(&self, deadline: Deadline) -> Result<StoreStatus, StoreError>;
+}
--- /dev/null
+++ b/crates/stores/src/http_store.rs
@@ -0,0 +1,121 @@
+//! The client that speaks HTTP/1.1 to a store VM.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use http_types::{Body, Method, Request, Response};
+use yuccapass_http::{ClientConfig, ConnectionChoice, HttpClient, block_headers};
+use yuccapass_types::{BlockHash, Clock, Deadline, SealedBlock, StoreId};
+
+use crate::block_store::{BlockStore, StoreStatus, refusals};
+use crate::error::{StoreError, StoreErrorKind};
+
+/// Largest block payload.
+const MAX_BLOCK_BYTES: usize = 64 << 20;
+
+/// Largest other response, a status of a few hundred bytes.
+const MAX_JSON_BYTES: usize = 64 << 10;
+
+/// A store VM behind an HTTP address.
+pub struct HttpStore {
+    id: StoreId,
+    client: Arc<HttpClient>,
+}
+
+impl HttpStore {
+    /// Makes a client without opening a connection.
+    pub fn new(
+        id: StoreId,
+        address: SocketAddr,
+        config: ClientConfig,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self { id, client: HttpClient::new(address, config, clock) }
+    }
+
+    fn block_request(&self, method: Method, block: BlockHash) -> Request {
+        self.client.request(method, &format!("/blocks/{block}"))
+    }
+
+    /// Sends a request and reads the whole response.
+    async fn call(
+        &self,
+        request: Request,
+        max_bytes: usize,
+        deadline: Deadline,
+    ) -> Result<(Response, Vec<u8>), StoreError> {
+        let exchange = self.client.send(request, ConnectionChoice::Reuse, deadline).await?;
+        if !exchange.response().status().is_success() {
+            return Err(refusal(exchange.response()));
+        }
+        Ok(exchange.read_body(max_bytes, deadline).await?)
+    }
+}
+
+#[async_trait]
+impl BlockStore for HttpStore {
+    fn id(&self) -> &StoreId {
+        &self.id
+    }
+
+    async fn put(&self, block: &SealedBlock, deadline: Deadline) -> Result<(), StoreError> {
+        check_intact(block)?;
+        let mut request = self.block_request(Method::Put, block.hash);
+        block_headers::insert(block, |name, value| {
+            request.insert_header(name, value);
+        });
+        request.set_body(Body::from_bytes(block.payload.clone()));
+        self.call(request, MAX_JSON_BYTES, deadline).await?;
+        Ok(())
+    }
+
+    async fn get(&self, block: BlockHash, deadline: Deadline) -> Result<SealedBlock, StoreError> {
+        let request = self.block_request(Method::Get, block);
+        let (response, payload) = self.call(request, MAX_BLOCK_BYTES, deadline).await?;
+        let Some((generation, checksum)) = block_headers::parse(|name| header(&response, name))
+        else {
+            let text = "a block has no generation or checksum";
+            return Err(StoreError::new(StoreErrorKind::Protocol, text));
+        };
+        // The checksum covers the hash, so another block does not pass either.
+        let sealed = SealedBlock { hash: block, generation, checksum, payload };
+        check_intact(&sealed)?;
+        Ok(sealed)
+    }
+
+    async fn delete(&self, block: BlockHash, deadline: Deadline) -> Result<(), StoreError> {
+        let request = self.block_request(Method::Delete, block);
+        self.call(request, MAX_JSON_BYTES, deadline).await?;
+        Ok(())
+    }
+
+    async fn status(&self, deadline: Deadline) -> Result<StoreStatus, StoreError> {
+        let request = self.client.request(Method::Get, "/status");
+        let (_, bytes) = self.call(request, MAX_JSON_BYTES, deadline).await?;
+        serde_json::from_slice(&bytes)
+            .map_err(|error| StoreError::new(StoreErrorKind::Protocol, error.to_string()))
+    }
+}
+
+fn check_intact(block: &SealedBlock) -> Result<(), StoreError> {
+    if block.is_intact() {
+        return Ok(());
+    }
+    let detail = format!("block {} does not match its checksum", block.hash);
+    Err(StoreError::new(StoreErrorKind::Torn, detail))
+}
+
+fn refusal(response: &Response) -> StoreError {
+    let kind = match header(response, refusals::HEADER) {
+        Some(refusals::MISSING) => StoreErrorKind::Missing,
+        Some(refusals::TORN) => StoreErrorKind::Torn,
+        Some(refusals::FULL) => StoreErrorKind::Full,
+        _ => StoreErrorKind::Protocol,
+    };
+    StoreError::new(kind, format!("the store answered with status {}", response.status()))
+}
+
+fn header<'a>(response: &'a Response, name: &str) -> Option<&'a str> {
+    response.header(name).map(|values| values.as_str())
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,12 +7,14 @@
 //! * [`units`]: newtypes for sizes, token counts and rates.
 //! * [`time`]: instants and deadlines on a process-local monotonic clock.
 //! * [`block`]: salted hash chains over prompt prefixes.
+//! * [`sealed_block`]: KV cache blocks as they move between endpoints and store VMs.
 //! * [`sharded`] and [`sorted_map`]: the collections that state is kept in.
 //! * [`result_code`]: the numbered codes that callers and operators see.
 
 pub mod block;
 pub mod ids;
 pub mod result_code;
+pub mod sealed_block;
 pub mod sharded;
 pub mod sorted_map;
 pub mod time;
@@ -25,6 +27,7 @@
     ServiceId, StoreId, WeightVersion, ZoneId,
 };
 pub use result_code::{ResultCode, RunState};
+pub use sealed_block::SealedBlock;
 pub use sharded::Sharded;
 pub use sorted_map::SortedMap;
 pub use time::{Clock, Deadline, Instant, MonotonicClock};
