--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use client::{ClientConfig, ConnectionChoice, Exchange, HttpClient, HttpError, HttpErrorKind};
 pub use pipe::{PipeReader, PipeWriter, ReaderGone, pipe};
-pub use server::{ConnectionHandle, RejectReason, ServerConfig, serve};
+pub use server::{ConnectionHandle, RejectReason, ServerConfig, WeakConnection, serve};
 pub use stop::{StopController, StopSignal, stop_pair};
 pub use wait::{Expired, sleep_until, with_deadline};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,8 +2,8 @@
 
 use std::future::Future;
 use std::panic::AssertUnwindSafe;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use async_h1::server::{ConnectionStatus, Server as ConnectionServer};
@@ -65,19 +65,43 @@
 /// The connection of a request; the application finds it in the request's extensions.
 #[derive(Debug, Clone)]
 pub struct ConnectionHandle {
+    connection: Arc<Connection>,
+}
+
+#[derive(Debug)]
+struct Connection {
     stream: TcpStream,
     number: u64,
 }
 
+/// Refers to a connection without keeping it open.
+#[derive(Debug, Clone)]
+pub struct WeakConnection {
+    connection: Weak<Connection>,
+}
+
+impl WeakConnection {
+    /// Returns the connection if it is still served.
+    pub fn upgrade(&self) -> Option<ConnectionHandle> {
+        self.connection.upgrade().map(|connection| ConnectionHandle { connection })
+    }
+}
+
 impl ConnectionHandle {
     fn new(stream: TcpStream) -> Self {
-        Self { stream, number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed) }
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+        Self { connection: Arc::new(Connection { stream, number }) }
     }
 
     /// Returns the number of the connection in this process; one that was accepted later has a
     /// larger number.
     pub fn number(&self) -> u64 {
-        self.number
+        self.connection.number
+    }
+
+    /// Returns a reference that does not keep the connection open.
+    pub fn downgrade(&self) -> WeakConnection {
+        WeakConnection { connection: Arc::downgrade(&self.connection) }
     }
 
     /// Returns the number that the next accepted connection gets.
@@ -88,13 +112,13 @@
     /// Closes the connection in both directions, whatever is being sent.
     pub fn abort(&self) {
         // It fails only if the connection is closed already.
-        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+        let _ = self.connection.stream.shutdown(std::net::Shutdown::Both);
     }
 
     /// Waits until the peer closes the connection.
     pub async fn closed_by_peer(&self) {
         let mut byte = [0];
-        match self.stream.peek(&mut byte).await {
+        match self.connection.stream.peek(&mut byte).await {
             Ok(0) | Err(_) => {}
             // The peer has sent the beginning of its next request, so it is still there, and
             // waiting for more would return at once forever.
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -203,6 +203,12 @@
         if incarnation == self.incarnation { Ok(()) } else { Err(SubmitError::Crashed) }
     }
 
+    /// Counts a request that could not be understood.
+    pub fn note_invalid(&mut self) {
+        self.stats.received_requests += 1;
+        self.stats.refused_requests += 1;
+    }
+
     fn check(&self, request: &RunRequest) -> Result<WeightVersion, Refusal> {
         if self.deployment.is_leaving() {
             return Err(Refusal::Leaving);
--- a/crates/standins/src/engine/http/generate.rs
+++ b/crates/standins/src/engine/http/generate.rs
@@ -30,6 +30,7 @@
     let bytes = request.body_bytes().await?;
     let Some(connection) = connection_of(&request) else { return Ok(Response::new(500).into()) };
     let Some((run_request, plan)) = parse(&request, api, &bytes) else {
+        request.state().with_core(|core, _| core.note_invalid());
         return refused(400, "invalid");
     };
     if plan.silent_after_tokens == Some(0) {
--- a/crates/standins/src/engine/http/mod.rs
+++ b/crates/standins/src/engine/http/mod.rs
@@ -43,6 +43,10 @@
         // is sent on this connection any more.
         connection.abort();
     }
+    // Whoever orders a crash has to get the response.
+    if request.url().path() != "/faults" {
+        engine.note_connection(&connection);
+    }
     let is_restarting = engine.with_core(|core, now| core.is_restarting(now));
     if is_restarting || engine.is_dead(&connection) {
         connection.abort();
--- a/crates/standins/src/engine/shared.rs
+++ b/crates/standins/src/engine/shared.rs
@@ -9,7 +9,7 @@
 use futures::future::{Either, select};
 use futures::pin_mut;
 use yuccapass_endpoints::Order;
-use yuccapass_http::{ConnectionHandle, sleep_until};
+use yuccapass_http::{ConnectionHandle, WeakConnection, sleep_until};
 use yuccapass_types::{Clock, Deadline, Instant, Sharded, SortedMap};
 
 use super::config::EngineConfig;
@@ -18,6 +18,9 @@
 use super::faults::{FaultAction, FaultCommand};
 use super::scheduler::RunId;
 
+/// Connections in a shard at which those that are closed are removed.
+const MAX_CLOSED_CONNECTIONS: usize = 64;
+
 /// What the stream of a run waits for.
 pub(crate) struct RunWaiter {
     /// Gets the digest of the answer when prefill is complete.
@@ -42,6 +45,8 @@
     clock: Arc<dyn Clock>,
     core: Mutex<EngineCore>,
     entries: Sharded<SortedMap<RunId, RunEntry>>,
+    /// The connections by number, which a crash closes.
+    connections: Sharded<SortedMap<u64, WeakConnection>>,
     next_run: AtomicU64,
     /// Connections with a smaller number are silent.
     first_sound_connection: AtomicU64,
@@ -60,6 +65,7 @@
             clock,
             core: Mutex::new(core),
             entries: Sharded::default(),
+            connections: Sharded::default(),
             next_run: AtomicU64::new(0),
             first_sound_connection: AtomicU64::new(0),
             first_live_connection: AtomicU64::new(0),
@@ -148,6 +154,26 @@
         }
         let next = ConnectionHandle::next_number();
         self.first_live_connection.store(next, Ordering::Release);
+        let handles = self.connections.fold(Vec::new(), |mut handles, shard| {
+            handles.extend(shard.values().filter_map(WeakConnection::upgrade));
+            *shard = SortedMap::new();
+            handles
+        });
+        handles.iter().for_each(ConnectionHandle::abort);
+    }
+
+    /// Notes a connection, so that a crash closes it.
+    pub(crate) fn note_connection(&self, connection: &ConnectionHandle) {
+        let number = connection.number();
+        self.connections.with(&number, |shard| {
+            if shard.contains_key(&number) {
+                return;
+            }
+            if shard.len() >= MAX_CLOSED_CONNECTIONS {
+                shard.retain(|_, weak| weak.upgrade().is_some());
+            }
+            shard.insert(number, connection.downgrade());
+        });
     }
 
     /// Carries out an order; returns false if it is refused or another order replaces it.
--- a/crates/standins/tests/engine_core.rs
+++ b/crates/standins/tests/engine_core.rs
@@ -386,3 +386,59 @@
     assert_eq!((after.running_requests, after.age_ms), (1, 300));
     assert_eq!(after.queued_prefill_tokens, Tokens::new(5_000));
 }
+
+/// Guards against a slow fault that slows nothing, or goes on after it was switched off.
+#[test]
+fn slow_engine_takes_longer_until_it_is_switched_off() {
+    // Arrange
+    let mut core = core(config());
+    core.set_faults(Faults { slow_factor: 3, ..Faults::default() });
+    core.submit(RunId::new(0), request("r0", &prompt("a", 100)), at(0)).unwrap();
+
+    // Act
+    core.set_faults(Faults::default());
+    core.submit(RunId::new(1), request("r1", &prompt("b", 100)), at(0)).unwrap();
+
+    // Assert
+    assert_eq!(decoding(&mut core, 299), []);
+    assert_eq!(decoding(&mut core, 300), [RunId::new(0)]);
+    assert_eq!(decoding(&mut core, 400), [RunId::new(1)]);
+}
+
+/// Guards against a crashed engine that serves before its restart is complete, or remembers work.
+#[test]
+fn crashed_engine_serves_only_after_its_restart() {
+    // Arrange
+    let mut core = core(config().restart_ms(500));
+    digest_of(&mut core, 0, request("r0", &prompt("a", 64)), 0);
+
+    // Act
+    core.act(FaultAction::Crash, at(2_000_000));
+    let early = core.submit(RunId::new(1), request("r1", "x"), at(2_000_499));
+    let late = core.submit(RunId::new(2), request("r2", "x"), at(2_000_500));
+
+    // Assert
+    assert_eq!((early, late), (Err(SubmitError::Crashed), Ok(())));
+    assert_eq!(core.block_listing().blocks, []);
+    let begun: Vec<String> =
+        core.journal().entries.into_iter().map(|entry| entry.request_id).collect();
+    assert_eq!(begun, ["r0", "r2"]);
+}
+
+/// Guards against an adapter that is used before it is loaded, or that does not change the answer.
+#[test]
+fn adapter_is_loaded_by_order_and_changes_the_answer() {
+    // Arrange
+    let mut core = core(config().adapter_load_ms(100));
+    let adapter: yuccapass_types::AdapterId = "clips".parse().unwrap();
+    let adapted = RunRequest { adapter: Some(adapter.clone()), ..request("r1", "x") };
+    let plain = digest_of(&mut core, 0, request("r0", "x"), 0);
+
+    // Act
+    assert!(core.start_order(&order(1, OrderKind::LoadAdapter { adapter }), at(2_000_000)));
+    let early = core.submit(RunId::new(1), adapted.clone(), at(2_000_099));
+
+    // Assert
+    assert_eq!(early, Err(SubmitError::Refused(Refusal::WrongVersion)));
+    assert_ne!(digest_of(&mut core, 2, adapted, 2_000_100), plain);
+}
--- a/crates/standins/tests/engine_http.rs
+++ b/crates/standins/tests/engine_http.rs
@@ -60,3 +60,20 @@
         assert!(status.is_client_error(), "{status}");
     }
 }
+
+/// Guards against a crash that leaves unused connections open, so that later requests fail on them,
+/// and against one that closes the connection on which it was ordered.
+#[test]
+fn crash_closes_unused_connections_but_not_its_own() {
+    // Arrange: a connection that is kept for further use.
+    let fixture = start_engine(fast_config());
+    fixture.run(&fixture.request("r1", "hello", 3)).unwrap();
+
+    // Act
+    let crash = json!({"actions": ["crash"]});
+    let (status, _) = call(&fixture, Method::Post, "/faults", crash);
+
+    // Assert
+    assert_eq!(status, StatusCode::Ok);
+    assert!(fixture.run(&fixture.request("r2", "hello", 3)).is_ok());
+}
