--- a/crates/standins/src/bin/yuccapass-standin/main.rs
+++ b/crates/standins/src/bin/yuccapass-standin/main.rs
@@ -3,6 +3,7 @@
 mod engine;
 mod server;
 mod service;
+mod store;
 
 use std::process::ExitCode;
 
@@ -23,6 +24,7 @@
     /// Runs a platform: key-value service and VM list.
     Platform(PlatformArguments),
     Service(service::ServiceArguments),
+    Store(store::StoreArguments),
 }
 
 fn main() -> ExitCode {
@@ -41,5 +43,6 @@
         Command::Engine(arguments) => engine::run(arguments).await,
         Command::Platform(arguments) => platform::run(arguments).await,
         Command::Service(arguments) => service::run(arguments).await,
+        Command::Store(arguments) => store::run(arguments).await,
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`engine`]: a model endpoint.
 //! * [`platform`]: key-value service and VM list.
 //! * [`service`]: a plain service.
+//! * [`store`]: a store VM.
 //! * [`journal`], [`mod@draw`]: records for checkers, and seeded random choices, which they share.
 
 pub mod draw;
@@ -10,6 +11,7 @@
 pub mod journal;
 pub mod platform;
 pub mod service;
+pub mod store;
 
 pub use draw::draw;
 pub use journal::{Journal, JournalListing, marker_of};
