decisions: check that a command's base follows the configuration in force

Cause: a command that is written on a platform restored from an old copy becomes part of a history that no node takes, although its operator was told that it is accepted. Change: ConfigHolder::check_follows makes the check that offered manifests pass available to the code that executes commands. Conclusion: the daemon has to call it on the platform's manifest before it writes.

--- a/crates/decisions/src/config/holder.rs
+++ b/crates/decisions/src/config/holder.rs
@@ -143,8 +143,11 @@
     }
 
     fn offer(&mut self, now: Instant, source: Source, manifest: Manifest) -> Vec<Action> {
-        if let Some(actions) = self.refuse_stale(&source, &manifest) {
-            return actions;
+        if let Err(reason) = self.check_follows(&manifest) {
+            return Self::refuse(source, reason);
+        }
+        if self.active.is_some() && manifest.revision == self.revision() {
+            return Vec::new();
         }
         let hash = manifest.hash();
         if self.refused.contains(&hash) {
@@ -171,26 +174,38 @@
         self.advance(now)
     }
 
-    /// Returns what to do about a manifest that does not continue the configuration in force.
-    fn refuse_stale(&self, source: &Source, manifest: &Manifest) -> Option<Vec<Action>> {
-        let active = self.active.as_ref()?.manifest();
+    /// Checks that a manifest contains the configuration in force.
+    ///
+    /// A command is executed and written only on a manifest that passes: on a platform that was
+    /// restored from an old copy, it would become part of a history that no node takes.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the manifest cannot follow the configuration in force.
+    pub fn check_follows(&self, manifest: &Manifest) -> Result<(), RejectReason> {
+        let Some(active) = &self.active else { return Ok(()) };
+        let active = active.manifest();
         let (offered, in_force) = (manifest.revision, active.revision);
-        if offered == in_force && manifest == active {
-            return Some(Vec::new());
-        }
         if offered < in_force {
-            let reason = RejectReason::OldRevision { offered, in_force };
-            let mut actions = vec![Action::Report { source: source.clone(), reason }];
-            if *source == Source::Platform {
-                actions.push(Action::RestorePlatform { platform_revision: offered });
-            }
-            return Some(actions);
+            return Err(RejectReason::OldRevision { offered, in_force });
         }
-        if offered == in_force || !continues(active, manifest) {
-            let reason = RejectReason::OtherHistory { offered, in_force };
-            return Some(vec![Action::Report { source: source.clone(), reason }]);
+        let is_other = offered == in_force && manifest != active;
+        if is_other || !continues(active, manifest) {
+            return Err(RejectReason::OtherHistory { offered, in_force });
         }
-        None
+        Ok(())
+    }
+
+    fn refuse(source: Source, reason: RejectReason) -> Vec<Action> {
+        let restore = match &reason {
+            RejectReason::OldRevision { offered, .. } if source == Source::Platform => {
+                Some(Action::RestorePlatform { platform_revision: *offered })
+            }
+            _ => None,
+        };
+        let mut actions = vec![Action::Report { source, reason }];
+        actions.extend(restore);
+        actions
     }
 
     /// Takes the bytes of a chunk that a source sent for `hash`.
@@ -264,16 +279,16 @@
                 self.active = Some(Arc::clone(&active));
                 vec![Action::PutInForce(active)]
             }
-            Err(error) => self.refuse(manifest_hash, revision, source, error),
+            Err(error) => self.refuse_invalid(manifest_hash, revision, source, error),
         }
     }
 
     fn refuse_pending(&mut self, source: Source, error: InvalidDocument) -> Vec<Action> {
         let Some(pending) = self.pending.take() else { return Vec::new() };
-        self.refuse(pending.manifest_hash(), pending.manifest().revision, source, error)
+        self.refuse_invalid(pending.manifest_hash(), pending.manifest().revision, source, error)
     }
 
-    fn refuse(
+    fn refuse_invalid(
         &mut self,
         manifest_hash: ChunkHash,
         revision: Revision,
--- a/crates/decisions/tests/config_holder.rs
+++ b/crates/decisions/tests/config_holder.rs
@@ -86,10 +86,13 @@
 
     // Act
     let actions = holder.offer_manifest(NOW, Source::Platform, &other.manifest().encode());
+    let as_base = holder.check_follows(other.manifest());
 
     // Assert
     let (offered, in_force) = (Revision::new(5), Revision::new(3));
-    assert_eq!(reasons(&actions), [&RejectReason::OtherHistory { offered, in_force }]);
+    let reason = RejectReason::OtherHistory { offered, in_force };
+    assert_eq!(reasons(&actions), [&reason]);
+    assert_eq!(as_base, Err(reason));
     assert_eq!(actions.len(), 1);
 }
 
