platform: write rollout progress under the lock, and name blocked replicas

Cause: the driver's progress has to reach the platform only while its lock is held, also when an answer is lost; a rollout that waits for its last serving replica said nothing. Change: ProgressStore reads and writes progress, guarded by the revision of the lock's holder key, and settles lost answers by reading back. Driver::blocked_replicas names what the rollout waits for. Opening a watch waits at most 2 s for an address. A quiet watch is repeated after 5 s in the measurement, since a silent connection looks like a quiet watch.

--- a/crates/decisions/examples/measure_platform.rs
+++ b/crates/decisions/examples/measure_platform.rs
@@ -25,8 +25,8 @@
 const READS_PER_CHANGE: u32 = 2;
 /// Time after which a node reads the manifest although nothing seems to have changed.
 const SAFETY_READ_MS: u64 = 600_000;
-/// Length of a watch call; a quiet watch is opened again.
-const WATCH_MS: u64 = 60_000;
+/// Length of a watch call; a quiet watch is opened again, since its connection may be silent.
+const WATCH_MS: u64 = 5_000;
 
 /// Reads of a node after an outage: manifest, chunk, holder of a lease, start of a watch.
 const RETURN_READS: u32 = 4;
--- a/crates/decisions/src/rollout/driver.rs
+++ b/crates/decisions/src/rollout/driver.rs
@@ -96,6 +96,19 @@
         self.ended
     }
 
+    /// Returns the replicas that have not begun although the limit of those out of service leaves
+    /// room: they are not reported, taken out of service by somebody else, or the last to serve.
+    ///
+    /// The owner tells the operators if they stay the same for long.
+    pub fn blocked_replicas(&self) -> Vec<&EndpointId> {
+        let out_of_service = self.progress.count(|replica| replica.step.is_out_of_service());
+        if out_of_service >= self.progress.plan.max_swapping {
+            return Vec::new();
+        }
+        let pending = self.progress.replicas.iter().filter(|replica| replica.step == Step::Pending);
+        pending.map(|replica| &replica.endpoint).collect()
+    }
+
     /// Turns the rollout back to the earlier state, also after it has finished or stopped.
     ///
     /// A replica gets no new order before an order that is on its way to it has ended, so that it
--- a/crates/decisions/tests/rollout.rs
+++ b/crates/decisions/tests/rollout.rs
@@ -372,6 +372,29 @@
     assert_eq!(world.orders.len(), orders);
 }
 
+/// Guards against the only replica of a model being taken out of service, and against a rollout that
+/// waits without saying for what.
+#[test]
+fn last_serving_replica_is_kept_and_reported_as_blocked() {
+    // Arrange
+    let mut world = World::new(2, plan(2), 2, 2);
+    world.replicas[1].leaving = true;
+    let mut owner = world.take_over(1);
+
+    // Act
+    for _ in 0..500 {
+        world.prepare(&mut owner, true);
+        while !owner.pending.is_empty() {
+            world.carry_out_next(&mut owner);
+        }
+        world.tick();
+    }
+
+    // Assert
+    assert!(world.orders.is_empty());
+    assert_eq!(owner.driver.blocked_replicas(), [&endpoint(0), &endpoint(1)]);
+}
+
 /// Guards against new requests at a replica that is being swapped, and against requests of one
 /// version at a replica of another.
 #[test]
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -230,6 +230,9 @@
 
     /// Waits for changes until the deadline.
     ///
+    /// A connection that has gone silent looks like a quiet watch, so the deadline is a few seconds
+    /// away and a quiet watch is repeated from the same revision.
+    ///
     /// # Errors
     ///
     /// Fails if no platform address accepts the watch or the connection breaks.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`managed`]: budget, ranks, backoff and notice of restorations around a key-value service.
 //! * [`command`]: transactions that are settled even if their answer is lost.
 //! * [`lease_lock`]: a lock that one node holds at a time.
+//! * [`progress_store`]: the progress of a rollout.
 //! * [`wire`]: the JSON messages.
 //! * [`ids`]: checked keys, values, revisions and lease ids.
 //! * [`error`]: what can go wrong, and what is then known about a write.
@@ -17,6 +18,7 @@
 pub mod key_value;
 pub mod lease_lock;
 pub mod managed;
+pub mod progress_store;
 mod transport;
 pub mod vm_list;
 pub mod wire;
@@ -31,5 +33,6 @@
 };
 pub use lease_lock::{LeaseLock, LockStatus};
 pub use managed::{ManagedConfig, PlatformClient, RankedKeyValue};
+pub use progress_store::ProgressStore;
 pub use transport::PlatformConfig;
 pub use vm_list::{HttpVmList, Vm, VmList, VmListing, VmState};
--- a/crates/platform/src/managed.rs
+++ b/crates/platform/src/managed.rs
@@ -36,7 +36,8 @@
 }
 
 impl ManagedConfig {
-    /// Makes settings for a node among `fleet_nodes`; `seed` differs between the nodes, so that
+    /// Makes settings for a node among `fleet_nodes`, which counts the configured nodes and not
+    /// those that are reached, since a partition would give each side the whole rate. `seed` differs between the nodes, so that
     /// their delays do.
     pub fn new(fleet_nodes: u32, seed: u64) -> Self {
         Self { rates: FleetRates::default(), fleet_nodes, attempt_timeout_ms: 2_000, seed }
--- /dev/null
+++ b/crates/platform/src/progress_store.rs
@@ -0,0 +1,96 @@
+//! The progress of a rollout in the key-value service.
+
+use yuccapass_decisions::rollout::{Progress, WriteOutcome};
+use yuccapass_types::Deadline;
+
+use crate::error::{PlatformError, PlatformErrorKind};
+use crate::ids::{Key, StoreRevision, Value};
+use crate::key_value::{Compare, Entry, KeyValue, Transaction, TransactionOutcome, Write};
+use crate::lease_lock::LeaseLock;
+use crate::managed::RankedKeyValue;
+
+/// Reads and writes the progress of one rollout, which one task does at a time.
+pub struct ProgressStore {
+    key_value: RankedKeyValue,
+    key: Key,
+    // Revision of the progress that was read or written last.
+    revision: StoreRevision,
+}
+
+impl ProgressStore {
+    /// Makes the access to the progress under `key`.
+    pub fn new(key_value: RankedKeyValue, key: Key) -> Self {
+        Self { key_value, key, revision: StoreRevision::default() }
+    }
+
+    /// Reads the progress, if a rollout was written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer or the value is not a progress.
+    pub async fn load(&mut self, deadline: Deadline) -> Result<Option<Progress>, PlatformError> {
+        let Some(entry) = self.key_value.get(&self.key, deadline).await?.entry else {
+            return Ok(None);
+        };
+        self.revision = entry.mod_revision;
+        decode(&entry).map(Some)
+    }
+
+    /// Writes the progress if it has not changed since it was read or written last, and `lock` is
+    /// still held.
+    ///
+    /// A lost answer is settled by reading back: each driver writes a different progress, since it
+    /// contains the driver's number.
+    pub async fn write(
+        &mut self,
+        progress: &Progress,
+        lock: &LeaseLock,
+        deadline: Deadline,
+    ) -> WriteOutcome {
+        let Some(guard) = lock.guard() else { return WriteOutcome::Conflict };
+        let Some(value) = progress.encode().ok().and_then(|bytes| Value::new(bytes).ok()) else {
+            return WriteOutcome::Conflict;
+        };
+        let unchanged = match self.revision.get() {
+            0 => Compare::Absent(self.key.clone()),
+            _ => Compare::ModRevision(self.key.clone(), self.revision),
+        };
+        let put = Write::Put { key: self.key.clone(), value: value.clone(), lease: None };
+        let transaction = Transaction { compares: vec![guard, unchanged], writes: vec![put] };
+        match self.key_value.compare_and_swap(&transaction, deadline).await {
+            Ok(TransactionOutcome::Committed { revision }) => {
+                self.revision = revision;
+                WriteOutcome::Written
+            }
+            Ok(TransactionOutcome::Conflict { .. }) => self.settle(&value, deadline).await,
+            Err(error) if error.kind() == PlatformErrorKind::Unknown => {
+                self.settle(&value, deadline).await
+            }
+            Err(_) => WriteOutcome::NotWritten,
+        }
+    }
+
+    /// Finds out whether a write took effect; also after a conflict, which may be with an earlier
+    /// attempt whose answer was lost.
+    async fn settle(&mut self, value: &Value, deadline: Deadline) -> WriteOutcome {
+        let Ok(answer) = self.key_value.get(&self.key, deadline).await else {
+            return WriteOutcome::Conflict;
+        };
+        let revision = answer.entry.as_ref().map_or_else(Default::default, |e| e.mod_revision);
+        match answer.entry {
+            Some(entry) if entry.value == *value => {
+                self.revision = revision;
+                WriteOutcome::Written
+            }
+            // A write that still arrives makes a later one with another value conflict, which ends
+            // this driver; the next one continues from what arrived.
+            _ if revision == self.revision => WriteOutcome::NotWritten,
+            _ => WriteOutcome::Conflict,
+        }
+    }
+}
+
+fn decode(entry: &Entry) -> Result<Progress, PlatformError> {
+    Progress::decode(entry.value.as_bytes())
+        .map_err(|error| PlatformError::new(PlatformErrorKind::Protocol, error.to_string()))
+}
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -16,6 +16,9 @@
 /// Largest answer: several values of 1 MB in base64.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Longest wait for an address to accept a watch, so that a silent one leaves time for the others.
+const OPEN_LIMIT_MS: u64 = 2_000;
+
 /// Settings of the platform clients.
 #[derive(Debug, Clone)]
 pub struct PlatformConfig {
@@ -126,7 +129,9 @@
             PlatformError::new(PlatformErrorKind::Unavailable, "there is no platform address");
         for tries_left in (1..=self.clients.len()).rev() {
             let (index, client) = self.preferred_client();
+            let open_limit = Deadline::after_ms(self.clock.now(), OPEN_LIMIT_MS);
             let limit = self.attempt_deadline(Effect::Read, tries_left, deadline);
+            let limit = limit.earlier(open_limit);
             let request = make_request(client, Method::Post, path, &body);
             match client.send(request, ConnectionChoice::New, limit).await {
                 Ok(exchange) if exchange.response().status().is_success() => return Ok(exchange),
--- a/crates/platform/src/vm_list.rs
+++ b/crates/platform/src/vm_list.rs
@@ -58,11 +58,7 @@
 }
 
 impl HttpVmList {
-    /// Makes a client without opening a connection.
-    ///
-    /// # Panics
-    ///
-    /// Panics on a call if the settings have no address.
+    /// Makes a client without opening a connection. Without an address every call fails.
     pub fn new(config: &PlatformConfig, clock: Arc<dyn Clock>) -> Self {
         Self { transport: Transport::new(config, clock) }
     }
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -8,11 +8,12 @@
 use futures::future::join;
 use yuccapass_decisions::platform_budget::settle_write::Settled;
 use yuccapass_decisions::platform_budget::{CallRank, LeaseTerms};
+use yuccapass_decisions::rollout::{Plan, Progress, Target, WriteOutcome};
 use yuccapass_http::{RejectReason, ServerConfig, StopController, serve, stop_pair};
 use yuccapass_platform::{
     Change, ChangeKind, Command, Compare, HttpKeyValue, HttpVmList, Key, KeyRange, KeyValue,
     LeaseLock, LeaseTtl, LockStatus, ManagedConfig, PlatformClient, PlatformConfig,
-    PlatformErrorKind, RangeRequest, RankedKeyValue, StoreRevision, Transaction,
+    PlatformErrorKind, ProgressStore, RangeRequest, RankedKeyValue, StoreRevision, Transaction,
     TransactionOutcome, Value, VmList, VmListing, WatchOutcome, WatchRequest, Write,
 };
 use yuccapass_standins::platform::{Faults, Outage, PlatformState, StandinConfig, build_app};
@@ -324,6 +325,45 @@
     assert_eq!(renewal.unwrap_err().kind(), PlatformErrorKind::LeaseNotFound);
 }
 
+/// Guards against progress that is written under a lock which another driver holds by now, and
+/// against a lost answer that ends a driver.
+#[test]
+fn progress_is_written_only_under_the_lock() {
+    // Arrange
+    let standin = start_default();
+    let lock = |node: &str| {
+        let managed = standin.managed(CallRank::Lease);
+        let terms = LeaseTerms::new(LIMIT_MS);
+        LeaseLock::new(managed, &key("driver"), node.parse().unwrap(), terms).unwrap()
+    };
+    let store = || ProgressStore::new(standin.managed(CallRank::Lease), key("progress"));
+    let target = |text: &str| Target::Version(text.parse().unwrap());
+    let plan = Plan::new("m".parse().unwrap(), target("v1"), target("v2"), 2);
+    let progress = Progress::new(plan, ["replica-1".parse().unwrap()]);
+    let (first, second) = (lock("node-1"), lock("node-2"));
+    let (mut first_store, mut second_store) = (store(), store());
+    block_on(first.step(standin.limit())).unwrap();
+    let old_guard = first.guard().unwrap();
+
+    // Act
+    standin.state.set_faults(Faults { lost_answers: 1, ..Faults::default() });
+    let written = block_on(first_store.write(&progress, &first, standin.limit()));
+    block_on(first.release(standin.limit())).unwrap();
+    block_on(second.step(standin.limit())).unwrap();
+    let loaded = block_on(second_store.load(standin.limit())).unwrap();
+    let old_write = transaction(vec![old_guard], "progress");
+    let old_write = block_on(standin.key_value().compare_and_swap(&old_write, standin.limit()));
+    let old_owner = block_on(first_store.write(&progress, &first, standin.limit()));
+    let new_owner = block_on(second_store.write(&progress, &second, standin.limit()));
+
+    // Assert
+    assert_eq!(written, WriteOutcome::Written);
+    assert_eq!(loaded, Some(progress));
+    assert!(matches!(old_write, Ok(TransactionOutcome::Conflict { .. })));
+    assert_eq!(old_owner, WriteOutcome::Conflict);
+    assert_eq!(new_owner, WriteOutcome::Written);
+}
+
 /// Guards against a renewal that does not keep the lease, and a revocation that keeps its keys.
 #[test]
 fn revoked_lease_deletes_its_keys() {
