standins: load tool with checks, fault scripts and reports

Cause: nothing drove several nodes at once or checked answers against what the engines ran.

Change: the program yuccapass-load sends requests open loop from a seed, with conversations that return, an organisation mix, bursts, and not repeatable requests that are sent again to another node. It checks each answer against the one that the stand-in must give, and compares failures and second runs with the engines' journals. It applies failures by time, reports quantiles, goodput, refusals and recomputed prompt work as text, JSON and SVG, and plans a deployment on one machine. Signals use the process module of rustix, whose feature other dependencies of the crate enable.

--- /dev/null
+++ b/crates/standins/src/bin/yuccapass-load/compare.rs
@@ -0,0 +1,25 @@
+//! `yuccapass-load compare`.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use yuccapass_standins::load::compare::comparison_table;
+
+/// Prints a table of JSON reports as ratios to the first one.
+#[derive(Debug, Args)]
+pub(crate) struct CompareArguments {
+    /// Reports that `run --json` wrote.
+    #[arg(required = true)]
+    reports: Vec<PathBuf>,
+}
+
+/// Prints the table.
+pub(crate) fn run(arguments: &CompareArguments) -> crate::Result<()> {
+    let mut reports = Vec::new();
+    for path in &arguments.reports {
+        let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+        reports.push((name, serde_json::from_slice(&std::fs::read(path)?)?));
+    }
+    print!("{}", comparison_table(&reports));
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/load/drive.rs
@@ -0,0 +1,250 @@
+//! All requests of a run, sent open loop: a slow answer delays no later request.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::task::{self, JoinHandle};
+use serde_json::{Value, json};
+use yuccapass_openai::{Api, prompt_bytes};
+use yuccapass_types::{OrganisationId, Sharded, SortedMap, WeightVersion};
+
+use super::caller::{Call, CallResult, Caller};
+use super::check::{Violation, ViolationKind, check_answer, story};
+use super::conversation::{Conversation, text_of};
+use super::expect::{AnswerBook, Expectation};
+use super::record::{Outcome, RequestRecord};
+use super::schedule::PlannedTurn;
+use super::workload::Workload;
+
+/// What a run is made of.
+#[derive(Debug, Clone)]
+pub struct RunConfig {
+    /// The settings.
+    pub workload: Workload,
+    /// The seed.
+    pub seed: u64,
+    /// Starts all markers and idempotency keys, so that runs against one deployment differ.
+    pub run_id: String,
+    /// Weight versions that may answer.
+    pub versions: Vec<WeightVersion>,
+    /// How many nodes the caller has.
+    pub node_count: usize,
+    /// Whether a broken connection is to be expected, since the run ends or pauses processes.
+    pub expects_broken_connections: bool,
+}
+
+/// What a run brought.
+#[derive(Debug, Default)]
+pub struct RunOutput {
+    /// All requests.
+    pub records: Vec<RequestRecord>,
+    /// Violations that an answer alone shows.
+    pub violations: Vec<Violation>,
+}
+
+/// A run in progress.
+pub struct Driver {
+    config: RunConfig,
+    caller: Arc<dyn Caller>,
+    start: Instant,
+    organisations: Vec<OrganisationId>,
+    conversations: Sharded<SortedMap<u32, Conversation>>,
+    book: AnswerBook,
+    output: Sharded<RunOutput>,
+}
+
+impl Driver {
+    /// Prepares a run that starts at `start`.
+    pub fn new(config: RunConfig, caller: Arc<dyn Caller>, start: Instant) -> Arc<Self> {
+        let organisations = config.workload.organisations.iter();
+        Arc::new(Self {
+            organisations: organisations.map(|item| item.id.clone()).collect(),
+            config,
+            caller,
+            start,
+            conversations: Sharded::default(),
+            book: AnswerBook::default(),
+            output: Sharded::default(),
+        })
+    }
+
+    /// Sends all requests at their times and waits for their ends.
+    pub async fn run(self: &Arc<Self>, turns: Vec<PlannedTurn>) -> RunOutput {
+        let mut sent: Vec<JoinHandle<()>> = Vec::with_capacity(turns.len());
+        for turn in turns {
+            self.sleep_until_us(turn.at_us).await;
+            sent.push(task::spawn(Arc::clone(self).run_turn(turn)));
+        }
+        for request in sent {
+            request.await;
+        }
+        let mut all = self.output.fold(RunOutput::default(), |mut all, shard| {
+            all.records.append(&mut shard.records);
+            all.violations.append(&mut shard.violations);
+            all
+        });
+        all.records.sort_by_key(|record| record.scheduled_us);
+        all
+    }
+
+    async fn run_turn(self: Arc<Self>, turn: PlannedTurn) {
+        let body = self.body(&turn);
+        let Some(prompt) = prompt_bytes(Api::Chat, &body) else { return };
+        let expectation = Arc::new(self.expectation(&turn, prompt));
+        for digest in expectation.digests() {
+            self.book.note(&digest, &expectation.marker);
+        }
+        let resent = turn.resend_after_us.map(|after_us| {
+            let again = (Arc::clone(&self), turn.clone(), body.clone(), Arc::clone(&expectation));
+            task::spawn(async move {
+                let (driver, turn, body, expectation) = again;
+                let at_us = turn.at_us + after_us;
+                driver.sleep_until_us(at_us).await;
+                driver.send(&turn, body, &expectation, at_us, true).await;
+            })
+        });
+        let text = self.send(&turn, body, &expectation, turn.at_us, false).await;
+        if let Some(text) = text {
+            self.conversations.with(&turn.conversation, |shard| {
+                if let Some(conversation) = shard.get_mut(&turn.conversation) {
+                    conversation.answer(turn.turn, text);
+                }
+            });
+        }
+        if let Some(resent) = resent {
+            resent.await;
+        }
+    }
+
+    /// Sends a request once; returns the text of a whole answer.
+    async fn send(
+        &self,
+        turn: &PlannedTurn,
+        body: Value,
+        expectation: &Expectation,
+        scheduled_us: u64,
+        is_resent: bool,
+    ) -> Option<String> {
+        let call = self.call(turn, body, &expectation.marker, is_resent);
+        let sent_us = self.elapsed_us();
+        let result = self.caller.call(&call).await;
+        let record = self.record(turn, &call, result, expectation, (scheduled_us, sent_us));
+        let record = RequestRecord { is_resent, ..record };
+        let violation = self.check(&record, expectation);
+        if let Some(violation) = &violation {
+            eprintln!("violation: {violation}");
+        }
+        let is_good = record.outcome == Outcome::Answered && violation.is_none();
+        let text = is_good.then(|| record.text.clone());
+        self.output.with(&turn.number, |shard| {
+            shard.records.push(record);
+            shard.violations.extend(violation);
+        });
+        text
+    }
+
+    fn body(&self, turn: &PlannedTurn) -> Value {
+        let workload = &self.config.workload;
+        let organisation = &self.organisations[turn.organisation];
+        let (seed, marker) = (self.config.seed, self.marker(turn));
+        let question = text_of(seed, &format!("question {}", turn.number), turn.question_bytes);
+        let messages = self.conversations.with(&turn.conversation, |shard| {
+            let conversation = shard.get_or_insert_with(turn.conversation, Conversation::default);
+            let name = format!("instructions {organisation}");
+            conversation.instruct(text_of(seed, &name, workload.instruction_bytes));
+            conversation.ask(turn.turn, format!("{question} [[{marker}]]"))
+        });
+        json!({
+            "model": self.model(turn),
+            "messages": messages,
+            "max_tokens": turn.answer_tokens.get(),
+            "stream": true,
+        })
+    }
+
+    fn expectation(&self, turn: &PlannedTurn, prompt: Vec<u8>) -> Expectation {
+        Expectation {
+            marker: self.marker(turn),
+            organisation: self.organisations[turn.organisation].clone(),
+            model: self.model(turn).clone(),
+            versions: self.config.versions.clone(),
+            prompt,
+            length_tokens: turn.answer_tokens.get(),
+        }
+    }
+
+    fn call(&self, turn: &PlannedTurn, body: Value, marker: &str, is_resent: bool) -> Call {
+        let workload = &self.config.workload;
+        let class = &workload.classes[turn.class];
+        Call {
+            body,
+            key: workload.organisations[turn.organisation].key(),
+            class: class.id.clone(),
+            idempotency_key: (!turn.is_repeatable).then(|| format!("key-{marker}")),
+            is_repeatable: turn.is_repeatable,
+            deadline_ms: class.deadline_ms,
+            first_node: (turn.number as usize + usize::from(is_resent)) % self.config.node_count,
+        }
+    }
+
+    fn record(
+        &self,
+        turn: &PlannedTurn,
+        call: &Call,
+        result: CallResult,
+        expectation: &Expectation,
+        (scheduled_us, sent_us): (u64, u64),
+    ) -> RequestRecord {
+        RequestRecord {
+            marker: expectation.marker.clone(),
+            is_resent: false,
+            organisation: expectation.organisation.clone(),
+            class: call.class.clone(),
+            is_repeatable: turn.is_repeatable,
+            idempotency_key: call.idempotency_key.clone(),
+            nodes: result.nodes,
+            request_id: result.request_id,
+            scheduled_us,
+            sent_us,
+            token_times_us: result.token_times_us,
+            end_us: self.elapsed_us(),
+            text: result.text,
+            deadline_ms: call.deadline_ms,
+            outcome: result.outcome,
+        }
+    }
+
+    fn check(&self, record: &RequestRecord, expectation: &Expectation) -> Option<Violation> {
+        let is_complete = record.outcome == Outcome::Answered;
+        let (text, book) = (&record.text, &self.book);
+        let wrong = check_answer(text, is_complete, expectation, book, &self.organisations);
+        let (kind, detail) = wrong.or_else(|| match &record.outcome {
+            Outcome::Broken { detail } if !self.config.expects_broken_connections => {
+                Some((ViolationKind::UnannouncedEnd, detail.clone()))
+            }
+            _ => None,
+        })?;
+        let story = story(&[record], &[]);
+        Some(Violation { kind, subject: record.marker.clone(), detail, story })
+    }
+
+    fn marker(&self, turn: &PlannedTurn) -> String {
+        format!("{}-{}", self.config.run_id, turn.number)
+    }
+
+    fn model(&self, turn: &PlannedTurn) -> &yuccapass_types::ModelId {
+        let workload = &self.config.workload;
+        if turn.is_ledger { &workload.ledger_model } else { &workload.chat_model }
+    }
+
+    async fn sleep_until_us(&self, at_us: u64) {
+        let wait_us = at_us.saturating_sub(self.elapsed_us());
+        if wait_us > 0 {
+            task::sleep(Duration::from_micros(wait_us)).await;
+        }
+    }
+
+    fn elapsed_us(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/workload.rs
@@ -0,0 +1,204 @@
+//! What a run sends: presets, and settings that flags can override.
+
+use std::str::FromStr;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use yuccapass_types::{ClassId, ModelId, OrganisationId, RequestsPerSecond};
+
+/// A deployment that settings are modelled on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Preset {
+    /// Coast Mountain Scaffold Clip Exchange Society.
+    Society,
+    /// Midlands Hinge Solderers' Association.
+    Association,
+}
+
+/// Reports a text that names no preset.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{text:?} is no preset; the presets are society and association"))]
+pub struct ParsePresetError {
+    text: String,
+}
+
+impl FromStr for Preset {
+    type Err = ParsePresetError;
+
+    fn from_str(text: &str) -> Result<Self, ParsePresetError> {
+        match text {
+            "society" => Ok(Self::Society),
+            "association" => Ok(Self::Association),
+            _ => Err(ParsePresetError { text: text.to_owned() }),
+        }
+    }
+}
+
+/// A length distribution, uniform in the logarithm, so that a few lengths are much larger.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lengths {
+    /// Smallest length.
+    pub min: u64,
+    /// Largest length.
+    pub max: u64,
+}
+
+impl Lengths {
+    /// Draws a length.
+    pub fn draw(self, random: &mut StdRng) -> u64 {
+        let (low, high) = ((self.min.max(1) as f64).ln(), (self.max.max(1) as f64).ln());
+        let value = (low + (high - low) * random.random::<f64>()).exp().round() as u64;
+        value.clamp(self.min, self.max.max(self.min))
+    }
+
+    /// Returns the mean length.
+    pub fn mean(self) -> f64 {
+        let (min, max) = (self.min.max(1) as f64, self.max.max(1) as f64);
+        if min >= max { min } else { (max - min) / (max / min).ln() }
+    }
+}
+
+/// An organisation and how much it sends.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrganisationMix {
+    /// The organisation.
+    pub id: OrganisationId,
+    /// Its part of the requests, relative to the others.
+    pub weight: u32,
+}
+
+impl OrganisationMix {
+    /// Returns the bearer key that trial configurations give the organisation.
+    pub fn key(&self) -> String {
+        format!("key-{}", self.id)
+    }
+}
+
+/// A request class.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClassMix {
+    /// The class.
+    pub id: ClassId,
+    /// Its scheduling priority.
+    pub priority: i32,
+    /// Its part of the requests, relative to the others.
+    pub weight: u32,
+    /// Time until an answer has to be complete.
+    pub deadline_ms: u64,
+}
+
+/// All settings of the requests of a run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Workload {
+    /// Mean rate, bursts included, without requests that are sent again.
+    pub rate: RequestsPerSecond,
+    /// Time in which requests are sent.
+    pub duration_ms: u64,
+    /// Who sends.
+    pub organisations: Vec<OrganisationMix>,
+    /// Request classes.
+    pub classes: Vec<ClassMix>,
+    /// The model that answers questions.
+    pub chat_model: ModelId,
+    /// The model that keeps a ledger.
+    pub ledger_model: ModelId,
+    /// Share of new conversations with the ledger model.
+    pub ledger_percent: u32,
+    /// Share of the ledger's requests that are not repeatable.
+    pub not_repeatable_percent: u32,
+    /// Share of not repeatable requests that are sent again with the same key to another node.
+    pub resend_percent: u32,
+    /// Longest time until a request is sent again.
+    pub max_resend_delay_ms: u64,
+    /// Bytes of instructions that start all prompts of an organisation.
+    pub instruction_bytes: u64,
+    /// Bytes of the first question of a conversation, which includes its document.
+    pub document_bytes: Lengths,
+    /// Bytes of each later question.
+    pub question_bytes: Lengths,
+    /// Tokens of an answer.
+    pub answer_tokens: Lengths,
+    /// Share of requests that continue a conversation, if one is due.
+    pub return_percent: u32,
+    /// Mean gap between two turns of a conversation.
+    pub return_gap_ms: u64,
+    /// Most turns of a conversation.
+    pub max_turns: u32,
+    /// Time from burst to burst; 0 means none.
+    pub burst_period_ms: u64,
+    /// Duration of a burst.
+    pub burst_ms: u64,
+    /// How many times the rate outside of bursts is sent in a burst.
+    pub burst_factor: u32,
+}
+
+impl Workload {
+    /// Returns the settings of a preset.
+    ///
+    /// Each has 10 organisations, of which 3 send two thirds of the requests.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a name in this function is no valid id, which a test excludes.
+    pub fn preset(preset: Preset) -> Self {
+        let (chat, ledger, organisation, classes) = match preset {
+            Preset::Society => (
+                "clip-models",
+                "yard-ledger",
+                "society",
+                [("driver", 10, 50, 8_000), ("manifest", 5, 40, 15_000), ("batch", 0, 10, 30_000)],
+            ),
+            Preset::Association => (
+                "bench-adviser",
+                "member-ledger",
+                "association",
+                [("bench", 10, 50, 8_000), ("dossier", 5, 40, 15_000), ("batch", 0, 10, 30_000)],
+            ),
+        };
+        Self {
+            rate: RequestsPerSecond::new(10),
+            duration_ms: 60_000,
+            organisations: organisations(organisation),
+            classes: classes.into_iter().map(class).collect(),
+            chat_model: chat.parse().expect("the name is a valid id"),
+            ledger_model: ledger.parse().expect("the name is a valid id"),
+            ledger_percent: 10,
+            not_repeatable_percent: 60,
+            resend_percent: 20,
+            max_resend_delay_ms: 2_000,
+            instruction_bytes: 1_024,
+            document_bytes: Lengths { min: 1_024, max: 16_384 },
+            question_bytes: Lengths { min: 64, max: 512 },
+            answer_tokens: Lengths { min: 8, max: 128 },
+            return_percent: 50,
+            return_gap_ms: 10_000,
+            max_turns: 6,
+            burst_period_ms: 20_000,
+            burst_ms: 2_000,
+            burst_factor: 3,
+        }
+    }
+
+    /// Returns the mean tokens of a new conversation's first prompt; 4 bytes are a token.
+    pub fn first_prompt_tokens(&self) -> f64 {
+        (self.instruction_bytes as f64 + self.document_bytes.mean()) / 4.0
+    }
+}
+
+fn organisations(prefix: &str) -> Vec<OrganisationMix> {
+    [28, 22, 16, 8, 7, 6, 5, 4, 3, 1]
+        .into_iter()
+        .enumerate()
+        .map(|(number, weight)| OrganisationMix {
+            id: format!("{prefix}-{number}").parse().expect("the name is a valid id"),
+            weight,
+        })
+        .collect()
+}
+
+fn class((id, priority, weight, deadline_ms): (&str, i32, u32, u64)) -> ClassMix {
+    ClassMix { id: id.parse().expect("the name is a valid id"), priority, weight, deadline_ms }
+}
