--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,11 +4,13 @@
 //! * [`platform`]: key-value service and VM list.
 //! * [`service`]: a plain service.
 //! * [`store`]: a store VM.
+//! * [`load`]: the load and experiment tool.
 //! * [`journal`], [`mod@draw`]: records for checkers, and seeded random choices, which they share.
 
 pub mod draw;
 pub mod engine;
 pub mod journal;
+pub mod load;
 pub mod platform;
 pub mod service;
 pub mod store;
