decisions: count what other nodes send in the wait bound

Cause: actual waits exceed the bound of 500 ms several times, because each node sees the same free endpoint until the next report and fills it. Change: a request names the number of nodes that send to the same endpoints; for the bound, each of them is taken to have sent as much as this node since the report. The cost itself is unchanged. With 170 nodes in a region the estimate is coarse: one request of this node counts as 170; an average over the endpoints should serve better and is tried next.

--- a/crates/decisions/examples/compare_policies/simulation.rs
+++ b/crates/decisions/examples/compare_policies/simulation.rs
@@ -213,6 +213,8 @@
             .collect();
         set_cached_blocks(&mut candidates, &matches);
         let mut request = prompt.request();
+        let is_in_region = |zone: &&usize| region(**zone) == own_region;
+        request.sending_nodes = NODE_ZONES.iter().filter(is_in_region).count() as u32;
         for (tier, &(_, rate, latency_ms)) in TIERS.iter().enumerate() {
             request.sources.push(ImportSource {
                 // The store is in the first region, and each region has an index of its own.
--- a/crates/decisions/examples/compare_policies/workload.rs
+++ b/crates/decisions/examples/compare_policies/workload.rs
@@ -93,6 +93,7 @@
             prompt_blocks: self.chain.len() as u32,
             block_size: Bytes::new(BLOCK_BYTES),
             is_suspect: false,
+            sending_nodes: 1,
             sources: Vec::new(),
         }
     }
--- a/crates/decisions/examples/measure_routing.rs
+++ b/crates/decisions/examples/measure_routing.rs
@@ -148,6 +148,7 @@
         prompt_blocks,
         block_size: Bytes::new(200_000),
         is_suspect: false,
+        sending_nodes: 340,
         sources: vec![source(prompt_blocks / 2, 200_000_000), source(prompt_blocks, 50_000_000)],
     }
 }
--- a/crates/decisions/src/routing/placement/candidate.rs
+++ b/crates/decisions/src/routing/placement/candidate.rs
@@ -78,6 +78,8 @@
     pub block_size: Bytes,
     /// Whether the request is suspected of crashing endpoints.
     pub is_suspect: bool,
+    /// Nodes that send to the same endpoints, this one included.
+    pub sending_nodes: u32,
     /// Holders from which blocks can be imported.
     pub sources: Vec<ImportSource>,
 }
--- a/crates/decisions/src/routing/placement/cost.rs
+++ b/crates/decisions/src/routing/placement/cost.rs
@@ -56,7 +56,8 @@
 
     /// Sets the longest expected queue wait at an endpoint; default 500 ms.
     ///
-    /// Work beyond it waits at the node, where it stays fair and can still choose. With the prompt's
+    /// The other nodes are taken to have sent as much as this one since the load report. Work beyond
+    /// the bound waits at the node, where it stays fair and can still choose. With the prompt's
     /// processing, 500 ms keep within 1.2 s to first token.
     pub fn max_wait_us(mut self, max_wait_us: u64) -> Self {
         self.max_wait_us = max_wait_us;
@@ -88,9 +89,12 @@
 
     /// Returns the weighted cost without the preparation of the prompt, or `None` if the wait is too
     /// long.
-    fn arrival_cost_us(&self, candidate: &Candidate) -> Option<u64> {
+    fn arrival_cost_us(&self, request: &PlacementRequest, candidate: &Candidate) -> Option<u64> {
         let wait_us = wait_us(candidate);
-        if wait_us > self.settings.max_wait_us {
+        // The other nodes send too; without them a full fleet looks free until the next report.
+        let other_nodes = u64::from(request.sending_nodes.saturating_sub(1));
+        let others_us = prefill_us(candidate, candidate.sent_since).saturating_mul(other_nodes);
+        if wait_us.saturating_add(others_us) > self.settings.max_wait_us {
             return None;
         }
         let distance_us = match candidate.distance {
@@ -123,7 +127,7 @@
         let mut preparations = Preparations::new(request);
         for position in eligible {
             let candidate = &candidates[position];
-            let arrival_us = self.arrival_cost_us(candidate).filter(|&us| us <= limit_us);
+            let arrival_us = self.arrival_cost_us(request, candidate).filter(|&us| us <= limit_us);
             let Some(arrival_us) = arrival_us else { continue };
             let cost_us = arrival_us.saturating_add(preparations.time_us(candidate));
             if cost_us < best_us {
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -45,6 +45,7 @@
         prompt_blocks: 64,
         block_size: Bytes::new(100_000),
         is_suspect: false,
+        sending_nodes: 1,
         sources: Vec::new(),
     }
 }
@@ -230,9 +231,14 @@
     // Act
     let first = place(&CostPolicy::default(), &request(), &candidates).unwrap();
     let second = place(&CostPolicy::default(), &request(), &candidates[1..]);
+    let many = PlacementRequest { sending_nodes: 3, ..request() };
+    candidates[0].prefill_backlog = Tokens::ZERO;
+    candidates[0].sent_since = Tokens::new(1_667);
+    let of_many = place(&CostPolicy::default(), &many, &candidates[..1]);
 
     // Assert
     assert_eq!((first.candidate, second), (0, Err(NoPlacement::Full)));
+    assert_eq!(of_many, Err(NoPlacement::Full));
 }
 
 /// Guards against a popular prefix whose requests all go to the one endpoint that has it.
