ledger: tell a request that ran from one whose run is unknown

Cause: a request whose endpoint failed was recorded as having run, which cannot be known. Change: a fourth outcome, unknown, which a repeated key hears as unknown; heartbeats are calls whose reply is taken in. Conclusion: run states of repeated keys are as truthful as those of first sends.

--- a/crates/decisions/src/ledger/attempt.rs
+++ b/crates/decisions/src/ledger/attempt.rs
@@ -173,7 +173,8 @@
         match &holder.outcome {
             OutcomeState::Pending => None,
             OutcomeState::Recorded(outcome) => Some(LedgerDecision::Return(outcome.clone())),
-            OutcomeState::NotKept => Some(reject(ResultCode::OutcomeUnknown, RunState::Unknown)),
+            OutcomeState::NotKept => Some(reject(ResultCode::OutcomeUnknown, RunState::Ran)),
+            OutcomeState::Unknown => Some(reject(ResultCode::OutcomeUnknown, RunState::Unknown)),
         }
     }
 }
--- a/crates/decisions/src/quorum/vote_table.rs
+++ b/crates/decisions/src/quorum/vote_table.rs
@@ -25,9 +25,10 @@
     Pending,
     /// The request ran with this outcome.
     Recorded(Outcome),
-    /// The request ran, or may have run, and its outcome is not known here: it was too large, there
-    /// was no memory for it, or its endpoint failed.
+    /// The request ran, but its outcome was too large or there was no memory for it.
     NotKept,
+    /// The request was sent, and whether it ran cannot be known.
+    Unknown,
 }
 
 #[derive(Debug, Clone)]
@@ -42,7 +43,7 @@
     fn body_bytes(&self) -> usize {
         match &self.outcome {
             OutcomeState::Recorded(outcome) => outcome.body.len(),
-            OutcomeState::Pending | OutcomeState::NotKept => 0,
+            OutcomeState::Pending | OutcomeState::NotKept | OutcomeState::Unknown => 0,
         }
     }
 }
--- a/crates/peers/src/convert/votes.rs
+++ b/crates/peers/src/convert/votes.rs
@@ -119,6 +119,7 @@
         match state {
             OutcomeState::Pending => Self { kind: 1, ..Self::default() },
             OutcomeState::NotKept => Self { kind: 2, ..Self::default() },
+            OutcomeState::Unknown => Self { kind: 4, ..Self::default() },
             OutcomeState::Recorded(outcome) => Self {
                 kind: 3,
                 status: u32::from(outcome.status),
@@ -143,6 +144,7 @@
                 .ok_or_else(|| unknown_number("outcome.status", wire.status))?;
             Ok(OutcomeState::Recorded(Outcome { status, body: Arc::from(wire.body.as_ref()) }))
         }
+        4 => Ok(OutcomeState::Unknown),
         other => Err(unknown_number("outcome.kind", other)),
     }
 }
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -54,9 +54,9 @@
     }
 }
 
-fn outcomes(body: &[u8]) -> [OutcomeState; 3] {
+fn outcomes(body: &[u8]) -> [OutcomeState; 4] {
     let recorded = OutcomeState::Recorded(Outcome { status: 201, body: Arc::from(body) });
-    [OutcomeState::Pending, OutcomeState::NotKept, recorded]
+    [OutcomeState::Pending, OutcomeState::NotKept, OutcomeState::Unknown, recorded]
 }
 
 /// Makes messages of all kinds.
--- a/crates/yuccapassd/src/fleet/heartbeats.rs
+++ b/crates/yuccapassd/src/fleet/heartbeats.rs
@@ -31,9 +31,9 @@
     loop {
         let next = Deadline::after_ms(core.clock.now(), PERIOD_MS);
         describe_node(&core);
-        let (heartbeat, targets, events) = core.members.tick();
-        for target in targets {
-            send(&sync, target.address, heartbeat.clone());
+        let (heartbeats, events) = core.members.tick();
+        for (address, heartbeat) in heartbeats {
+            send(&core, &sync, address, heartbeat);
         }
         act_on(&sync, events);
         transport.close_idle();
@@ -51,19 +51,30 @@
 ) {
     while counted.recv().await.is_ok() {
         describe_node(&core);
-        let (heartbeat, addresses) = core.members.zone_heartbeat();
-        for address in addresses {
-            send(&sync, address, heartbeat.clone());
+        for (address, heartbeat) in core.members.zone_heartbeats() {
+            send(&core, &sync, address, heartbeat);
         }
     }
 }
 
-fn send(sync: &Arc<ConfigurationSync>, address: SocketAddr, heartbeat: Heartbeat) {
-    let sync = Arc::clone(sync);
+/// Sends a heartbeat and takes in the reply.
+fn send(
+    core: &Arc<Core>,
+    sync: &Arc<ConfigurationSync>,
+    address: SocketAddr,
+    heartbeat: Heartbeat,
+) {
+    let (core, sync) = (Arc::clone(core), Arc::clone(sync));
     task::spawn(async move {
         let message = PeerMessage::Heartbeat(heartbeat);
-        if let Err(error) = sync.transport.send(address, message).await {
-            log::debug!(peer:% = address; "a heartbeat was not sent: {error}");
+        let deadline = Deadline::after_ms(core.clock.now(), PERIOD_MS);
+        match sync.transport.call(address, message, deadline).await {
+            Ok(received) => {
+                if let PeerMessage::Heartbeat(reply) = received.message {
+                    receive(&core, &sync, &reply);
+                }
+            }
+            Err(error) => log::debug!(peer:% = address; "a heartbeat was not answered: {error}"),
         }
     });
 }
--- a/crates/yuccapassd/src/fleet/members.rs
+++ b/crates/yuccapassd/src/fleet/members.rs
@@ -78,18 +78,25 @@
         self.update(|table| table.set_vms(vms));
     }
 
-    /// Counts a heartbeat; returns it with its targets and what has changed.
-    pub(crate) fn tick(&self) -> (Heartbeat, Vec<HeartbeatTarget>, Vec<MemberEvent>) {
+    /// Counts a heartbeat; returns what goes to each target, and what has changed.
+    pub(crate) fn tick(&self) -> (Vec<(SocketAddr, Heartbeat)>, Vec<MemberEvent>) {
         let now = self.clock.now();
         let mut table = lock(&self.table);
         let (targets, events) = table.tick(now, &mut rand::rng());
-        (table.heartbeat(), targets, events)
+        let heartbeats = targets.iter().map(|target| (target.address, table.heartbeat(target)));
+        (heartbeats.collect(), events)
+    }
+
+    /// Returns the reply to a heartbeat.
+    pub(crate) fn reply(&self) -> Heartbeat {
+        lock(&self.table).reply()
     }
 
     /// Takes a heartbeat of another node.
     pub(crate) fn receive(&self, heartbeat: &Heartbeat) -> Vec<MemberEvent> {
         let now = self.clock.now();
-        if heartbeat.own.zone == self.identity.zone {
+        // A reply has no usage.
+        if heartbeat.own.zone == self.identity.zone && !heartbeat.usage.is_empty() {
             let expiry = Deadline::after_ms(now, USAGE_LIFETIME_MS);
             let reported = ReportedUsage { expiry, usage: heartbeat.usage.clone() };
             lock(&self.usage).insert(heartbeat.own.node.clone(), reported);
@@ -97,13 +104,19 @@
         lock(&self.table).receive(heartbeat, now)
     }
 
-    /// Returns the heartbeat of this second for the other nodes of the zone.
-    pub(crate) fn zone_heartbeat(&self) -> (Heartbeat, Vec<SocketAddr>) {
-        let table = lock(&self.table);
+    /// Returns heartbeats of this second for all other nodes of the zone.
+    pub(crate) fn zone_heartbeats(&self) -> Vec<(SocketAddr, Heartbeat)> {
+        let mut table = lock(&self.table);
         let members = table
             .members()
             .filter(|member| member.row().zone == self.identity.zone && is_present(member.state()));
-        (table.heartbeat(), members.map(|member| member.row().peer_address).collect())
+        let targets: Vec<HeartbeatTarget> = members
+            .map(|member| HeartbeatTarget {
+                node: Some(member.row().node.clone()),
+                address: member.row().peer_address,
+            })
+            .collect();
+        targets.iter().map(|target| (target.address, table.heartbeat(target))).collect()
     }
 
     /// Returns how many nodes of the zone are alive, this one included.
--- a/crates/yuccapassd/src/fleet/peer_handler.rs
+++ b/crates/yuccapassd/src/fleet/peer_handler.rs
@@ -33,7 +33,7 @@
         match message {
             PeerMessage::Heartbeat(heartbeat) => {
                 heartbeats::receive(core, &self.sync, &heartbeat);
-                None
+                Some(PeerMessage::Heartbeat(core.members.reply()))
             }
             PeerMessage::ConfigRequest(request) => Some(self.configuration_part(&request)),
             PeerMessage::VoteRequest(ask) => Some(PeerMessage::VoteReply(core.votes.answer(&ask))),
--- a/crates/yuccapassd/src/placer.rs
+++ b/crates/yuccapassd/src/placer.rs
@@ -187,6 +187,5 @@
         block_size: Bytes::new(BLOCK_PROMPT_BYTES as u64),
         is_suspect: false,
         sources: Vec::new(),
-        link_allowance: Bytes::ZERO,
     }
 }
--- a/crates/yuccapassd/src/run.rs
+++ b/crates/yuccapassd/src/run.rs
@@ -155,7 +155,8 @@
         if let Some((claim, _)) = self.claim.take() {
             match failure.run_state {
                 RunState::NotRun => claim.release_not_run(),
-                RunState::Ran | RunState::Unknown => claim.record(OutcomeState::NotKept),
+                RunState::Ran => claim.record(OutcomeState::NotKept),
+                RunState::Unknown => claim.record(OutcomeState::Unknown),
             }
         }
         failure
@@ -478,7 +479,10 @@
     fn drop(&mut self) {
         // The caller left: its run is cancelled, but began.
         if let Some((claim, _)) = self.claim.take().filter(|_| self.attempts > 0) {
-            claim.record(OutcomeState::NotKept);
+            claim.record(match self.run_state() {
+                RunState::Ran => OutcomeState::NotKept,
+                _ => OutcomeState::Unknown,
+            });
         }
         let tokens = self.progress.delivered_tokens().get();
         self.core.metrics.answer_closed(&self.labels, tokens, self.is_whole);
--- a/crates/yuccapassd/src/services.rs
+++ b/crates/yuccapassd/src/services.rs
@@ -145,7 +145,8 @@
         Err(failure) => {
             match failure.run_state {
                 RunState::NotRun => claim.release_not_run(),
-                RunState::Ran | RunState::Unknown => claim.record(OutcomeState::NotKept),
+                RunState::Ran => claim.record(OutcomeState::NotKept),
+                RunState::Unknown => claim.record(OutcomeState::Unknown),
             }
             return Err(failure);
         }
