--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -182,7 +182,7 @@
     // Arrange
     let too_long = vec![0; MAX_CHUNK_BYTES + 1];
     let chunk = ConfigChunk { revision: Revision::new(1), bytes: Some(too_long.clone().into()) };
-    let [_, _, outcome] = outcomes(&too_long);
+    let [.., outcome] = outcomes(&too_long);
     let key = VoteKey::permit(&"endpoint".parse().unwrap(), Incarnation::new(1));
     let cases = [
         (PeerMessage::Heartbeat(heartbeat(1, 25, "node-1")), "rows"),
