yuccapassd: tell placement how many nodes send

Cause: the merged wait bound needs the number of nodes that send to the same endpoints, and the daemon did not build without it. Change: the nodes of the zone that are alive. Measured: the workspace builds. Conclusion: none.

--- a/crates/yuccapassd/src/node.rs
+++ b/crates/yuccapassd/src/node.rs
@@ -343,6 +343,7 @@
         endpoints: Arc::clone(&endpoints),
         prefix_caches: Arc::clone(&prefix_caches),
         crash_guard: Arc::clone(&crash_guard),
+        members: Arc::clone(&sync.members),
     };
     let ledger_config = LedgerConfig::default()
         .window_ms(settings.ledger_window_ms)
--- a/crates/yuccapassd/src/placer.rs
+++ b/crates/yuccapassd/src/placer.rs
@@ -14,6 +14,7 @@
 
 use crate::crash_guard::SharedCrashGuard;
 use crate::endpoint_table::{CandidatePlace, EndpointTable};
+use crate::fleet::Members;
 use crate::prefix_cache_view::PrefixCacheView;
 
 /// Bytes of prompt text in a token, on average over the usual tokenizers and English text.
@@ -37,12 +38,12 @@
         Self { salt, chain: block_chain(salt, prompt), tokens, fingerprint }
     }
 
-    fn request(&self, is_suspect: bool) -> PlacementRequest {
+    fn request(&self, is_suspect: bool, sending_nodes: u32) -> PlacementRequest {
         PlacementRequest {
             prompt: self.tokens,
             prompt_blocks: self.chain.len() as u32,
             is_suspect,
-            ..ordinary_request()
+            ..ordinary_request(sending_nodes)
         }
     }
 }
@@ -70,6 +71,7 @@
     pub(crate) endpoints: Arc<EndpointTable>,
     pub(crate) prefix_caches: Arc<PrefixCacheView>,
     pub(crate) crash_guard: Arc<SharedCrashGuard>,
+    pub(crate) members: Arc<Members>,
 }
 
 impl Placer {
@@ -84,7 +86,9 @@
                 self.endpoints.candidate(endpoint, place, |_| false)
             })
             .collect();
-        LeastLoadedPolicy.place(&ordinary_request(), &candidates, &mut rand::rng()).is_ok()
+        LeastLoadedPolicy
+            .place(&ordinary_request(self.members.zone_nodes()), &candidates, &mut rand::rng())
+            .is_ok()
     }
 
     /// Chooses the endpoint for an attempt, other than those in `excluded`.
@@ -96,6 +100,7 @@
         excluded: &[EndpointId],
     ) -> Result<Placed<'a>, NoPlacement> {
         let region = document.zone(&self.zone).map(|zone| &zone.region);
+        let is_suspect_itself = self.crash_guard.is_suspect(prompt.fingerprint);
         let matches = self.prefix_caches.lookup(&prompt.chain);
         let is_suspect =
             |other: Fingerprint| other != prompt.fingerprint && self.crash_guard.is_suspect(other);
@@ -117,7 +122,7 @@
             considered.push(endpoint);
         }
         let placement = self.policy.place(
-            &prompt.request(self.crash_guard.is_suspect(prompt.fingerprint)),
+            &prompt.request(is_suspect_itself, self.members.zone_nodes()),
             &candidates,
             &mut rand::rng(),
         )?;
@@ -180,12 +185,13 @@
 }
 
 /// Makes a short request without anything particular.
-fn ordinary_request() -> PlacementRequest {
+fn ordinary_request(sending_nodes: u32) -> PlacementRequest {
     PlacementRequest {
         prompt: Tokens::new(1),
         prompt_blocks: 0,
         block_size: Bytes::new(BLOCK_PROMPT_BYTES as u64),
         is_suspect: false,
+        sending_nodes,
         sources: Vec::new(),
     }
 }
