yuccapassd: write the configuration back to a restored platform

Cause: a platform restored from an older state held an older configuration than the fleet, so that no command could be accepted any more; a lost answer to a chunk ended a command.

--- a/crates/yuccapassd/src/commands.rs
+++ b/crates/yuccapassd/src/commands.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use yuccapass_decisions::change::{Accepted, Command, ExecuteError, Next, execute};
-use yuccapass_decisions::config::{ActiveConfig, Manifest, Source};
+use yuccapass_decisions::config::{ActiveConfig, ChunkHash, Manifest, Source};
 use yuccapass_decisions::platform_budget::CallRank;
 use yuccapass_http::sleep_until;
 use yuccapass_operators::{
@@ -13,13 +13,13 @@
     show_document,
 };
 use yuccapass_platform::{
-    Compare, Entry, KeyValue, PlatformClient, PlatformError, PlatformErrorKind, RankedKeyValue,
-    Transaction, TransactionOutcome, Value, Write,
+    Entry, KeyValue, PlatformClient, PlatformError, PlatformErrorKind, RankedKeyValue,
+    TransactionOutcome,
 };
 use yuccapass_types::{Deadline, ModelId, ResultCode, Revision};
 
 use crate::fleet::ConfigurationSync;
-use crate::fleet::configuration_sync::{chunk_key, manifest_key};
+use crate::fleet::platform_configuration::{manifest_key, swap_manifest, write_chunks};
 use crate::request_path::Core;
 
 /// How long a command may take.
@@ -116,8 +116,11 @@
             let revision = next.config.manifest().revision;
             return Ok(Some(self.accepted(command, revision, false, true).await));
         }
-        self.write_chunks(key_value, &held, &next, deadline).await?;
-        self.swap_manifest(key_value, command, &held, &next, deadline).await
+        // The first manifest is written by a node that started from a file.
+        let is_first = held.entry.is_none();
+        let is_new = |hash: &ChunkHash| next.new_chunks.iter().any(|(new, _)| new == hash);
+        write_chunks(key_value, &next.config, |hash| is_first || is_new(hash), deadline).await?;
+        self.commit(key_value, command, &held, &next, deadline).await
     }
 
     /// Reads the manifest and puts its configuration in force here first; `None` if that takes
@@ -139,32 +142,8 @@
         Ok(is_in_force.then_some(Held { entry, config }))
     }
 
-    /// Writes the chunks that the platform lacks. They are named by their content, so writing one
-    /// twice changes nothing, and none counts before the manifest names it.
-    async fn write_chunks(
-        &self,
-        key_value: &RankedKeyValue,
-        held: &Held,
-        next: &Next,
-        deadline: Deadline,
-    ) -> Result<(), PlatformError> {
-        // The first manifest is written by a node that started from a file.
-        let is_first = held.entry.is_none();
-        for hash in &next.config.manifest().chunks {
-            let is_new = next.new_chunks.iter().any(|(new, _)| new == hash);
-            if !is_first && !is_new {
-                continue;
-            }
-            let Some(bytes) = next.config.chunk_bytes(hash) else { continue };
-            let value = Value::new(bytes).map_err(|error| invalid_value(&error))?;
-            let write = Write::Put { key: chunk_key(hash), value, lease: None };
-            let transaction = Transaction { compares: Vec::new(), writes: vec![write] };
-            key_value.compare_and_swap(&transaction, deadline).await?;
-        }
-        Ok(())
-    }
-
-    async fn swap_manifest(
+    /// Makes the command take effect.
+    async fn commit(
         &self,
         key_value: &RankedKeyValue,
         command: &Command,
@@ -172,18 +151,10 @@
         next: &Next,
         deadline: Deadline,
     ) -> Result<Option<CommandAnswer>, PlatformError> {
-        let key = manifest_key();
-        let compare = match &held.entry {
-            Some(entry) => Compare::ModRevision(key.clone(), entry.mod_revision),
-            None => Compare::Absent(key.clone()),
-        };
         let manifest = next.config.manifest();
-        let value = Value::new(manifest.encode()).map_err(|error| invalid_value(&error))?;
-        let write = Write::Put { key, value: value.clone(), lease: None };
-        let transaction = Transaction { compares: vec![compare], writes: vec![write] };
-        match key_value.compare_and_swap(&transaction, deadline).await {
+        match swap_manifest(key_value, held.entry.as_ref(), manifest, deadline).await {
             Ok(TransactionOutcome::Committed { .. }) => {
-                self.sync.offer_manifest(Source::Platform, value.as_bytes()).await;
+                self.sync.offer_manifest(Source::Platform, &manifest.encode()).await;
                 Ok(Some(self.accepted(command, manifest.revision, false, false).await))
             }
             Ok(TransactionOutcome::Conflict { .. }) => Ok(None),
@@ -299,7 +270,3 @@
 fn unavailable(error: &PlatformError) -> Refusal {
     Refusal::new(ResultCode::PlatformUnavailable).detail(error)
 }
-
-fn invalid_value(error: &impl std::fmt::Display) -> PlatformError {
-    PlatformError::new(PlatformErrorKind::Protocol, error.to_string())
-}
--- a/crates/yuccapassd/src/fleet/configuration_sync.rs
+++ b/crates/yuccapassd/src/fleet/configuration_sync.rs
@@ -4,33 +4,25 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use smol_str::format_smolstr;
-use yuccapass_decisions::config::{Action, ChunkHash, Source};
+use yuccapass_decisions::config::{Action, ChunkHash, Manifest, Source};
 use yuccapass_decisions::platform_budget::CallRank;
 use yuccapass_peers::{ConfigRequest, MAX_CHUNK_BYTES, PeerMessage, PeerTransport};
-use yuccapass_platform::{Key, KeyValue, PlatformClient};
+use yuccapass_platform::{KeyValue, PlatformClient, PlatformError};
 use yuccapass_types::{Clock, Deadline, NodeId, Revision};
 
 use crate::configuration::Configuration;
 use crate::fleet::Members;
+use crate::fleet::platform_configuration::{chunk_key, manifest_key, swap_manifest, write_chunks};
 
 /// How long a neighbour may take to answer.
 const NEIGHBOUR_TIMEOUT_MS: u64 = 2_000;
 
+/// How long writing a whole configuration back may take.
+const RESTORE_TIMEOUT_MS: u64 = 30_000;
+
 /// Most bytes of a manifest: more chunks than the largest document has.
 const MAX_MANIFEST_BYTES: usize = 1 << 20;
 
-/// Returns the key of the manifest in the platform.
-pub(crate) fn manifest_key() -> Key {
-    "yuccapass/configuration/manifest".parse().expect("the text is a valid key")
-}
-
-/// Returns the key of a chunk in the platform.
-pub(crate) fn chunk_key(hash: &ChunkHash) -> Key {
-    let text = format_smolstr!("yuccapass/configuration/chunks/{hash}");
-    text.parse().expect("a prefix and hexadecimal digits are a valid key")
-}
-
 /// Fetches what the holder of the configuration asks for.
 pub(crate) struct ConfigurationSync {
     pub(crate) configuration: Arc<Configuration>,
@@ -93,6 +85,9 @@
                         platform_revision = platform_revision.get();
                         "the platform holds an older configuration than the one in force"
                     );
+                    if let Err(error) = self.restore_platform(platform_revision).await {
+                        log::warn!("the configuration could not be written back: {error}");
+                    }
                 }
                 // Done by the holder's owner already.
                 Action::PutInForce(_) => {}
@@ -102,6 +97,27 @@
         self.members.update(|table| table.set_revision(revision));
     }
 
+    /// Writes the configuration in force back to a platform that was restored from an older state.
+    async fn restore_platform(&self, platform_revision: Revision) -> Result<(), PlatformError> {
+        let Some(platform) = &self.platform else { return Ok(()) };
+        let key_value = platform.ranked(CallRank::Command);
+        let deadline = Deadline::after_ms(self.clock.now(), RESTORE_TIMEOUT_MS);
+        let entry = key_value.get(&manifest_key(), deadline).await?.entry;
+        let held = entry.as_ref().and_then(|entry| Manifest::decode(entry.value.as_bytes()).ok());
+        if held.is_none_or(|held| held.revision != platform_revision) {
+            // Another node was faster, or an operator has decided.
+            return Ok(());
+        }
+        let config = Arc::clone(&self.configuration.active().config);
+        write_chunks(&key_value, &config, |_| true, deadline).await?;
+        swap_manifest(&key_value, entry.as_ref(), config.manifest(), deadline).await?;
+        log::info!(
+            revision = config.manifest().revision.get();
+            "the configuration in force was written back to the platform"
+        );
+        Ok(())
+    }
+
     async fn fetch_chunk(
         &self,
         source: &Source,
--- a/crates/yuccapassd/src/fleet/mod.rs
+++ b/crates/yuccapassd/src/fleet/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! * [`members`]: who the others are, told by heartbeats, which [`heartbeats`] sends.
 //! * [`configuration_sync`]: brings newer configurations from the platform and from other nodes;
-//!   [`platform_watch`] does so on the few nodes of a zone that watch the platform.
+//!   [`platform_configuration`] says how the platform keeps one, and [`platform_watch`] reads it on the few nodes of a zone that watch the platform.
 //! * [`votes`]: majority votes; [`ledger`] and [`permits`] build on them.
 //! * [`peer_handler`]: answers the messages of other nodes.
 
@@ -12,6 +12,7 @@
 pub(crate) mod members;
 pub(crate) mod peer_handler;
 pub(crate) mod permits;
+pub(crate) mod platform_configuration;
 pub(crate) mod platform_watch;
 pub(crate) mod votes;
 
--- a/crates/yuccapassd/src/fleet/platform_watch.rs
+++ b/crates/yuccapassd/src/fleet/platform_watch.rs
@@ -13,7 +13,7 @@
 use yuccapass_types::{Deadline, Revision};
 
 use crate::fleet::ConfigurationSync;
-use crate::fleet::configuration_sync::manifest_key;
+use crate::fleet::platform_configuration::manifest_key;
 
 /// Nodes of a zone that watch: one, and one for when it fails.
 const WATCHERS_PER_ZONE: usize = 2;
--- a/crates/yuccapassd/tests/fleet.rs
+++ b/crates/yuccapassd/tests/fleet.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 
 use common::{
-    APPROVED_KEY, Deployment, Plan, chat_request, chat_request_with, metric, operate, read_json,
-    send, start, wait_until,
+    APPROVED_KEY, Deployment, Plan, chat_request, chat_request_with, metric, operate, post_faults,
+    read_json, send, start, wait_until,
 };
 use http_types::{Method, Request};
 use serde_json::{Value, json};
@@ -31,6 +31,16 @@
     answer["revision"].as_str().unwrap_or_default().to_owned()
 }
 
+/// Returns the revision of the platform's store.
+fn store_revision(platform: SocketAddr) -> u64 {
+    let client = common::client(platform);
+    let mut request = client.request(Method::Post, "/v3/kv/range");
+    // The key of the manifest in base64.
+    request.set_body(json!({"key": "eXVjY2FwYXNzL2NvbmZpZ3VyYXRpb24vbWFuaWZlc3Q="}));
+    let answer = read_json(send(&client, request));
+    answer["header"]["revision"].as_str().unwrap().parse().unwrap()
+}
+
 fn wait_revision(deployment: &Deployment, revision: &str) {
     wait_until(&format!("revision {revision} is not in force everywhere"), || {
         deployment.nodes.iter().all(|node| revision_of(node.admin_address) == revision)
@@ -195,7 +205,7 @@
 #[test]
 fn key_of_a_dead_node_is_not_run_again() {
     // Arrange
-    let mut deployment = start_three_nodes(&[]);
+    let deployment = start_three_nodes(&[]);
     wait_for_voters(&deployment);
     let client = deployment.caller(0);
     let first = send(&client, booking(&client, "booking-2"));
@@ -219,7 +229,7 @@
 #[test]
 fn node_without_a_majority_refuses_keyed_requests_truthfully() {
     // Arrange
-    let mut deployment = start_three_nodes(&[]);
+    let deployment = start_three_nodes(&[]);
     wait_for_voters(&deployment);
     deployment.nodes[1].process.signal("KILL");
     deployment.nodes[2].process.signal("KILL");
@@ -300,3 +310,64 @@
     assert_eq!(second["error"]["code"], "YP-2006", "{second}");
     assert_eq!(deployment.engine_count("crashes"), 2);
 }
+
+/// Guards against a configuration that goes back with a platform that was restored from an older
+/// state.
+#[test]
+fn restored_platform_does_not_bring_an_older_configuration_back() {
+    // Arrange
+    let deployment = start_three_nodes(&[]);
+    let platform = deployment.platform.as_ref().unwrap().address;
+    let first = operate(deployment.nodes[0].admin_address, "set share of org-approved to 3", "r-1");
+    assert_eq!(first["result"], "accepted", "{first}");
+    wait_revision(&deployment, "2");
+    let store_revision = store_revision(platform);
+    let second =
+        operate(deployment.nodes[0].admin_address, "set share of org-approved to 4", "r-2");
+    assert_eq!(second["result"], "accepted", "{second}");
+    wait_revision(&deployment, "3");
+
+    // Act
+    post_faults(platform, json!({"restore_revision": store_revision}));
+    wait_until("the newer configuration is not written back", || {
+        let third =
+            operate(deployment.nodes[1].admin_address, "set share of org-approved to 5", "r-3");
+        third["result"] == "accepted"
+    });
+
+    // Assert
+    wait_revision(&deployment, "4");
+}
+
+/// Guards against a command that takes effect twice, or not at all, when answers of the platform are
+/// lost after the write took effect.
+#[test]
+fn commands_take_effect_once_when_answers_are_lost() {
+    // Arrange
+    let deployment = start_three_nodes(&[]);
+    let platform = deployment.platform.as_ref().unwrap().address;
+    let order = |number: u32, node: usize| {
+        let command = format!("set share of org-approved to {}", number + 10);
+        operate(deployment.nodes[node].admin_address, &command, &format!("lost-{number}"))
+    };
+    assert_eq!(order(0, 0)["result"], "accepted");
+    post_faults(platform, json!({"lost_answer_percent": 50}));
+
+    // Act
+    let revisions: Vec<String> = (1..=4)
+        .map(|number| {
+            let mut revision = String::new();
+            let mut node = 0;
+            wait_until("a command is not accepted", || {
+                node = (node + 1) % 3;
+                let answer = order(number, node);
+                revision = answer["revision"].as_str().unwrap_or_default().to_owned();
+                answer["result"] == "accepted"
+            });
+            revision
+        })
+        .collect();
+
+    // Assert
+    assert_eq!(revisions, ["3", "4", "5", "6"]);
+}
