decisions: spread the estimate of other nodes' sends evenly

Cause: taking the other nodes to have sent to an endpoint what this node sent there is coarse: with 170 nodes one own request would count as 170, and none as none. Change: for the wait bound, what this node sent to all eligible endpoints since their reports, times the other nodes, is spread evenly over these endpoints.

--- a/crates/decisions/src/routing/placement/cost.rs
+++ b/crates/decisions/src/routing/placement/cost.rs
@@ -56,7 +56,8 @@
 
     /// Sets the longest expected queue wait at an endpoint; default 500 ms.
     ///
-    /// The other nodes are taken to have sent as much as this one since the load report. Work beyond
+    /// The other nodes are taken to have sent as much as this one since the load reports, evenly over
+    /// the endpoints. Work beyond
     /// the bound waits at the node, where it stays fair and can still choose. With the prompt's
     /// processing, 500 ms keep within 1.2 s to first token.
     pub fn max_wait_us(mut self, max_wait_us: u64) -> Self {
@@ -89,11 +90,9 @@
 
     /// Returns the weighted cost without the preparation of the prompt, or `None` if the wait is too
     /// long.
-    fn arrival_cost_us(&self, request: &PlacementRequest, candidate: &Candidate) -> Option<u64> {
+    fn arrival_cost_us(&self, candidate: &Candidate, sent_by_others: Tokens) -> Option<u64> {
         let wait_us = wait_us(candidate);
-        // The other nodes send too; without them a full fleet looks free until the next report.
-        let other_nodes = u64::from(request.sending_nodes.saturating_sub(1));
-        let others_us = prefill_us(candidate, candidate.sent_since).saturating_mul(other_nodes);
+        let others_us = prefill_us(candidate, sent_by_others);
         if wait_us.saturating_add(others_us) > self.settings.max_wait_us {
             return None;
         }
@@ -124,10 +123,12 @@
         let mut costs = Vec::with_capacity(eligible.len());
         let mut best_us = u64::MAX;
         let mut limit_us = u64::MAX;
+        let by_others = sent_by_others(request, candidates, &eligible);
         let mut preparations = Preparations::new(request);
-        for position in eligible {
+        for &position in &eligible {
             let candidate = &candidates[position];
-            let arrival_us = self.arrival_cost_us(request, candidate).filter(|&us| us <= limit_us);
+            let arrival_us =
+                self.arrival_cost_us(candidate, by_others).filter(|&us| us <= limit_us);
             let Some(arrival_us) = arrival_us else { continue };
             let cost_us = arrival_us.saturating_add(preparations.time_us(candidate));
             if cost_us < best_us {
@@ -145,6 +146,21 @@
     }
 }
 
+/// Returns the tokens that the other nodes sent to an endpoint since the load reports.
+///
+/// Each is taken to have sent as much as this one, evenly over the endpoints: this node's own choices
+/// say little about where the others sent theirs.
+fn sent_by_others(
+    request: &PlacementRequest,
+    candidates: &[Candidate],
+    eligible: &[usize],
+) -> Tokens {
+    let own = eligible.iter().map(|&position| candidates[position].sent_since);
+    let other_nodes = u64::from(request.sending_nodes.saturating_sub(1));
+    let sent = own.sum::<Tokens>().get().saturating_mul(other_nodes);
+    Tokens::new(sent / eligible.len().max(1) as u64)
+}
+
 /// Preparation times of one request.
 ///
 /// Most candidates of a fleet have the same blocks and the same rate, so the last result is kept.
