decisions: let requests wait at the nodes in the policy comparison

Cause: what no endpoint could take counted as refused at once, while the daemon keeps it waiting. Change: each node of the model keeps such requests in order, tries them again with each delivery of reports, and refuses them after 1.2 s.

--- a/crates/decisions/examples/compare_policies/simulation.rs
+++ b/crates/decisions/examples/compare_policies/simulation.rs
@@ -1,7 +1,7 @@
 //! Nodes, endpoints and a store in two regions.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -38,6 +38,8 @@
 /// not counted.
 const DEADLINE_US: u64 = 15_000_000;
 const MEAN_RUN_MS: u64 = 2_200;
+/// Longest wait at a node, the time in which 95 % of requests are to have their first token.
+const MAX_NODE_WAIT_US: u64 = 1_200_000;
 
 /// Makes the policy of one node.
 pub type MakePolicy = fn() -> Box<dyn PlacementPolicy>;
@@ -79,6 +81,8 @@
 struct Node {
     zone: usize,
     policy: Box<dyn PlacementPolicy>,
+    /// Requests that no endpoint could take, with their arrival.
+    waiting: VecDeque<(u64, Prompt)>,
     reports: Vec<Report>,
     /// Time and tokens of what was sent to each endpoint since its report.
     sent: Vec<Vec<(u64, u64)>>,
@@ -128,6 +132,7 @@
         let nodes = NODE_ZONES.iter().map(|&zone| Node {
             zone,
             policy: make_policy(),
+            waiting: VecDeque::new(),
             reports: vec![Report::default(); endpoints],
             sent: vec![Vec::new(); endpoints],
             links: TIERS.map(|(_, rate, _)| {
@@ -177,7 +182,7 @@
                     self.start_prefill(endpoint, now_us);
                 }
                 Event::MakeReports => self.make_reports(now_us),
-                Event::DeliverReports => self.deliver_reports(),
+                Event::DeliverReports => self.deliver_reports(now_us, outcome),
             }
         }
     }
@@ -193,10 +198,30 @@
         outcome.arrived += u64::from(is_counted(now_us));
         let node = self.random.random_range(0..self.nodes.len());
         let prompt = self.workload.next(&mut self.random);
-        let (request, candidates) = self.view(node, &prompt, now_us);
-        match self.nodes[node].policy.place(&request, &candidates, &mut self.random) {
-            Ok(placement) => self.send(node, placement, prompt, now_us),
-            Err(_) => outcome.refused += u64::from(is_counted(now_us)),
+        if !self.nodes[node].waiting.is_empty() || !self.try_place(node, &prompt, now_us, now_us) {
+            self.nodes[node].waiting.push_back((now_us, prompt));
+        }
+    }
+
+    /// Sends the request if an endpoint can take it.
+    fn try_place(&mut self, node: usize, prompt: &Prompt, arrived_us: u64, now_us: u64) -> bool {
+        let (request, candidates) = self.view(node, prompt, now_us);
+        let placed = self.nodes[node].policy.place(&request, &candidates, &mut self.random);
+        if let Ok(placement) = placed {
+            self.send(node, placement, prompt.clone(), arrived_us, now_us);
+        }
+        placed.is_ok()
+    }
+
+    /// Places what waits at a node, in order, and refuses what waited too long.
+    fn place_waiting(&mut self, node: usize, now_us: u64, outcome: &mut Outcome) {
+        while let Some((arrived_us, prompt)) = self.nodes[node].waiting.pop_front() {
+            if now_us - arrived_us >= MAX_NODE_WAIT_US {
+                outcome.refused += u64::from(is_counted(arrived_us));
+            } else if !self.try_place(node, &prompt, arrived_us, now_us) {
+                self.nodes[node].waiting.push_front((arrived_us, prompt));
+                return;
+            }
         }
     }
 
@@ -260,7 +285,14 @@
         }
     }
 
-    fn send(&mut self, node: usize, placement: Placement, prompt: Prompt, now_us: u64) {
+    fn send(
+        &mut self,
+        node: usize,
+        placement: Placement,
+        prompt: Prompt,
+        arrived_us: u64,
+        now_us: u64,
+    ) {
         let endpoint = placement.candidate;
         let mut sent_us = now_us;
         let mut imported_blocks = 0;
@@ -274,8 +306,7 @@
             imported_blocks = (import.from_block + import.blocks) as usize;
         }
         self.nodes[node].sent[endpoint].push((now_us, placement.prefill_tokens.get()));
-        self.in_transfer
-            .push(Some((endpoint, Job { prompt, arrived_us: now_us, imported_blocks })));
+        self.in_transfer.push(Some((endpoint, Job { prompt, arrived_us, imported_blocks })));
         self.schedule(sent_us, Event::Sent(self.in_transfer.len() - 1));
     }
 
@@ -338,12 +369,15 @@
         self.schedule(now_us + REPORT_EVERY_US, Event::MakeReports);
     }
 
-    fn deliver_reports(&mut self) {
+    fn deliver_reports(&mut self, now_us: u64, outcome: &mut Outcome) {
         for node in &mut self.nodes {
             node.reports.clone_from(&self.in_flight_reports);
             for (sent, report) in node.sent.iter_mut().zip(&self.in_flight_reports) {
                 sent.retain(|&(sent_us, _)| sent_us > report.made_us);
             }
         }
+        for node in 0..self.nodes.len() {
+            self.place_waiting(node, now_us, outcome);
+        }
     }
 }
