decisions: share the test configuration of the property tests

Cause: seven test files repeated the same settings. Change: tests/common has them; cases and seeds are unchanged. Conclusion: no change in what is tested.

--- a/crates/decisions/tests/crash_guard.rs
+++ b/crates/decisions/tests/crash_guard.rs
@@ -1,9 +1,10 @@
 //! Tests of the guard against crashing requests.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use yuccapass_decisions::crash_guard::{CrashGuard, CrashGuardSettings, Fingerprint, Verdict};
 use yuccapass_types::{Deadline, Incarnation, Instant};
 
@@ -182,12 +183,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 128,
-        rng_seed: RngSeed::Fixed(0xc4_a5),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(common::fixed(128, 0xc4_a5))]
 
     /// Guards against verdicts that differ from plain counting, on the node itself and on another
     /// one that gets its reports twice.
--- a/crates/decisions/tests/fair_queue.rs
+++ b/crates/decisions/tests/fair_queue.rs
@@ -1,9 +1,10 @@
 //! Tests of the fair queue.
 
+mod common;
+
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use yuccapass_decisions::admission::fair_queue::{FairQueue, PushOutcome, QueuedRequest};
 use yuccapass_types::{Deadline, Instant, ResultCode, Tokens, TokensPerSecond};
 
@@ -168,12 +169,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 64,
-        rng_seed: RngSeed::Fixed(0xfa_14),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(common::fixed(64, 0xfa_14))]
 
     /// Guards against an order that differs from a plain weighted round, in which the organisation
     /// with the fewest tokens served for its share is next.
--- a/crates/decisions/tests/limits.rs
+++ b/crates/decisions/tests/limits.rs
@@ -1,7 +1,8 @@
 //! Tests of the organisations' limits.
 
+mod common;
+
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use yuccapass_decisions::admission::limits::{
     LimitSettings, LimitVerdict, OrganisationLimits, ZoneLimit, node_share,
 };
@@ -122,12 +123,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 128,
-        rng_seed: RngSeed::Fixed(0x11_417),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(common::fixed(128, 0x11_417))]
 
     /// Guards against parts that add up to more than the limit, or to noticeably less.
     #[test]
--- a/crates/decisions/tests/link_budget.rs
+++ b/crates/decisions/tests/link_budget.rs
@@ -1,7 +1,8 @@
 //! Tests of the budget of the link between regions.
 
+mod common;
+
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use yuccapass_decisions::routing::link_budget::LinkBudget;
 use yuccapass_types::{BytesPerSecond, Instant};
 
@@ -59,12 +60,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 32,
-        rng_seed: RngSeed::Fixed(0x11_4b),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(common::fixed(32, 0x11_4b))]
 
     /// Guards against nodes of a zone that exceed the link together while one of them is lost and
     /// their views differ.
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -1,7 +1,8 @@
 //! Tests of the placement policies.
 
+mod common;
+
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use yuccapass_decisions::endpoint_health::{EndpointCondition, EndpointPhase};
@@ -385,12 +386,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 128,
-        rng_seed: RngSeed::Fixed(0x9_1ac),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(common::fixed(128, 0x9_1ac))]
 
     /// Guards against a choice that is worse than the best one by more than a near tie.
     #[test]
--- a/crates/decisions/tests/retry.rs
+++ b/crates/decisions/tests/retry.rs
@@ -1,7 +1,8 @@
 //! Tests of retry plans and the retry budget.
 
+mod common;
+
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use yuccapass_decisions::retry::{
     AttemptFacts, AttemptFailure, RetryBudget, RetryBudgetSettings, RetryPlan, RetryTarget,
     plan_retry,
@@ -163,12 +164,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 256,
-        rng_seed: RngSeed::Fixed(0x4e_747),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(common::fixed(256, 0x4e_747))]
 
     /// Guards against a second run of a non-repeatable request and against a false `not run`.
     #[test]
--- a/crates/decisions/tests/routing_index.rs
+++ b/crates/decisions/tests/routing_index.rs
@@ -1,9 +1,10 @@
 //! Tests of the prefix index.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use yuccapass_decisions::routing::holder::{Holder, HolderSlot, HolderSlots, StoreTier};
 use yuccapass_decisions::routing::index::{
     CacheChange, CacheEvent, IndexAction, IndexSettings, ListedBlock, PrefixIndex,
@@ -335,12 +336,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 48,
-        rng_seed: RngSeed::Fixed(0x1d_e4),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(common::fixed(48, 0x1d_e4))]
 
     /// Guards against an index that knows more than the endpoints hold, or less than the largest
     /// power of two, compared with plain sets of blocks.
