decisions: measure updates of the prefix index

Cause: events and restarts of all endpoints are processed on every node, and their cost was unknown. Change: measure_routing times stored blocks and a restart.

--- a/crates/decisions/examples/measure_routing.rs
+++ b/crates/decisions/examples/measure_routing.rs
@@ -11,13 +11,15 @@
 use rand::{Rng, RngExt, SeedableRng};
 use yuccapass_decisions::endpoint_health::{EndpointCondition, EndpointPhase};
 use yuccapass_decisions::routing::holder::HolderSlot;
-use yuccapass_decisions::routing::index::{IndexSettings, PrefixIndex, PrefixMatch};
+use yuccapass_decisions::routing::index::{
+    CacheChange, CacheEvent, IndexSettings, PrefixIndex, PrefixMatch,
+};
 use yuccapass_decisions::routing::placement::{
     Candidate, CostPolicy, ImportSource, PlacementPolicy, PlacementRequest, ZoneDistance,
     set_cached_blocks,
 };
 use yuccapass_types::{
-    BLOCK_PROMPT_BYTES, BlockHash, Bytes, BytesPerSecond, CacheSalt, Instant, Tokens,
+    BLOCK_PROMPT_BYTES, BlockHash, Bytes, BytesPerSecond, CacheSalt, Incarnation, Instant, Tokens,
     TokensPerSecond, block_chain,
 };
 
@@ -43,6 +45,7 @@
         );
         if replicas == 850 {
             fleet.print_memory();
+            fleet.measure_updates()?;
         }
     }
     measure_hashing()
@@ -114,6 +117,36 @@
     }
 }
 
+impl Fleet {
+    /// Measures stored blocks and the restart of an endpoint.
+    fn measure_updates(&self) -> Result<(), Box<dyn Error>> {
+        let incarnation = Incarnation::new(1);
+        let slot = self.candidates[0].endpoint;
+        self.index.apply_listing(slot, incarnation, 0, &[], NOW);
+        let blocks = self.chains.iter().take(1_000).flat_map(|chain| (1..).zip(chain));
+        let events: Vec<CacheEvent> = (1..)
+            .zip(blocks)
+            .map(|(sequence, (position_blocks, &block))| {
+                let kind = CacheChange::Stored;
+                CacheEvent { sequence, kind, position_blocks, block }
+            })
+            .collect();
+        let start_ns = processor_ns()?;
+        for batch in events.chunks(100) {
+            self.index.apply_events(slot, incarnation, batch, NOW);
+        }
+        let stored_ns = processor_ns()?;
+        self.index.apply_events(slot, incarnation.next(), &[], NOW);
+        let restarted_ns = processor_ns()?;
+        println!(
+            "a stored block takes {:.2} us, a restart {:.1} ms",
+            (stored_ns - start_ns) as f64 / events.len() as f64 / 1e3,
+            (restarted_ns - stored_ns) as f64 / 1e6,
+        );
+        Ok(())
+    }
+}
+
 fn candidate(slot: HolderSlot, random: &mut StdRng) -> Candidate {
     Candidate {
         endpoint: slot,
