--- a/crates/decisions/tests/crash_guard.rs
+++ b/crates/decisions/tests/crash_guard.rs
@@ -1,6 +1,6 @@
 //! Tests of the guard against crashing requests.
 
-mod common;
+mod property_config;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -183,7 +183,7 @@
 }
 
 proptest! {
-    #![proptest_config(common::fixed(128, 0xc4_a5))]
+    #![proptest_config(property_config::fixed(128, 0xc4_a5))]
 
     /// Guards against verdicts that differ from plain counting, on the node itself and on another
     /// one that gets its reports twice.
--- a/crates/decisions/tests/fair_queue.rs
+++ b/crates/decisions/tests/fair_queue.rs
@@ -1,6 +1,6 @@
 //! Tests of the fair queue.
 
-mod common;
+mod property_config;
 
 use std::collections::BTreeMap;
 
@@ -169,7 +169,7 @@
 }
 
 proptest! {
-    #![proptest_config(common::fixed(64, 0xfa_14))]
+    #![proptest_config(property_config::fixed(64, 0xfa_14))]
 
     /// Guards against an order that differs from a plain weighted round, in which the organisation
     /// with the fewest tokens served for its share is next.
--- a/crates/decisions/tests/limits.rs
+++ b/crates/decisions/tests/limits.rs
@@ -1,6 +1,6 @@
 //! Tests of the organisations' limits.
 
-mod common;
+mod property_config;
 
 use proptest::prelude::*;
 use yuccapass_decisions::admission::limits::{
@@ -123,7 +123,7 @@
 }
 
 proptest! {
-    #![proptest_config(common::fixed(128, 0x11_417))]
+    #![proptest_config(property_config::fixed(128, 0x11_417))]
 
     /// Guards against parts that add up to more than the limit, or to noticeably less.
     #[test]
--- a/crates/decisions/tests/link_budget.rs
+++ b/crates/decisions/tests/link_budget.rs
@@ -1,6 +1,6 @@
 //! Tests of the budget of the link between regions.
 
-mod common;
+mod property_config;
 
 use proptest::prelude::*;
 use yuccapass_decisions::routing::link_budget::LinkBudget;
@@ -60,7 +60,7 @@
 }
 
 proptest! {
-    #![proptest_config(common::fixed(32, 0x11_4b))]
+    #![proptest_config(property_config::fixed(32, 0x11_4b))]
 
     /// Guards against nodes of a zone that exceed the link together while one of them is lost and
     /// their views differ.
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -1,6 +1,6 @@
 //! Tests of the placement policies.
 
-mod common;
+mod property_config;
 
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -386,7 +386,7 @@
 }
 
 proptest! {
-    #![proptest_config(common::fixed(128, 0x9_1ac))]
+    #![proptest_config(property_config::fixed(128, 0x9_1ac))]
 
     /// Guards against a choice that is worse than the best one by more than a near tie.
     #[test]
--- a/crates/decisions/tests/retry.rs
+++ b/crates/decisions/tests/retry.rs
@@ -1,6 +1,6 @@
 //! Tests of retry plans and the retry budget.
 
-mod common;
+mod property_config;
 
 use proptest::prelude::*;
 use yuccapass_decisions::retry::{
@@ -164,7 +164,7 @@
 }
 
 proptest! {
-    #![proptest_config(common::fixed(256, 0x4e_747))]
+    #![proptest_config(property_config::fixed(256, 0x4e_747))]
 
     /// Guards against a second run of a non-repeatable request and against a false `not run`.
     #[test]
--- a/crates/decisions/tests/routing_index.rs
+++ b/crates/decisions/tests/routing_index.rs
@@ -1,6 +1,6 @@
 //! Tests of the prefix index.
 
-mod common;
+mod property_config;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -336,7 +336,7 @@
 }
 
 proptest! {
-    #![proptest_config(common::fixed(48, 0x1d_e4))]
+    #![proptest_config(property_config::fixed(48, 0x1d_e4))]
 
     /// Guards against an index that knows more than the endpoints hold, or less than the largest
     /// power of two, compared with plain sets of blocks.
