membership: allow other zones three times the silence

Change: MembershipConfig::elsewhere_factor, 3 by default, applies to members of other zones: suspect after 9 s and dead after 18 s. The own zone keeps 3 s and 6 s. After a pause of this process members of either kind are suspect at once and get the rest of their time.

--- a/crates/decisions/src/membership/table.rs
+++ b/crates/decisions/src/membership/table.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use rand::Rng;
-use yuccapass_types::{Instant, NodeId, Revision, SortedMap};
+use yuccapass_types::{Instant, NodeId, Revision, SortedMap, ZoneId};
 
 use super::heartbeat::{
     CrashCount, Heartbeat, MAX_HEARTBEAT_BYTES, MAX_REPLY_BYTES, OrganisationUsage, Pulse,
@@ -22,11 +22,17 @@
     suspect_after_ms: u64,
     dead_after_ms: u64,
     forget_after_ms: u64,
+    elsewhere_factor: u64,
 }
 
 impl Default for MembershipConfig {
     fn default() -> Self {
-        Self { suspect_after_ms: 3_000, dead_after_ms: 6_000, forget_after_ms: 60_000 }
+        Self {
+            suspect_after_ms: 3_000,
+            dead_after_ms: 6_000,
+            forget_after_ms: 60_000,
+            elsewhere_factor: 3,
+        }
     }
 }
 
@@ -49,6 +55,19 @@
         self.forget_after_ms = ms;
         self
     }
+
+    /// Sets by how much longer a member of another zone may be silent; 3 by default.
+    ///
+    /// A heartbeat leaves the zone only every two seconds, and at 340 nodes it has no room for the
+    /// counters of all other zones.
+    pub fn elsewhere_factor(mut self, factor: u64) -> Self {
+        self.elsewhere_factor = factor;
+        self
+    }
+
+    fn factor(&self, zone: &ZoneId, own_zone: &ZoneId) -> u64 {
+        if zone == own_zone { 1 } else { self.elsewhere_factor.max(1) }
+    }
 }
 
 /// Something that the daemon has to know.
@@ -310,7 +329,7 @@
 
     /// Makes members suspect or dead by the time since their counters rose, and forgets old ones.
     fn update_states(&mut self, now: Instant) -> Vec<MemberEvent> {
-        let config = self.config;
+        let (config, own_zone) = (self.config, &self.own.zone);
         let mut events = Vec::new();
         self.members.retain(|_, member| {
             if !member.is_present() {
@@ -320,7 +339,8 @@
                 }
                 return keep;
             }
-            let silent_ms = now.ms_since(member.heard_at);
+            let factor = config.factor(&member.row.zone, own_zone);
+            let silent_ms = now.ms_since(member.heard_at) / factor;
             let state = match silent_ms {
                 _ if silent_ms >= config.dead_after_ms => MemberState::Dead,
                 _ if silent_ms >= config.suspect_after_ms => MemberState::Suspect,
@@ -344,8 +364,10 @@
         if paused_ms < self.config.suspect_after_ms {
             return;
         }
-        let heard_at = now.as_ms().saturating_sub(self.config.suspect_after_ms);
+        let (config, own_zone) = (self.config, &self.own.zone);
         for member in self.members.values_mut().filter(|member| member.is_present()) {
+            let silent_ms = config.suspect_after_ms * config.factor(&member.row.zone, own_zone);
+            let heard_at = now.as_ms().saturating_sub(silent_ms);
             member.heard_at = member.heard_at.max(Instant::from_ms(heard_at));
         }
     }
