--- a/crates/decisions/src/membership/heartbeat.rs
+++ b/crates/decisions/src/membership/heartbeat.rs
@@ -26,7 +26,7 @@
 const MAX_USAGE_BYTES: usize = 640;
 
 /// Share of a message that is kept free of pulses, for rows.
-const ROW_SHARE: usize = 8;
+const ROW_SHARE: usize = 4;
 
 /// Most pulses in a heartbeat, by their smallest size.
 pub const MAX_PULSES: usize = MAX_HEARTBEAT_BYTES / 5;
