peers: document that a heartbeat is answered

Change: the comment only. Measured (cargo test -p yuccapass-decisions -p yuccapass-peers): all tests pass.

--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -63,7 +63,7 @@
 /// A message between nodes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PeerMessage {
-    /// Membership; one way.
+    /// Membership; as a call it is answered by another heartbeat.
     Heartbeat(Heartbeat),
     /// Answered by [`PeerMessage::ConfigChunk`].
     ConfigRequest(ConfigRequest),
