--- a/crates/yuccapassd/src/settings.rs
+++ b/crates/yuccapassd/src/settings.rs
@@ -145,35 +145,56 @@
 }
 
 impl Settings {
+    /// Returns the numeric settings with their values and bounds, in the order of the flags.
+    pub fn bounds(&self) -> Vec<SettingBound> {
+        let bound = |setting, value, min, max| SettingBound { setting, value, min, max };
+        vec![
+            bound("ledger-window-ms", self.ledger_window_ms, 1_000, 24 * MAX_DURATION_MS),
+            bound("ledger-send-within-ms", self.ledger_send_within_ms, 100, MAX_DURATION_MS),
+            bound("max-body-bytes", self.max_body_bytes as u64, 1 << 10, 64 << 20),
+            bound("max-prompt-bytes", self.max_prompt_bytes as u64, 1, 64 << 20),
+            bound("max-connections", self.max_connections as u64, 1, 1_000_000),
+            bound("default-deadline-ms", self.default_deadline_ms, 1, MAX_DURATION_MS),
+            bound("max-deadline-ms", self.max_deadline_ms, 1, MAX_DURATION_MS),
+            bound("max-organisation-labels", self.max_organisation_labels as u64, 1, 100_000),
+            bound("stop-grace-ms", self.stop_grace_ms, 0, MAX_DURATION_MS),
+            bound("stall-timeout-ms", self.stall_timeout_ms, 10, MAX_DURATION_MS),
+        ]
+    }
+
     /// Checks the settings against their bounds.
     ///
     /// # Errors
     ///
     /// Returns the first setting that is out of its bounds.
     pub fn validate(&self) -> Result<(), InvalidSetting> {
-        check_range("max-body-bytes", self.max_body_bytes as u64, 1 << 10, 64 << 20)?;
-        check_range("max-prompt-bytes", self.max_prompt_bytes as u64, 1, 64 << 20)?;
-        check_range("max-connections", self.max_connections as u64, 1, 1_000_000)?;
-        check_range("max-deadline-ms", self.max_deadline_ms, 1, MAX_DURATION_MS)?;
-        check_range("default-deadline-ms", self.default_deadline_ms, 1, self.max_deadline_ms)?;
-        let labels = self.max_organisation_labels as u64;
-        check_range("max-organisation-labels", labels, 1, 100_000)?;
-        check_range("ledger-window-ms", self.ledger_window_ms, 1_000, 24 * MAX_DURATION_MS)?;
-        check_range("ledger-send-within-ms", self.ledger_send_within_ms, 100, MAX_DURATION_MS)?;
-        check_range("stop-grace-ms", self.stop_grace_ms, 0, MAX_DURATION_MS)?;
-        check_range("stall-timeout-ms", self.stall_timeout_ms, 10, MAX_DURATION_MS)
+        self.bounds().iter().try_for_each(SettingBound::check)?;
+        let max = self.max_deadline_ms;
+        let default = self.default_deadline_ms;
+        SettingBound { setting: "default-deadline-ms", value: default, min: 1, max }.check()
     }
 }
 
-fn check_range(
-    setting: &'static str,
-    value: u64,
-    min: u64,
-    max: u64,
-) -> Result<(), InvalidSetting> {
-    if (min..=max).contains(&value) {
-        return Ok(());
+/// A numeric setting with its bounds, both included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SettingBound {
+    /// Name of the flag without its dashes.
+    pub setting: &'static str,
+    /// The value.
+    pub value: u64,
+    /// The smallest value.
+    pub min: u64,
+    /// The largest value.
+    pub max: u64,
+}
+
+impl SettingBound {
+    fn check(&self) -> Result<(), InvalidSetting> {
+        if (self.min..=self.max).contains(&self.value) {
+            return Ok(());
+        }
+        let bound = format_smolstr!("from {} to {}", self.min, self.max);
+        let value = format_smolstr!("{}", self.value);
+        Err(InvalidSetting { setting: self.setting, value, bound })
     }
-    let bound = format_smolstr!("from {min} to {max}");
-    Err(InvalidSetting { setting, value: format_smolstr!("{value}"), bound })
 }
--- /dev/null
+++ b/crates/yuccapassd/tests/documentation.rs
@@ -0,0 +1,90 @@
+//! Holds the operators' page against the program.
+
+use std::path::PathBuf;
+
+use clap::{CommandFactory, Parser};
+use yuccapassd::Settings;
+
+fn operations_page() -> String {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/operations.md");
+    std::fs::read_to_string(path).unwrap()
+}
+
+/// Makes the table's row of each setting: flag, environment variable, default, bounds, meaning.
+fn setting_rows() -> Vec<String> {
+    let settings = Settings::parse_from(["yuccapassd", "--node-id", "a", "--zone", "b"]);
+    let bounds = settings.bounds();
+    let command = Settings::command();
+    let arguments = command.get_arguments().filter(|argument| argument.get_env().is_some());
+    arguments
+        .map(|argument| {
+            let flag = argument.get_long().unwrap_or_default();
+            let environment = argument.get_env().unwrap_or_default().to_string_lossy();
+            let default: Vec<_> =
+                argument.get_default_values().iter().map(|value| value.to_string_lossy()).collect();
+            let bound = bounds.iter().find(|bound| bound.setting == flag);
+            let bound = bound.map(|bound| format!("{} to {}", bound.min, bound.max));
+            let help = argument.get_help().map(ToString::to_string).unwrap_or_default();
+            format!(
+                "| `--{flag}` | `{environment}` | {} | {} | {help} |",
+                default.join(","),
+                bound.unwrap_or_default()
+            )
+        })
+        .collect()
+}
+
+/// Returns the names of all metrics in the source, in the form in which they are scraped.
+fn metric_names() -> Vec<&'static str> {
+    let source = include_str!("../src/metrics.rs");
+    source.split('"').filter(|text| text.starts_with("yuccapass_")).collect()
+}
+
+/// Guards against a setting whose unit, default or bound operators read wrongly.
+#[test]
+fn page_has_a_row_for_each_setting() {
+    // Arrange
+    let page = operations_page();
+
+    // Act
+    let missing: Vec<String> =
+        setting_rows().into_iter().filter(|row| !page.lines().any(|line| line == row)).collect();
+
+    // Assert
+    assert!(missing.is_empty(), "rows that are missing:\n{}", missing.join("\n"));
+}
+
+/// Guards against a metric that operators cannot look up.
+#[test]
+fn page_names_each_metric() {
+    // Arrange
+    let page = operations_page();
+
+    // Act
+    let missing: Vec<&str> =
+        metric_names().into_iter().filter(|name| !page.contains(&format!("| `{name}"))).collect();
+
+    // Assert
+    assert!(missing.is_empty(), "metrics that are missing: {missing:?}");
+}
+
+/// Guards against a setting out of its bounds that passes as valid.
+#[test]
+fn settings_out_of_bounds_are_named() {
+    // Arrange
+    let cases = [
+        ("--max-body-bytes", "1023", "--max-body-bytes is 1023, but it must be from 1024 to 67108864"),
+        ("--stall-timeout-ms", "9", "--stall-timeout-ms is 9, but it must be from 10 to 3600000"),
+        ("--max-deadline-ms", "1000", "--default-deadline-ms is 120000, but it must be from 1 to 1000"),
+    ];
+    for (flag, value, expected) in cases {
+        let settings =
+            Settings::parse_from(["yuccapassd", "--node-id", "a", "--zone", "b", flag, value]);
+
+        // Act
+        let error = settings.validate().unwrap_err();
+
+        // Assert
+        assert_eq!(error.to_string(), expected);
+    }
+}
