decisions: configure stores and the size of exported blocks

Cause: models name a store, but the configuration had no stores, and placement weighed an import by the 256 bytes of prompt text of a block.

Change: the list Document.stores (id, zone, sorted addresses) with its chunks and checks; a model's store must exist if set. Model.block_payload_bytes, 16 KiB by default and then not written, so that chunks of earlier documents keep their hashes. Placement takes the size from the model.

Conclusion: documents without the new fields stay valid.

--- a/crates/decisions/examples/measure_config.rs
+++ b/crates/decisions/examples/measure_config.rs
@@ -12,8 +12,8 @@
 
 use yuccapass_decisions::change::{Accepted, Change, Command, Next, execute};
 use yuccapass_decisions::config::{
-    Action, ActiveConfig, ChunkHash, ConfigHolder, Document, Endpoint, Model, Organisation, Source,
-    Zone, ZoneState,
+    Action, ActiveConfig, ChunkHash, ConfigHolder, DEFAULT_BLOCK_PAYLOAD, Document, Endpoint,
+    Model, Organisation, Source, Zone, ZoneState,
 };
 use yuccapass_types::{Instant, KeyHash, Revision, TokensPerSecond};
 
@@ -220,6 +220,7 @@
         version: "v1".parse().expect("a valid id"),
         adapter: None,
         store: None,
+        block_payload_bytes: DEFAULT_BLOCK_PAYLOAD,
         max_swapping_replicas: 3,
         zone_versions: Vec::new(),
         zone_adapters: Vec::new(),
--- a/crates/decisions/src/change/apply.rs
+++ b/crates/decisions/src/change/apply.rs
@@ -8,8 +8,8 @@
 use super::edit::{add_to_set, find, insert_new, missing, put, remove, remove_from_set};
 use super::sentence::{ApprovalTarget, Change, TargetKind};
 use crate::config::{
-    Class, Document, InvalidDocument, Model, Organisation, Zone, ZoneAdapter, ZoneState,
-    ZoneVersion, validate,
+    Class, DEFAULT_BLOCK_PAYLOAD, Document, InvalidDocument, Model, Organisation, Zone,
+    ZoneAdapter, ZoneState, ZoneVersion, validate,
 };
 
 /// Replicas of a new model that may swap weights at a time, until an operator allows more.
@@ -158,6 +158,7 @@
                 version: version.clone(),
                 adapter: None,
                 store: store.clone(),
+                block_payload_bytes: DEFAULT_BLOCK_PAYLOAD,
                 max_swapping_replicas: DEFAULT_MAX_SWAPPING,
                 zone_versions: Vec::new(),
                 zone_adapters: Vec::new(),
--- a/crates/decisions/src/config/chunk.rs
+++ b/crates/decisions/src/config/chunk.rs
@@ -8,7 +8,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use yuccapass_types::Shared;
 
-use super::document::{Class, Document, Endpoint, Model, Organisation, Service, Zone};
+use super::document::{Class, Document, Endpoint, Model, Organisation, Service, Store, Zone};
 use super::validate::InvalidDocument;
 
 /// Most bytes of a chunk.
@@ -115,6 +115,7 @@
     Models, models, Model;
     Endpoints, endpoints, Endpoint;
     Services, services, Service;
+    Stores, stores, Store;
     Organisations, organisations, Shared<Organisation>;
 }
 
--- a/crates/decisions/src/config/document.rs
+++ b/crates/decisions/src/config/document.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Deserializer, Serialize};
 use yuccapass_types::{
-    AdapterId, ClassId, EndpointId, KeyHash, ModelId, NodeId, OrganisationId, RegionId, Revision,
-    ServiceId, Shared, StoreId, TokensPerSecond, WeightVersion, ZoneId,
+    AdapterId, Bytes, ClassId, EndpointId, KeyHash, ModelId, NodeId, OrganisationId, RegionId,
+    Revision, ServiceId, Shared, StoreId, TokensPerSecond, WeightVersion, ZoneId,
 };
 
 /// Everything that operators decide, at one revision.
@@ -26,6 +26,9 @@
     pub endpoints: Vec<Endpoint>,
     /// Plain services.
     pub services: Vec<Service>,
+    /// Stores of exported blocks; documents of earlier versions have none.
+    #[serde(default)]
+    pub stores: Vec<Store>,
     /// Organisations; unchanged ones are shared between the documents of several revisions.
     pub organisations: Vec<Shared<Organisation>>,
 }
@@ -86,6 +89,9 @@
     pub adapter: Option<AdapterId>,
     /// The store for exported blocks.
     pub store: Option<StoreId>,
+    /// Size of an exported block, by which placement weighs an import against recomputation.
+    #[serde(default = "default_block_payload", skip_serializing_if = "is_default_block_payload")]
+    pub block_payload_bytes: Bytes,
     /// Replicas that may swap weights at the same time.
     pub max_swapping_replicas: u32,
     /// Versions for zones that differ from `version`, sorted by zone.
@@ -96,6 +102,18 @@
     pub zone_adapters: Vec<ZoneAdapter>,
 }
 
+/// Size of an exported block if the document does not set it.
+pub const DEFAULT_BLOCK_PAYLOAD: Bytes = Bytes::new(16 << 10);
+
+fn default_block_payload() -> Bytes {
+    DEFAULT_BLOCK_PAYLOAD
+}
+
+/// The default is not written, so that the chunks of earlier documents keep their hashes.
+fn is_default_block_payload(size: &Bytes) -> bool {
+    *size == DEFAULT_BLOCK_PAYLOAD
+}
+
 /// The weight version of a model in one zone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -148,6 +166,18 @@
     pub addresses: Vec<SocketAddr>,
 }
 
+/// A store of exported blocks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// The store.
+    pub id: StoreId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// The addresses of its VMs, sorted; each VM has a share of the blocks.
+    pub addresses: Vec<SocketAddr>,
+}
+
 /// An organisation and what it may do.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -202,6 +232,8 @@
     endpoint, endpoints, EndpointId, Endpoint;
     /// Finds a service.
     service, services, ServiceId, Service;
+    /// Finds a store.
+    store, stores, StoreId, Store;
     /// Finds an organisation.
     organisation, organisations, OrganisationId, Organisation;
 }
--- a/crates/decisions/src/config/mod.rs
+++ b/crates/decisions/src/config/mod.rs
@@ -17,8 +17,8 @@
 pub use active::ActiveConfig;
 pub use chunk::{ChunkHash, MAX_CHUNK_BYTES, Part, PartKind};
 pub use document::{
-    Class, Document, Endpoint, Model, Organisation, Service, Voter, Zone, ZoneAdapter, ZoneState,
-    ZoneVersion,
+    Class, DEFAULT_BLOCK_PAYLOAD, Document, Endpoint, Model, Organisation, Service, Store, Voter,
+    Zone, ZoneAdapter, ZoneState, ZoneVersion,
 };
 pub use holder::{Action, ConfigHolder, RejectReason, Source};
 pub use manifest::{AppliedCommand, MAX_COMMANDS, MAX_MANIFEST_BYTES, Manifest};
--- a/crates/decisions/src/config/split.rs
+++ b/crates/decisions/src/config/split.rs
@@ -61,6 +61,7 @@
     split_list(PartKind::Models, &document.models, |item| item.id.as_str(), visit)?;
     split_list(PartKind::Endpoints, &document.endpoints, |item| item.id.as_str(), visit)?;
     split_list(PartKind::Services, &document.services, |item| item.id.as_str(), visit)?;
+    split_list(PartKind::Stores, &document.stores, |item| item.id.as_str(), visit)?;
     let reuse = |position: usize| earlier?.span_at(&document.organisations, position);
     split_reusing(PartKind::Organisations, &document.organisations, organisation_id, &reuse, visit)
 }
--- a/crates/decisions/src/config/validate.rs
+++ b/crates/decisions/src/config/validate.rs
@@ -6,9 +6,9 @@
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use snafu::Snafu;
 
-use yuccapass_types::{KeyHash, ZoneId};
+use yuccapass_types::{Bytes, KeyHash, ZoneId};
 
-use super::document::{Document, Organisation};
+use super::document::{Document, Model, Organisation};
 
 /// Most endpoints in a document: several times the target of 850.
 const MAX_ENDPOINTS: usize = 10_000;
@@ -27,9 +27,12 @@
 /// Most voters of one zone: the target is 340 nodes in 6 zones.
 const MAX_VOTERS: usize = 256;
 
-/// Most addresses of one service.
+/// Most addresses of one service or store.
 const MAX_ADDRESSES: usize = 1_024;
 
+/// Largest exported block: what the clients of endpoints and stores accept.
+const MAX_BLOCK_PAYLOAD: Bytes = Bytes::new(64 << 20);
+
 /// Largest share of an organisation, so that sums of shares cannot overflow.
 const MAX_SHARE: u32 = 1_000_000;
 
@@ -76,10 +79,12 @@
     check_count("classes", document.classes.len(), MAX_NAMES)?;
     check_count("models", document.models.len(), MAX_NAMES)?;
     check_count("services", document.services.len(), MAX_NAMES)?;
+    check_count("stores", document.stores.len(), MAX_NAMES)?;
     check_voters(document)?;
     check_models(document)?;
     check_endpoints(document)?;
     check_services(document)?;
+    check_stores(document)?;
     check_organisations(document)
 }
 
@@ -89,6 +94,7 @@
     check_sorted("models", document.models.iter().map(|item| &item.id))?;
     check_sorted("endpoints", document.endpoints.iter().map(|item| &item.id))?;
     check_sorted("services", document.services.iter().map(|item| &item.id))?;
+    check_sorted("stores", document.stores.iter().map(|item| &item.id))?;
     check_sorted("organisations", document.organisations.iter().map(|item| &item.id))
 }
 
@@ -137,6 +143,7 @@
             let field = format_smolstr!("models.{}.max_swapping_replicas", model.id);
             return Err(InvalidDocument::new(field, 0, "it must be at least 1"));
         }
+        check_blocks(document, model)?;
         let zones = model.zone_versions.iter().map(|item| &item.zone);
         check_zones(document, &format_smolstr!("models.{}.zone_versions", model.id), zones)?;
         let zones = model.zone_adapters.iter().map(|item| &item.zone);
@@ -145,6 +152,22 @@
     Ok(())
 }
 
+fn check_blocks(document: &Document, model: &Model) -> Result<(), InvalidDocument> {
+    let size = model.block_payload_bytes;
+    if size == Bytes::ZERO || size > MAX_BLOCK_PAYLOAD {
+        let field = format_smolstr!("models.{}.block_payload_bytes", model.id);
+        let bound = format_smolstr!("it must be from 1 B to {MAX_BLOCK_PAYLOAD}");
+        return Err(InvalidDocument::new(field, size, bound));
+    }
+    match model.store.as_ref().filter(|store| document.store(store).is_none()) {
+        Some(store) => {
+            let field = format_smolstr!("models.{}.store", model.id);
+            Err(InvalidDocument::new(field, store, "there is no such store"))
+        }
+        None => Ok(()),
+    }
+}
+
 fn check_zones<'a>(
     document: &Document,
     field: &str,
@@ -192,6 +215,23 @@
     Ok(())
 }
 
+fn check_stores(document: &Document) -> Result<(), InvalidDocument> {
+    for store in &document.stores {
+        let field = |name: &str| format_smolstr!("stores.{}.{name}", store.id);
+        if document.zone(&store.zone).is_none() {
+            let bound = "there is no such zone";
+            return Err(InvalidDocument::new(field("zone"), &store.zone, bound));
+        }
+        if store.addresses.is_empty() {
+            let bound = "there must be at least one";
+            return Err(InvalidDocument::new(field("addresses"), "empty", bound));
+        }
+        check_count(field("addresses"), store.addresses.len(), MAX_ADDRESSES)?;
+        check_sorted(field("addresses"), store.addresses.iter())?;
+    }
+    Ok(())
+}
+
 fn check_organisations(document: &Document) -> Result<(), InvalidDocument> {
     for organisation in &document.organisations {
         check_organisation(document, organisation)?;
--- a/crates/decisions/tests/config_fixtures/mod.rs
+++ b/crates/decisions/tests/config_fixtures/mod.rs
@@ -3,7 +3,9 @@
 #![allow(dead_code, reason = "each test file uses a part of the fixtures")]
 
 use yuccapass_decisions::change::{Accepted, Change, Command, Next, execute};
-use yuccapass_decisions::config::{ActiveConfig, Document, Model, Organisation, Zone, ZoneState};
+use yuccapass_decisions::config::{
+    ActiveConfig, DEFAULT_BLOCK_PAYLOAD, Document, Model, Organisation, Zone, ZoneState,
+};
 use yuccapass_types::{KeyHash, Revision, TokensPerSecond};
 
 /// Parses an id of any type.
@@ -32,6 +34,7 @@
         version: id("v1"),
         adapter: None,
         store: None,
+        block_payload_bytes: DEFAULT_BLOCK_PAYLOAD,
         max_swapping_replicas: 3,
         zone_versions: Vec::new(),
         zone_adapters: Vec::new(),
--- a/crates/yuccapassd/src/placer.rs
+++ b/crates/yuccapassd/src/placer.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use yuccapass_decisions::config::{Document, Endpoint, Model, ZoneState};
+use yuccapass_decisions::config::{DEFAULT_BLOCK_PAYLOAD, Document, Endpoint, Model, ZoneState};
 use yuccapass_decisions::crash_guard::Fingerprint;
 use yuccapass_decisions::routing::placement::{
     Candidate, LeastLoadedPolicy, NoPlacement, PlacementPolicy, PlacementRequest, ZoneDistance,
 };
 use yuccapass_types::{
-    AdapterId, BLOCK_PROMPT_BYTES, BlockHash, Bytes, CacheSalt, EndpointId, ModelId,
-    OrganisationId, RegionId, Tokens, WeightVersion, ZoneId, block_chain,
+    AdapterId, BlockHash, Bytes, CacheSalt, EndpointId, ModelId, OrganisationId, RegionId, Tokens,
+    WeightVersion, ZoneId, block_chain,
 };
 
 use crate::crash_guard::SharedCrashGuard;
@@ -38,10 +38,11 @@
         Self { salt, chain: block_chain(salt, prompt), tokens, fingerprint }
     }
 
-    fn request(&self, is_suspect: bool, sending_nodes: u32) -> PlacementRequest {
+    fn request(&self, is_suspect: bool, sending_nodes: u32, block_size: Bytes) -> PlacementRequest {
         PlacementRequest {
             prompt: self.tokens,
             prompt_blocks: self.chain.len() as u32,
+            block_size,
             is_suspect,
             ..ordinary_request(sending_nodes)
         }
@@ -121,8 +122,11 @@
             candidates.push(candidate);
             considered.push(endpoint);
         }
+        let configured = document.model(&model.id).map(|model| model.block_payload_bytes);
+        let block_size = configured.unwrap_or(DEFAULT_BLOCK_PAYLOAD);
+        let nodes = self.members.zone_nodes();
         let placement = self.policy.place(
-            &prompt.request(is_suspect_itself, self.members.zone_nodes()),
+            &prompt.request(is_suspect_itself, nodes, block_size),
             &candidates,
             &mut rand::rng(),
         )?;
@@ -189,7 +193,7 @@
     PlacementRequest {
         prompt: Tokens::new(1),
         prompt_blocks: 0,
-        block_size: Bytes::new(BLOCK_PROMPT_BYTES as u64),
+        block_size: DEFAULT_BLOCK_PAYLOAD,
         is_suspect: false,
         sending_nodes,
         sources: Vec::new(),
