config: keep the voters that a change replaces in the document

Cause: each node derived the replaced voters from what it had before, so that a node which started after a change had another list than the others and no vote of it counted any more. Change: the zones of the document carry the voters before the last change. Measured (cargo test -p yuccapass-decisions): all pass, with a test of the change. Conclusion: a second change before all nodes use the first is still not safe.

--- a/crates/decisions/examples/measure_config.rs
+++ b/crates/decisions/examples/measure_config.rs
@@ -211,7 +211,7 @@
 fn zone(name: &str) -> Zone {
     let region = "lower-mainland".parse().expect("a valid id");
     let id = name.parse().expect("a valid id");
-    Zone { id, region, state: ZoneState::In, voters: Vec::new() }
+    Zone { id, region, state: ZoneState::In, voters: Vec::new(), replaced_voters: Vec::new() }
 }
 
 fn model(name: &str) -> Model {
--- a/crates/decisions/src/change/apply.rs
+++ b/crates/decisions/src/change/apply.rs
@@ -117,7 +117,13 @@
     match change {
         Change::CreateZone(id, region) => {
             let (region, state) = (region.clone(), ZoneState::In);
-            let created = Zone { id: id.clone(), region, state, voters: Vec::new() };
+            let created = Zone {
+                id: id.clone(),
+                region,
+                state,
+                voters: Vec::new(),
+                replaced_voters: Vec::new(),
+            };
             insert_new(&mut document.zones, "zone", created, |item| &item.id)
         }
         Change::SetZoneState(id, state) => {
@@ -125,16 +131,33 @@
             Ok(())
         }
         Change::AddVoter(id, voter) => {
+            let before = document.zones.clone();
             put(&mut zone(document, id)?.voters, voter.clone(), |item| &item.id);
+            keep_replaced_voters(document, &before);
             Ok(())
         }
         Change::RemoveVoter(id, voter) => {
-            remove(&mut zone(document, id)?.voters, "voter", voter, |item| &item.id)
+            let before = document.zones.clone();
+            remove(&mut zone(document, id)?.voters, "voter", voter, |item| &item.id)?;
+            keep_replaced_voters(document, &before);
+            Ok(())
         }
         _ => Ok(()),
     }
 }
 
+/// Notes the voters of all zones before a change that adds or removes one.
+fn keep_replaced_voters(document: &mut Document, before: &[Zone]) {
+    let ids = |zone: &Zone| zone.voters.iter().map(|voter| voter.id.clone()).collect::<Vec<_>>();
+    // An address alone does not change who votes.
+    if document.zones.iter().map(ids).eq(before.iter().map(ids)) {
+        return;
+    }
+    for (zone, earlier) in document.zones.iter_mut().zip(before) {
+        zone.replaced_voters = ids(earlier);
+    }
+}
+
 fn edit_endpoint(document: &mut Document, change: &Change) -> Result<(), InvalidDocument> {
     let list = &mut document.endpoints;
     match change {
--- a/crates/decisions/src/config/document.rs
+++ b/crates/decisions/src/config/document.rs
@@ -55,6 +55,12 @@
     pub state: ZoneState,
     /// Node slots of the zone that take part in majority votes.
     pub voters: Vec<Voter>,
+    /// The zone's voters before the last change of any zone's voters; empty if there was none.
+    ///
+    /// A node that starts during such a change has to know which panels may still elect an attempt,
+    /// and all nodes have to agree on it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub replaced_voters: Vec<NodeId>,
 }
 
 /// A node slot that takes part in majority votes.
--- a/crates/decisions/tests/changes.rs
+++ b/crates/decisions/tests/changes.rs
@@ -303,3 +303,29 @@
         }
     }
 }
+
+/// Guards against nodes that disagree about the voters that a change replaces: one that starts later
+/// sees only the document.
+#[test]
+fn change_of_voters_keeps_those_that_it_replaces() {
+    // Arrange
+    let document = config_fixtures::document(1);
+    let zone = document.zones[0].id.clone();
+    let voter = |name: &str, port: u16| yuccapass_decisions::config::Voter {
+        id: config_fixtures::id(name),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], port)),
+    };
+    let add = |document: &_, name: &str, port| {
+        let change = Change::AddVoter(zone.clone(), voter(name, port));
+        yuccapass_decisions::change::apply(document, &change).unwrap()
+    };
+    let one = add(&document, "node-a", 1);
+
+    // Act
+    let two = add(&one, "node-b", 2);
+    let moved = add(&two, "node-b", 3);
+
+    // Assert
+    assert_eq!(two.zones[0].replaced_voters, [config_fixtures::id("node-a")]);
+    assert_eq!(moved.zones[0].replaced_voters, two.zones[0].replaced_voters);
+}
--- a/crates/decisions/tests/config_fixtures/mod.rs
+++ b/crates/decisions/tests/config_fixtures/mod.rs
@@ -28,6 +28,7 @@
         region: id("lower-mainland"),
         state: ZoneState::In,
         voters: Vec::new(),
+        replaced_voters: Vec::new(),
     };
     let model = Model {
         id: id("clip-models"),
--- a/crates/yuccapassd/src/fleet/votes.rs
+++ b/crates/yuccapassd/src/fleet/votes.rs
@@ -29,14 +29,22 @@
 impl VoterBook {
     fn new(document: &Document) -> Self {
         let mut listed = Vec::new();
+        let mut replaced = Vec::new();
         let mut addresses = SortedMap::new();
         for zone in &document.zones {
             for voter in &zone.voters {
                 listed.push(ListedVoter { node: voter.id.clone(), zone: zone.id.clone() });
                 addresses.insert(voter.id.clone(), voter.address);
             }
+            replaced.extend(
+                zone.replaced_voters
+                    .iter()
+                    .map(|node| ListedVoter { node: node.clone(), zone: zone.id.clone() }),
+            );
         }
-        Self { list: VoterList::new(listed), addresses }
+        let list = VoterList::new(listed);
+        let list = if replaced.is_empty() { list } else { list.replacing(replaced) };
+        Self { list, addresses }
     }
 }
 
@@ -68,15 +76,10 @@
     pub(crate) fn adopt(&self, document: &Document) {
         let book = VoterBook::new(document);
         let mut present = self.book.lock().unwrap_or_else(PoisonError::into_inner);
-        if present.list.voters() == book.list.voters() {
-            // Only addresses can differ.
-            *present = Arc::new(VoterBook { list: present.list.clone(), ..book });
-            return;
+        if present.list != book.list {
+            self.voter.adopt(book.list.clone(), self.clock.now());
         }
-        let replaced = present.list.voters().to_vec();
-        let list = book.list.replacing(replaced);
-        self.voter.adopt(list.clone(), self.clock.now());
-        *present = Arc::new(VoterBook { list, ..book });
+        *present = Arc::new(book);
     }
 
     pub(crate) fn book(&self) -> Arc<VoterBook> {
--- a/crates/yuccapassd/tests/documentation.rs
+++ b/crates/yuccapassd/tests/documentation.rs
@@ -73,9 +73,17 @@
 fn settings_out_of_bounds_are_named() {
     // Arrange
     let cases = [
-        ("--max-body-bytes", "1023", "--max-body-bytes is 1023, but it must be from 1024 to 67108864"),
+        (
+            "--max-body-bytes",
+            "1023",
+            "--max-body-bytes is 1023, but it must be from 1024 to 67108864",
+        ),
         ("--stall-timeout-ms", "9", "--stall-timeout-ms is 9, but it must be from 10 to 3600000"),
-        ("--max-deadline-ms", "1000", "--default-deadline-ms is 120000, but it must be from 1 to 1000"),
+        (
+            "--max-deadline-ms",
+            "1000",
+            "--default-deadline-ms is 120000, but it must be from 1 to 1000",
+        ),
     ];
     for (flag, value, expected) in cases {
         let settings =
