yuccapassd: send nothing new to endpoints whose VM is leaving

Cause: the platform's list of VMs was read for membership only. Change: leaving VMs mark their endpoints as leaving; the list is read every 2 s, less often in a large fleet.

--- a/crates/yuccapassd/src/endpoint_table.rs
+++ b/crates/yuccapassd/src/endpoint_table.rs
@@ -1,5 +1,6 @@
 //! Clients, load and health of the endpoints.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -162,6 +163,20 @@
         })
     }
 
+    /// Takes in which VMs the platform is about to stop, by the addresses of their endpoints; a
+    /// listed port of 0 stands for the whole VM.
+    pub(crate) fn set_leaving_vms(&self, document: &Document, leaving: &[SocketAddr]) {
+        for endpoint in &document.endpoints {
+            let address = endpoint.address;
+            let is_leaving = leaving
+                .iter()
+                .any(|vm| *vm == address || (vm.port() == 0 && vm.ip() == address.ip()));
+            self.with_entry(endpoint, |entry| {
+                entry.health.set_leaving(LeavingSource::VmList, is_leaving);
+            });
+        }
+    }
+
     /// Drops the endpoints that the configuration no longer has and that run nothing.
     pub(crate) fn retain(&self, document: &Document) {
         self.entries.fold((), |(), shard| {
--- a/crates/yuccapassd/src/fleet/platform_watch.rs
+++ b/crates/yuccapassd/src/fleet/platform_watch.rs
@@ -1,5 +1,6 @@
 //! Watches the platform's configuration on a few nodes of each zone.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use yuccapass_decisions::config::Source;
@@ -14,6 +15,7 @@
 
 use crate::fleet::ConfigurationSync;
 use crate::fleet::platform_configuration::manifest_key;
+use crate::request_path::Core;
 
 /// Nodes of a zone that watch: one, and one for when it fails.
 const WATCHERS_PER_ZONE: usize = 2;
@@ -27,8 +29,12 @@
 /// Pause before a node looks again whether it is to watch, or after a failure.
 const PAUSE_MS: u64 = 1_000;
 
-/// Period of reading the list of VMs.
-const VM_LIST_PERIOD_MS: u64 = 10_000;
+/// Shortest period of reading the list of VMs: a leaving VM gets no new work after a few seconds.
+const VM_LIST_PERIOD_MS: u64 = 2_000;
+
+/// Period of reading the list for each node of the fleet, so that 340 nodes read it 100 times a
+/// second together.
+const VM_LIST_PERIOD_PER_NODE_MS: u64 = 10;
 
 /// Follows the platform's configuration whenever this node is one of those that watch, or has no
 /// configuration yet; ends only with the process.
@@ -97,20 +103,25 @@
     }
 }
 
-/// Reads the list of VMs from time to time, which finds nodes that no setting names.
-pub(crate) async fn follow_vms(sync: Arc<ConfigurationSync>, vms: Arc<dyn VmList>) {
+/// Reads the list of VMs from time to time, which finds nodes that no setting names and endpoints
+/// that are about to leave.
+pub(crate) async fn follow_vms(core: Arc<Core>, vms: Arc<dyn VmList>) {
     loop {
-        let next = Deadline::after_ms(sync.clock.now(), VM_LIST_PERIOD_MS);
+        let fleet_ms = u64::from(core.members.fleet_nodes()) * VM_LIST_PERIOD_PER_NODE_MS;
+        let next = Deadline::after_ms(core.clock.now(), VM_LIST_PERIOD_MS.max(fleet_ms));
         match vms.list(next).await {
             Ok(listing) => {
                 let hints = listing.vms.iter().map(|vm| VmHint {
                     peer_address: vm.address,
                     leaving: vm.state == VmState::Leaving,
                 });
-                sync.members.set_vms(hints.collect());
+                core.members.set_vms(hints.collect());
+                let leaving = listing.vms.iter().filter(|vm| vm.state == VmState::Leaving);
+                let leaving: Vec<SocketAddr> = leaving.map(|vm| vm.address).collect();
+                core.endpoints.set_leaving_vms(core.configuration.active().document(), &leaving);
             }
             Err(error) => log::debug!("the list of VMs cannot be read: {error}"),
         }
-        sleep_until(&*sync.clock, next).await;
+        sleep_until(&*core.clock, next).await;
     }
 }
--- a/crates/yuccapassd/src/node.rs
+++ b/crates/yuccapassd/src/node.rs
@@ -273,7 +273,7 @@
             task::spawn(platform_watch::follow_configuration(sync, platform));
             let config = PlatformConfig::new(settings.platform.clone());
             let vms: Arc<dyn VmList> = Arc::new(HttpVmList::new(&config, Arc::clone(&core.clock)));
-            task::spawn(platform_watch::follow_vms(Arc::clone(&self.sync), vms));
+            task::spawn(platform_watch::follow_vms(Arc::clone(core), vms));
         }
     }
 
--- a/crates/yuccapassd/tests/fleet.rs
+++ b/crates/yuccapassd/tests/fleet.rs
@@ -371,3 +371,40 @@
     // Assert
     assert_eq!(revisions, ["3", "4", "5", "6"]);
 }
+
+/// Guards against new work for an endpoint whose VM is about to stop.
+#[test]
+fn endpoint_that_leaves_by_the_vm_list_gets_no_new_work() {
+    // Arrange
+    let deployment = start_three_nodes(&["--token-time-ms", "1"]);
+    let platform = common::client(deployment.platform.as_ref().unwrap().address);
+    let leaving = deployment.engines[0].address;
+    let mut request = platform.request(Method::Post, "/vms");
+    request.set_body(json!({"vms": [
+        {"id": "clip-vm-0", "address": leaving, "zone": "burnaby-yard", "state": "leaving"},
+    ]}));
+    assert!(send(&platform, request).response().status().is_success());
+    let phase = |node: usize| {
+        let answer =
+            operate(deployment.nodes[node].admin_address, "watch rollout of clip-models", "unused");
+        answer["rows"][0].to_string()
+    };
+    wait_until("a node does not know that the endpoint leaves", || {
+        (0..3).all(|node| phase(node).contains("leaving"))
+    });
+    let before = common::engine_count(leaving, "received_requests");
+
+    // Act
+    let answers: Vec<Value> = (0..6)
+        .map(|number| {
+            let client = deployment.caller(number % 3);
+            read_json(send(&client, chat_request(&client, APPROVED_KEY, 2, false)))
+        })
+        .collect();
+
+    // Assert
+    for answer in answers {
+        assert_eq!(answer["choices"][0]["finish_reason"], "stop", "{answer}");
+    }
+    assert_eq!(common::engine_count(leaving, "received_requests"), before);
+}
