yuccapassd: let a queued request be silent for as long as placement expects

Cause: a request that waits in an engine's queue sends nothing, so a long wait looked like a silent connection and was sent again elsewhere, which adds load just when there is much. Change: before the first token the stall timeout is at least 4 times the expected time. Measured: the workspace builds and lints; no test brings about a queue of that length yet.

--- a/crates/yuccapassd/src/attempt.rs
+++ b/crates/yuccapassd/src/attempt.rs
@@ -15,6 +15,9 @@
 /// How long cancelling an abandoned run may take.
 const CANCEL_TIMEOUT_MS: u64 = 2_000;
 
+/// Multiple of the expected time to first token up to which an engine may be silent.
+const FIRST_TOKEN_STALL_FACTOR: u64 = 4;
+
 /// How long an endpoint may take to answer a probe over a new connection.
 const PROBE_TIMEOUT_MS: u64 = 1_000;
 
@@ -76,6 +79,13 @@
         }
     }
 
+    /// Returns how long the stream may be silent now. Before the first token an engine may be silent
+    /// because the request waits in its queue, which placement has foreseen.
+    fn stall_ms(&self) -> u64 {
+        let expected_ms = self.expected_first_token_ms.unwrap_or_default();
+        self.stall_timeout_ms.max(expected_ms.saturating_mul(FIRST_TOKEN_STALL_FACTOR))
+    }
+
     /// Gives the attempt up because of an error.
     pub(crate) fn fail(self, error: EndpointError) -> FailedAttempt {
         let Self { in_flight, request, clock, .. } = self;
@@ -84,7 +94,7 @@
 
     /// Waits for the next event, at most for the stall timeout.
     pub(crate) async fn next(&mut self) -> Result<AttemptEvent, EndpointError> {
-        let stall = Deadline::after_ms(self.clock.now(), self.stall_timeout_ms);
+        let stall = Deadline::after_ms(self.clock.now(), self.stall_ms());
         let event = self.stream.next(stall.earlier(self.request.deadline)).await?;
         Ok(match event {
             StreamEvent::Token { offset_tokens, json } => AttemptEvent::Token(offset_tokens, json),
