--- a/crates/standins/src/load/chart.rs
+++ b/crates/standins/src/load/chart.rs
@@ -1,6 +1,7 @@
 //! A picture of goodput and time to first token over time.
 
 use plotters::coord::Shift;
+use plotters::coord::types::RangedCoordf64;
 use plotters::prelude::*;
 use snafu::Snafu;
 
@@ -79,6 +80,27 @@
     ]
 }
 
+type Chart<'a, 'b> = ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+
+/// Draws a vertical line for each failure; the legend shows one entry for all of them.
+fn draw_faults(
+    chart: &mut Chart<'_, '_>,
+    report: &Report,
+    max: f64,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let colour = RGBColor(180, 0, 120).mix(0.5);
+    for (number, fault) in report.faults.iter().enumerate() {
+        let at_s = fault.at_ms as f64 / 1000.0;
+        let drawn = chart.draw_series(LineSeries::new([(at_s, 0.0), (at_s, max)], colour))?;
+        if number == 0 {
+            drawn.label("failure applied").legend(move |(x, y)| {
+                PathElement::new(vec![(x, y), (x + 18, y)], colour.stroke_width(1))
+            });
+        }
+    }
+    Ok(())
+}
+
 type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
 
 fn draw_panel(
@@ -90,7 +112,8 @@
 ) -> Result<(), Box<dyn std::error::Error>> {
     let end = report.timeline.len().max(1) as f64;
     let values = lines.iter().flat_map(|line| line.points.iter().map(|(_, value)| *value));
-    let max = values.fold(1.0, f64::max) * 1.1;
+    // The room above the lines is for the legend, which would cover them otherwise.
+    let max = values.fold(1.0, f64::max) * 1.4;
     let mut chart = ChartBuilder::on(area)
         .caption(caption, ("sans-serif", 18))
         .margin(12)
@@ -105,11 +128,7 @@
         .y_label_formatter(&|value| format!("{value:.0}"))
         .light_line_style(WHITE)
         .draw()?;
-    for fault in &report.faults {
-        let at_s = fault.at_ms as f64 / 1000.0;
-        let line = vec![(at_s, 0.0), (at_s, max)];
-        chart.draw_series(LineSeries::new(line, RGBColor(180, 0, 120).mix(0.4)))?;
-    }
+    draw_faults(&mut chart, report, max)?;
     for Line { label, colour, points } in lines {
         let drawn = chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?;
         drawn.label(label).legend(move |(x, y)| {
--- a/crates/standins/src/load/compare.rs
+++ b/crates/standins/src/load/compare.rs
@@ -1,46 +1,54 @@
-//! A table of several reports as ratios to the first one.
+//! A table of several reports as ratios.
 
 use std::fmt::Write;
 
-use super::summary::Report;
+use super::summary::{Report, goodput_per_s};
 
-/// Returns a table of ratios; a ratio to zero is shown as a dash.
-pub fn comparison_table(reports: &[(String, Report)]) -> String {
+/// Returns a table of ratios. The reports are in groups of `group_size`, and each is compared with
+/// the first of its group; a ratio to zero is shown as a dash.
+pub fn comparison_table(reports: &[(String, Report)], group_size: usize) -> String {
     let mut out = format!(
-        "{:<22}{:>14}{:>14}{:>12}{:>10}{:>12}{:>12}\n",
-        "", "ttft p50", "ttft p95", "recomputed", "goodput", "unanswered", "violations"
+        "{:<20}{:>10}{:>10}{:>12}{:>9}{:>13}{:>12}\n",
+        "", "ttft p50", "ttft p95", "recomputed", "goodput", "not answered", "violations"
     );
-    let Some((_, first)) = reports.first() else { return out };
-    for (name, report) in reports {
-        let [p50, p95, recomputed, goodput, unanswered] =
-            std::array::from_fn(|column| ratio(figures(report)[column], figures(first)[column]));
-        let written = writeln!(
+    for group in reports.chunks(group_size.max(1)) {
+        write_group(&mut out, group).expect("writing to a string does not fail");
+    }
+    out
+}
+
+fn write_group(out: &mut String, group: &[(String, Report)]) -> std::fmt::Result {
+    let Some((_, first)) = group.first() else { return Ok(()) };
+    let base = figures(first);
+    for (name, report) in group {
+        let figures = figures(report);
+        let [p50, p95, recomputed, goodput] =
+            std::array::from_fn(|column| ratio(figures[column], base[column]));
+        // A share instead of a ratio, since it is often zero in the first report.
+        let not_answered = 1.0 - report.all.whole as f64 / report.all.requests.max(1) as f64;
+        let violations = report.violations.len();
+        writeln!(
             out,
-            "{name:<22}{p50:>14}{p95:>14}{recomputed:>12}{goodput:>10}{unanswered:>12}{:>12}",
-            report.violations.len()
-        );
-        written.expect("writing to a string does not fail");
+            "{name:<20}{p50:>10}{p95:>10}{recomputed:>12}{goodput:>9}{not_answered:>13.4}\
+             {violations:>12}"
+        )?;
     }
-    let [p50, p95, recomputed, goodput, unanswered] = figures(first);
-    let written = writeln!(
+    let [p50, p95, recomputed, goodput] = base;
+    writeln!(
         out,
-        "1.00 is: ttft p50 {:.1} ms, p95 {:.1} ms, recomputed {recomputed:.3}, goodput \
-         {goodput:.2}/s, unanswered share {unanswered:.4}",
+        "    1.00 is ttft p50 {:.1} ms, p95 {:.1} ms, recomputed {recomputed:.3}, goodput \
+         {goodput:.2}/s",
         p50 / 1000.0,
         p95 / 1000.0
-    );
-    written.expect("writing to a string does not fail");
-    out
+    )
 }
 
-fn figures(report: &Report) -> [f64; 5] {
-    let unanswered = report.all.requests - report.all.whole;
+fn figures(report: &Report) -> [f64; 4] {
     [
         report.all.first_token.p50_us as f64,
         report.all.first_token.p95_us as f64,
         report.recomputed_share,
-        report.goodput_per_s,
-        unanswered as f64 / report.all.requests.max(1) as f64,
+        goodput_per_s(&report.timeline, &report.workload),
     ]
 }
 
--- a/crates/standins/src/load/summary.rs
+++ b/crates/standins/src/load/summary.rs
@@ -167,7 +167,7 @@
     pub prompt_work: PromptWork,
     /// Share of prompt tokens that were computed.
     pub recomputed_share: f64,
-    /// Answers per second, whole and in time, over the time in which requests were sent.
+    /// Answers per second that ended whole and in time while requests were sent.
     pub goodput_per_s: f64,
     /// Each second of the run.
     pub timeline: Vec<Second>,
@@ -185,23 +185,32 @@
     prompt_work: PromptWork,
 ) -> Report {
     let all = Group::of(&records.iter().collect::<Vec<_>>());
-    let duration_s = workload.duration_ms.max(1) as f64 / 1000.0;
+    let timeline = timeline(records);
     Report {
         seed,
         workload: workload.clone(),
-        goodput_per_s: all.in_time as f64 / duration_s,
+        goodput_per_s: goodput_per_s(&timeline, workload),
         all,
         organisations: groups(records, |record| record.organisation.to_string()),
         classes: groups(records, |record| record.class.to_string()),
         refusals: refusals(records),
         recomputed_share: prompt_work.recomputed_share(),
         prompt_work,
-        timeline: timeline(records),
+        timeline,
         faults: Vec::new(),
         violations: Vec::new(),
     }
 }
 
+/// Returns the answers per second that ended whole and in time while requests were sent.
+///
+/// Answers that end later are left out: above capacity they would count work of a longer time.
+pub fn goodput_per_s(timeline: &[Second], workload: &Workload) -> f64 {
+    let seconds = workload.duration_ms.div_ceil(1000).max(1);
+    let good: u64 = timeline.iter().take(seconds as usize).map(|second| second.good).sum();
+    good as f64 / seconds as f64
+}
+
 fn groups(
     records: &[RequestRecord],
     name: impl Fn(&RequestRecord) -> String,
--- a/crates/standins/tests/load_report.rs
+++ b/crates/standins/tests/load_report.rs
@@ -76,19 +76,25 @@
 
 /// Guards against ratios with the wrong report as their base.
 #[test]
-fn a_comparison_shows_ratios_to_the_first_report() {
+fn a_comparison_shows_ratios_to_the_first_report_of_a_group() {
     // Arrange
     let (base, mut other) = (report(), report());
     other.all.first_token.p95_us *= 2;
-    other.goodput_per_s /= 2.0;
+    other.timeline[0].good *= 2;
+    let reports =
+        [("cost", base.clone()), ("random", other.clone()), ("light", other), ("x", base)];
+    let reports = reports.map(|(name, report)| (name.to_owned(), report));
 
     // Act
-    let table = comparison_table(&[("cost".to_owned(), base), ("random".to_owned(), other)]);
+    let table = comparison_table(&reports, 2);
 
     // Assert
-    let row = table.lines().find(|line| line.starts_with("random")).unwrap();
-    let columns: Vec<&str> = row.split_whitespace().collect();
-    assert_eq!(columns, ["random", "1.00", "2.00", "1.00", "0.50", "1.00", "0"]);
+    let row = |name: &str| -> Vec<String> {
+        let row = table.lines().find(|line| line.starts_with(name)).unwrap();
+        row.split_whitespace().skip(1).map(str::to_owned).collect()
+    };
+    assert_eq!(row("random"), ["1.00", "2.00", "1.00", "2.00", "0.3333", "0"]);
+    assert_eq!(row("x"), ["1.00", "0.50", "1.00", "0.50", "0.3333", "0"]);
 }
 
 /// Guards against a planned configuration that nodes refuse, and against shared addresses.
