--- a/crates/standins/src/bin/yuccapass-load/run.rs
+++ b/crates/standins/src/bin/yuccapass-load/run.rs
@@ -134,7 +134,7 @@
     let engines = Engines::new(&engine_addresses, Arc::clone(&clock));
     let run_id = arguments.run_id.clone().unwrap_or_else(|| format!("s{}", arguments.seed));
     check_unused(&engines, &run_id).await?;
-    let before = engines.prompt_work().await;
+    let before = engines.engine_counts().await;
     let turns = plan_turns(&workload, arguments.seed);
     let start = Instant::now();
     let caller = Arc::new(HttpCaller::new(&nodes, Arc::clone(&clock), start));
@@ -156,7 +156,7 @@
     let mut output = Driver::new(config, caller, start).run(turns).await;
     let faults = applying.await;
     let (entries, unread) = engines.journals().await;
-    let work = engines.prompt_work().await.since(before);
+    let work = engines.engine_counts().await.since(before);
     let mut report = summarise(arguments.seed, &workload, &output.records, work);
     report.faults = faults;
     report.violations.append(&mut output.violations);
--- a/crates/standins/src/load/engines.rs
+++ b/crates/standins/src/load/engines.rs
@@ -11,7 +11,7 @@
 use yuccapass_types::{Clock, Deadline};
 
 use super::check::{JournalEntry, Violation, ViolationKind};
-use super::summary::PromptWork;
+use super::summary::EngineCounts;
 use crate::engine::BegunRun;
 use crate::journal::JournalListing;
 
@@ -66,9 +66,9 @@
         (entries, violations)
     }
 
-    /// Sums the prompt work of all engines that can be read.
-    pub async fn prompt_work(&self) -> PromptWork {
-        let mut work = PromptWork::default();
+    /// Sums the counts of all engines that can be read.
+    pub async fn engine_counts(&self) -> EngineCounts {
+        let mut work = EngineCounts::default();
         for client in &self.clients {
             match self.read::<Value>(client, "/stats").await {
                 Ok(stats) => work.add(&stats),
--- a/crates/standins/src/load/report_text.rs
+++ b/crates/standins/src/load/report_text.rs
@@ -43,12 +43,13 @@
 }
 
 fn write_work(out: &mut String, report: &Report) -> std::fmt::Result {
-    let work = &report.prompt_work;
+    let work = &report.engine_counts;
     writeln!(
         out,
         "prompt work: {} tokens, {} cached, recomputed share {:.3}; engines not read: {}",
         work.prompt_tokens, work.cached_prompt_tokens, report.recomputed_share, work.unread_engines
     )?;
+    writeln!(out, "crashes of engines: {}", work.crashes)?;
     match work.link_bytes {
         Some(bytes) => writeln!(out, "link between regions: {bytes} bytes"),
         None => writeln!(out, "link between regions: not reported by any stand-in"),
--- a/crates/standins/src/load/summary.rs
+++ b/crates/standins/src/load/summary.rs
@@ -90,25 +90,28 @@
     pub first_token: Quantiles,
 }
 
-/// Prompt work of the engines.
+/// What the engines count.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PromptWork {
+pub struct EngineCounts {
     /// Tokens of all prompts that ran.
     pub prompt_tokens: u64,
     /// Tokens of them that were cached.
     pub cached_prompt_tokens: u64,
+    /// Crashes, those included that a cold engine suffers from more load than it can sustain.
+    pub crashes: u64,
     /// Bytes over the link between regions; none if no stand-in counts them.
     pub link_bytes: Option<u64>,
     /// Engines whose counts could not be read.
     pub unread_engines: u64,
 }
 
-impl PromptWork {
+impl EngineCounts {
     /// Adds the counts of an engine.
     pub fn add(&mut self, stats: &Value) {
         let count = |name: &str| stats[name].as_u64();
         self.prompt_tokens += count("prompt_tokens").unwrap_or_default();
         self.cached_prompt_tokens += count("cached_prompt_tokens").unwrap_or_default();
+        self.crashes += count("crashes").unwrap_or_default();
         if let Some(bytes) = count("link_bytes") {
             self.link_bytes = Some(self.link_bytes.unwrap_or_default() + bytes);
         }
@@ -121,6 +124,7 @@
             cached_prompt_tokens: self
                 .cached_prompt_tokens
                 .saturating_sub(before.cached_prompt_tokens),
+            crashes: self.crashes.saturating_sub(before.crashes),
             link_bytes: self
                 .link_bytes
                 .map(|bytes| bytes.saturating_sub(before.link_bytes.unwrap_or_default())),
@@ -163,8 +167,8 @@
     pub classes: Vec<(String, Group)>,
     /// Requests that were not answered, by code and run state.
     pub refusals: Vec<(String, u64)>,
-    /// Work of the engines during the run.
-    pub prompt_work: PromptWork,
+    /// What the engines counted during the run.
+    pub engine_counts: EngineCounts,
     /// Share of prompt tokens that were computed.
     pub recomputed_share: f64,
     /// Answers per second that ended whole and in time while requests were sent.
@@ -182,7 +186,7 @@
     seed: u64,
     workload: &Workload,
     records: &[RequestRecord],
-    prompt_work: PromptWork,
+    engine_counts: EngineCounts,
 ) -> Report {
     let all = Group::of(&records.iter().collect::<Vec<_>>());
     let timeline = timeline(records);
@@ -194,8 +198,8 @@
         organisations: groups(records, |record| record.organisation.to_string()),
         classes: groups(records, |record| record.class.to_string()),
         refusals: refusals(records),
-        recomputed_share: prompt_work.recomputed_share(),
-        prompt_work,
+        recomputed_share: engine_counts.recomputed_share(),
+        engine_counts,
         timeline,
         faults: Vec::new(),
         violations: Vec::new(),
--- a/crates/standins/tests/load_report.rs
+++ b/crates/standins/tests/load_report.rs
@@ -10,7 +10,7 @@
 use yuccapass_standins::load::plan::{PlanConfig, configuration, plan, processes};
 use yuccapass_standins::load::record::{Outcome, RequestRecord};
 use yuccapass_standins::load::report_text::report_text;
-use yuccapass_standins::load::summary::{AppliedFault, PromptWork, Report, summarise};
+use yuccapass_standins::load::summary::{AppliedFault, EngineCounts, Report, summarise};
 use yuccapass_standins::load::workload::{Preset, Workload};
 use yuccapass_types::TokensPerSecond;
 
@@ -27,8 +27,8 @@
 }
 
 fn report() -> Report {
-    let mut work = PromptWork::default();
-    work.add(&json!({"prompt_tokens": 100, "cached_prompt_tokens": 25}));
+    let mut work = EngineCounts::default();
+    work.add(&json!({"prompt_tokens": 100, "cached_prompt_tokens": 25, "crashes": 2}));
     let mut workload = Workload::preset(Preset::Society);
     workload.duration_ms = 2_000;
     let mut report = summarise(9, &workload, &records(), work);
@@ -68,7 +68,13 @@
     let (text, svg) = (report_text(&report), chart_svg(&report).unwrap());
 
     // Assert
-    for part in ["recomputed share 0.750", "YP-2001 not run", "fault at 500 ms", "violations: 0"] {
+    for part in [
+        "recomputed share 0.750",
+        "YP-2001 not run",
+        "engines: 2",
+        "fault at 500 ms",
+        "violations: 0",
+    ] {
         assert!(text.contains(part), "{part} is missing in {text}");
     }
     assert!(svg.starts_with("<svg") && svg.contains("Time to first token"));
