--- a/crates/standins/tests/load_report.rs
+++ b/crates/standins/tests/load_report.rs
@@ -10,7 +10,7 @@
 use yuccapass_standins::load::plan::{PlanConfig, configuration, plan, processes};
 use yuccapass_standins::load::record::{Outcome, RequestRecord};
 use yuccapass_standins::load::report_text::report_text;
-use yuccapass_standins::load::summary::{AppliedFault, PromptWork, Report, summarise};
+use yuccapass_standins::load::summary::{AppliedFault, EngineCounts, Report, summarise};
 use yuccapass_standins::load::workload::{Preset, Workload};
 use yuccapass_types::TokensPerSecond;
 
@@ -27,8 +27,8 @@
 }
 
 fn report() -> Report {
-    let mut work = PromptWork::default();
-    work.add(&json!({"prompt_tokens": 100, "cached_prompt_tokens": 25}));
+    let mut work = EngineCounts::default();
+    work.add(&json!({"prompt_tokens": 100, "cached_prompt_tokens": 25, "crashes": 2}));
     let mut workload = Workload::preset(Preset::Society);
     workload.duration_ms = 2_000;
     let mut report = summarise(9, &workload, &records(), work);
@@ -68,7 +68,13 @@
     let (text, svg) = (report_text(&report), chart_svg(&report).unwrap());
 
     // Assert
-    for part in ["recomputed share 0.750", "YP-2001 not run", "fault at 500 ms", "violations: 0"] {
+    for part in [
+        "recomputed share 0.750",
+        "YP-2001 not run",
+        "engines: 2",
+        "fault at 500 ms",
+        "violations: 0",
+    ] {
         assert!(text.contains(part), "{part} is missing in {text}");
     }
     assert!(svg.starts_with("<svg") && svg.contains("Time to first token"));
@@ -76,19 +82,25 @@
 
 /// Guards against ratios with the wrong report as their base.
 #[test]
-fn a_comparison_shows_ratios_to_the_first_report() {
+fn a_comparison_shows_ratios_to_the_first_report_of_a_group() {
     // Arrange
     let (base, mut other) = (report(), report());
     other.all.first_token.p95_us *= 2;
-    other.goodput_per_s /= 2.0;
+    other.timeline[0].good *= 2;
+    let reports =
+        [("cost", base.clone()), ("random", other.clone()), ("light", other), ("x", base)];
+    let reports = reports.map(|(name, report)| (name.to_owned(), report));
 
     // Act
-    let table = comparison_table(&[("cost".to_owned(), base), ("random".to_owned(), other)]);
+    let table = comparison_table(&reports, 2);
 
     // Assert
-    let row = table.lines().find(|line| line.starts_with("random")).unwrap();
-    let columns: Vec<&str> = row.split_whitespace().collect();
-    assert_eq!(columns, ["random", "1.00", "2.00", "1.00", "0.50", "1.00", "0"]);
+    let row = |name: &str| -> Vec<String> {
+        let row = table.lines().find(|line| line.starts_with(name)).unwrap();
+        row.split_whitespace().skip(1).map(str::to_owned).collect()
+    };
+    assert_eq!(row("random"), ["1.00", "2.00", "1.00", "2.00", "0.3333", "0"]);
+    assert_eq!(row("x"), ["1.00", "0.50", "1.00", "0.50", "0.3333", "0"]);
 }
 
 /// Guards against a planned configuration that nodes refuse, and against shared addresses.
