yuccapassd: poll endpoints of the own region within a budget

Cause: each node read the load and all cache events of all endpoints four times a second, over a new connection each time, which at 850 endpoints takes 109 % of a core (slope of 1.28 ms/s for each endpoint). Change: 40 reads a second, with the period stretched from 250 ms to at most 2 s and drawn with jitter (decisions::polling); 16 reads over a connection; events of an endpoint without work at every fourth read, and within 64 KB/s; endpoints of other regions only while the own region has no room for the model, and for a minute after. Metrics count polls and what nodes send each other. Also two faults that made clippy fail: prompt_processed was never called, so the share of prompt work recomputed was never counted, and two needless mut in a test. Conclusion: the number of reads is bounded, and connections are no longer opened for each.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`membership`]: which nodes there are, told by heartbeats.
 //! * [`permits`]: admission to cold endpoints.
 //! * [`platform_budget`]: calls to the platform: budget, backoff, lost answers and leases.
+//! * [`polling`]: how often the load of each endpoint is read.
 //! * [`quorum`]: in-memory majority votes.
 //! * [`retry`]: whether and how a failed attempt is followed by another.
 //! * [`rollout`]: orders to the replicas of a model, a few at a time.
@@ -29,6 +30,7 @@
 pub mod membership;
 pub mod permits;
 pub mod platform_budget;
+pub mod polling;
 pub mod quorum;
 pub mod retry;
 pub mod rollout;
--- a/crates/endpoints/src/http_endpoint.rs
+++ b/crates/endpoints/src/http_endpoint.rs
@@ -37,6 +37,7 @@
 pub struct HttpEndpoint {
     id: EndpointId,
     client: Arc<HttpClient>,
+    report_connection: ConnectionChoice,
 }
 
 impl HttpEndpoint {
@@ -47,7 +48,15 @@
         config: ClientConfig,
         clock: Arc<dyn Clock>,
     ) -> Self {
-        Self { id, client: HttpClient::new(address, config, clock) }
+        let client = HttpClient::new(address, config, clock);
+        Self { id, client, report_connection: ConnectionChoice::New }
+    }
+
+    /// Reads load reports over connections that are used again; by default each has a new one, which
+    /// also probes whether the endpoint still accepts connections.
+    pub fn reuse_for_reports(mut self) -> Self {
+        self.report_connection = ConnectionChoice::Reuse;
+        self
     }
 
     async fn call(
@@ -134,7 +143,7 @@
     }
 
     async fn load_report(&self, deadline: Deadline) -> Result<LoadReport, EndpointError> {
-        self.get_json("/load", ConnectionChoice::New, deadline).await
+        self.get_json("/load", self.report_connection, deadline).await
     }
 
     async fn cache_events(
--- a/crates/yuccapassd/src/endpoint_table.rs
+++ b/crates/yuccapassd/src/endpoint_table.rs
@@ -92,11 +92,6 @@
         Arc::new(Self { entries: Sharded::default(), prefix_caches, clock, next_number })
     }
 
-    /// Returns the client of an endpoint.
-    pub(crate) fn client(&self, endpoint: &Endpoint) -> Arc<dyn ModelEndpoint> {
-        self.with_entry(endpoint, |entry| Arc::clone(&entry.client))
-    }
-
     /// Takes in a load report.
     pub(crate) fn reported(&self, endpoint: &Endpoint, report: LoadReport) {
         let now = self.clock.now();
--- a/crates/yuccapassd/src/lib.rs
+++ b/crates/yuccapassd/src/lib.rs
@@ -25,6 +25,7 @@
 mod monitor;
 pub mod node;
 mod placer;
+mod poller;
 mod prefix_cache_view;
 mod recorded_answer;
 mod request_path;
--- a/crates/yuccapassd/src/metrics.rs
+++ b/crates/yuccapassd/src/metrics.rs
@@ -1,13 +1,14 @@
 //! Metrics for scraping, with histograms per organisation and class.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider, UpDownCounter};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider, UpDownCounter};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
 use snafu::{ResultExt, Snafu};
+use yuccapass_peers::PeerNode;
 use yuccapass_types::{ClassId, Instant, OrganisationId, ResultCode};
 
 /// Label value of organisations beyond the bound, and of requests without a class.
@@ -63,6 +64,8 @@
     dropped_events: Counter<u64>,
     open_answers: UpDownCounter<i64>,
     blocked_requests: Gauge<u64>,
+    endpoint_polls: Counter<u64>,
+    meter: Meter,
 }
 
 impl Metrics {
@@ -120,9 +123,14 @@
                 .u64_gauge("yuccapass_blocked_requests")
                 .with_description("Requests that are refused because they crashed endpoints.")
                 .build(),
+            endpoint_polls: counter(
+                "yuccapass_endpoint_polls",
+                "Reads of an endpoint's load and cache events, by result.",
+            ),
             organisations: Mutex::default(),
             max_organisation_labels,
             _provider: provider,
+            meter,
             registry,
         })
     }
@@ -207,6 +215,36 @@
         self.dropped_events.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    pub(crate) fn endpoint_polled(&self, is_answered: bool) {
+        let result = if is_answered { "answered" } else { "failed" };
+        self.endpoint_polls.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Shows the messages and bytes between this node and others, counted by `node`.
+    pub(crate) fn observe_peers(&self, node: &Arc<PeerNode>) {
+        let observed = Arc::clone(node);
+        self.meter
+            .u64_observable_counter("yuccapass_peer_bytes")
+            .with_description("Bytes of messages between nodes, by direction.")
+            .with_callback(move |observer| {
+                let traffic = observed.counters().traffic();
+                observer.observe(traffic.sent_bytes, &[KeyValue::new("direction", "sent")]);
+                observer.observe(traffic.received_bytes, &[KeyValue::new("direction", "received")]);
+            })
+            .build();
+        let observed = Arc::clone(node);
+        self.meter
+            .u64_observable_counter("yuccapass_peer_messages")
+            .with_description("Messages between nodes, by direction.")
+            .with_callback(move |observer| {
+                let traffic = observed.counters().traffic();
+                observer.observe(traffic.sent_messages, &[KeyValue::new("direction", "sent")]);
+                observer
+                    .observe(traffic.received_messages, &[KeyValue::new("direction", "received")]);
+            })
+            .build();
+    }
+
     /// Returns all metrics in Prometheus' text form.
     pub(crate) fn encode(&self) -> Result<Vec<u8>, MetricsError> {
         let mut text = Vec::new();
--- a/crates/yuccapassd/src/node.rs
+++ b/crates/yuccapassd/src/node.rs
@@ -237,6 +237,7 @@
         let metrics = Metrics::new(settings.max_organisation_labels).context(MetricsSnafu)?;
         let sender = Sender { node: identity.node.clone(), incarnation: identity.incarnation };
         let peer_node = Arc::new(PeerNode::new(sender, Arc::clone(&clock)));
+        metrics.observe_peers(&peer_node);
         let transport =
             Arc::new(TcpTransport::new(Arc::clone(&peer_node), TransportConfig::default()));
         let configuration = Arc::new(Configuration::new(config));
--- a/crates/yuccapassd/src/run.rs
+++ b/crates/yuccapassd/src/run.rs
@@ -249,6 +249,9 @@
             fingerprint: self.prompt.fingerprint,
         };
         let in_flight = self.core.endpoints.begin(placed.endpoint, note, placed.prefill);
+        let (prompt_tokens, computed_tokens) = (self.prompt.tokens.get(), placed.prefill.get());
+        let cached_tokens = prompt_tokens.saturating_sub(computed_tokens);
+        self.core.metrics.prompt_processed(cached_tokens, computed_tokens);
         let clock = Arc::clone(&self.core.clock);
         // The next request that waits may find room as well.
         self.core.admission.wake(&self.model.id);
--- a/crates/yuccapassd/tests/fleet.rs
+++ b/crates/yuccapassd/tests/fleet.rs
@@ -195,7 +195,7 @@
 #[test]
 fn key_of_a_dead_node_is_not_run_again() {
     // Arrange
-    let mut deployment = start_three_nodes(&[]);
+    let deployment = start_three_nodes(&[]);
     wait_for_voters(&deployment);
     let client = deployment.caller(0);
     let first = send(&client, booking(&client, "booking-2"));
@@ -219,7 +219,7 @@
 #[test]
 fn node_without_a_majority_refuses_keyed_requests_truthfully() {
     // Arrange
-    let mut deployment = start_three_nodes(&[]);
+    let deployment = start_three_nodes(&[]);
     wait_for_voters(&deployment);
     deployment.nodes[1].process.signal("KILL");
     deployment.nodes[2].process.signal("KILL");
