--- a/crates/yuccapassd/src/metrics.rs
+++ b/crates/yuccapassd/src/metrics.rs
@@ -59,6 +59,7 @@
     answers: Counter<u64>,
     failures: Counter<u64>,
     tokens: Counter<u64>,
+    prompt_tokens: Counter<u64>,
     attempts: Counter<u64>,
     dropped_events: Counter<u64>,
     open_answers: UpDownCounter<i64>,
@@ -108,6 +109,10 @@
             answers: counter("yuccapass_answers", "Answers delivered whole."),
             failures: counter("yuccapass_failures", "Requests that failed, by code and run state."),
             tokens: counter("yuccapass_tokens", "Tokens delivered to callers."),
+            prompt_tokens: counter(
+                "yuccapass_prompt_tokens",
+                "Prompt tokens sent, by whether placement expected them to be cached.",
+            ),
             attempts: counter("yuccapass_attempts", "Attempts sent to endpoints, by result."),
             dropped_events: counter(
                 "yuccapass_dropped_events",
@@ -196,6 +201,11 @@
         );
     }
 
+    pub(crate) fn prompt_processed(&self, cached_tokens: u64, computed_tokens: u64) {
+        self.prompt_tokens.add(cached_tokens, &[KeyValue::new("cached", true)]);
+        self.prompt_tokens.add(computed_tokens, &[KeyValue::new("cached", false)]);
+    }
+
     pub(crate) fn attempt_ended(&self, result: &'static str) {
         self.attempts.add(1, &[KeyValue::new("result", result)]);
     }
