standins: plan deployments with voters, seeds and a platform

Cause: planned nodes did not know each other, so trials ran without votes, permits and ledger. Change: nodes get their addresses, the platform, an operator's key and a ledger window for trials.

--- a/crates/standins/src/load/plan.rs
+++ b/crates/standins/src/load/plan.rs
@@ -56,6 +56,8 @@
     pub address: SocketAddr,
     /// Address for operators.
     pub admin: SocketAddr,
+    /// Address for other nodes.
+    pub peer: SocketAddr,
 }
 
 /// All addresses of a deployment.
@@ -88,6 +90,16 @@
     }
 }
 
+/// Bearer key of the operators of a deployment.
+const OPERATOR_KEY: &str = "operator-key";
+
+/// Window of the ledger: longer than any trial sends a key again, and short enough that voters vote
+/// soon after the start.
+const LEDGER_WINDOW_MS: u64 = 20_000;
+
+/// How long after its vote a request may be sent.
+const LEDGER_SEND_WITHIN_MS: u64 = 5_000;
+
 /// Three zones with their region: the first two share one.
 fn zones(preset: Preset) -> [(&'static str, &'static str); 3] {
     match preset {
@@ -130,6 +142,7 @@
                 zone: zone.to_owned(),
                 address: next(),
                 admin: next(),
+                peer: next(),
             });
         }
     }
@@ -153,8 +166,13 @@
     let workload = Workload::preset(deployment.preset);
     let mut zones = zones(deployment.preset);
     zones.sort_unstable();
-    let zones =
-        zones.map(|(id, region)| json!({"id": id, "region": region, "state": "in", "voters": []}));
+    let zones = zones.map(|(id, region)| {
+        // All nodes vote; their names are in order already.
+        let nodes = deployment.nodes.iter().filter(|node| node.zone == id);
+        let voters = nodes.map(|node| json!({"id": node.name, "address": node.peer}));
+        let voters: Vec<Value> = voters.collect();
+        json!({"id": id, "region": region, "state": "in", "voters": voters})
+    });
     let mut classes: Vec<_> = workload.classes.iter().collect();
     classes.sort_by(|a, b| a.id.cmp(&b.id));
     let classes: Vec<_> =
@@ -210,12 +228,17 @@
             engine_arguments(config, engine, seed),
         );
     }
+    let seeds: Vec<String> = deployment.nodes.iter().map(|node| node.peer.to_string()).collect();
+    let seeds = seeds.join(",");
+    let operator = KeyHash::of_key(OPERATOR_KEY);
     for node in &deployment.nodes {
         let arguments = format!(
             "--node-id {} --zone {} --caller-address {} --admin-address {} --placement {} \
-             --configuration-file {configuration} --log-level warn \
-             --stop-grace-ms 1000",
-            node.name, node.zone, node.address, node.admin, config.placement
+             --configuration-file {configuration} --log-level warn --stop-grace-ms 1000 \
+             --peer-address {} --seeds {seeds} --platform {platform} \
+             --operator-key-hashes {operator} --ledger-window-ms {LEDGER_WINDOW_MS} \
+             --ledger-send-within-ms {LEDGER_SEND_WITHIN_MS}",
+            node.name, node.zone, node.address, node.admin, config.placement, node.peer
         );
         add(&node.name, node.admin, "yuccapassd", arguments);
     }
