decisions: choose exports, owners and sources of cache blocks

Cause: prompts return after the engines have evicted their blocks, and nothing decided which blocks go to the stores and which come from there.

Change: module transfer.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -18,6 +18,7 @@
 //! * [`retry`]: whether and how a failed attempt is followed by another.
 //! * [`rollout`]: orders to the replicas of a model, a few at a time.
 //! * [`routing`]: the prefix index and the choice of an endpoint.
+//! * [`transfer`]: export of cache blocks to the stores and import from them.
 
 pub mod admission;
 pub mod answer;
@@ -33,3 +34,4 @@
 pub mod retry;
 pub mod rollout;
 pub mod routing;
+pub mod transfer;
