stores: ask a store VM which blocks it has

Cause: a node that did not export a prompt itself cannot know what a store has.

Change: BlockStore::contains asks for up to 256 blocks at once and gets the tier of each; the stand-in store answers without counting it as a use.

Conclusion: one call to each VM tells how much of a prompt can be imported.

--- a/crates/standins/src/store/http.rs
+++ b/crates/standins/src/store/http.rs
@@ -6,7 +6,7 @@
 use futures::AsyncReadExt;
 use http_types::{Body, Response};
 use yuccapass_http::{ConnectionHandle, PipeWriter, block_headers, pipe};
-use yuccapass_stores::refusals;
+use yuccapass_stores::{ContainsRequest, ContainsResponse, MAX_ASKED_BLOCKS, refusals};
 use yuccapass_types::{BlockHash, Bytes, SealedBlock};
 
 use super::shared::{Store, StoreFaults, TransferFaults};
@@ -21,6 +21,7 @@
     let mut app = tide::with_state(store);
     app.at("/status").get(status);
     app.at("/blocks/:hash").put(put).get(get).delete(delete);
+    app.at("/contains").post(contains);
     app.at("/faults").post(set_faults);
     app.at("/crash").post(crash);
     app
@@ -32,6 +33,18 @@
     Ok(response.into())
 }
 
+async fn contains(mut request: StoreRequest) -> tide::Result {
+    let question: ContainsRequest = request.body_json().await?;
+    if question.blocks.len() > MAX_ASKED_BLOCKS {
+        return Ok(Response::new(413).into());
+    }
+    let store = request.state();
+    let tiers = question.blocks.iter().map(|block| store.tier_of(block)).collect();
+    let mut response = Response::new(200);
+    response.set_body(Body::from_json(&ContainsResponse { tiers })?);
+    Ok(response.into())
+}
+
 async fn set_faults(mut request: StoreRequest) -> tide::Result {
     let faults: StoreFaults = request.body_json().await?;
     request.state().set_faults(faults);
--- a/crates/standins/src/store/shared.rs
+++ b/crates/standins/src/store/shared.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use yuccapass_http::sleep_until;
-use yuccapass_stores::StoreStatus;
+use yuccapass_stores::{BlockTier, StoreStatus};
 use yuccapass_types::{
     BlockHash, Bytes, BytesPerSecond, Clock, Deadline, Incarnation, SealedBlock,
 };
@@ -133,6 +133,10 @@
         self.lock().tiers.get(block)
     }
 
+    pub(crate) fn tier_of(&self, block: &BlockHash) -> Option<BlockTier> {
+        self.lock().tiers.tier_of(block)
+    }
+
     pub(crate) fn delete(&self, block: BlockHash) {
         self.lock().tiers.delete(block);
     }
--- a/crates/standins/src/store/tiers.rs
+++ b/crates/standins/src/store/tiers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use snafu::Snafu;
-use yuccapass_stores::TierStatus;
+use yuccapass_stores::{BlockTier, TierStatus};
 use yuccapass_types::{BlockHash, Bytes, SealedBlock, SortedMap};
 
 /// Reports that neither tier has room for a block.
@@ -70,6 +70,12 @@
         Some(Arc::clone(&stored.block))
     }
 
+    /// Returns the tier of a block without marking it as used.
+    pub fn tier_of(&self, block: &BlockHash) -> Option<BlockTier> {
+        let stored = self.blocks.get(block)?;
+        Some(if stored.is_in_memory { BlockTier::Memory } else { BlockTier::Disk })
+    }
+
     /// Deletes a block, if it is there.
     pub fn delete(&mut self, block: BlockHash) {
         self.take(block);
--- a/crates/standins/tests/store_client.rs
+++ b/crates/standins/tests/store_client.rs
@@ -11,7 +11,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use yuccapass_http::{ClientConfig, ConnectionChoice, HttpClient, block_headers};
 use yuccapass_standins::store::{Link, Store, StoreConfig, StoreFaults, Tiers, build_app};
-use yuccapass_stores::{BlockStore, HttpStore, StoreErrorKind};
+use yuccapass_stores::{BlockStore, BlockTier, HttpStore, MAX_ASKED_BLOCKS, StoreErrorKind};
 use yuccapass_types::{
     BlockHash, Bytes, BytesPerSecond, Clock, Deadline, Incarnation, Instant, MonotonicClock,
     SealedBlock, SortedMap,
@@ -76,6 +76,31 @@
     assert_eq!(fixture.get(1), Err(StoreErrorKind::Missing));
 }
 
+/// Guards against answers in another order, a wrong tier, and a question that counts as a use.
+#[test]
+fn store_tells_the_tier_of_each_block() {
+    // Arrange: the first block moves to disk.
+    let fixture = start_store(small_config());
+    for number in 1..=3 {
+        fixture.put(&block(number, 1, 100)).unwrap();
+    }
+    let ask = |numbers: &[u128]| {
+        let blocks: Vec<_> = numbers.iter().map(|number| BlockHash::from_bits(*number)).collect();
+        block_on(fixture.client.contains(&blocks, fixture.limit())).map_err(|error| error.kind())
+    };
+
+    // Act
+    let tiers = ask(&[9, 2, 1, 3]).unwrap();
+    let too_many = ask(&[1; MAX_ASKED_BLOCKS + 1]);
+    fixture.put(&block(4, 1, 100)).unwrap();
+
+    // Assert
+    let (memory, disk) = (Some(BlockTier::Memory), Some(BlockTier::Disk));
+    assert_eq!(tiers, [None, memory, disk, memory]);
+    assert_eq!(too_many, Err(StoreErrorKind::Protocol));
+    assert_eq!(ask(&[2, 3]).unwrap(), [disk, memory]);
+}
+
 /// Guards against tiers above their capacity, and a full store that is not told apart.
 #[test]
 fn memory_moves_to_disk_until_both_are_full() {
--- a/crates/stores/src/block_store.rs
+++ b/crates/stores/src/block_store.rs
@@ -40,6 +40,33 @@
     pub disk: TierStatus,
 }
 
+/// The tier that a block is in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BlockTier {
+    /// Memory.
+    Memory,
+    /// Disk.
+    Disk,
+}
+
+/// Most blocks in one question of [`BlockStore::contains`].
+pub const MAX_ASKED_BLOCKS: usize = 256;
+
+/// The body of a question which blocks a store VM has.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContainsRequest {
+    /// The blocks.
+    pub blocks: Vec<BlockHash>,
+}
+
+/// The body of the answer to a [`ContainsRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContainsResponse {
+    /// The tier of each block in the order of the question; none if the VM does not have it.
+    pub tiers: Vec<Option<BlockTier>>,
+}
+
 /// One store VM.
 #[async_trait]
 pub trait BlockStore: Send + Sync {
@@ -68,6 +95,20 @@
     /// Fails if the store VM cannot be reached. It is no error if it does not have the block.
     async fn delete(&self, block: BlockHash, deadline: Deadline) -> Result<(), StoreError>;
 
+    /// Asks which blocks the store VM has; the answer has the tier of each, in the same order.
+    ///
+    /// The question does not count as a use of the blocks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there are more than [`MAX_ASKED_BLOCKS`], or the store VM cannot be reached or does
+    /// not answer for each block.
+    async fn contains(
+        &self,
+        blocks: &[BlockHash],
+        deadline: Deadline,
+    ) -> Result<Vec<Option<BlockTier>>, StoreError>;
+
     /// Reads the use of the tiers.
     ///
     /// # Errors
--- a/crates/stores/src/http_store.rs
+++ b/crates/stores/src/http_store.rs
@@ -8,7 +8,10 @@
 use yuccapass_http::{ClientConfig, ConnectionChoice, HttpClient, block_headers};
 use yuccapass_types::{BlockHash, Clock, Deadline, SealedBlock, StoreId};
 
-use crate::block_store::{BlockStore, StoreStatus, refusals};
+use crate::block_store::{
+    BlockStore, BlockTier, ContainsRequest, ContainsResponse, MAX_ASKED_BLOCKS, StoreStatus,
+    refusals,
+};
 use crate::error::{StoreError, StoreErrorKind};
 
 /// Largest block payload.
@@ -75,8 +78,7 @@
         let (response, payload) = self.call(request, MAX_BLOCK_BYTES, deadline).await?;
         let Some((generation, checksum)) = block_headers::parse(|name| header(&response, name))
         else {
-            let text = "a block has no generation or checksum";
-            return Err(StoreError::new(StoreErrorKind::Protocol, text));
+            return Err(protocol_error("a block has no generation or checksum"));
         };
         // The checksum covers the hash, so another block does not pass either.
         let sealed = SealedBlock { hash: block, generation, checksum, payload };
@@ -90,14 +92,38 @@
         Ok(())
     }
 
+    async fn contains(
+        &self,
+        blocks: &[BlockHash],
+        deadline: Deadline,
+    ) -> Result<Vec<Option<BlockTier>>, StoreError> {
+        if blocks.len() > MAX_ASKED_BLOCKS {
+            return Err(protocol_error(format!("{} blocks are asked for at once", blocks.len())));
+        }
+        let mut request = self.client.request(Method::Post, "/contains");
+        let body = ContainsRequest { blocks: blocks.to_vec() };
+        let body = serde_json::to_vec(&body).map_err(protocol_error)?;
+        request.set_body(Body::from_bytes(body));
+        let (_, bytes) = self.call(request, MAX_JSON_BYTES, deadline).await?;
+        let answer: ContainsResponse = serde_json::from_slice(&bytes).map_err(protocol_error)?;
+        if answer.tiers.len() != blocks.len() {
+            let text = "the answer does not have a tier for each block";
+            return Err(protocol_error(text));
+        }
+        Ok(answer.tiers)
+    }
+
     async fn status(&self, deadline: Deadline) -> Result<StoreStatus, StoreError> {
         let request = self.client.request(Method::Get, "/status");
         let (_, bytes) = self.call(request, MAX_JSON_BYTES, deadline).await?;
-        serde_json::from_slice(&bytes)
-            .map_err(|error| StoreError::new(StoreErrorKind::Protocol, error.to_string()))
+        serde_json::from_slice(&bytes).map_err(protocol_error)
     }
 }
 
+fn protocol_error(detail: impl ToString) -> StoreError {
+    StoreError::new(StoreErrorKind::Protocol, detail.to_string())
+}
+
 fn check_intact(block: &SealedBlock) -> Result<(), StoreError> {
     if block.is_intact() {
         return Ok(());
--- a/crates/stores/src/lib.rs
+++ b/crates/stores/src/lib.rs
@@ -8,6 +8,9 @@
 pub mod error;
 pub mod http_store;
 
-pub use block_store::{BlockStore, StoreStatus, TierStatus, refusals};
+pub use block_store::{
+    BlockStore, BlockTier, ContainsRequest, ContainsResponse, MAX_ASKED_BLOCKS, StoreStatus,
+    TierStatus, refusals,
+};
 pub use error::{StoreError, StoreErrorKind};
 pub use http_store::HttpStore;
