yuccapassd: export prompts to the store and import them when they return

Cause: a prompt that returns after its blocks were evicted was computed again in full, although the store VMs could have kept them.

Change: after a whole answer the prompt is queued for export (256 prompts, the newest is dropped) and four workers copy its blocks from the endpoint to the store. A node that does not know a prompt asks the store for the blocks at the powers of two and the last one. Placement gets the tiers as import sources; a planned import runs before the request is sent, eight blocks at a time, for at most the time that computing them would take. Whatever is missing, torn, refused or late is computed, and the index forgets the blocks from there on.

The gain in time is not measured here.

--- a/crates/yuccapassd/src/lib.rs
+++ b/crates/yuccapassd/src/lib.rs
@@ -6,7 +6,7 @@
 //! The other modules hold the node's state and connect the peers: `configuration` (the document in
 //! force), `endpoint_table`
 //! and `prefix_cache_view` (load and caches of the endpoints, kept up to date by `monitor`), `placer`
-//! (choice of an endpoint), `admission` and `dispatcher` (requests that wait), `fleet`
+//! (choice of an endpoint), `transfer` (cache blocks to and from stores), `admission` and `dispatcher` (requests that wait), `fleet`
 //! (what this node does together with the others), `commands` (operators' queries and commands), `request_path`, `run` and
 //! `attempt` (from a caller's request to its answer), `admin` (health,
 //! metrics and status), `metrics` and `logs`.
@@ -31,6 +31,7 @@
 mod run;
 mod services;
 pub mod settings;
+mod transfer;
 
 pub use metrics::MetricsError;
 pub use node::{Node, NodeError};
--- a/crates/yuccapassd/src/metrics.rs
+++ b/crates/yuccapassd/src/metrics.rs
@@ -60,6 +60,7 @@
     tokens: Counter<u64>,
     attempts: Counter<u64>,
     dropped_events: Counter<u64>,
+    transferred_blocks: Counter<u64>,
     open_answers: UpDownCounter<i64>,
     blocked_requests: Gauge<u64>,
 }
@@ -110,6 +111,10 @@
                 "yuccapass_dropped_events",
                 "Events of endpoints that were dropped as late, mismatched or repeated.",
             ),
+            transferred_blocks: counter(
+                "yuccapass_transferred_blocks",
+                "Cache blocks to and from stores, by result.",
+            ),
             open_answers: meter
                 .i64_up_down_counter("yuccapass_open_answers")
                 .with_description("Answers that are being delivered.")
@@ -196,6 +201,10 @@
         self.blocked_requests.record(count, &[]);
     }
 
+    pub(crate) fn blocks_transferred(&self, result: &'static str, blocks: u64) {
+        self.transferred_blocks.add(blocks, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn event_dropped(&self, reason: &'static str) {
         self.dropped_events.add(1, &[KeyValue::new("reason", reason)]);
     }
--- a/crates/yuccapassd/src/node.rs
+++ b/crates/yuccapassd/src/node.rs
@@ -47,6 +47,7 @@
 use crate::request_path::{Core, RequestPath};
 use crate::services::ServiceTable;
 use crate::settings::Settings;
+use crate::transfer::Transfer;
 
 /// Reports why a node cannot start.
 #[derive(Debug, Snafu)]
@@ -337,11 +338,18 @@
     let prefix_caches =
         Arc::new(PrefixCacheView::new(IndexSettings::default(), Arc::clone(&clock)));
     let endpoints = EndpointTable::new(Arc::clone(&prefix_caches), Arc::clone(&clock));
+    let transfer = Transfer::start(
+        settings.zone.clone(),
+        Arc::clone(&prefix_caches),
+        Arc::clone(&metrics),
+        Arc::clone(&clock),
+    );
     let placer = Placer {
         zone: settings.zone.clone(),
         policy: settings.placement.policy(),
         endpoints: Arc::clone(&endpoints),
         prefix_caches: Arc::clone(&prefix_caches),
+        transfer: Arc::clone(&transfer),
         crash_guard: Arc::clone(&crash_guard),
         members: Arc::clone(&sync.members),
     };
@@ -362,6 +370,7 @@
         crash_guard,
         retry_budget: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
         placer,
+        transfer,
         admission,
         limits: OrganisationLimits::new(LimitSettings::default()),
         members: Arc::clone(&sync.members),
--- a/crates/yuccapassd/src/placer.rs
+++ b/crates/yuccapassd/src/placer.rs
@@ -5,10 +5,11 @@
 use yuccapass_decisions::config::{DEFAULT_BLOCK_PAYLOAD, Document, Endpoint, Model, ZoneState};
 use yuccapass_decisions::crash_guard::Fingerprint;
 use yuccapass_decisions::routing::placement::{
-    Candidate, LeastLoadedPolicy, NoPlacement, PlacementPolicy, PlacementRequest, ZoneDistance,
+    Candidate, LeastLoadedPolicy, NoPlacement, Placement, PlacementPolicy, PlacementRequest,
+    ZoneDistance,
 };
 use yuccapass_types::{
-    AdapterId, BlockHash, Bytes, CacheSalt, EndpointId, ModelId, OrganisationId, RegionId, Tokens,
+    AdapterId, BlockHash, CacheSalt, EndpointId, ModelId, OrganisationId, RegionId, Tokens,
     WeightVersion, ZoneId, block_chain,
 };
 
@@ -16,6 +17,7 @@
 use crate::endpoint_table::{CandidatePlace, EndpointTable};
 use crate::fleet::Members;
 use crate::prefix_cache_view::PrefixCacheView;
+use crate::transfer::{PlannedImport, Transfer};
 
 /// Bytes of prompt text in a token, on average over the usual tokenizers and English text.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -23,7 +25,7 @@
 /// What placement needs to know of a prompt.
 pub(crate) struct PlacedPrompt {
     pub(crate) salt: CacheSalt,
-    chain: Vec<BlockHash>,
+    pub(crate) chain: Vec<BlockHash>,
     pub(crate) tokens: Tokens,
     pub(crate) fingerprint: Fingerprint,
 }
@@ -38,11 +40,10 @@
         Self { salt, chain: block_chain(salt, prompt), tokens, fingerprint }
     }
 
-    fn request(&self, is_suspect: bool, sending_nodes: u32, block_size: Bytes) -> PlacementRequest {
+    fn request(&self, is_suspect: bool, sending_nodes: u32) -> PlacementRequest {
         PlacementRequest {
             prompt: self.tokens,
             prompt_blocks: self.chain.len() as u32,
-            block_size,
             is_suspect,
             ..ordinary_request(sending_nodes)
         }
@@ -63,6 +64,7 @@
     pub(crate) prefill: Tokens,
     pub(crate) expected_first_token_ms: u64,
     pub(crate) needs_permit: bool,
+    pub(crate) import: Option<PlannedImport>,
 }
 
 /// Chooses endpoints from where this node stands.
@@ -71,6 +73,7 @@
     pub(crate) policy: Box<dyn PlacementPolicy>,
     pub(crate) endpoints: Arc<EndpointTable>,
     pub(crate) prefix_caches: Arc<PrefixCacheView>,
+    pub(crate) transfer: Arc<Transfer>,
     pub(crate) crash_guard: Arc<SharedCrashGuard>,
     pub(crate) members: Arc<Members>,
 }
@@ -123,19 +126,19 @@
             considered.push(endpoint);
         }
         let configured = document.model(&model.id).map(|model| model.block_payload_bytes);
-        let block_size = configured.unwrap_or(DEFAULT_BLOCK_PAYLOAD);
-        let nodes = self.members.zone_nodes();
-        let placement = self.policy.place(
-            &prompt.request(is_suspect_itself, nodes, block_size),
-            &candidates,
-            &mut rand::rng(),
-        )?;
+        let request = PlacementRequest {
+            block_size: configured.unwrap_or(DEFAULT_BLOCK_PAYLOAD),
+            sources: self.transfer.sources(document, &model.id, &matches),
+            ..prompt.request(is_suspect_itself, self.members.zone_nodes())
+        };
+        let placement = self.policy.place(&request, &candidates, &mut rand::rng())?;
         let endpoint = considered[placement.candidate];
         Ok(Placed {
             endpoint,
             prefill: placement.prefill_tokens,
             expected_first_token_ms: placement.expected_first_token_us / 1_000,
             needs_permit: placement.needs_permit,
+            import: planned_import(&request, &candidates[placement.candidate], &placement),
         })
     }
 
@@ -188,6 +191,18 @@
     }
 }
 
+/// Returns the import of a placement with the time that computing its blocks would take.
+fn planned_import(
+    request: &PlacementRequest,
+    candidate: &Candidate,
+    placement: &Placement,
+) -> Option<PlannedImport> {
+    let plan = placement.import?;
+    let spared = request.uncached(plan.from_block).saturating_sub(placement.prefill_tokens);
+    let recompute_ms = spared.get().saturating_mul(1_000) / candidate.prefill_rate.get().max(1);
+    Some(PlannedImport { from_block: plan.from_block, blocks: plan.blocks, recompute_ms })
+}
+
 /// Makes a short request without anything particular.
 fn ordinary_request(sending_nodes: u32) -> PlacementRequest {
     PlacementRequest {
--- a/crates/yuccapassd/src/prefix_cache_view.rs
+++ b/crates/yuccapassd/src/prefix_cache_view.rs
@@ -2,12 +2,12 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use yuccapass_decisions::routing::holder::{Holder, HolderSlot, HolderSlots};
+use yuccapass_decisions::routing::holder::{Holder, HolderSlot, HolderSlots, StoreTier};
 use yuccapass_decisions::routing::index::{
     CacheChange, CacheEvent, IndexAction, IndexSettings, ListedBlock, PrefixIndex, PrefixMatch,
 };
 use yuccapass_endpoints::{BlockListing, CacheEventBatch, CacheEventKind};
-use yuccapass_types::{BlockHash, Clock, EndpointId};
+use yuccapass_types::{BlockHash, Clock, EndpointId, StoreId};
 
 /// The prefix index with the slots of its holders.
 pub(crate) struct PrefixCacheView {
@@ -75,6 +75,37 @@
         self.index.apply_listing(slot, listing.incarnation, listing.sequence, &blocks, now);
     }
 
+    /// Records that a tier of a store has all blocks of a chain.
+    pub(crate) fn record_stored(&self, store: &StoreId, tier: StoreTier, chain: &[BlockHash]) {
+        let holder = Holder::Store(store.clone(), tier);
+        if let Some(slot) = self.with_slots(|slots| slots.assign(&holder)) {
+            self.index.record_chain(slot, chain, self.clock.now());
+        }
+    }
+
+    /// Returns how many blocks a tier of a store has, from the matches of a lookup.
+    pub(crate) fn stored_blocks(
+        &self,
+        store: &StoreId,
+        tier: StoreTier,
+        matches: &[PrefixMatch],
+    ) -> u32 {
+        let holder = Holder::Store(store.clone(), tier);
+        let slot = self.with_slots(|slots| slots.slot(&holder));
+        let found = slot.and_then(|slot| matches.iter().find(|found| found.holder == slot));
+        found.map_or(0, |found| found.blocks)
+    }
+
+    /// Forgets that a store has any of these blocks.
+    pub(crate) fn forget_stored(&self, store: &StoreId, blocks: &[BlockHash]) {
+        for tier in [StoreTier::Memory, StoreTier::Disk] {
+            let holder = Holder::Store(store.clone(), tier);
+            if let Some(slot) = self.with_slots(|slots| slots.slot(&holder)) {
+                blocks.iter().for_each(|&block| self.index.remove(slot, block));
+            }
+        }
+    }
+
     /// Forgets an endpoint that the configuration no longer has.
     pub(crate) fn forget(&self, endpoint: &EndpointId) {
         if let Some(slot) = self.slot(endpoint) {
--- a/crates/yuccapassd/src/request_path.rs
+++ b/crates/yuccapassd/src/request_path.rs
@@ -25,6 +25,7 @@
 use crate::recorded_answer::RecordedAnswer;
 use crate::run::Run;
 use crate::services::{self, ServiceTable};
+use crate::transfer::Transfer;
 
 /// What all requests of a node share.
 pub(crate) struct Core {
@@ -34,6 +35,7 @@
     pub(crate) crash_guard: Arc<SharedCrashGuard>,
     pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) placer: Placer,
+    pub(crate) transfer: Arc<Transfer>,
     pub(crate) admission: Admission,
     pub(crate) limits: OrganisationLimits,
     pub(crate) members: Arc<Members>,
--- a/crates/yuccapassd/src/run.rs
+++ b/crates/yuccapassd/src/run.rs
@@ -6,12 +6,12 @@
 use yuccapass_callers::{AnswerStream, Failure, GenerationRequest};
 use yuccapass_decisions::admission::fair_queue::QueuedRequest;
 use yuccapass_decisions::answer::{AnswerProgress, EndAction, TokenAction};
-use yuccapass_decisions::config::Document;
+use yuccapass_decisions::config::{Document, Endpoint};
 use yuccapass_decisions::crash_guard::Verdict;
 use yuccapass_decisions::quorum::OutcomeState;
 use yuccapass_decisions::retry::{AttemptFacts, RetryPlan, RetryTarget, plan_retry};
 use yuccapass_decisions::routing::placement::NoPlacement;
-use yuccapass_endpoints::{EndpointError, EndpointErrorKind, GenerateRequest};
+use yuccapass_endpoints::{EndpointError, EndpointErrorKind, GenerateRequest, ModelEndpoint};
 use yuccapass_http::sleep_until;
 use yuccapass_types::{
     Deadline, EndpointId, Instant, OrganisationId, ResultCode, RunState, Tokens,
@@ -62,6 +62,8 @@
     excluded: Vec<EndpointId>,
     needs_new_connection: bool,
     attempt: Option<Attempt>,
+    /// The endpoint of the last attempt.
+    endpoint: Option<Endpoint>,
     /// The permit of the present attempt, held until its endpoint has nothing more to do for it.
     permit: Option<Permit>,
     is_whole: bool,
@@ -101,6 +103,7 @@
             needs_new_connection: !request.is_repeatable,
             request,
             attempt: None,
+            endpoint: None,
             permit: None,
             is_whole: false,
             claim: None,
@@ -171,6 +174,7 @@
         }
         self.core.metrics.attempt_ended("complete");
         self.core.crash_guard.record_completion(self.prompt.fingerprint);
+        self.export();
     }
 
     /// Reads one event, from a new attempt if none runs; `None` is an event that was dropped.
@@ -227,6 +231,7 @@
         }
         // Its earlier attempts, or those of other requests like it, may have crashed endpoints.
         check_crash_guard(&self.core, &self.prompt, self.run_state()).map_err(StepError::Final)?;
+        self.core.transfer.learn(document, &self.model.id, &self.prompt.chain).await;
         let (placed, permit) = self.place_in_turn(document).await?;
         self.attempts += 1;
         let class = self.request.class.as_ref().and_then(|class| document.class(class));
@@ -252,11 +257,12 @@
         let clock = Arc::clone(&self.core.clock);
         // The next request that waits may find room as well.
         self.core.admission.wake(&self.model.id);
+        self.permit = permit;
         let limits = AttemptLimits {
             stall_timeout_ms: self.core.stall_timeout_ms,
-            expected_first_token_ms: placed.expected_first_token_ms,
+            expected_first_token_ms: self.import(document, &placed, in_flight.client()).await,
         };
-        self.permit = permit;
+        self.endpoint = Some(placed.endpoint.clone());
         if let Some((claim, _)) = &mut self.claim
             && !claim.start_sending(&*self.core.clock)
         {
@@ -266,6 +272,32 @@
         Attempt::start(in_flight, attempt, clock, limits).await.map_err(StepError::Attempt)
     }
 
+    /// Imports blocks as placement planned; returns the time to first token to expect then.
+    async fn import(
+        &mut self,
+        document: &Document,
+        placed: &Placed<'_>,
+        client: &dyn ModelEndpoint,
+    ) -> u64 {
+        let expected_ms = placed.expected_first_token_ms;
+        let Some(plan) = placed.import else { return expected_ms };
+        let (model, chain) = (&self.model.id, &self.prompt.chain);
+        let latest = self.request.deadline;
+        match self.core.transfer.import(document, model, chain, plan, client, latest).await {
+            true => expected_ms,
+            // The import and the recomputation after it take at most that long each.
+            false => expected_ms.saturating_add(plan.recompute_ms.saturating_mul(2)),
+        }
+    }
+
+    /// Offers the blocks of the prompt to the store.
+    fn export(&self) {
+        let Some(endpoint) = &self.endpoint else { return };
+        let active = self.core.configuration.active();
+        let client = self.core.endpoints.client(endpoint);
+        self.core.transfer.answered(active.document(), endpoint, client, &self.prompt.chain);
+    }
+
     /// Takes the model as it is configured now, since a swap may have happened while waiting.
     fn use_current_model(&mut self, document: &Document) -> Result<(), StepError> {
         let model = current_model(&self.core, document, &self.request).map_err(StepError::Final)?;
--- /dev/null
+++ b/crates/yuccapassd/src/transfer/export.rs
@@ -0,0 +1,118 @@
+//! Export of blocks in the background.
+
+use std::sync::{Arc, Weak};
+
+use async_std::channel::Receiver;
+use futures::stream::{self, StreamExt};
+use yuccapass_decisions::config::{DEFAULT_BLOCK_PAYLOAD, Document, Endpoint, Store};
+use yuccapass_decisions::routing::holder::StoreTier;
+use yuccapass_decisions::transfer::export::AnsweredPrompt;
+use yuccapass_endpoints::ModelEndpoint;
+use yuccapass_types::{BlockHash, Bytes, Deadline};
+
+use super::Transfer;
+
+/// How long a question or the export of one block may take; nothing waits for it.
+const CALL_TIMEOUT_MS: u64 = 5_000;
+
+/// Blocks of one prompt that are exported at the same time.
+const CONCURRENT_BLOCKS: usize = 4;
+
+/// A prompt to export.
+pub(super) struct ExportJob {
+    store: Store,
+    block_size: Bytes,
+    endpoint: Arc<dyn ModelEndpoint>,
+    chain: Vec<BlockHash>,
+}
+
+/// Exports the prompts that are queued.
+pub(super) async fn work(transfer: Weak<Transfer>, jobs: Receiver<ExportJob>) {
+    while let Ok(job) = jobs.recv().await {
+        let Some(transfer) = transfer.upgrade() else { return };
+        transfer.export(job).await;
+    }
+}
+
+impl Transfer {
+    /// Queues the export of a prompt whose answer was delivered whole.
+    ///
+    /// If the queue is full, the prompt is not exported: the next answer to it is another chance.
+    pub(crate) fn answered(
+        &self,
+        document: &Document,
+        endpoint: &Endpoint,
+        client: Arc<dyn ModelEndpoint>,
+        chain: &[BlockHash],
+    ) {
+        let Some(store) = self.store_of(document, &endpoint.model) else { return };
+        let is_long_enough = self.settings.is_long_enough(chain.len() as u32);
+        if !is_long_enough || self.known_blocks(store, chain) as usize == chain.len() {
+            return;
+        }
+        let model = document.model(&endpoint.model);
+        let job = ExportJob {
+            store: store.clone(),
+            block_size: model.map_or(DEFAULT_BLOCK_PAYLOAD, |model| model.block_payload_bytes),
+            endpoint: client,
+            chain: chain.to_vec(),
+        };
+        if self.exports.try_send(job).is_err() {
+            self.metrics.blocks_transferred("export_dropped", chain.len() as u64);
+        }
+    }
+
+    /// Exports the blocks of a prompt and records the prefix that the store then has.
+    async fn export(&self, job: ExportJob) {
+        if self.known_blocks(&job.store, &job.chain) == 0 {
+            // Another node may have exported them: a question is cheaper than the blocks.
+            let deadline = Deadline::after_ms(self.clock.now(), CALL_TIMEOUT_MS);
+            self.ask_prefix(&job.store, &job.chain, deadline).await;
+        }
+        let prompt = AnsweredPrompt {
+            prompt_blocks: job.chain.len() as u32,
+            stored_blocks: self.known_blocks(&job.store, &job.chain),
+            block_size: job.block_size,
+        };
+        let range = self.with_choice(|choice| choice.choose(&prompt, self.clock.now()));
+        let positions = range.start as usize..range.end as usize;
+        let exports = stream::iter(job.chain[positions.clone()].iter().copied())
+            .map(|block| self.export_block(&job, block))
+            .buffered(CONCURRENT_BLOCKS)
+            .take_while(|is_stored| std::future::ready(*is_stored));
+        let stored = positions.start + exports.count().await;
+        let missing = (positions.end - stored) as u64;
+        self.metrics.blocks_transferred("exported", (stored - positions.start) as u64);
+        self.metrics.blocks_transferred("export_failed", missing);
+        if stored > positions.start {
+            let chain = &job.chain[..stored];
+            self.prefix_caches.record_stored(&job.store.id, StoreTier::Memory, chain);
+        }
+    }
+
+    fn known_blocks(&self, store: &Store, chain: &[BlockHash]) -> u32 {
+        self.stored_blocks(store, &self.prefix_caches.lookup(chain))
+    }
+
+    /// Exports a block; returns whether the store has it.
+    async fn export_block(&self, job: &ExportJob, block: BlockHash) -> bool {
+        let owner = self.vms.owner(&job.store, block);
+        let Some(address) = owner.filter(|address| self.vms.may_write(address)) else {
+            return false;
+        };
+        let deadline = Deadline::after_ms(self.clock.now(), CALL_TIMEOUT_MS);
+        let sealed = match job.endpoint.export_block(block, deadline).await {
+            Ok(sealed) => sealed,
+            Err(error) => {
+                log::debug!(endpoint = job.endpoint.id().as_str(); "a block cannot be exported: {error}");
+                return false;
+            }
+        };
+        let result = self.vms.client(&job.store, address).put(&sealed, deadline).await;
+        self.vms.record(address, result.as_ref().map(|_| ()));
+        if let Err(error) = &result {
+            log::warn!(store = job.store.id.as_str(), address:% = address; "a block cannot be stored: {error}");
+        }
+        result.is_ok()
+    }
+}
--- /dev/null
+++ b/crates/yuccapassd/src/transfer/import.rs
@@ -0,0 +1,104 @@
+//! Import of blocks before a request is sent.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use futures::stream::{self, StreamExt};
+use yuccapass_decisions::config::{Document, Store};
+use yuccapass_endpoints::ModelEndpoint;
+use yuccapass_stores::StoreErrorKind;
+use yuccapass_types::{BlockHash, Deadline, ModelId};
+
+use super::Transfer;
+
+/// Blocks of one prompt that are imported at the same time.
+const CONCURRENT_BLOCKS: usize = 8;
+
+/// The import that placement decided on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct PlannedImport {
+    /// Blocks at the start of the prompt that the endpoint has.
+    pub(crate) from_block: u32,
+    /// Blocks to import behind them.
+    pub(crate) blocks: u32,
+    /// Time that the endpoint would take to compute the blocks.
+    pub(crate) recompute_ms: u64,
+}
+
+/// Why a block was not imported.
+enum ImportFailure {
+    /// The store does not have it whole.
+    Store,
+    /// It is late, or the endpoint did not take it.
+    Other,
+}
+
+impl Transfer {
+    /// Imports blocks to an endpoint, at most for the time that it would take to compute them
+    /// and until `latest`.
+    ///
+    /// Returns whether all were imported; the endpoint computes what is missing.
+    pub(crate) async fn import(
+        &self,
+        document: &Document,
+        model: &ModelId,
+        chain: &[BlockHash],
+        plan: PlannedImport,
+        endpoint: &dyn ModelEndpoint,
+        latest: Deadline,
+    ) -> bool {
+        let Some(store) = self.store_of(document, model) else { return false };
+        let deadline = Deadline::after_ms(self.clock.now(), plan.recompute_ms).earlier(latest);
+        let end = (plan.from_block + plan.blocks) as usize;
+        // Blocks behind a missing one are of no use to the engine.
+        let first_missing = AtomicUsize::new(end);
+        let imports = stream::iter(plan.from_block as usize..end).map(|position| {
+            let first_missing = &first_missing;
+            async move {
+                if position > first_missing.load(Ordering::Relaxed) {
+                    return 0;
+                }
+                match self.import_block(store, chain[position], endpoint, deadline).await {
+                    Ok(()) => return 1,
+                    Err(ImportFailure::Store) => {
+                        // The blocks behind are exported again together with this one.
+                        self.prefix_caches.forget_stored(&store.id, &chain[position..]);
+                    }
+                    Err(ImportFailure::Other) => {}
+                }
+                first_missing.fetch_min(position, Ordering::Relaxed);
+                0
+            }
+        });
+        let imported: u64 =
+            imports.buffer_unordered(CONCURRENT_BLOCKS).fold(0, async |sum, one| sum + one).await;
+        self.metrics.blocks_transferred("imported", imported);
+        self.metrics.blocks_transferred("import_failed", u64::from(plan.blocks) - imported);
+        imported == u64::from(plan.blocks)
+    }
+
+    async fn import_block(
+        &self,
+        store: &Store,
+        block: BlockHash,
+        endpoint: &dyn ModelEndpoint,
+        deadline: Deadline,
+    ) -> Result<(), ImportFailure> {
+        if deadline.has_passed(self.clock.now()) {
+            return Err(ImportFailure::Other);
+        }
+        let address = self.vms.owner(store, block).ok_or(ImportFailure::Store)?;
+        let result = self.vms.client(store, address).get(block, deadline).await;
+        self.vms.record(address, result.as_ref().map(|_| ()));
+        let sealed = result.map_err(|error| {
+            log::debug!(store = store.id.as_str(), address:% = address; "a block cannot be read: {error}");
+            match error.kind() {
+                StoreErrorKind::Timeout => ImportFailure::Other,
+                _ => ImportFailure::Store,
+            }
+        })?;
+        endpoint.import_block(&sealed, deadline).await.map_err(|error| {
+            log::debug!(endpoint = endpoint.id().as_str(); "a block cannot be imported: {error}");
+            ImportFailure::Other
+        })
+    }
+}
--- /dev/null
+++ b/crates/yuccapassd/src/transfer/mod.rs
@@ -0,0 +1,170 @@
+//! Cache blocks between endpoints and stores.
+//!
+//! * [`vms`]: clients of the store VMs and which of them are skipped.
+//! * [`export`]: blocks of answered prompts to the store, in the background.
+//! * [`import`]: blocks from the store to the endpoint of a request, before it is sent.
+
+mod export;
+mod import;
+mod vms;
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use async_std::channel::{Sender, bounded};
+use async_std::task;
+use futures::future::join_all;
+use yuccapass_decisions::config::{Document, Store, ZoneState};
+use yuccapass_decisions::routing::holder::StoreTier;
+use yuccapass_decisions::routing::index::PrefixMatch;
+use yuccapass_decisions::routing::placement::ImportSource;
+use yuccapass_decisions::transfer::export::{ExportChoice, ExportSettings};
+use yuccapass_decisions::transfer::source::{asked_positions, import_source, stored_prefix};
+use yuccapass_stores::{BlockTier, MAX_ASKED_BLOCKS};
+use yuccapass_types::{BlockHash, Clock, Deadline, ModelId, ZoneId};
+
+use crate::metrics::Metrics;
+use crate::prefix_cache_view::PrefixCacheView;
+use export::ExportJob;
+pub(crate) use import::PlannedImport;
+use vms::StoreVms;
+
+/// How long a store may take to tell what it has: a request waits for it, and its first token is
+/// due within 1.2 s.
+const ASK_TIMEOUT_MS: u64 = 100;
+
+/// Prompts that wait to be exported.
+const MAX_QUEUED_EXPORTS: usize = 256;
+
+/// Prompts that are exported at the same time.
+const EXPORT_WORKERS: usize = 4;
+
+/// Moves cache blocks between endpoints and the stores of the region.
+pub(crate) struct Transfer {
+    zone: ZoneId,
+    vms: StoreVms,
+    prefix_caches: Arc<PrefixCacheView>,
+    settings: ExportSettings,
+    choice: Mutex<ExportChoice>,
+    exports: Sender<ExportJob>,
+    metrics: Arc<Metrics>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Transfer {
+    /// Starts the workers that export; they end when the last reference is dropped.
+    pub(crate) fn start(
+        zone: ZoneId,
+        prefix_caches: Arc<PrefixCacheView>,
+        metrics: Arc<Metrics>,
+        clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
+        let (exports, jobs) = bounded(MAX_QUEUED_EXPORTS);
+        let settings = ExportSettings::default();
+        let transfer = Arc::new(Self {
+            zone,
+            vms: StoreVms::new(Arc::clone(&clock)),
+            prefix_caches,
+            settings,
+            choice: Mutex::new(ExportChoice::new(settings, clock.now())),
+            exports,
+            metrics,
+            clock,
+        });
+        for _ in 0..EXPORT_WORKERS {
+            task::spawn(export::work(Arc::downgrade(&transfer), jobs.clone()));
+        }
+        transfer
+    }
+
+    /// Asks the store of a model which blocks of a prompt it has, unless that is known or an
+    /// endpoint has all of them.
+    pub(crate) async fn learn(&self, document: &Document, model: &ModelId, chain: &[BlockHash]) {
+        let Some(store) = self.store_of(document, model) else { return };
+        if !self.settings.is_long_enough(chain.len() as u32) {
+            return;
+        }
+        let matches = self.prefix_caches.lookup(chain);
+        let is_cached = matches.iter().any(|found| found.blocks as usize == chain.len());
+        if is_cached || self.stored_blocks(store, &matches) > 0 {
+            return;
+        }
+        let deadline = Deadline::after_ms(self.clock.now(), ASK_TIMEOUT_MS);
+        self.ask_prefix(store, chain, deadline).await;
+    }
+
+    /// Asks a store which blocks of a prompt it has and records them.
+    async fn ask_prefix(&self, store: &Store, chain: &[BlockHash], deadline: Deadline) {
+        let positions = asked_positions(chain.len() as u32);
+        let blocks: Vec<BlockHash> =
+            positions.iter().map(|&position| chain[position as usize - 1]).collect();
+        let tiers = self.ask(store, &blocks, deadline).await;
+        if let Some((count, tier)) = stored_prefix(&positions, &tiers) {
+            self.prefix_caches.record_stored(&store.id, tier, &chain[..count as usize]);
+        }
+    }
+
+    /// Returns what placement can import blocks of a prompt from.
+    pub(crate) fn sources(
+        &self,
+        document: &Document,
+        model: &ModelId,
+        matches: &[PrefixMatch],
+    ) -> Vec<ImportSource> {
+        let Some(store) = self.store_of(document, model) else { return Vec::new() };
+        let has_usable_vm = store.addresses.iter().any(|address| self.vms.may_read(address));
+        let offer = |tier| {
+            let blocks = self.prefix_caches.stored_blocks(&store.id, tier, matches);
+            import_source(blocks, tier, true, has_usable_vm)
+        };
+        [StoreTier::Memory, StoreTier::Disk].into_iter().filter_map(offer).collect()
+    }
+
+    /// Returns the tier of each block; none where no VM has it or answers.
+    async fn ask(
+        &self,
+        store: &Store,
+        blocks: &[BlockHash],
+        deadline: Deadline,
+    ) -> Vec<Option<StoreTier>> {
+        let owners: Vec<_> = blocks.iter().map(|&block| self.vms.owner(store, block)).collect();
+        let questions = store.addresses.iter().map(|&address| {
+            let places: Vec<usize> =
+                (0..blocks.len()).filter(|&place| owners[place] == Some(address)).collect();
+            async move {
+                let asked: Vec<BlockHash> =
+                    places.iter().take(MAX_ASKED_BLOCKS).map(|&place| blocks[place]).collect();
+                if asked.is_empty() {
+                    return Vec::new();
+                }
+                let answer = self.vms.client(store, address).contains(&asked, deadline).await;
+                self.vms.record(address, answer.as_ref().map(|_| ()));
+                places.into_iter().zip(answer.unwrap_or_default()).collect()
+            }
+        });
+        let mut tiers = vec![None; blocks.len()];
+        for (place, tier) in join_all(questions).await.into_iter().flatten() {
+            tiers[place] = tier.map(|tier| match tier {
+                BlockTier::Memory => StoreTier::Memory,
+                BlockTier::Disk => StoreTier::Disk,
+            });
+        }
+        tiers
+    }
+
+    /// Returns the store of a model if this node may use it: it is in the region, and its zone is
+    /// not taken out.
+    fn store_of<'a>(&self, document: &'a Document, model: &ModelId) -> Option<&'a Store> {
+        let store = document.store(document.model(model)?.store.as_ref()?)?;
+        let (own, zone) = (document.zone(&self.zone)?, document.zone(&store.zone)?);
+        (zone.state == ZoneState::In && zone.region == own.region).then_some(store)
+    }
+
+    fn stored_blocks(&self, store: &Store, matches: &[PrefixMatch]) -> u32 {
+        let blocks = |tier| self.prefix_caches.stored_blocks(&store.id, tier, matches);
+        blocks(StoreTier::Memory).max(blocks(StoreTier::Disk))
+    }
+
+    fn with_choice<R>(&self, action: impl FnOnce(&mut ExportChoice) -> R) -> R {
+        action(&mut self.choice.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/yuccapassd/tests/common/mod.rs
+++ b/crates/yuccapassd/tests/common/mod.rs
@@ -132,6 +132,8 @@
     pub node_flags: &'a [&'a str],
     pub has_platform: bool,
     pub has_service: bool,
+    /// VMs of the model's store; without any the model has no store.
+    pub stores: usize,
 }
 
 /// Daemons, endpoints, a platform and a plain service, as separate processes.
@@ -140,6 +142,7 @@
     pub nodes: Vec<NodeProcess>,
     pub platform: Option<Engine>,
     pub service: Option<Engine>,
+    pub stores: Vec<Engine>,
     _configuration: ConfigurationFile,
 }
 
@@ -201,13 +204,16 @@
     let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
     let peers: Vec<SocketAddr> = (0..plan.nodes).map(|_| loopback_address()).collect();
     let service_address = service.as_ref().map(|service| service.address);
-    let configuration = ConfigurationFile::write(&document(&addresses, &peers, service_address));
+    let stores: Vec<Engine> = (0..plan.stores).map(|_| start_standin("store", &[])).collect();
+    let mut document = document(&addresses, &peers, service_address);
+    add_store(&mut document, &stores);
+    let configuration = ConfigurationFile::write(&document);
     let platform_address = platform.as_ref().map(|platform: &Engine| platform.address);
     let nodes: Vec<NodeProcess> = (0..plan.nodes)
         .map(|number| start_node(number, &peers, platform_address, &configuration, plan.node_flags))
         .collect();
     nodes.iter().for_each(|node| wait_ready(node.admin_address));
-    Deployment { engines, nodes, platform, service, _configuration: configuration }
+    Deployment { engines, nodes, platform, service, stores, _configuration: configuration }
 }
 
 fn start_node(
@@ -284,6 +290,18 @@
     })
 }
 
+/// Gives the model a store and approves a second organisation for it.
+fn add_store(document: &mut Value, stores: &[Engine]) {
+    if stores.is_empty() {
+        return;
+    }
+    let addresses: Vec<SocketAddr> = stores.iter().map(|store| store.address).collect();
+    document["stores"] =
+        json!([{"id": "manifest-cache", "zone": "burnaby-yard", "addresses": addresses}]);
+    document["models"][0]["store"] = json!("manifest-cache");
+    document["organisations"][1]["models"] = json!(["clip-models"]);
+}
+
 struct ConfigurationFile {
     path: PathBuf,
 }
--- a/crates/yuccapassd/tests/fleet.rs
+++ b/crates/yuccapassd/tests/fleet.rs
@@ -23,6 +23,7 @@
         node_flags: &SHORT_LEDGER,
         has_platform: true,
         has_service: true,
+        ..Plan::default()
     })
 }
 
