yuccapassd: fill gaps and replace torn blocks in the store

Cause: a node that knew the first blocks of a prompt did not ask for the rest that another node had exported, and a block that was torn or lost with a VM's memory was never exported again, because the index has entries for few positions.

Change: a node asks the store unless the whole prompt is known to be there or at an endpoint. Before an export all blocks are asked for, and those from the first missing one on are exported, also after a failed import. A block that does not match its seal is deleted.

Conclusion: a store that lost blocks or had torn ones serves the whole prompt again after one more answer.

--- a/crates/yuccapassd/src/run.rs
+++ b/crates/yuccapassd/src/run.rs
@@ -64,6 +64,8 @@
     attempt: Option<Attempt>,
     /// The endpoint of the last attempt.
     endpoint: Option<Endpoint>,
+    /// Whether an import for this request was not complete.
+    import_failed: bool,
     /// The permit of the present attempt, held until its endpoint has nothing more to do for it.
     permit: Option<Permit>,
     is_whole: bool,
@@ -104,6 +106,7 @@
             request,
             attempt: None,
             endpoint: None,
+            import_failed: false,
             permit: None,
             is_whole: false,
             claim: None,
@@ -286,7 +289,10 @@
         match self.core.transfer.import(document, model, chain, plan, client, latest).await {
             true => expected_ms,
             // The import and the recomputation after it take at most that long each.
-            false => expected_ms.saturating_add(plan.recompute_ms.saturating_mul(2)),
+            false => {
+                self.import_failed = true;
+                expected_ms.saturating_add(plan.recompute_ms.saturating_mul(2))
+            }
         }
     }
 
@@ -295,7 +301,8 @@
         let Some(endpoint) = &self.endpoint else { return };
         let active = self.core.configuration.active();
         let client = self.core.endpoints.client(endpoint);
-        self.core.transfer.answered(active.document(), endpoint, client, &self.prompt.chain);
+        let (document, chain) = (active.document(), &self.prompt.chain);
+        self.core.transfer.answered(document, endpoint, client, chain, self.import_failed);
     }
 
     /// Takes the model as it is configured now, since a swap may have happened while waiting.
--- a/crates/yuccapassd/src/transfer/export.rs
+++ b/crates/yuccapassd/src/transfer/export.rs
@@ -37,17 +37,20 @@
 impl Transfer {
     /// Queues the export of a prompt whose answer was delivered whole.
     ///
-    /// If the queue is full, the prompt is not exported: the next answer to it is another chance.
+    /// `has_gap` says that an import failed: the store then lacks blocks that the index cannot show,
+    /// since it has entries for few positions. If the queue is full, the prompt is not exported: the next answer to it is another chance.
     pub(crate) fn answered(
         &self,
         document: &Document,
         endpoint: &Endpoint,
         client: Arc<dyn ModelEndpoint>,
         chain: &[BlockHash],
+        has_gap: bool,
     ) {
         let Some(store) = self.store_of(document, &endpoint.model) else { return };
         let is_long_enough = self.settings.is_long_enough(chain.len() as u32);
-        if !is_long_enough || self.known_blocks(store, chain) as usize == chain.len() {
+        let is_stored = self.known_blocks(store, chain) as usize == chain.len();
+        if !is_long_enough || (is_stored && !has_gap) {
             return;
         }
         let model = document.model(&endpoint.model);
@@ -64,14 +67,14 @@
 
     /// Exports the blocks of a prompt and records the prefix that the store then has.
     async fn export(&self, job: ExportJob) {
-        if self.known_blocks(&job.store, &job.chain) == 0 {
-            // Another node may have exported them: a question is cheaper than the blocks.
-            let deadline = Deadline::after_ms(self.clock.now(), CALL_TIMEOUT_MS);
-            self.ask_prefix(&job.store, &job.chain, deadline).await;
-        }
+        // Another node may have exported some: a question is cheaper than the blocks. All are asked
+        // for, since a VM that lost its memory leaves gaps between the others.
+        let deadline = Deadline::after_ms(self.clock.now(), CALL_TIMEOUT_MS);
+        let tiers = self.ask(&job.store, &job.chain, deadline).await;
+        let stored_blocks = tiers.iter().take_while(|tier| tier.is_some()).count();
         let prompt = AnsweredPrompt {
             prompt_blocks: job.chain.len() as u32,
-            stored_blocks: self.known_blocks(&job.store, &job.chain),
+            stored_blocks: stored_blocks as u32,
             block_size: job.block_size,
         };
         let range = self.with_choice(|choice| choice.choose(&prompt, self.clock.now()));
@@ -84,7 +87,7 @@
         let missing = (positions.end - stored) as u64;
         self.metrics.blocks_transferred("exported", (stored - positions.start) as u64);
         self.metrics.blocks_transferred("export_failed", missing);
-        if stored > positions.start {
+        if stored > 0 {
             let chain = &job.chain[..stored];
             self.prefix_caches.record_stored(&job.store.id, StoreTier::Memory, chain);
         }
--- a/crates/yuccapassd/src/transfer/import.rs
+++ b/crates/yuccapassd/src/transfer/import.rs
@@ -1,7 +1,9 @@
 //! Import of blocks before a request is sent.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use async_std::task;
 use futures::stream::{self, StreamExt};
 use yuccapass_decisions::config::{Document, Store};
 use yuccapass_endpoints::ModelEndpoint;
@@ -13,6 +15,9 @@
 /// Blocks of one prompt that are imported at the same time.
 const CONCURRENT_BLOCKS: usize = 8;
 
+/// How long the deletion of a torn block may take; nothing waits for it.
+const DELETE_TIMEOUT_MS: u64 = 5_000;
+
 /// The import that placement decided on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct PlannedImport {
@@ -76,6 +81,17 @@
         imported == u64::from(plan.blocks)
     }
 
+    /// Deletes a block that did not match its seal, so that it is exported again.
+    fn delete_torn(&self, store: &Store, address: SocketAddr, block: BlockHash) {
+        let client = self.vms.client(store, address);
+        let deadline = Deadline::after_ms(self.clock.now(), DELETE_TIMEOUT_MS);
+        task::spawn(async move {
+            if let Err(error) = client.delete(block, deadline).await {
+                log::warn!(address:% = address; "a torn block cannot be deleted: {error}");
+            }
+        });
+    }
+
     async fn import_block(
         &self,
         store: &Store,
@@ -93,6 +109,10 @@
             log::debug!(store = store.id.as_str(), address:% = address; "a block cannot be read: {error}");
             match error.kind() {
                 StoreErrorKind::Timeout => ImportFailure::Other,
+                StoreErrorKind::Torn => {
+                    self.delete_torn(store, address, block);
+                    ImportFailure::Store
+                }
                 _ => ImportFailure::Store,
             }
         })?;
--- a/crates/yuccapassd/src/transfer/mod.rs
+++ b/crates/yuccapassd/src/transfer/mod.rs
@@ -76,24 +76,18 @@
         transfer
     }
 
-    /// Asks the store of a model which blocks of a prompt it has, unless that is known or an
-    /// endpoint has all of them.
+    /// Asks the store of a model which blocks of a prompt it has, unless it or an endpoint is known
+    /// to have all of them.
     pub(crate) async fn learn(&self, document: &Document, model: &ModelId, chain: &[BlockHash]) {
         let Some(store) = self.store_of(document, model) else { return };
         if !self.settings.is_long_enough(chain.len() as u32) {
             return;
         }
         let matches = self.prefix_caches.lookup(chain);
-        let is_cached = matches.iter().any(|found| found.blocks as usize == chain.len());
-        if is_cached || self.stored_blocks(store, &matches) > 0 {
+        if matches.iter().any(|found| found.blocks as usize == chain.len()) {
             return;
         }
         let deadline = Deadline::after_ms(self.clock.now(), ASK_TIMEOUT_MS);
-        self.ask_prefix(store, chain, deadline).await;
-    }
-
-    /// Asks a store which blocks of a prompt it has and records them.
-    async fn ask_prefix(&self, store: &Store, chain: &[BlockHash], deadline: Deadline) {
         let positions = asked_positions(chain.len() as u32);
         let blocks: Vec<BlockHash> =
             positions.iter().map(|&position| chain[position as usize - 1]).collect();
--- a/crates/yuccapassd/tests/transfer.rs
+++ b/crates/yuccapassd/tests/transfer.rs
@@ -161,6 +161,50 @@
     assert_eq!(transferred(&deployment, 0, "imported"), 0);
 }
 
+/// Guards against blocks that stay unusable after they were torn once.
+#[test]
+fn torn_blocks_are_replaced_by_the_next_export() {
+    // Arrange
+    let deployment = start_with_stores(1, 1);
+    let returning = prompt("replaced ");
+    let first = ask(&deployment, 0, APPROVED_KEY, &returning);
+    wait_stored(&deployment, PROMPT_BLOCKS);
+    post_faults(deployment.stores[0].address, json!({"torn_probability": 1.0}));
+    return_until(&deployment, 0, &returning, &first, |_| {
+        transferred(&deployment, 0, "import_failed") > 0
+    });
+
+    // Act
+    post_faults(deployment.stores[0].address, json!({"torn_probability": 0.0}));
+
+    // Assert
+    return_until(&deployment, 0, &returning, &first, |cached| {
+        cached == PROMPT_BLOCKS * BLOCK_TOKENS
+    });
+}
+
+/// Guards against gaps, left by a VM that lost its memory, that no export fills again.
+#[test]
+fn gap_of_a_restarted_store_vm_is_filled() {
+    // Arrange
+    let deployment = start_with_stores(2, 1);
+    let returning = prompt("gap ");
+    let first = ask(&deployment, 0, APPROVED_KEY, &returning);
+    wait_stored(&deployment, PROMPT_BLOCKS);
+
+    // Act
+    let store = client(deployment.stores[0].address);
+    assert!(send(&store, store.request(Method::Post, "/crash")).response().status().is_success());
+    return_until(&deployment, 0, &returning, &first, |_| {
+        transferred(&deployment, 0, "import_failed") > 0
+    });
+
+    // Assert
+    return_until(&deployment, 0, &returning, &first, |cached| {
+        cached == PROMPT_BLOCKS * BLOCK_TOKENS
+    });
+}
+
 /// Guards against an answer that is lost with the VM that has its blocks.
 #[test]
 fn killed_store_vm_interrupts_no_answer() {
