yuccapassd: drive rollouts and keep requests whole during them

Cause: a weight version in the configuration reached no replica, since nothing drove `rollout::Driver`.

Change: the holder of a lease lock per model drives the rollout that `wanted_rollout` derives from configuration, progress and reports. It reads the newest manifest before it acts, asks its permit before each order, and retargets when the wanted version or the replicas change. `watch rollout` shows the written progress and why it stopped. Faults fixed in the path of a request: * A refused attempt was cancelled by request id, which ended the next attempt at the same endpoint. What was not run is no longer cancelled, and a cancellation ends before a retry at the same endpoint begins. * After a refusal the next attempt chose by the same outdated report. * Refusals for version or leaving used up the node's retry budget. * The first replica at the wanted version got the requests of all replicas; now the version that most replicas serve is used. * A request that waited kept the version of its arrival. This change has no test of its own.

Adapters are not driven yet.

--- a/crates/decisions/src/rollout/driver.rs
+++ b/crates/decisions/src/rollout/driver.rs
@@ -6,6 +6,7 @@
 
 use super::action::{Action, Ended, OrderId, OrderResult, WriteOutcome};
 use super::orders;
+use super::plan::Target;
 use super::progress::{Progress, ReplicaProgress, RolloutState, Step, StopReason};
 use super::replica::{ReplicaReport, ReplicaState};
 
@@ -115,6 +116,24 @@
     /// does not carry out the older one last.
     pub fn turn_back(&mut self, now: Instant) {
         self.progress.turn_back();
+        self.begin_anew(now);
+    }
+
+    /// Changes the target and the replicas, also after the rollout has finished or stopped.
+    ///
+    /// As with [`Driver::turn_back`], a replica gets no new order before one that is on its way to
+    /// it has ended.
+    pub fn retarget(
+        &mut self,
+        target: Target,
+        endpoints: impl IntoIterator<Item = EndpointId>,
+        now: Instant,
+    ) {
+        self.progress.retarget(target, endpoints);
+        self.begin_anew(now);
+    }
+
+    fn begin_anew(&mut self, now: Instant) {
         if matches!(self.ended, Some(Ended::Finished | Ended::Stopped(_))) {
             self.ended = None;
         }
--- a/crates/decisions/src/rollout/progress.rs
+++ b/crates/decisions/src/rollout/progress.rs
@@ -1,5 +1,7 @@
 //! What a driver writes to the platform.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use yuccapass_types::{EndpointId, FencingNumber};
@@ -34,6 +36,19 @@
     }
 }
 
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Pending => "pending",
+            Self::Draining => "draining",
+            Self::Swapping => "swapping",
+            Self::Returning => "returning",
+            Self::Done => "done",
+            Self::Failed => "failed",
+        })
+    }
+}
+
 /// Progress with one replica.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaProgress {
@@ -56,6 +71,14 @@
     TooManyFailures,
 }
 
+impl fmt::Display for StopReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooManyFailures => f.write_str("replicas failed to drain, load or come up"),
+        }
+    }
+}
+
 /// Whether a rollout goes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -134,6 +157,28 @@
     /// Those out of service stay so, since an order to load may be on its way to them.
     pub fn turn_back(&mut self) {
         std::mem::swap(&mut self.plan.target, &mut self.plan.previous);
+        self.begin_anew();
+    }
+
+    /// Changes the target and the replicas, and begins with all of them anew.
+    ///
+    /// Those out of service stay so, since an order to load may be on its way to them.
+    pub fn retarget(&mut self, target: Target, endpoints: impl IntoIterator<Item = EndpointId>) {
+        if target != self.plan.target {
+            self.plan.previous = std::mem::replace(&mut self.plan.target, target);
+        }
+        let mut next = Self::new(self.plan.clone(), endpoints).replicas;
+        for replica in &mut next {
+            let same = |known: &&ReplicaProgress| known.endpoint == replica.endpoint;
+            if let Some(known) = self.replicas.iter().find(same) {
+                *replica = known.clone();
+            }
+        }
+        self.replicas = next;
+        self.begin_anew();
+    }
+
+    fn begin_anew(&mut self) {
         self.state = RolloutState::Running;
         for replica in &mut self.replicas {
             replica.restarts = 0;
--- a/crates/platform/src/managed.rs
+++ b/crates/platform/src/managed.rs
@@ -112,7 +112,8 @@
         self.lock().newest.restorations()
     }
 
-    pub(crate) fn clock(&self) -> &dyn Clock {
+    /// Returns the clock that deadlines refer to.
+    pub fn clock(&self) -> &dyn Clock {
         &*self.clock
     }
 
--- a/crates/yuccapassd/src/attempt.rs
+++ b/crates/yuccapassd/src/attempt.rs
@@ -118,7 +118,14 @@
                 self.in_flight.record_attempt(AttemptResult::Overloaded);
                 AttemptFailure::Overloaded
             }
-            EndpointErrorKind::WrongVersion => AttemptFailure::WrongVersion,
+            EndpointErrorKind::WrongVersion => {
+                self.read_report().await;
+                AttemptFailure::WrongVersion
+            }
+            EndpointErrorKind::Leaving => {
+                self.read_report().await;
+                AttemptFailure::Rejected
+            }
             EndpointErrorKind::Timeout => match self.probe().await {
                 Probe::SameProcess => AttemptFailure::ConnectionSilent,
                 Probe::OtherProcess | Probe::NoAnswer => AttemptFailure::EndpointSilent,
@@ -138,6 +145,16 @@
         }
     }
 
+    /// Reads the load report: until the next one the following attempts, of this request and of
+    /// others, would choose by the same outdated report.
+    async fn read_report(&self) {
+        let asked = self.clock.now();
+        let deadline = Deadline::after_ms(asked, PROBE_TIMEOUT_MS);
+        if let Ok(report) = self.in_flight.client().load_report(deadline).await {
+            self.in_flight.reported(report, asked);
+        }
+    }
+
     async fn probe(&self) -> Probe {
         let deadline = Deadline::after_ms(self.clock.now(), PROBE_TIMEOUT_MS);
         match self.in_flight.client().load_report(deadline).await {
--- a/crates/yuccapassd/src/commands.rs
+++ b/crates/yuccapassd/src/commands.rs
@@ -7,6 +7,7 @@
 use yuccapass_decisions::change::{Accepted, Command, ExecuteError, Next, execute};
 use yuccapass_decisions::config::{ActiveConfig, Manifest, Source};
 use yuccapass_decisions::platform_budget::CallRank;
+use yuccapass_decisions::rollout::{Progress, ReplicaProgress, RolloutState, Target};
 use yuccapass_http::sleep_until;
 use yuccapass_operators::{
     Acceptance, CommandAnswer, CommandHandler, ConflictAnswer, Query, Refusal, Subject, Table,
@@ -18,8 +19,8 @@
 };
 use yuccapass_types::{Deadline, ModelId, ResultCode, Revision};
 
-use crate::fleet::ConfigurationSync;
 use crate::fleet::configuration_sync::{chunk_key, manifest_key};
+use crate::fleet::{ConfigurationSync, rollouts};
 use crate::request_path::Core;
 
 /// How long a command may take.
@@ -52,7 +53,7 @@
     async fn query(&self, query: &Query) -> Result<Table, Refusal> {
         let active = self.core.configuration.active();
         match query {
-            Query::Rollout(model) => self.rollout(model),
+            Query::Rollout(model) => self.rollout(model).await,
             Query::Show { subject, filters } => {
                 let mut table = match subject {
                     Subject::Nodes => self.nodes(),
@@ -271,31 +272,75 @@
         table
     }
 
-    /// Shows which version each replica of a model serves.
-    fn rollout(&self, model: &ModelId) -> Result<Table, Refusal> {
+    /// Shows which version each replica of a model serves, and the progress that the driver has
+    /// written, which all nodes see alike.
+    async fn rollout(&self, model: &ModelId) -> Result<Table, Refusal> {
         let active = self.core.configuration.active();
         let document = active.document();
         let found = document.model(model).ok_or_else(|| {
             Refusal::new(ResultCode::ModelNotFound).detail(format_smolstr!("there is no {model}"))
         })?;
-        let columns = ["endpoint", "zone", "wanted version", "version", "state"];
+        let progress = match &self.platform {
+            Some(platform) => rollouts::read_progress(platform, model).await,
+            None => Ok(None),
+        };
+        let columns = ["endpoint", "zone", "wanted version", "version", "state", "step", "rollout"];
         let mut table = Table::new(document.revision, &columns);
+        let state = rollout_text(&progress);
+        let progress = progress.ok().flatten();
         for endpoint in document.endpoints_of(model) {
             let wanted = found.version_in(&endpoint.zone);
-            let (version, state) = self.core.endpoints.version_and_phase(endpoint);
+            let (version, phase) = self.core.endpoints.version_and_phase(endpoint);
             table.finished &= version.as_ref() == Some(wanted);
+            let step = progress.as_ref().and_then(|progress| progress.step_of(&endpoint.id));
             table.rows.push(vec![
                 endpoint.id.to_smolstr(),
                 endpoint.zone.to_smolstr(),
                 wanted.to_smolstr(),
                 version.map_or_else(|| SmolStr::new("unknown"), |version| version.to_smolstr()),
-                SmolStr::new(state),
+                SmolStr::new(phase),
+                step.map_or_else(|| SmolStr::new("none"), |step| step.to_smolstr()),
+                state.clone(),
             ]);
         }
+        let asks_for_it = |progress: &Progress| {
+            let is_wanted = |replica: &ReplicaProgress| {
+                let endpoint = document.endpoint(&replica.endpoint);
+                let wanted = endpoint.map(|endpoint| found.version_in(&endpoint.zone).clone());
+                wanted.is_some_and(|wanted| *progress.target() == Target::Version(wanted))
+            };
+            progress.replicas().iter().any(is_wanted)
+        };
+        match progress.as_ref().map(|progress| (progress.state(), asks_for_it(progress))) {
+            Some((RolloutState::Running | RolloutState::Stopping(_), _)) => table.finished = false,
+            Some((RolloutState::Stopped(_), is_wanted)) => table.finished = is_wanted,
+            Some((RolloutState::Finished, _)) | None => {}
+        }
         Ok(table)
     }
 }
 
+/// Says how far a rollout is, and why it stopped.
+fn rollout_text(progress: &Result<Option<Progress>, PlatformError>) -> SmolStr {
+    let progress = match progress {
+        Ok(Some(progress)) => progress,
+        Ok(None) => return SmolStr::new("none"),
+        Err(_) => return SmolStr::new("unknown, the platform does not answer"),
+    };
+    let target = progress.target();
+    let failed = || rollouts::failed_replicas(progress);
+    match progress.state() {
+        RolloutState::Running => format_smolstr!("{target}: running"),
+        RolloutState::Stopping(reason) => {
+            format_smolstr!("{target}: stopping, {reason}: {}", failed())
+        }
+        RolloutState::Stopped(reason) => {
+            format_smolstr!("{target}: stopped, {reason}: {}", failed())
+        }
+        RolloutState::Finished => format_smolstr!("{target}: finished"),
+    }
+}
+
 fn unavailable(error: &PlatformError) -> Refusal {
     Refusal::new(ResultCode::PlatformUnavailable).detail(error)
 }
--- a/crates/yuccapassd/src/endpoint_table.rs
+++ b/crates/yuccapassd/src/endpoint_table.rs
@@ -10,6 +10,7 @@
     AttemptResult, EndpointHealth, EndpointPhase, HealthReport, HealthSettings, LeavingSource,
     ReportedState,
 };
+use yuccapass_decisions::rollout::{ReplicaReport, ReplicaState, Role};
 use yuccapass_decisions::routing::holder::HolderSlot;
 use yuccapass_decisions::routing::index::PrefixMatch;
 use yuccapass_decisions::routing::placement::{Candidate, ZoneDistance};
@@ -29,6 +30,8 @@
 struct ReportedLoad {
     report: LoadReport,
     received: Instant,
+    /// The report describes no earlier time than this less its age.
+    asked: Instant,
     sent_since_requests: u32,
     sent_since: Tokens,
 }
@@ -98,19 +101,11 @@
     }
 
     /// Takes in a load report.
-    pub(crate) fn reported(&self, endpoint: &Endpoint, report: LoadReport) {
+    pub(crate) fn reported(&self, endpoint: &Endpoint, report: LoadReport, asked: Instant) {
         let now = self.clock.now();
-        let load = ReportedLoad {
-            report,
-            received: now,
-            sent_since_requests: 0,
-            sent_since: Tokens::ZERO,
-        };
-        let health = health_report(&load.report);
         self.with_entry(endpoint, |entry| {
             entry.health.set_leaving(LeavingSource::Operators, endpoint.leaving);
-            entry.health.record_report(&health, now);
-            entry.load = Some(load);
+            entry.reported(report, asked, now);
         });
     }
 
@@ -152,6 +147,11 @@
         })
     }
 
+    /// Returns what a rollout needs to know of an endpoint, if it has reported.
+    pub(crate) fn replica_report(&self, endpoint: &Endpoint) -> Option<ReplicaReport> {
+        self.with_entry(endpoint, |entry| entry.load.as_ref().map(replica_report))
+    }
+
     /// Returns what an endpoint sustains while it is cold or warms up, and its process.
     pub(crate) fn cold_process(&self, endpoint: &Endpoint) -> Option<(Incarnation, u32)> {
         let now = self.clock.now();
@@ -239,6 +239,17 @@
         self.load.as_ref().map(|load| load.report.incarnation)
     }
 
+    fn reported(&mut self, report: LoadReport, asked: Instant, now: Instant) {
+        self.health.record_report(&health_report(&report), now);
+        self.load = Some(ReportedLoad {
+            report,
+            received: now,
+            asked,
+            sent_since_requests: 0,
+            sent_since: Tokens::ZERO,
+        });
+    }
+
     fn candidate(&self, place: CandidatePlace<'_>, now: Instant) -> Option<Candidate> {
         let slot = self.slot?;
         let known = place.matches.binary_search_by_key(&slot, |found| found.holder).ok();
@@ -297,6 +308,17 @@
         });
     }
 
+    /// Takes in a load report that was read because of an attempt.
+    pub(crate) fn reported(&self, report: LoadReport, asked: Instant) {
+        let id = self.client.id();
+        let now = self.table.clock.now();
+        self.table.entries.with(id, |shard| {
+            if let Some(entry) = shard.get_mut(id) {
+                entry.reported(report, asked, now);
+            }
+        });
+    }
+
     /// Takes in that the first token arrived.
     pub(crate) fn first_token_arrived(&self, expected_ms: u64) {
         let latency_ms = self.table.clock.now().ms_since(self.start);
@@ -359,6 +381,24 @@
     }
 }
 
+fn replica_report(load: &ReportedLoad) -> ReplicaReport {
+    let report = &load.report;
+    ReplicaReport {
+        incarnation: report.incarnation,
+        state: match report.state {
+            EndpointState::Cold => ReplicaState::Cold,
+            EndpointState::Warm => ReplicaState::Warm,
+            EndpointState::Leaving => ReplicaState::Leaving,
+        },
+        version: report.version.clone(),
+        adapters: report.adapters.clone(),
+        // Engines do not report a role, and no rollout of the daemon changes it.
+        role: Role::Mixed,
+        unfinished_requests: report.running_requests.saturating_add(report.queued_requests),
+        reported_at: Instant::from_ms(load.asked.as_ms().saturating_sub(report.age_ms)),
+    }
+}
+
 fn health_report(report: &LoadReport) -> HealthReport {
     HealthReport {
         incarnation: report.incarnation,
--- a/crates/yuccapassd/src/fleet/mod.rs
+++ b/crates/yuccapassd/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! * [`configuration_sync`]: brings newer configurations from the platform and from other nodes;
 //!   [`platform_watch`] does so on the few nodes of a zone that watch the platform.
 //! * [`votes`]: majority votes; [`ledger`] and [`permits`] build on them.
+//! * [`rollouts`]: brings the model endpoints to the versions of the configuration in force.
 //! * [`peer_handler`]: answers the messages of other nodes.
 
 pub(crate) mod configuration_sync;
@@ -13,6 +14,7 @@
 pub(crate) mod peer_handler;
 pub(crate) mod permits;
 pub(crate) mod platform_watch;
+pub(crate) mod rollouts;
 pub(crate) mod votes;
 
 pub(crate) use configuration_sync::ConfigurationSync;
--- a/crates/yuccapassd/src/monitor.rs
+++ b/crates/yuccapassd/src/monitor.rs
@@ -87,7 +87,7 @@
     let deadline = Deadline::after_ms(core.clock.now(), POLL_TIMEOUT_MS);
     let asked = core.clock.now();
     let report = client.load_report(deadline).await?;
-    core.endpoints.reported(endpoint, report.clone());
+    core.endpoints.reported(endpoint, report.clone(), asked);
     let sustainable = core.endpoints.cold_process(endpoint).map(|(_, requests)| requests);
     core.permits.reported(&endpoint.id, &report, sustainable, asked);
     let after_sequence = core.prefix_caches.events_after(&endpoint.id);
--- a/crates/yuccapassd/src/node.rs
+++ b/crates/yuccapassd/src/node.rs
@@ -38,7 +38,7 @@
 use crate::fleet::ledger::Ledger;
 use crate::fleet::permits::Permits;
 use crate::fleet::{
-    ConfigurationSync, FleetHandler, Identity, Members, Votes, heartbeats, platform_watch,
+    ConfigurationSync, FleetHandler, Identity, Members, Votes, heartbeats, platform_watch, rollouts,
 };
 use crate::metrics::{Metrics, MetricsError};
 use crate::monitor;
@@ -269,6 +269,13 @@
         task::spawn(heartbeats::tell_crashes(Arc::clone(core), sync, crashes));
         task::spawn(heartbeats::poll_configuration(Arc::clone(&self.sync)));
         if let Some(platform) = &self.sync.platform {
+            task::spawn(rollouts::drive_rollouts(Arc::new(rollouts::Rollouts {
+                core: Arc::clone(core),
+                sync: Arc::clone(&self.sync),
+                platform: Arc::clone(platform),
+                drain_limit_ms: settings.rollout_drain_limit_ms,
+                load_limit_ms: settings.rollout_load_limit_ms,
+            })));
             let (sync, platform) = (Arc::clone(&self.sync), Arc::clone(platform));
             task::spawn(platform_watch::follow_configuration(sync, platform));
             let config = PlatformConfig::new(settings.platform.clone());
--- a/crates/yuccapassd/src/placer.rs
+++ b/crates/yuccapassd/src/placer.rs
@@ -9,7 +9,7 @@
 };
 use yuccapass_types::{
     AdapterId, BLOCK_PROMPT_BYTES, BlockHash, Bytes, CacheSalt, EndpointId, ModelId,
-    OrganisationId, RegionId, Tokens, WeightVersion, ZoneId, block_chain,
+    OrganisationId, RegionId, SortedMap, Tokens, WeightVersion, ZoneId, block_chain,
 };
 
 use crate::crash_guard::SharedCrashGuard;
@@ -135,30 +135,44 @@
         })
     }
 
-    /// Returns the version of a model that a new request from here uses: the configured one as soon
-    /// as an endpoint serves it, and until then the one that the endpoints serve.
+    /// Returns the version of a model that a new request from here uses: during a rollout the one
+    /// that most endpoints serve, so that the first ones at a new version do not get all requests.
     pub(crate) fn served_model(&self, document: &Document, model: &Model) -> ServedModel {
         let wanted = model.version_in(&self.zone);
-        let served = document.endpoints_of(&model.id).filter_map(|endpoint| {
-            self.distance(document, None, endpoint)?;
-            let (version, phase) = self.endpoints.version_and_phase(endpoint);
-            version.filter(|_| phase != "leaving" && phase != "silent")
-        });
-        let mut other = None;
-        for version in served {
-            if version == *wanted {
-                other = None;
-                break;
-            }
-            other = Some(version);
-        }
+        // Endpoints of a zone with another version are not part of the rollout.
+        let in_rollout = |endpoint: &&Endpoint| model.version_in(&endpoint.zone) == wanted;
+        let version = self
+            .most_served(document.endpoints_of(&model.id).filter(in_rollout), document, wanted)
+            .or_else(|| self.most_served(document.endpoints_of(&model.id), document, wanted));
         ServedModel {
             id: model.id.clone(),
-            version: other.unwrap_or_else(|| wanted.clone()),
+            version: version.unwrap_or_else(|| wanted.clone()),
             adapter: model.adapter_in(&self.zone).cloned(),
         }
     }
 
+    /// Returns the version that most of the endpoints serve to new requests; the wanted one of
+    /// several with the same number.
+    fn most_served<'a>(
+        &self,
+        endpoints: impl Iterator<Item = &'a Endpoint>,
+        document: &Document,
+        wanted: &WeightVersion,
+    ) -> Option<WeightVersion> {
+        let mut counts: SortedMap<WeightVersion, u32> = SortedMap::new();
+        for endpoint in endpoints {
+            if self.distance(document, None, endpoint).is_none() {
+                continue;
+            }
+            let (version, phase) = self.endpoints.version_and_phase(endpoint);
+            if let Some(version) = version.filter(|_| phase != "leaving" && phase != "silent") {
+                *counts.get_or_insert_with(version, || 0) += 1;
+            }
+        }
+        let most = counts.iter().max_by_key(|(version, count)| (**count, *version == wanted))?;
+        Some(most.0.clone())
+    }
+
     /// Returns whether an endpoint serves a version, as far as it has reported.
     fn serves(&self, endpoint: &Endpoint, version: &WeightVersion) -> bool {
         let (reported, _) = self.endpoints.version_and_phase(endpoint);
--- a/crates/yuccapassd/src/run.rs
+++ b/crates/yuccapassd/src/run.rs
@@ -9,7 +9,9 @@
 use yuccapass_decisions::config::Document;
 use yuccapass_decisions::crash_guard::Verdict;
 use yuccapass_decisions::quorum::OutcomeState;
-use yuccapass_decisions::retry::{AttemptFacts, RetryPlan, RetryTarget, plan_retry};
+use yuccapass_decisions::retry::{
+    AttemptFacts, RetryBudget, RetryBudgetSettings, RetryPlan, RetryTarget, plan_retry,
+};
 use yuccapass_decisions::routing::placement::NoPlacement;
 use yuccapass_endpoints::{EndpointError, EndpointErrorKind, GenerateRequest};
 use yuccapass_http::sleep_until;
@@ -286,6 +288,10 @@
         let mut may_place = !self.core.admission.has_waiting(&self.model.id);
         loop {
             if may_place {
+                // A rollout may have replaced the version while the request waited.
+                if self.progress.delivered_tokens() == Tokens::ZERO {
+                    self.use_current_model(document)?;
+                }
                 match self.place(document) {
                     Ok(placed) => {
                         let Some(permit) = self.permit_for(document, &placed).await else {
@@ -390,9 +396,28 @@
         let facts = self.facts(&failed).await;
         let detail = failed.error.to_string();
         let endpoint = failed.endpoint().clone();
-        async_std::task::spawn(failed.cancel());
         let now = self.core.clock.now();
-        match self.core.with_retry_budget(|budget| plan_retry(&facts, budget, now)) {
+        let kind = failed.error.kind();
+        let is_refusal =
+            matches!(kind, EndpointErrorKind::WrongVersion | EndpointErrorKind::Leaving);
+        let plan = if is_refusal && !facts.was_sent {
+            // A rollout brings many refusals, and they put no load on endpoints, which is what the
+            // budget of the node limits. The number of attempts stays limited.
+            let mut own_budget = RetryBudget::new(RetryBudgetSettings::default());
+            plan_retry(&facts, &mut own_budget, now)
+        } else {
+            self.core.with_retry_budget(|budget| plan_retry(&facts, budget, now))
+        };
+        let stays = RetryTarget::SameEndpoint;
+        if !facts.was_sent {
+            // Nothing runs there.
+        } else if matches!(plan, RetryPlan::Retry { target, .. } if target == stays) {
+            // Attempts have the same request id: a later cancellation would end the next one.
+            failed.cancel().await;
+        } else {
+            async_std::task::spawn(failed.cancel());
+        }
+        match plan {
             RetryPlan::Fail { run_state, code } => {
                 Err(Failure::new(code, run_state).detail(detail))
             }
--- a/crates/yuccapassd/src/settings.rs
+++ b/crates/yuccapassd/src/settings.rs
@@ -109,6 +109,14 @@
     /// How long a stream may be silent before its connection is given up, in milliseconds.
     #[arg(long, env = "YUCCAPASS_STALL_TIMEOUT_MS", default_value_t = 10_000)]
     pub stall_timeout_ms: u64,
+
+    /// How long the running requests of a replica may take to end in a rollout, in milliseconds.
+    #[arg(long, env = "YUCCAPASS_ROLLOUT_DRAIN_LIMIT_MS", default_value_t = 900_000)]
+    pub rollout_drain_limit_ms: u64,
+
+    /// How long a replica may take to load in a rollout, and to come up, in milliseconds.
+    #[arg(long, env = "YUCCAPASS_ROLLOUT_LOAD_LIMIT_MS", default_value_t = 120_000)]
+    pub rollout_load_limit_ms: u64,
 }
 
 /// A way to choose endpoints.
@@ -161,7 +169,10 @@
         check_range("ledger-window-ms", self.ledger_window_ms, 1_000, 24 * MAX_DURATION_MS)?;
         check_range("ledger-send-within-ms", self.ledger_send_within_ms, 100, MAX_DURATION_MS)?;
         check_range("stop-grace-ms", self.stop_grace_ms, 0, MAX_DURATION_MS)?;
-        check_range("stall-timeout-ms", self.stall_timeout_ms, 10, MAX_DURATION_MS)
+        check_range("stall-timeout-ms", self.stall_timeout_ms, 10, MAX_DURATION_MS)?;
+        let (drain_ms, load_ms) = (self.rollout_drain_limit_ms, self.rollout_load_limit_ms);
+        check_range("rollout-drain-limit-ms", drain_ms, 1_000, MAX_DURATION_MS)?;
+        check_range("rollout-load-limit-ms", load_ms, 1_000, MAX_DURATION_MS)
     }
 }
 
--- a/crates/yuccapassd/tests/common/mod.rs
+++ b/crates/yuccapassd/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use async_std::task::block_on;
 use http_types::{Method, Request};
 use serde_json::{Value, json};
-use yuccapass_endpoints::SseReader;
+use yuccapass_endpoints::{HttpEndpoint, SseReader};
 use yuccapass_http::{ClientConfig, ConnectionChoice, Exchange, HttpClient};
 use yuccapass_types::{Deadline, KeyHash, MonotonicClock};
 
@@ -403,3 +403,9 @@
         assert!(text.trim_end().ends_with(&format!(".{offset}")), "{text} at {offset}");
     }
 }
+
+/// Makes a client that talks to an engine as a node does.
+pub fn engine_client(address: SocketAddr) -> HttpEndpoint {
+    let clock = Arc::new(MonotonicClock::new());
+    HttpEndpoint::new("clip-0".parse().unwrap(), address, ClientConfig::default(), clock)
+}
