--- a/crates/yuccapassd/src/poller.rs
+++ b/crates/yuccapassd/src/poller.rs
@@ -125,7 +125,7 @@
 
     fn take_report(&self, report: LoadReport, asked: yuccapass_types::Instant) {
         let (core, endpoint) = (self.core, self.endpoint);
-        core.endpoints.reported(endpoint, report.clone());
+        core.endpoints.reported(endpoint, report.clone(), asked);
         let sustainable = core.endpoints.cold_process(endpoint).map(|(_, requests)| requests);
         core.permits.reported(&endpoint.id, &report, sustainable, asked);
     }
--- a/crates/yuccapassd/src/settings.rs
+++ b/crates/yuccapassd/src/settings.rs
@@ -109,6 +109,14 @@
     /// How long a stream may be silent before its connection is given up, in milliseconds.
     #[arg(long, env = "YUCCAPASS_STALL_TIMEOUT_MS", default_value_t = 10_000)]
     pub stall_timeout_ms: u64,
+
+    /// How long the running requests of a replica may take to end in a rollout, in milliseconds.
+    #[arg(long, env = "YUCCAPASS_ROLLOUT_DRAIN_LIMIT_MS", default_value_t = 900_000)]
+    pub rollout_drain_limit_ms: u64,
+
+    /// How long a replica may take to load in a rollout, and to come up, in milliseconds.
+    #[arg(long, env = "YUCCAPASS_ROLLOUT_LOAD_LIMIT_MS", default_value_t = 120_000)]
+    pub rollout_load_limit_ms: u64,
 }
 
 /// A way to choose endpoints.
@@ -159,6 +167,8 @@
             bound("max-organisation-labels", self.max_organisation_labels as u64, 1, 100_000),
             bound("stop-grace-ms", self.stop_grace_ms, 0, MAX_DURATION_MS),
             bound("stall-timeout-ms", self.stall_timeout_ms, 10, MAX_DURATION_MS),
+            bound("rollout-drain-limit-ms", self.rollout_drain_limit_ms, 1_000, MAX_DURATION_MS),
+            bound("rollout-load-limit-ms", self.rollout_load_limit_ms, 1_000, MAX_DURATION_MS),
         ]
     }
 
