yuccapassd: test that a waiting request takes the present version

Cause: the change that lets a waiting request take the version which is served when its turn comes had no test.

Change: eight requests at an endpoint that bears two while it is cold; the version is replaced while the others wait.

Conclusion: a swap during the wait loses no request.

--- a/crates/yuccapassd/tests/rollout_placement.rs
+++ b/crates/yuccapassd/tests/rollout_placement.rs
@@ -6,8 +6,8 @@
 
 use async_std::task::block_on;
 use common::{
-    APPROVED_KEY, Deployment, assert_whole, chat_request, chat_request_with, engine_client,
-    engine_count, operate, post_faults, read_json, read_stream, send, start_deployment_of,
+    APPROVED_KEY, Deployment, Plan, assert_whole, chat_request, chat_request_with, engine_client,
+    engine_count, operate, post_faults, read_json, read_stream, send, start, start_deployment_of,
     wait_until,
 };
 use serde_json::{Value, json};
@@ -54,6 +54,39 @@
     }
 }
 
+/// Guards against a request that fails because the version was replaced while it waited.
+#[test]
+fn waiting_request_takes_the_version_that_is_served_when_its_turn_comes() {
+    // Arrange: the engine bears two requests, so that the others wait.
+    let cold = ["--cold", "--cold-requests", "2", "--warm-up-ms", "600000"];
+    let deployment = start(&Plan {
+        engines: 1,
+        engine_flags: &[&cold[..], &["--token-time-ms", "5", "--swap-ms", "1"]].concat(),
+        nodes: 1,
+        node_flags: &["--ledger-window-ms", "1000", "--ledger-send-within-ms", "1000"],
+        ..Plan::default()
+    });
+    let engine = deployment.engines[0].address;
+
+    // Act
+    let answers: Vec<Value> = std::thread::scope(|scope| {
+        let deployment = &deployment;
+        let calls: Vec<_> = (0..8)
+            .map(|number| scope.spawn(move || answer(deployment, &format!("clip {number}"), 60)))
+            .collect();
+        wait_until("the first requests do not run", || {
+            engine_count(engine, "received_requests") >= 3
+        });
+        load_version(engine, "v2");
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+
+    // Assert
+    for answer in answers {
+        assert_eq!(answer["choices"][0]["finish_reason"], "stop", "{answer}");
+    }
+}
+
 /// Guards against the first replica at a new version that gets the requests of all replicas.
 #[test]
 fn first_replica_at_the_wanted_version_does_not_get_all_requests() {
