yuccapassd: let reads of endpoints fall together

Cause: a read took 0.3 ms of processor time however its connection was kept, since each woke the node's threads on its own, and the node keeps threads awake for little else. Change: reads fall on multiples of 250 ms of the node's clock, and readers that start together draw their first read over the period.

--- a/crates/decisions/src/polling.rs
+++ b/crates/decisions/src/polling.rs
@@ -62,11 +62,31 @@
         stretched_ms.max(self.least_period_ms).min(self.most_period_ms)
     }
 
-    /// Draws the time to the next read of one endpoint: at most the period, and 10 % less on
-    /// average, so that the reads of many nodes and endpoints spread out.
-    pub fn next_delay_ms(&self, endpoints: usize, random: &mut dyn Rng) -> u64 {
-        let period_ms = self.period_ms(endpoints);
-        random.random_range(period_ms * 4 / 5..=period_ms)
+    /// Draws the time of the next read of one endpoint, at most the longest period after `now`.
+    ///
+    /// Reads fall on multiples of the least period, so that one wake-up of a node's threads serves
+    /// many reads. The clocks of nodes start at different times, so that their reads spread out.
+    pub fn next_read(&self, now: Instant, endpoints: usize, random: &mut dyn Rng) -> Instant {
+        let steps = self.steps(endpoints);
+        self.after_steps(now, random.random_range((steps * 3).div_ceil(4)..=steps))
+    }
+
+    /// Draws the time of the first read of one endpoint: readers that start together would
+    /// otherwise all read at once.
+    pub fn first_read(&self, now: Instant, endpoints: usize, random: &mut dyn Rng) -> Instant {
+        self.after_steps(now, random.random_range(1..=self.steps(endpoints)))
+    }
+
+    /// Returns the period in multiples of the least period: rounded up, but not above the longest.
+    fn steps(&self, endpoints: usize) -> u64 {
+        let least_ms = self.least_period_ms.max(1);
+        let most_steps = (self.most_period_ms / least_ms).max(1);
+        self.period_ms(endpoints).div_ceil(least_ms).clamp(1, most_steps)
+    }
+
+    fn after_steps(&self, now: Instant, steps: u64) -> Instant {
+        let least_ms = self.least_period_ms.max(1);
+        Instant::from_ms((now.as_ms() / least_ms + steps) * least_ms)
     }
 }
 
--- a/crates/yuccapassd/src/poller.rs
+++ b/crates/yuccapassd/src/poller.rs
@@ -7,7 +7,7 @@
 use yuccapass_decisions::polling::{EventAllowance, PollSettings};
 use yuccapass_endpoints::{EndpointError, HttpEndpoint, LoadReport, ModelEndpoint};
 use yuccapass_http::{ClientConfig, sleep_until};
-use yuccapass_types::{Bytes, BytesPerSecond, Deadline};
+use yuccapass_types::{Bytes, BytesPerSecond, Deadline, Instant};
 
 use crate::request_path::Core;
 
@@ -61,16 +61,18 @@
 /// Reads one endpoint; ends only when it is cancelled.
 pub(crate) async fn follow(core: Arc<Core>, polling: Arc<Polling>, endpoint: Endpoint) {
     let mut poller = Poller::new(&core, &polling, &endpoint);
+    let endpoints = polling.endpoints.load(Ordering::Relaxed);
+    let first = polling.settings.first_read(core.clock.now(), endpoints, &mut rand::rng());
+    sleep_until(&*core.clock, Deadline::after_ms(first, 0)).await;
     loop {
         let endpoints = polling.endpoints.load(Ordering::Relaxed);
-        let delay_ms = polling.settings.next_delay_ms(endpoints, &mut rand::rng());
-        let next = Deadline::after_ms(core.clock.now(), delay_ms);
+        let next = polling.settings.next_read(core.clock.now(), endpoints, &mut rand::rng());
         let polled = poller.poll().await;
         core.metrics.endpoint_polled(polled.is_ok());
         if let Err(error) = polled {
             log::debug!(endpoint = endpoint.id.as_str(); "an endpoint cannot be read: {error}");
         }
-        sleep_until(&*core.clock, next).await;
+        sleep_until(&*core.clock, Deadline::after_ms(next, 0)).await;
     }
 }
 
@@ -123,7 +125,7 @@
         Ok(())
     }
 
-    fn take_report(&self, report: LoadReport, asked: yuccapass_types::Instant) {
+    fn take_report(&self, report: LoadReport, asked: Instant) {
         let (core, endpoint) = (self.core, self.endpoint);
         core.endpoints.reported(endpoint, report.clone());
         let sustainable = core.endpoints.cold_process(endpoint).map(|(_, requests)| requests);
