endpoint health: let a warm report end a fall that only latency showed

Cause: under load some answers took more than 4 times the expected time because of queues; each made its endpoint count as cold on that node, which then needed permits and sent one or two requests at a time, and the queues grew. Change: the sign still counts at once; a report of the same process from after it that says warm ends it. Refusals, new processes and cold reports still need the warm-up.

--- a/crates/decisions/src/endpoint_health.rs
+++ b/crates/decisions/src/endpoint_health.rs
@@ -183,6 +183,8 @@
     leaving_by_report: bool,
     // Signs that were observed before the last fall say nothing of the time after it.
     fell: Instant,
+    // Whether only a slow answer showed the last fall, which a long queue can bring about as well.
+    fell_by_latency: bool,
     heard: Instant,
     failures: u32,
     // Requests that the endpoint bears while it is cold or warming.
@@ -203,6 +205,7 @@
             leaving_by_vm_list: false,
             leaving_by_report: false,
             fell: now,
+            fell_by_latency: false,
             heard: now,
             failures: 0,
             level_requests: settings.cold_requests,
@@ -302,6 +305,7 @@
             self.warmth = Warmth::Cold;
         }
         self.fell = now;
+        self.fell_by_latency = false;
         self.level_requests = self.settings.cold_requests;
         self.successes = 0;
         self.next_step = Deadline::after_ms(now, self.settings.ramp_interval_ms);
@@ -322,6 +326,11 @@
     fn follow(&mut self, report: &HealthReport, now: Instant) {
         self.leaving_by_report = report.state == ReportedState::Leaving;
         self.reported_requests = report.sustainable_requests;
+        if self.fell_by_latency && report.state == ReportedState::Warm {
+            // The process is the same and says after the slow answer that it is warm.
+            self.warmth = Warmth::Warm;
+            self.fell_by_latency = false;
+        }
         if self.warmth == Warmth::Warm {
             if report.state == ReportedState::Cold {
                 self.fall(now);
@@ -352,7 +361,9 @@
     fn record_latency(&mut self, latency_ms: u64, expected_ms: u64, now: Instant) {
         let cold_ms = expected_ms.saturating_mul(self.settings.cold_latency_factor);
         if latency_ms > cold_ms.max(self.settings.least_cold_latency_ms) {
+            let was_certain = self.warmth != Warmth::Warm && !self.fell_by_latency;
             self.fall(now);
+            self.fell_by_latency = !was_certain;
             return;
         }
         self.successes = self.successes.saturating_add(1);
--- a/crates/decisions/tests/endpoint_health.rs
+++ b/crates/decisions/tests/endpoint_health.rs
@@ -103,6 +103,29 @@
     assert_eq!(shown(&health, 406), (EndpointPhase::Warm, FULL_REQUESTS));
 }
 
+/// Guards against an endpoint that is held to the load of a cold one because a queue was long: a
+/// report from after the slow answer that says warm ends it, but not a fall that is certain.
+#[test]
+fn warm_report_after_a_slow_answer_ends_the_doubt() {
+    // Arrange
+    let mut slow = warm();
+    slow.record_attempt(success(401), at(5), at(406));
+    let mut refused = warm();
+    refused.record_attempt(AttemptResult::Overloaded, at(5), at(406));
+    let mut both = warm();
+    both.record_attempt(AttemptResult::Overloaded, at(5), at(10));
+    both.record_attempt(success(401), at(20), at(430));
+
+    // Act
+    let phases = [slow, refused, both].map(|mut health| {
+        health.record_report(&report(ReportedState::Warm, 0), at(500));
+        shown(&health, 500).0
+    });
+
+    // Assert
+    assert_eq!(phases, [EndpointPhase::Warm, EndpointPhase::Cold, EndpointPhase::Cold]);
+}
+
 /// Guards against a lagging report, made before the fall, that ends the cold phase.
 #[test]
 fn report_from_before_the_fall_is_ignored() {
