--- a/crates/yuccapassd/src/commands.rs
+++ b/crates/yuccapassd/src/commands.rs
@@ -6,6 +6,7 @@
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use yuccapass_decisions::change::{Accepted, Command, ExecuteError, Next, execute};
 use yuccapass_decisions::config::{ActiveConfig, ChunkHash, Manifest, Source};
+use yuccapass_decisions::endpoint_health::EndpointPhase;
 use yuccapass_decisions::platform_budget::CallRank;
 use yuccapass_decisions::rollout::{Progress, ReplicaProgress, RolloutState, Target};
 use yuccapass_http::sleep_until;
@@ -269,7 +270,7 @@
                 endpoint.zone.to_smolstr(),
                 wanted.to_smolstr(),
                 version.map_or_else(|| SmolStr::new("unknown"), |version| version.to_smolstr()),
-                SmolStr::new(phase),
+                SmolStr::new(phase_name(phase)),
                 step.map_or_else(|| SmolStr::new("none"), |step| step.to_smolstr()),
                 state.clone(),
             ]);
@@ -315,3 +316,14 @@
 fn unavailable(error: &PlatformError) -> Refusal {
     Refusal::new(ResultCode::PlatformUnavailable).detail(error)
 }
+
+fn phase_name(phase: EndpointPhase) -> &'static str {
+    match phase {
+        EndpointPhase::Unknown => "unknown",
+        EndpointPhase::Cold => "cold",
+        EndpointPhase::Warming => "warming",
+        EndpointPhase::Warm => "warm",
+        EndpointPhase::Silent => "silent",
+        EndpointPhase::Leaving => "leaving",
+    }
+}
--- a/crates/yuccapassd/src/endpoint_table.rs
+++ b/crates/yuccapassd/src/endpoint_table.rs
@@ -136,15 +136,15 @@
         })
     }
 
-    /// Returns the version that an endpoint last reported, and its phase in words.
+    /// Returns the version that an endpoint last reported, and its phase.
     pub(crate) fn version_and_phase(
         &self,
         endpoint: &Endpoint,
-    ) -> (Option<WeightVersion>, &'static str) {
+    ) -> (Option<WeightVersion>, EndpointPhase) {
         let now = self.clock.now();
         self.with_entry(endpoint, |entry| {
             let version = entry.load.as_ref().map(|load| load.report.version.clone());
-            (version, phase_name(entry.health.condition(now).phase))
+            (version, entry.health.condition(now).phase)
         })
     }
 
@@ -385,17 +385,6 @@
     }
 }
 
-fn phase_name(phase: EndpointPhase) -> &'static str {
-    match phase {
-        EndpointPhase::Unknown => "unknown",
-        EndpointPhase::Cold => "cold",
-        EndpointPhase::Warming => "warming",
-        EndpointPhase::Warm => "warm",
-        EndpointPhase::Silent => "silent",
-        EndpointPhase::Leaving => "leaving",
-    }
-}
-
 fn replica_report(load: &ReportedLoad) -> ReplicaReport {
     let report = &load.report;
     ReplicaReport {
--- a/crates/yuccapassd/src/fleet/members.rs
+++ b/crates/yuccapassd/src/fleet/members.rs
@@ -134,16 +134,15 @@
         1 + table.members().filter(|member| is_present(member.state())).count() as u32
     }
 
-    /// Returns on how many of the known nodes a revision or a newer one is in force.
+    /// Returns on how many of the present nodes a revision or a newer one is in force, and how many
+    /// there are, this one included.
     pub(crate) fn in_force(&self, revision: Revision) -> (u32, u32) {
-        let statuses = self.statuses();
-        let present = statuses.iter().filter(|status| status.state != "dead");
-        let (mut in_force, mut known) = (0, 0);
-        for status in present.filter(|status| status.state != "left") {
-            known += 1;
-            in_force += u32::from(status.row.revision >= revision);
-        }
-        (in_force, known)
+        let table = lock(&self.table);
+        let others = table.members().filter(|member| is_present(member.state()));
+        let revisions = others.map(|member| member.row().revision).chain([table.own().revision]);
+        revisions.fold((0, 0), |(in_force, present), held| {
+            (in_force + u32::from(held >= revision), present + 1)
+        })
     }
 
     /// Returns whether this node is one of the `count` nodes of the zone that do a task for all.
--- a/crates/yuccapassd/src/lib.rs
+++ b/crates/yuccapassd/src/lib.rs
@@ -3,13 +3,17 @@
 //! * [`settings`]: flags and environment variables, checked at start.
 //! * [`node`]: a running node, from start to graceful stop.
 //!
-//! The other modules hold the node's state and connect the peers: `configuration` (the document in
-//! force), `endpoint_table`
-//! and `prefix_cache_view` (load and caches of the endpoints, kept up to date by `monitor`), `placer`
-//! (choice of an endpoint), `transfer` (cache blocks to and from stores), `admission` and `dispatcher` (requests that wait), `fleet`
-//! (what this node does together with the others), `commands` (operators' queries and commands), `request_path`, `run` and
-//! `attempt` (from a caller's request to its answer), `admin` (health,
-//! metrics and status), `metrics` and `logs`.
+//! The other modules hold the node's state and connect the peers:
+//!
+//! * `request_path`, `run` and `attempt`: from a caller's request to its answer; `recorded_answer`
+//!   replays one, and `services` calls plain services.
+//! * `admission` and `dispatcher`: requests that wait; `placer`: choice of an endpoint.
+//! * `endpoint_table` and `prefix_cache_view`: load and caches of the endpoints, kept up to date by
+//!   `monitor` and `poller`; `transfer`: cache blocks to and from stores.
+//! * `crash_guard`: requests that crash endpoints.
+//! * `configuration`: the document in force; `fleet`: what this node does together with the others;
+//!   `commands`: operators' queries and commands.
+//! * `admin`, `metrics` and `logs`: health checks and what there is to see.
 
 mod admin;
 mod admission;
--- a/crates/yuccapassd/src/placer.rs
+++ b/crates/yuccapassd/src/placer.rs
@@ -4,6 +4,7 @@
 
 use yuccapass_decisions::config::{DEFAULT_BLOCK_PAYLOAD, Document, Endpoint, Model, ZoneState};
 use yuccapass_decisions::crash_guard::Fingerprint;
+use yuccapass_decisions::endpoint_health::EndpointPhase;
 use yuccapass_decisions::routing::placement::{
     Candidate, LeastLoadedPolicy, NoPlacement, Placement, PlacementPolicy, PlacementRequest,
     ZoneDistance,
@@ -172,7 +173,7 @@
                 continue;
             }
             let (version, phase) = self.endpoints.version_and_phase(endpoint);
-            if let Some(version) = version.filter(|_| phase != "leaving" && phase != "silent") {
+            if let Some(version) = version.filter(|_| takes_requests(phase)) {
                 *counts.get_or_insert_with(version, || 0) += 1;
             }
         }
@@ -217,6 +218,11 @@
     Some(PlannedImport { from_block: plan.from_block, blocks: plan.blocks, recompute_ms })
 }
 
+/// Returns whether an endpoint of this phase can get new requests, now or when it has room.
+fn takes_requests(phase: EndpointPhase) -> bool {
+    !matches!(phase, EndpointPhase::Leaving | EndpointPhase::Silent)
+}
+
 /// Makes a short request without anything particular.
 fn ordinary_request(sending_nodes: u32) -> PlacementRequest {
     PlacementRequest {
