yuccapassd: check an endpoint's version where its candidate is made

Cause: each placement locked an endpoint's shard twice and copied its version, once to compare the version and once to describe the endpoint; and three methods of the members listed the zone's other nodes with the same condition. Change: the candidate compares the version under the lock that it is made under; one method lists the zone's other nodes. Behaviour is unchanged. Measured (cargo test -p yuccapassd): all pass; clippy and documentation are clean.

--- a/crates/yuccapassd/src/endpoint_table.rs
+++ b/crates/yuccapassd/src/endpoint_table.rs
@@ -78,6 +78,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct CandidatePlace<'a> {
     pub(crate) distance: ZoneDistance,
+    /// The version that an endpoint must serve, as far as it has reported.
+    pub(crate) version: Option<&'a WeightVersion>,
     /// The longest known prefix of the prompt at each holder, by slot.
     pub(crate) matches: &'a [PrefixMatch],
 }
@@ -186,7 +188,8 @@
 
     /// Describes an endpoint for placement.
     ///
-    /// Returns `None` if there are more endpoints than the prefix index has slots. `is_suspect` tells whether a fingerprint is that of another suspect request.
+    /// Returns `None` if the endpoint serves another version, or there are more endpoints than the
+    /// prefix index has slots. `is_suspect` tells whether a fingerprint is that of another suspect request.
     pub(crate) fn candidate(
         &self,
         endpoint: &Endpoint,
@@ -270,6 +273,11 @@
         let known = place.matches.binary_search_by_key(&slot, |found| found.holder).ok();
         let load = self.load.as_ref();
         let report = load.map(|load| &load.report);
+        let serves =
+            |version: &WeightVersion| report.is_none_or(|report| report.version == *version);
+        if !place.version.is_none_or(serves) {
+            return None;
+        }
         Some(Candidate {
             endpoint: slot,
             distance: place.distance,
--- a/crates/yuccapassd/src/fleet/members.rs
+++ b/crates/yuccapassd/src/fleet/members.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use yuccapass_decisions::membership::{
-    Heartbeat, HeartbeatTarget, LoadSummary, MemberEvent, MemberState, Membership,
+    Heartbeat, HeartbeatTarget, LoadSummary, Member, MemberEvent, MemberState, Membership,
     MembershipConfig, OrganisationUsage, Row, RowState, VmHint,
 };
 use yuccapass_types::{
@@ -107,10 +107,8 @@
     /// Returns heartbeats of this second for all other nodes of the zone.
     pub(crate) fn zone_heartbeats(&self) -> Vec<(SocketAddr, Heartbeat)> {
         let mut table = lock(&self.table);
-        let members = table
-            .members()
-            .filter(|member| member.row().zone == self.identity.zone && is_present(member.state()));
-        let targets: Vec<HeartbeatTarget> = members
+        let targets: Vec<HeartbeatTarget> = self
+            .zone_peers(&table)
             .map(|member| HeartbeatTarget {
                 node: Some(member.row().node.clone()),
                 address: member.row().peer_address,
@@ -119,13 +117,17 @@
         targets.iter().map(|target| (target.address, table.heartbeat(target))).collect()
     }
 
+    /// Returns the other nodes of the zone that are present.
+    fn zone_peers<'a>(&'a self, table: &'a Membership) -> impl Iterator<Item = &'a Member> {
+        table
+            .members()
+            .filter(|member| member.row().zone == self.identity.zone && is_present(member.state()))
+    }
+
     /// Returns how many nodes of the zone are alive, this one included.
     pub(crate) fn zone_nodes(&self) -> u32 {
         let table = lock(&self.table);
-        let others = table
-            .members()
-            .filter(|member| member.row().zone == self.identity.zone && is_present(member.state()));
-        1 + others.count() as u32
+        1 + self.zone_peers(&table).count() as u32
     }
 
     /// Returns how many nodes are known to be alive, this one included.
@@ -163,10 +165,7 @@
         let now = self.clock.now();
         let peers: Vec<NodeId> = {
             let table = lock(&self.table);
-            let peers = table.members().filter(|member| {
-                member.row().zone == self.identity.zone && is_present(member.state())
-            });
-            peers.map(|member| member.row().node.clone()).collect()
+            self.zone_peers(&table).map(|member| member.row().node.clone()).collect()
         };
         let usage = lock(&self.usage);
         let demands = peers.iter().map(|node| {
--- a/crates/yuccapassd/src/monitor.rs
+++ b/crates/yuccapassd/src/monitor.rs
@@ -161,7 +161,7 @@
 
 /// Returns whether an endpoint could take a request now, as far as is known.
 fn has_room(core: &Core, endpoint: &Endpoint) -> bool {
-    let place = CandidatePlace { distance: ZoneDistance::SameRegion, matches: &[] };
+    let place = CandidatePlace { distance: ZoneDistance::SameRegion, version: None, matches: &[] };
     core.endpoints.candidate(endpoint, place, |_| false).is_some_and(|candidate| {
         let running = candidate.running_requests.saturating_add(candidate.sent_since_requests);
         candidate.health.takes_work()
--- a/crates/yuccapassd/src/placer.rs
+++ b/crates/yuccapassd/src/placer.rs
@@ -87,7 +87,7 @@
             .endpoints_of(model)
             .filter_map(|endpoint| {
                 let distance = self.distance(document, region, endpoint)?;
-                let place = CandidatePlace { distance, matches: &[] };
+                let place = CandidatePlace { distance, version: None, matches: &[] };
                 self.endpoints.candidate(endpoint, place, |_| false)
             })
             .collect();
@@ -116,10 +116,8 @@
             if excluded.contains(&endpoint.id) {
                 continue;
             }
-            if !self.serves(endpoint, &model.version) {
-                continue;
-            }
-            let place = CandidatePlace { distance, matches: &matches };
+            let version = Some(&model.version);
+            let place = CandidatePlace { distance, version, matches: &matches };
             let Some(candidate) = self.endpoints.candidate(endpoint, place, is_suspect) else {
                 continue;
             };
@@ -181,12 +179,6 @@
         Some(most.0.clone())
     }
 
-    /// Returns whether an endpoint serves a version, as far as it has reported.
-    fn serves(&self, endpoint: &Endpoint, version: &WeightVersion) -> bool {
-        let (reported, _) = self.endpoints.version_and_phase(endpoint);
-        reported.is_none_or(|reported| reported == *version)
-    }
-
     /// Returns how far an endpoint is, or `None` if its zone gets no new work.
     fn distance(
         &self,
