decisions, http, platform: types for requests routed by host and path

Cause: the users' platform routes plain HTTP/1.1 requests by host and path prefix to replicated services; the product knew model requests in the OpenAI form only. Ruled out: async-h1 for messages that are passed on; it lowercases names, panics on header bytes outside ASCII and hides bytes that follow a complete message. Change: pure decisions under decisions::gateway; HTTP/1.1 messages as bytes over httparse in http::message; the key-value trait tells the revision of a quiet watch; the outage gate's probe limit can be set. A read that is dropped while it waits leaves no bytes in the buffer.

--- /dev/null
+++ b/crates/decisions/src/gateway/directory.rs
@@ -0,0 +1,199 @@
+//! Which endpoints there are.
+
+use std::net::SocketAddr;
+
+use yuccapass_types::{
+    Deadline, EndpointId, Instant, ModelId, RegionId, ServiceId, SortedMap, WeightRevision, ZoneId,
+};
+
+/// How long endpoints have, after the directory's service has returned, to register again before
+/// they count as gone.
+const REGISTER_AGAIN_MS: u64 = 2_300;
+
+/// Whether an endpoint takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointState {
+    /// It does.
+    Ready,
+    /// It finishes what runs and then leaves.
+    Draining,
+}
+
+/// What an endpoint says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointRecord {
+    /// The service that it belongs to.
+    pub service: ServiceId,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: EndpointState,
+    /// Until when it bears little load.
+    pub cold_until: Option<Deadline>,
+    /// Unix time of its start in milliseconds; tells two processes with the same id apart.
+    pub started_unix_ms: Option<u64>,
+    /// The weights that it serves, by model.
+    pub weights: Vec<(ModelId, WeightRevision)>,
+}
+
+impl EndpointRecord {
+    /// Returns whether two records describe the same process.
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        self.address == other.address && self.started_unix_ms == other.started_unix_ms
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    record: EndpointRecord,
+    // When it counts as gone, if it was removed around an outage of the directory's service.
+    gone_at: Option<Deadline>,
+}
+
+impl Entry {
+    fn is_overdue(&self, now: Instant) -> bool {
+        self.gone_at.is_some_and(|at| at.has_passed(now))
+    }
+}
+
+/// The endpoints that are registered, and the zones that operators have taken out.
+#[derive(Debug, Clone)]
+pub struct Directory {
+    zones: SortedMap<ZoneId, RegionId>,
+    entries: SortedMap<EndpointId, Entry>,
+    evacuated: Vec<ZoneId>,
+    is_outage: bool,
+    // Removals until this instant may be registrations that lapsed in an outage.
+    lapses_until: Option<Deadline>,
+}
+
+impl Directory {
+    /// Makes a directory without endpoints for a deployment with these zones.
+    pub fn new(zones: SortedMap<ZoneId, RegionId>) -> Self {
+        Self {
+            zones,
+            entries: SortedMap::new(),
+            evacuated: Vec::new(),
+            is_outage: false,
+            lapses_until: None,
+        }
+    }
+
+    /// Returns the region of a zone.
+    pub fn region(&self, zone: &ZoneId) -> Option<&RegionId> {
+        self.zones.get(zone)
+    }
+
+    /// Notes what an endpoint says of itself.
+    pub fn register(&mut self, id: EndpointId, record: EndpointRecord) {
+        self.entries.insert(id, Entry { record, gone_at: None });
+    }
+
+    /// Notes that an endpoint's registration was removed.
+    ///
+    /// Around an outage it may have lapsed though the endpoint lives, so the endpoint is then kept
+    /// until it must have registered again.
+    pub fn remove(&mut self, id: &EndpointId, now: Instant) {
+        match self.lapses_until.filter(|until| !until.has_passed(now)) {
+            None => {
+                self.entries.remove(id);
+            }
+            Some(until) => {
+                if let Some(entry) = self.entries.get_mut(id) {
+                    entry.gone_at.get_or_insert(until);
+                }
+            }
+        }
+    }
+
+    /// Takes a complete list of the registrations.
+    pub fn replace(&mut self, records: SortedMap<EndpointId, EndpointRecord>, now: Instant) {
+        let missing: Vec<EndpointId> =
+            self.entries.keys().filter(|id| !records.contains_key(id)).cloned().collect();
+        for id in &missing {
+            self.remove(id, now);
+        }
+        for (id, record) in records.into_entries() {
+            self.register(id, record);
+        }
+    }
+
+    /// Notes that the directory's service does not answer.
+    pub fn service_lost(&mut self) {
+        self.is_outage = true;
+    }
+
+    /// Notes that the directory's service answers.
+    pub fn service_answers(&mut self, now: Instant) {
+        if self.is_outage {
+            self.is_outage = false;
+            self.lapses_until = Some(Deadline::after_ms(now, REGISTER_AGAIN_MS));
+        }
+    }
+
+    /// Returns whether endpoints did not register again in time. While the service is away nothing
+    /// can register, so nobody is overdue.
+    pub fn has_overdue(&self, now: Instant) -> bool {
+        !self.is_outage && self.entries.values().any(|entry| entry.is_overdue(now))
+    }
+
+    /// Drops endpoints that did not register again in time.
+    pub fn expire(&mut self, now: Instant) {
+        if !self.is_outage {
+            self.entries.retain(|_, entry| !entry.is_overdue(now));
+        }
+    }
+
+    /// Notes whether operators have taken a zone out.
+    pub fn set_evacuated(&mut self, zone: ZoneId, is_evacuated: bool) {
+        match (self.evacuated.binary_search(&zone), is_evacuated) {
+            (Err(position), true) => self.evacuated.insert(position, zone),
+            (Ok(position), false) => {
+                self.evacuated.remove(position);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes the complete list of zones that operators have taken out.
+    pub fn replace_evacuated(&mut self, mut zones: Vec<ZoneId>) {
+        zones.sort();
+        zones.dedup();
+        self.evacuated = zones;
+    }
+
+    /// Returns all endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = (&EndpointId, &EndpointRecord)> {
+        self.entries.iter().map(|(id, entry)| (id, &entry.record))
+    }
+
+    /// Returns an endpoint.
+    pub fn endpoint(&self, id: &EndpointId) -> Option<&EndpointRecord> {
+        self.entries.get(id).map(|entry| &entry.record)
+    }
+
+    /// Returns the endpoints that may get new requests of a service, in these regions only unless
+    /// the list is empty.
+    pub fn eligible(
+        &self,
+        service: &ServiceId,
+        regions: &[&[RegionId]],
+    ) -> Vec<(&EndpointId, &EndpointRecord)> {
+        let is_eligible = |(_, record): &(&EndpointId, &EndpointRecord)| {
+            record.service == *service
+                && record.state == EndpointState::Ready
+                && self.evacuated.binary_search(&record.zone).is_err()
+                && regions.iter().all(|allowed| self.is_in(&record.zone, allowed))
+        };
+        self.endpoints().filter(is_eligible).collect()
+    }
+
+    fn is_in(&self, zone: &ZoneId, regions: &[RegionId]) -> bool {
+        regions.is_empty()
+            || self.region(zone).is_some_and(|region| regions.binary_search(region).is_ok())
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/gateway/mod.rs
@@ -0,0 +1,43 @@
+//! Requests that reach replicated services by host and path.
+//!
+//! A caller's request selects a [`Route`] of the [`Configuration`] in force. Its service's endpoints
+//! come from the [`Directory`], what this node knows of their load and failures is in
+//! [`EndpointTrack`]s, and a [`Placement`] chooses among them. [`next_step`] decides what follows an
+//! attempt that did not give a whole answer, within the [`RetryShare`] of the node.
+//!
+//! * [`approval`]: how long a node may rely on the keys that it knows.
+//! * [`configuration`] and [`route`]: what operators have decided.
+//! * [`directory`]: which endpoints there are.
+//! * [`fleet`]: how many nodes share the bounds that hold for all of them together.
+//! * [`placement`]: where a request runs.
+//! * [`retry_share`]: this node's part of the retries that all nodes may make together.
+//! * [`next_step`]: what follows an attempt.
+//! * [`swap`]: which endpoint takes new weights next.
+//! * [`track`]: load and failures of one endpoint.
+
+pub mod approval;
+pub mod configuration;
+pub mod directory;
+pub mod fleet;
+pub mod next_step;
+pub mod placement;
+pub mod retry_share;
+pub mod route;
+pub mod swap;
+pub mod track;
+
+pub use approval::Approval;
+pub use configuration::{
+    CallerLimits, Configuration, ConfigurationHolder, InvalidConfiguration, KeyVerdict,
+    Organisation, Service,
+};
+pub use directory::{Directory, EndpointRecord, EndpointState};
+pub use fleet::FleetSize;
+pub use next_step::{AttemptFacts, AttemptFailure, NextStep, Refusal};
+pub use placement::{
+    Candidate, Distance, LeastLoaded, Placement, PlacementRequest, PrefixAffinity,
+};
+pub use retry_share::{RetryShare, RetryTerms};
+pub use route::{Priority, PromptPart, Route, RouteKind, WeightedService};
+pub use swap::{EngineReport, SwapPlan, SwapStep, SwapTerms};
+pub use track::{EndpointTrack, LoadReport, TrackSettings};
--- /dev/null
+++ b/crates/decisions/src/gateway/placement.rs
@@ -0,0 +1,152 @@
+//! Where a request runs.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use yuccapass_types::EndpointId;
+
+use super::route::PromptPart;
+
+/// How far an endpoint is from this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same availability zone.
+    SameZone,
+    /// In another zone of the same region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+/// An endpoint that may run a request.
+#[derive(Debug, Clone)]
+pub struct Candidate<'a> {
+    /// The endpoint.
+    pub endpoint: &'a EndpointId,
+    /// How far away it is.
+    pub distance: Distance,
+    /// Requests that are there, from all nodes as far as known.
+    pub load: f64,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Moving share of its answers that were failures, from 0 to 1.
+    pub failure_rate: f64,
+}
+
+/// What a placement considers of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementRequest<'a> {
+    /// The parts of its prompt; none for a request to a plain service.
+    pub parts: &'a [PromptPart],
+    /// A number drawn at random for this choice.
+    pub drawn: u64,
+}
+
+/// A way to choose an endpoint.
+pub trait Placement: Send + Sync {
+    /// Returns the position of the chosen candidate; `None` only if there is none.
+    fn choose(&self, request: &PlacementRequest<'_>, candidates: &[Candidate<'_>])
+    -> Option<usize>;
+}
+
+/// Chooses the endpoint with the smallest part of its slots taken, the nearer one of two that are
+/// alike.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LeastLoaded;
+
+/// Load that a step further away is worth, as a part of the slots: a request of 15 ms is better
+/// served two zones away than behind another one.
+const DISTANCE_PART: [f64; 3] = [0.0, 0.25, 0.75];
+
+/// Load that an endpoint which always fails is worth, as a part of the slots.
+const FAILURE_PART: f64 = 4.0;
+
+impl Placement for LeastLoaded {
+    fn choose(
+        &self,
+        request: &PlacementRequest<'_>,
+        candidates: &[Candidate<'_>],
+    ) -> Option<usize> {
+        let cost = |candidate: &Candidate<'_>| {
+            let slots = f64::from(candidate.slots.max(1));
+            let distance = DISTANCE_PART[candidate.distance as usize];
+            candidate.load / slots + distance + FAILURE_PART * candidate.failure_rate
+        };
+        least(candidates, request.drawn, cost)
+    }
+}
+
+/// Chooses the endpoint that has most likely cached the shared beginning of the prompt.
+///
+/// All nodes rank the endpoints for a beginning in the same order, without telling each other
+/// (rendezvous hashing), and take the first one whose load is not far above the mean. A beginning
+/// that is asked for a lot thus spreads over a few endpoints.
+#[derive(Debug, Clone, Copy)]
+pub struct PrefixAffinity {
+    load_factor: f64,
+    load_slack: f64,
+}
+
+impl Default for PrefixAffinity {
+    /// A load of 1.25 times the mean and 3 requests more.
+    fn default() -> Self {
+        Self { load_factor: 1.25, load_slack: 3.0 }
+    }
+}
+
+impl PrefixAffinity {
+    /// Sets how far above the mean the load of the chosen endpoint may be.
+    pub fn load_bound(mut self, factor: f64, slack: f64) -> Self {
+        self.load_factor = factor;
+        self.load_slack = slack;
+        self
+    }
+
+    /// Returns the part by which a prompt is placed: the last one before that of the request itself.
+    fn key(parts: &[PromptPart]) -> Option<&PromptPart> {
+        parts.len().checked_sub(2).map_or_else(|| parts.last(), |position| parts.get(position))
+    }
+}
+
+impl Placement for PrefixAffinity {
+    fn choose(
+        &self,
+        request: &PlacementRequest<'_>,
+        candidates: &[Candidate<'_>],
+    ) -> Option<usize> {
+        let effective_load = |candidate: &Candidate<'_>| {
+            candidate.load + f64::from(candidate.slots) * candidate.failure_rate
+        };
+        let Some(key) = Self::key(request.parts) else {
+            return least(candidates, request.drawn, effective_load);
+        };
+        let mean =
+            candidates.iter().map(effective_load).sum::<f64>() / candidates.len().max(1) as f64;
+        let bound = self.load_factor * mean + self.load_slack;
+        let rank = |candidate: &Candidate<'_>| {
+            let mut hasher = DefaultHasher::new();
+            (key.id.as_str(), candidate.endpoint.as_str()).hash(&mut hasher);
+            hasher.finish()
+        };
+        candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, candidate)| effective_load(candidate) <= bound)
+            .max_by_key(|(_, candidate)| rank(candidate))
+            .map(|(position, _)| position)
+            .or_else(|| least(candidates, request.drawn, effective_load))
+    }
+}
+
+/// Returns the position of the least cost; the search starts at a random place, so that equal ones
+/// get equal shares.
+fn least(
+    candidates: &[Candidate<'_>],
+    drawn: u64,
+    cost: impl Fn(&Candidate<'_>) -> f64,
+) -> Option<usize> {
+    let count = candidates.len();
+    let start = usize::try_from(drawn % (count.max(1) as u64)).unwrap_or_default();
+    (0..count)
+        .map(|offset| (start + offset) % count)
+        .min_by(|&a, &b| cost(&candidates[a]).total_cmp(&cost(&candidates[b])))
+}
--- /dev/null
+++ b/crates/decisions/src/gateway/track.rs
@@ -0,0 +1,152 @@
+//! Load and failures of one endpoint, as this node has seen them.
+
+use yuccapass_types::{Deadline, Instant, RequestsPerSecond};
+
+/// The load that an endpoint reports with an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// Bounds of an [`EndpointTrack`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TrackSettings {
+    /// Time after which a report of the load of others counts for half.
+    pub report_half_life_ms: u64,
+    /// Shortest time for which a failing endpoint is avoided; it doubles with each failure in a row.
+    pub base_avoid_ms: u64,
+    /// Longest time for which a failing endpoint is avoided.
+    pub max_avoid_ms: u64,
+    /// Time for which an endpoint that turned a request away is avoided.
+    pub full_avoid_ms: u64,
+}
+
+impl Default for TrackSettings {
+    /// 1 s, 500 ms, 4 s and 150 ms.
+    fn default() -> Self {
+        Self {
+            report_half_life_ms: 1_000,
+            base_avoid_ms: 500,
+            max_avoid_ms: 4_000,
+            full_avoid_ms: 150,
+        }
+    }
+}
+
+/// Failed answers weigh this much in the moving failure rate.
+const FAILURE_WEIGHT: f64 = 0.15;
+
+/// What this node knows of an endpoint.
+#[derive(Debug, Clone)]
+pub struct EndpointTrack {
+    settings: TrackSettings,
+    outstanding: u32,
+    others: f64,
+    reported_at: Option<Instant>,
+    failures_in_a_row: u32,
+    failure_rate: f64,
+    avoid_until: Option<Deadline>,
+    full_until: Option<Deadline>,
+    cold_tokens: f64,
+    cold_filled_at: Instant,
+}
+
+impl EndpointTrack {
+    /// Makes the state of an endpoint to which nothing was sent.
+    pub fn new(settings: TrackSettings, now: Instant) -> Self {
+        Self {
+            settings,
+            outstanding: 0,
+            others: 0.0,
+            reported_at: None,
+            failures_in_a_row: 0,
+            failure_rate: 0.0,
+            avoid_until: None,
+            full_until: None,
+            cold_tokens: 0.0,
+            cold_filled_at: now,
+        }
+    }
+
+    /// Notes that a request is sent.
+    pub fn sent(&mut self) {
+        self.outstanding += 1;
+    }
+
+    /// Notes that a request has ended in any way.
+    pub fn ended(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+    }
+
+    /// Notes a report of the load, which includes the requests of this node.
+    pub fn reported(&mut self, report: LoadReport, now: Instant) {
+        let total = report.running.saturating_add(report.waiting);
+        self.others = f64::from(total.saturating_sub(self.outstanding));
+        self.reported_at = Some(now);
+    }
+
+    /// Notes that the endpoint gave a whole answer that is not a failure.
+    pub fn succeeded(&mut self) {
+        self.failures_in_a_row = 0;
+        self.failure_rate *= 1.0 - FAILURE_WEIGHT;
+        self.avoid_until = None;
+    }
+
+    /// Notes an answer that reports a failure of the endpoint's own; it works otherwise.
+    pub fn answered_with_failure(&mut self) {
+        self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
+    }
+
+    /// Notes that the endpoint was not reached, broke off or was silent.
+    pub fn failed(&mut self, now: Instant) {
+        self.answered_with_failure();
+        let doublings = self.failures_in_a_row.min(16);
+        self.failures_in_a_row += 1;
+        let avoid_ms = self.settings.base_avoid_ms.saturating_mul(1 << doublings);
+        let avoid_ms = avoid_ms.min(self.settings.max_avoid_ms);
+        self.avoid_until = Some(Deadline::after_ms(now, avoid_ms));
+    }
+
+    /// Notes that the endpoint turned a request away.
+    pub fn turned_away(&mut self, now: Instant) {
+        self.full_until = Some(Deadline::after_ms(now, self.settings.full_avoid_ms));
+    }
+
+    /// Returns the requests at the endpoint, from this node and, as far as known, from others.
+    pub fn load(&self, now: Instant) -> f64 {
+        let age_ms = self.reported_at.map_or(u64::MAX, |at| now.ms_since(at));
+        let halvings = age_ms as f64 / self.settings.report_half_life_ms as f64;
+        f64::from(self.outstanding) + self.others * 0.5_f64.powf(halvings.min(64.0))
+    }
+
+    /// Returns the moving share of answers that were failures, from 0 to 1.
+    pub fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+
+    /// Returns whether the endpoint is to be avoided as long as another one can be used.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        let is_ahead = |until: Option<Deadline>| until.is_some_and(|at| !at.has_passed(now));
+        is_ahead(self.avoid_until) || is_ahead(self.full_until)
+    }
+
+    /// Returns whether this node may send a request to the endpoint while it is cold, when the node
+    /// may send `rate` requests a second, given in thousandths.
+    pub fn may_send_cold(&mut self, milli_rate: RequestsPerSecond, now: Instant) -> bool {
+        let per_ms = milli_rate.get() as f64 / 1_000_000.0;
+        let added = per_ms * now.ms_since(self.cold_filled_at) as f64;
+        self.cold_filled_at = now;
+        self.cold_tokens = (self.cold_tokens + added).min(1.0);
+        self.cold_tokens >= 1.0
+    }
+
+    /// Notes that a request is sent to the endpoint while it is cold.
+    pub fn sent_cold(&mut self) {
+        self.cold_tokens -= 1.0;
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`config`]: the operators' configuration, its checks, chunks and distribution.
 //! * [`crash_guard`]: requests that crash the endpoints that run them.
 //! * [`endpoint_health`]: what an endpoint can bear now.
+//! * [`gateway`]: requests that reach replicated services by host and path.
 //! * [`ledger`]: at-most-once execution of non-repeatable requests.
 //! * [`membership`]: which nodes there are, told by heartbeats.
 //! * [`permits`]: admission to cold endpoints.
@@ -27,6 +28,7 @@
 pub mod config;
 pub mod crash_guard;
 pub mod endpoint_health;
+pub mod gateway;
 pub mod ledger;
 pub mod membership;
 pub mod permits;
--- a/crates/decisions/src/platform_budget/outage_gate.rs
+++ b/crates/decisions/src/platform_budget/outage_gate.rs
@@ -41,13 +41,21 @@
 #[derive(Debug, Clone)]
 pub struct OutageGate {
     fleet_nodes: u32,
+    max_probe_ms: u64,
     state: State,
 }
 
 impl OutageGate {
     /// Makes a gate for a node among `fleet_nodes` whose service is up as far as it knows.
     pub fn new(fleet_nodes: u32) -> Self {
-        Self { fleet_nodes, state: State::Up }
+        Self { fleet_nodes, max_probe_ms: PROBE_LIMIT_MS, state: State::Up }
+    }
+
+    /// Sets the limit of the delay between two probes; 5 s by default. It is longer where so many
+    /// nodes probe that this would be a load by itself.
+    pub fn max_probe_ms(mut self, ms: u64) -> Self {
+        self.max_probe_ms = ms;
+        self
     }
 
     /// Changes the number of nodes.
@@ -111,6 +119,6 @@
     }
 
     fn probe_limit_ms(&self) -> u64 {
-        PROBE_LIMIT_MS.max(u64::from(self.fleet_nodes) * RETURN_MS_PER_NODE)
+        self.max_probe_ms.max(u64::from(self.fleet_nodes) * RETURN_MS_PER_NODE)
     }
 }
--- /dev/null
+++ b/crates/http/src/message/body.rs
@@ -0,0 +1,156 @@
+//! Reads a body from a connection.
+
+use bytes::{Bytes, BytesMut};
+
+use super::MessageError;
+use super::connection::Connection;
+use super::framing::Framing;
+
+/// Longest line with a chunk size or a trailer.
+const MAX_LINE_BYTES: usize = 4 << 10;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// So many bytes of the body follow.
+    Length(u64),
+    /// A line with a chunk size follows.
+    ChunkSize,
+    /// So many bytes of a chunk follow, and then the end of a line.
+    ChunkData(u64),
+    /// Trailer lines follow.
+    Trailers,
+    /// Everything up to the end of the connection follows.
+    UntilClose,
+    /// The body has ended.
+    Ended,
+}
+
+/// Reads one body.
+#[derive(Debug)]
+pub struct BodyReader {
+    state: State,
+}
+
+impl BodyReader {
+    /// Begins a body.
+    pub fn new(framing: Framing) -> Self {
+        let state = match framing {
+            Framing::Length(0) => State::Ended,
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Returns the next bytes of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or ends inside the body, or a chunk is not valid.
+    pub async fn next(
+        &mut self,
+        connection: &mut Connection,
+    ) -> Result<Option<Bytes>, MessageError> {
+        loop {
+            if let Some(bytes) = self.take(connection.buffer())? {
+                return Ok(Some(bytes));
+            }
+            if self.state == State::Ended {
+                return Ok(None);
+            }
+            if connection.fill().await.map_err(|source| MessageError::Io { source })? {
+                if self.state != State::UntilClose {
+                    return Err(MessageError::Truncated);
+                }
+                self.state = State::Ended;
+            }
+        }
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`BodyReader::next`] does, or if the body has more than `limit_bytes`.
+    pub async fn read_all(
+        mut self,
+        connection: &mut Connection,
+        limit_bytes: usize,
+    ) -> Result<Bytes, MessageError> {
+        let Some(first) = self.next(connection).await? else { return Ok(Bytes::new()) };
+        let mut whole = BytesMut::new();
+        let mut part = Some(first);
+        while let Some(bytes) = part {
+            if whole.len() + bytes.len() > limit_bytes {
+                return Err(MessageError::BodyTooLarge { limit_bytes });
+            }
+            if whole.is_empty() && self.state == State::Ended {
+                return Ok(bytes);
+            }
+            whole.extend_from_slice(&bytes);
+            part = self.next(connection).await?;
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Takes bytes of the body from the front of the buffer.
+    fn take(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, MessageError> {
+        loop {
+            match self.state {
+                State::Ended => return Ok(None),
+                State::UntilClose => return Ok(take_up_to(buffer, u64::MAX)),
+                State::Length(rest) => {
+                    let bytes = take_up_to(buffer, rest);
+                    let rest = rest - bytes.as_ref().map_or(0, |bytes| bytes.len() as u64);
+                    self.state = if rest == 0 { State::Ended } else { State::Length(rest) };
+                    return Ok(bytes);
+                }
+                State::ChunkData(0) => {
+                    if buffer.len() < 2 {
+                        return Ok(None);
+                    }
+                    if &buffer.split_to(2)[..] != b"\r\n" {
+                        return Err(MessageError::malformed(
+                            "a chunk does not end with a line end",
+                        ));
+                    }
+                    self.state = State::ChunkSize;
+                }
+                State::ChunkData(rest) => {
+                    let Some(bytes) = take_up_to(buffer, rest) else { return Ok(None) };
+                    self.state = State::ChunkData(rest - bytes.len() as u64);
+                    return Ok(Some(bytes));
+                }
+                State::ChunkSize => match httparse::parse_chunk_size(buffer) {
+                    Ok(httparse::Status::Complete((line_bytes, size))) => {
+                        let _ = buffer.split_to(line_bytes);
+                        self.state =
+                            if size == 0 { State::Trailers } else { State::ChunkData(size) };
+                    }
+                    Ok(httparse::Status::Partial) if buffer.len() <= MAX_LINE_BYTES => {
+                        return Ok(None);
+                    }
+                    _ => return Err(MessageError::malformed("a chunk size is not valid")),
+                },
+                State::Trailers => {
+                    let Some(end) = buffer.windows(2).position(|bytes| bytes == b"\r\n") else {
+                        return match buffer.len() <= MAX_LINE_BYTES {
+                            true => Ok(None),
+                            false => Err(MessageError::malformed("a trailer is too long")),
+                        };
+                    };
+                    let _ = buffer.split_to(end + 2);
+                    if end == 0 {
+                        self.state = State::Ended;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn take_up_to(buffer: &mut BytesMut, limit: u64) -> Option<Bytes> {
+    let count = (buffer.len() as u64).min(limit) as usize;
+    (count > 0).then(|| buffer.split_to(count).freeze())
+}
--- /dev/null
+++ b/crates/http/src/message/connection.rs
@@ -0,0 +1,213 @@
+//! A connection with the bytes that were read but not used.
+
+use std::net::{Shutdown, SocketAddr};
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use bytes::BytesMut;
+use futures::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use socket2::{SockRef, TcpKeepalive};
+
+use super::MessageError;
+use super::head::{RequestHead, ResponseHead};
+
+/// Bytes asked for in one read: the head of a request with its prompt parts, or a few events.
+const READ_BYTES: usize = 8 << 10;
+
+/// A connection with the bytes that were read but not used.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    buffer: BytesMut,
+}
+
+impl Connection {
+    /// Wraps a stream of which nothing was read.
+    pub fn new(stream: TcpStream) -> Self {
+        // Without this, small writes wait for the peer's delayed acknowledgement. It fails only on a
+        // closed socket, which the next read reports.
+        let _ = stream.set_nodelay(true);
+        Self { stream, buffer: BytesMut::new() }
+    }
+
+    /// Connects to a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer does not accept the connection.
+    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(Self::new(TcpStream::connect(address).await?))
+    }
+
+    /// Lets the kernel break the connection when the peer does not acknowledge sent bytes, or
+    /// keep-alive probes of an idle connection, for `silence_ms`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket does not take the options.
+    pub fn detect_silence(&self, silence_ms: u64) -> std::io::Result<()> {
+        let socket = SockRef::from(&self.stream);
+        let silence = Duration::from_millis(silence_ms);
+        // The kernel takes whole seconds for probes.
+        let probe = Duration::from_secs(silence_ms.div_ceil(1_000).max(1));
+        let keepalive = TcpKeepalive::new().with_time(probe).with_interval(probe).with_retries(2);
+        socket.set_tcp_keepalive(&keepalive)?;
+        socket.set_tcp_user_timeout(Some(silence))
+    }
+
+    /// Returns the bytes that were read but not used.
+    pub fn buffer(&mut self) -> &mut BytesMut {
+        &mut self.buffer
+    }
+
+    /// Returns whether unused bytes are in the buffer.
+    pub fn has_unused_bytes(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Reads more bytes into the buffer; returns whether the peer has closed the connection instead.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub async fn fill(&mut self) -> std::io::Result<bool> {
+        let mut room = ReadRoom::new(&mut self.buffer);
+        let count = self.stream.read(room.bytes()).await?;
+        room.keep(count);
+        Ok(count == 0)
+    }
+
+    /// Reads the head of a request; returns `None` if the peer closes the connection before it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks, or the head is too large or not valid.
+    pub async fn read_request_head(
+        &mut self,
+        limit_bytes: usize,
+    ) -> Result<Option<RequestHead>, MessageError> {
+        loop {
+            self.skip_empty_lines();
+            if let Some(head) = RequestHead::take(&mut self.buffer)? {
+                return Ok(Some(head));
+            }
+            if self.buffer.len() > limit_bytes {
+                return Err(MessageError::HeadTooLarge { limit_bytes });
+            }
+            match self.fill().await.map_err(|source| MessageError::Io { source })? {
+                true if self.buffer.is_empty() => return Ok(None),
+                true => return Err(MessageError::Truncated),
+                false => {}
+            }
+        }
+    }
+
+    /// Reads the head of a response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks or ends, or the head is too large or not valid.
+    pub async fn read_response_head(
+        &mut self,
+        limit_bytes: usize,
+    ) -> Result<ResponseHead, MessageError> {
+        loop {
+            if let Some(head) = ResponseHead::take(&mut self.buffer)? {
+                return Ok(head);
+            }
+            if self.buffer.len() > limit_bytes {
+                return Err(MessageError::HeadTooLarge { limit_bytes });
+            }
+            if self.fill().await.map_err(|source| MessageError::Io { source })? {
+                return Err(MessageError::Truncated);
+            }
+        }
+    }
+
+    /// Writes all bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub async fn write_all(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Returns a second handle for writing while this one reads.
+    pub fn writer(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
+    /// Returns whether the peer has neither closed the connection nor sent anything unexpected.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        self.buffer.is_empty() && self.stream.peek(&mut byte).now_or_never().is_none()
+    }
+
+    /// Waits until the peer closes the connection; bytes that arrive meanwhile are kept.
+    pub async fn closed_by_peer(&mut self, limit_bytes: usize) {
+        while self.buffer.len() < limit_bytes {
+            if self.fill().await.unwrap_or(true) {
+                return;
+            }
+        }
+        // A peer that sends ahead is still there; reading on would only collect its bytes.
+        futures::future::pending().await
+    }
+
+    /// Closes the connection in both directions.
+    pub fn close(&self) {
+        // It fails only if the connection is closed already.
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+
+    /// Closes the connection for writing and reads what the peer still sends, so that the kernel
+    /// does not reset the connection before the peer has read the last bytes.
+    pub async fn close_after_reading(&mut self, limit_bytes: usize) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+        let mut read_bytes = 0;
+        while read_bytes < limit_bytes {
+            self.buffer.clear();
+            if self.fill().await.unwrap_or(true) {
+                return;
+            }
+            read_bytes += self.buffer.len();
+        }
+    }
+
+    /// Skips empty lines before a request, which a server should ignore (RFC 9112, section 2.2).
+    fn skip_empty_lines(&mut self) {
+        while self.buffer.starts_with(b"\r\n") {
+            let _ = self.buffer.split_to(2);
+        }
+    }
+}
+
+/// Room for a read at the end of a buffer. What was not read is removed again, also when the read is
+/// dropped while it waits.
+struct ReadRoom<'a> {
+    buffer: &'a mut BytesMut,
+    used: usize,
+}
+
+impl<'a> ReadRoom<'a> {
+    fn new(buffer: &'a mut BytesMut) -> Self {
+        let used = buffer.len();
+        buffer.resize(used + READ_BYTES, 0);
+        Self { buffer, used }
+    }
+
+    fn bytes(&mut self) -> &mut [u8] {
+        &mut self.buffer[self.used..]
+    }
+
+    fn keep(&mut self, count: usize) {
+        self.used += count;
+    }
+}
+
+impl Drop for ReadRoom<'_> {
+    fn drop(&mut self) {
+        self.buffer.truncate(self.used);
+    }
+}
--- a/crates/platform/src/http_key_value.rs
+++ b/crates/platform/src/http_key_value.rs
@@ -124,7 +124,7 @@
         let reading = first_outcome(&mut lines, request.from);
         with_deadline(self.transport.clock(), deadline, reading)
             .await
-            .unwrap_or(Ok(WatchOutcome::Quiet))
+            .unwrap_or(Ok(WatchOutcome::Quiet { revision: None }))
     }
 }
 
--- a/crates/platform/src/ids.rs
+++ b/crates/platform/src/ids.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 
 /// Largest value that the platform stores.
-pub const MAX_VALUE_BYTES: usize = 1_000_000;
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
 /// Longest key; it holds a path with a few ids of at most 64 bytes each.
 const MAX_KEY_BYTES: usize = 256;
@@ -76,7 +76,7 @@
     /// Fails if there are more than [`MAX_VALUE_BYTES`].
     pub fn new(bytes: Vec<u8>) -> Result<Self, InvalidId> {
         if bytes.len() > MAX_VALUE_BYTES {
-            return Err(InvalidId { type_name: "value", problem: "has more than 1 MB" });
+            return Err(InvalidId { type_name: "value", problem: "has more than 1 MiB" });
         }
         Ok(Self(bytes))
     }
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -154,7 +154,10 @@
     /// There are changes, in order. The next watch starts after the last one's revision.
     Changes(Vec<Change>),
     /// Nothing changed before the deadline.
-    Quiet,
+    Quiet {
+        /// The service's revision, if it was told; the next watch may start after it.
+        revision: Option<StoreRevision>,
+    },
     /// The service no longer keeps all changes since the requested revision; read anew.
     Compacted,
     /// The service is at an older revision than the caller has seen; read anew.
--- a/crates/platform/src/managed.rs
+++ b/crates/platform/src/managed.rs
@@ -32,6 +32,7 @@
     rates: FleetRates,
     fleet_nodes: u32,
     attempt_timeout_ms: u64,
+    max_probe_ms: Option<u64>,
     seed: u64,
 }
 
@@ -40,7 +41,13 @@
     /// those that are reached, since a partition would give each side the whole rate. `seed` differs between the nodes, so that
     /// their delays do.
     pub fn new(fleet_nodes: u32, seed: u64) -> Self {
-        Self { rates: FleetRates::default(), fleet_nodes, attempt_timeout_ms: 2_000, seed }
+        Self {
+            rates: FleetRates::default(),
+            fleet_nodes,
+            attempt_timeout_ms: 2_000,
+            max_probe_ms: None,
+            seed,
+        }
     }
 
     /// Sets the service's rates; 2,000 reads/s and 300 writes/s by default.
@@ -49,6 +56,12 @@
         self
     }
 
+    /// Sets the longest time between two probes in an outage; 5 s by default.
+    pub fn max_probe_ms(mut self, ms: u64) -> Self {
+        self.max_probe_ms = Some(ms);
+        self
+    }
+
     /// Sets how long one attempt of a call may take; 2 s by default.
     pub fn attempt_timeout_ms(mut self, ms: u64) -> Self {
         self.attempt_timeout_ms = ms;
@@ -79,9 +92,13 @@
         clock: Arc<dyn Clock>,
         config: &ManagedConfig,
     ) -> Arc<Self> {
+        let gate = OutageGate::new(config.fleet_nodes);
         let state = State {
             budget: CallBudget::new(config.rates, config.fleet_nodes, clock.now()),
-            gate: OutageGate::new(config.fleet_nodes),
+            gate: match config.max_probe_ms {
+                None => gate,
+                Some(ms) => gate.max_probe_ms(ms),
+            },
             newest: NewestRevision::default(),
             random: StdRng::seed_from_u64(config.seed),
         };
--- a/crates/platform/tests/fakes/mod.rs
+++ b/crates/platform/tests/fakes/mod.rs
@@ -143,7 +143,7 @@
     }
 
     async fn watch(&self, _: &WatchRequest, _: Deadline) -> Result<WatchOutcome, PlatformError> {
-        self.call("watch", false, |_| WatchOutcome::Quiet)
+        self.call("watch", false, |_| WatchOutcome::Quiet { revision: None })
     }
 }
 
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -199,6 +199,14 @@
     /// Names an adapter that is applied to a model's weights.
     AdapterId, MAX_ID_BYTES, is_name_char
 }
+text_id! {
+    /// Names a route, by which requests reach a service.
+    RouteId, MAX_ID_BYTES, is_name_char
+}
+text_id! {
+    /// Names a part of a prompt; equal parts of two prompts have the same id.
+    PromptPartId, MAX_ID_BYTES, is_name_char
+}
 text_id! {
     /// Names a store VM group that keeps exported KV cache blocks.
     StoreId, MAX_ID_BYTES, is_name_char
@@ -228,6 +236,10 @@
     /// Orders configurations; larger is newer.
     Revision
 }
+number_id! {
+    /// Orders the weights of a model that were named one after the other; larger is newer.
+    WeightRevision
+}
 number_id! {
     /// Orders the holders of a lease; a receiver that checks it rejects a smaller number.
     FencingNumber
