--- /dev/null
+++ b/crates/gateway/src/admission.rs
@@ -0,0 +1,101 @@
+//! Checks a caller's request against the configuration.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use yuccapass_decisions::gateway::{Configuration, KeyVerdict, Priority, Refusal, Route};
+use yuccapass_http::message::RequestHead;
+use yuccapass_types::{Deadline, Instant, OrganisationId, RegionId, ResultCode, ServiceId};
+
+use crate::protocol::CallerRequest;
+use crate::state::Shared;
+
+/// Ranks of a route below that of an organisation: three of routes fit in the ten that engines know.
+const ROUTE_RANKS: u8 = 3;
+
+/// The least urgent rank that engines know.
+const LAST_RANK: u8 = 9;
+
+/// A request that was read completely.
+#[derive(Debug)]
+pub(crate) struct ReadRequest {
+    pub(crate) head: RequestHead,
+    pub(crate) body: Bytes,
+    pub(crate) arrived_at: Instant,
+}
+
+/// A request that may be sent to a service.
+pub(crate) struct Admitted<'a> {
+    pub(crate) head: &'a RequestHead,
+    pub(crate) body: &'a Bytes,
+    pub(crate) caller: &'a CallerRequest,
+    pub(crate) route: &'a Route,
+    pub(crate) service: &'a ServiceId,
+    pub(crate) organisation: Option<&'a OrganisationId>,
+    pub(crate) is_isolated: bool,
+    pub(crate) priority: Priority,
+    /// Regions in which it may be served, by the route and by the organisation.
+    pub(crate) regions: [&'a [RegionId]; 2],
+    pub(crate) arrived_at: Instant,
+    /// When the caller must have its final answer.
+    pub(crate) deadline: Deadline,
+}
+
+/// Checks a request.
+///
+/// # Errors
+///
+/// Returns the answer for a request that may not be sent.
+pub(crate) fn admit<'a>(
+    shared: &Shared,
+    configuration: &'a Arc<Configuration>,
+    request: &'a ReadRequest,
+    caller: &'a CallerRequest,
+) -> Result<Admitted<'a>, Refusal> {
+    let head = &request.head;
+    let host = head.headers.get_str("host").map(without_port).unwrap_or_default();
+    let route = configuration
+        .route(host, head.path())
+        .ok_or(Refusal::final_answer(404, ResultCode::NotFound))?;
+    let verdict = configuration.verify_key(route, caller.key);
+    if verdict != KeyVerdict::NotNeeded && !shared.approval().holds(request.arrived_at) {
+        // The key, or its absence, may have changed meanwhile.
+        return Err(Refusal::not_run(ResultCode::PlatformUnavailable));
+    }
+    let organisation = match verdict {
+        KeyVerdict::Unknown => return Err(Refusal::final_answer(401, ResultCode::Unauthorised)),
+        KeyVerdict::NotNeeded => None,
+        KeyVerdict::Known(id, organisation) => Some((id, organisation)),
+    };
+    let service =
+        route.service_for(rand::random()).ok_or(Refusal::not_run(ResultCode::ServiceNotFound))?;
+    let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let rank = organisation.and_then(|(_, organisation)| organisation.priority);
+    Ok(Admitted {
+        head,
+        body: &request.body,
+        caller,
+        route,
+        service,
+        organisation: organisation.map(|(id, _)| id),
+        is_isolated: organisation.is_some_and(|(_, organisation)| organisation.is_isolated),
+        priority: combined_priority(rank, route.priority),
+        regions: [
+            &route.allowed_regions,
+            organisation.map_or(&[][..], |(_, organisation)| &organisation.allowed_regions),
+        ],
+        arrived_at: request.arrived_at,
+        deadline: Deadline::after_ms(request.arrived_at, wait_ms),
+    })
+}
+
+/// The rank of the organisation goes first, then that of the route.
+fn combined_priority(organisation: Option<Priority>, route: Priority) -> Priority {
+    let organisation = organisation.map_or(0, Priority::get);
+    let route = route.get().min(ROUTE_RANKS - 1);
+    Priority::new(organisation.saturating_mul(ROUTE_RANKS).saturating_add(route).min(LAST_RANK))
+}
+
+fn without_port(host: &str) -> &str {
+    host.rsplit_once(':').map_or(host, |(name, _)| name).trim()
+}
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,152 @@
+//! Writes answers to a caller.
+
+use async_std::net::TcpStream;
+use bytes::{BufMut, Bytes, BytesMut};
+use futures::AsyncWriteExt;
+use yuccapass_decisions::gateway::Refusal;
+use yuccapass_http::message::ResponseHead;
+
+use crate::protocol::{CallerRequest, Protocol};
+
+/// What has been written of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    Nothing,
+    Streaming,
+    Whole,
+}
+
+/// Writes one answer to a caller's connection.
+pub(crate) struct AnswerWriter {
+    stream: TcpStream,
+    keeps_connection: bool,
+    progress: Progress,
+}
+
+impl AnswerWriter {
+    pub(crate) fn new(stream: TcpStream, keeps_connection: bool) -> Self {
+        Self { stream, keeps_connection, progress: Progress::Nothing }
+    }
+
+    /// Asks the caller to close the connection after the answer.
+    pub(crate) fn close_after(&mut self) {
+        self.keeps_connection = false;
+    }
+
+    /// Returns whether the connection can be used again: the answer is whole and did not ask the
+    /// caller to close it.
+    pub(crate) fn keeps_connection(&self) -> bool {
+        self.keeps_connection && self.progress == Progress::Whole
+    }
+
+    /// Returns whether a part of the answer was written.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.progress != Progress::Nothing
+    }
+
+    /// Writes an endpoint's whole answer.
+    pub(crate) async fn pass_on(
+        &mut self,
+        head: &ResponseHead,
+        body: &[u8],
+    ) -> std::io::Result<()> {
+        let mut out = BytesMut::with_capacity(512 + body.len());
+        self.put_head(&mut out, head);
+        // These statuses have no body and no length (RFC 9110, section 8.6).
+        if !matches!(head.status, 204 | 304) {
+            out.put_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
+        }
+        out.put_slice(b"\r\n");
+        out.put_slice(body);
+        self.finish(&out).await
+    }
+
+    /// Writes an answer of this node's own.
+    pub(crate) async fn refuse(
+        &mut self,
+        protocol: &dyn Protocol,
+        request: &CallerRequest,
+        refusal: Refusal,
+    ) -> std::io::Result<()> {
+        let body = serde_json::json!({
+            "error": {
+                "code": refusal.code.to_string(),
+                "type": refusal.code.kind(),
+                "message": refusal.code.text(),
+            }
+        })
+        .to_string();
+        let mut out = format!(
+            "HTTP/1.1 {} {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n",
+            refusal.status,
+            refusal.code.kind(),
+            body.len()
+        )
+        .into_bytes();
+        protocol.write_own_headers(request, &mut out);
+        if let Some(ms) = refusal.retry_after_ms {
+            out.put_slice(format!("retry-after: {}.{:03}\r\n", ms / 1_000, ms % 1_000).as_bytes());
+        }
+        if !self.keeps_connection {
+            out.put_slice(b"connection: close\r\n");
+        }
+        out.put_slice(b"\r\n");
+        out.put_slice(body.as_bytes());
+        self.finish(&out).await
+    }
+
+    /// Writes the head of a stream and its first events.
+    pub(crate) async fn begin_stream(
+        &mut self,
+        head: &ResponseHead,
+        events: &[u8],
+    ) -> std::io::Result<()> {
+        let mut out = BytesMut::with_capacity(512 + events.len());
+        self.put_head(&mut out, head);
+        out.put_slice(b"transfer-encoding: chunked\r\n\r\n");
+        put_chunk(&mut out, events);
+        self.progress = Progress::Streaming;
+        self.stream.write_all(&out).await
+    }
+
+    /// Writes events of a stream, and its end if `is_last`.
+    pub(crate) async fn events(&mut self, events: &Bytes, is_last: bool) -> std::io::Result<()> {
+        let mut out = BytesMut::with_capacity(16 + events.len());
+        put_chunk(&mut out, events);
+        if !is_last {
+            return self.stream.write_all(&out).await;
+        }
+        out.put_slice(b"0\r\n\r\n");
+        self.finish(&out).await
+    }
+
+    async fn finish(&mut self, out: &[u8]) -> std::io::Result<()> {
+        // Set before the write, so that nothing is written after a part of an answer.
+        self.progress = Progress::Streaming;
+        self.stream.write_all(out).await?;
+        self.progress = Progress::Whole;
+        Ok(())
+    }
+
+    fn put_head(&self, out: &mut BytesMut, head: &ResponseHead) {
+        out.put_slice(format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).as_bytes());
+        for (name, value) in head.headers.end_to_end() {
+            out.put_slice(name.as_bytes());
+            out.put_slice(b": ");
+            out.put_slice(value);
+            out.put_slice(b"\r\n");
+        }
+        if !self.keeps_connection {
+            out.put_slice(b"connection: close\r\n");
+        }
+    }
+}
+
+/// An empty chunk would end the body, so it is left out.
+fn put_chunk(out: &mut BytesMut, bytes: &[u8]) {
+    if !bytes.is_empty() {
+        out.put_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+        out.put_slice(bytes);
+        out.put_slice(b"\r\n");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,338 @@
+//! One attempt to run a request at an endpoint.
+
+use bytes::{BufMut, Bytes};
+use futures::AsyncWriteExt;
+use futures::future::{Either, select};
+use yuccapass_decisions::gateway::{AttemptFailure, EndpointRecord, EndpointTrack};
+use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, ResponseHead};
+use yuccapass_http::with_deadline;
+use yuccapass_types::{Deadline, EndpointId};
+
+use crate::admission::Admitted;
+use crate::answer::AnswerWriter;
+use crate::events::EventSplitter;
+use crate::protocol::{EndpointAnswer, Forwarding};
+use crate::state::Shared;
+
+/// Largest head of an endpoint's answer.
+const MAX_ANSWER_HEAD_BYTES: usize = 64 << 10;
+
+/// Largest answer that is not a stream; it is collected before any of it is passed on, so that an
+/// incomplete one never looks like a success.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Most answers to earlier requests that are skipped on a connection.
+const MAX_STRAY_ANSWERS: usize = 2;
+
+/// An endpoint that was chosen for an attempt.
+pub(crate) struct Target<'a> {
+    pub(crate) id: &'a EndpointId,
+    pub(crate) record: &'a EndpointRecord,
+}
+
+/// A whole answer of an endpoint.
+pub(crate) struct WholeAnswer {
+    pub(crate) head: ResponseHead,
+    pub(crate) body: Bytes,
+}
+
+/// How an attempt ended without an answer that was passed on.
+pub(crate) struct AttemptEnd {
+    pub(crate) failure: AttemptFailure,
+    /// The answer that reports the endpoint's own failure.
+    pub(crate) answer: Option<WholeAnswer>,
+    /// What happened, for the log.
+    pub(crate) detail: String,
+}
+
+impl AttemptEnd {
+    fn new(failure: AttemptFailure, detail: impl ToString) -> Self {
+        Self { failure, answer: None, detail: detail.to_string() }
+    }
+
+    fn broken(error: MessageError) -> Self {
+        Self::new(AttemptFailure::Broken, error)
+    }
+}
+
+/// What became of an attempt.
+pub(crate) enum Attempted {
+    /// The caller has the whole answer, with this status.
+    Answered(u16),
+    /// The caller's connection failed.
+    CallerGone,
+    /// There is no answer.
+    Ended(AttemptEnd),
+}
+
+/// Makes one attempt and passes the answer on.
+pub(crate) async fn attempt(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    target: &Target<'_>,
+    limit: Deadline,
+    events: &mut EventSplitter,
+    answer: &mut AnswerWriter,
+) -> Attempted {
+    let _outstanding = shared.endpoints.begin(target.id, target.record);
+    let attempted = run(shared, request, target, limit, events, answer).await;
+    note_outcome(shared, target, &attempted);
+    attempted
+}
+
+/// Notes for later choices what became of an attempt.
+fn note_outcome(shared: &Shared, target: &Target<'_>, attempted: &Attempted) {
+    let now = shared.now();
+    let note = |track: &mut EndpointTrack| match attempted {
+        Attempted::Answered(..) => track.succeeded(),
+        Attempted::CallerGone => {}
+        Attempted::Ended(end) => match end.failure {
+            AttemptFailure::NotRun => track.turned_away(now),
+            AttemptFailure::Failed => track.answered_with_failure(),
+            AttemptFailure::NotSent | AttemptFailure::Broken | AttemptFailure::Silent => {
+                track.failed(now);
+            }
+        },
+    };
+    shared.endpoints.with_track(target.id, target.record, note);
+}
+
+async fn run(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    target: &Target<'_>,
+    limit: Deadline,
+    events: &mut EventSplitter,
+    answer: &mut AnswerWriter,
+) -> Attempted {
+    let mut connection =
+        match shared.endpoints.connect(target.id, target.record, request.deadline).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                return Attempted::Ended(AttemptEnd::new(AttemptFailure::NotSent, error));
+            }
+        };
+    let message = request_message(shared, request, target, events);
+    let exchange = exchange(shared, request, &mut connection, &message);
+    let received = match with_deadline(&*shared.clock, limit, exchange).await {
+        Ok(Ok(received)) => received,
+        Ok(Err(error)) => return Attempted::Ended(AttemptEnd::broken(error)),
+        Err(expired) => {
+            return Attempted::Ended(AttemptEnd::new(AttemptFailure::Silent, expired));
+        }
+    };
+    let now = shared.now();
+    if let Some(load) = received.facts.load {
+        shared.endpoints.with_track(target.id, target.record, |track| track.reported(load, now));
+    }
+    let is_stream = request.route.kind.is_streaming() && received.head.status == 200;
+    if is_stream && received.facts.is_signed {
+        return pass_stream(shared, request, target, connection, received, events, answer).await;
+    }
+    pass_whole(shared, request, target, connection, received, answer).await
+}
+
+/// The request as the endpoint gets it.
+fn request_message(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    target: &Target<'_>,
+    events: &EventSplitter,
+) -> Vec<u8> {
+    let resume_after = events.last_id().or(request.caller.resume_after.as_ref());
+    let forwarding = Forwarding {
+        endpoint: target.id,
+        organisation: request.organisation,
+        remaining_ms: request.deadline.remaining_ms(shared.now()),
+        priority: request.route.kind.is_streaming().then_some(request.priority),
+        isolated_for: request.organisation.filter(|_| request.is_isolated),
+        resume_after: resume_after.map(|id| id.as_str()),
+    };
+    let head = request.head;
+    let mut message = Vec::with_capacity(1_024 + request.body.len());
+    message.put_slice(head.method.as_bytes());
+    message.put_slice(b" ");
+    message.put_slice(head.target.as_bytes());
+    message.put_slice(b" HTTP/1.1\r\n");
+    shared.protocol.write_request_headers(head, &forwarding, &mut message);
+    let has_body = !request.body.is_empty() || !matches!(head.method.as_str(), "GET" | "HEAD");
+    if has_body {
+        message.put_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
+    }
+    message.put_slice(b"\r\n");
+    message.put_slice(request.body);
+    message
+}
+
+/// The head of an endpoint's answer to this request.
+struct Received {
+    head: ResponseHead,
+    facts: EndpointAnswer,
+    framing: Framing,
+    /// Whether the whole request was written before the answer began. Otherwise the endpoint still
+    /// expects the rest of it on the connection.
+    is_request_written: bool,
+}
+
+/// Sends the request and reads the head of its answer, whichever comes first.
+async fn exchange(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    connection: &mut Connection,
+    message: &[u8],
+) -> Result<Received, MessageError> {
+    let mut writer = connection.writer();
+    let writing = Box::pin(async move { writer.write_all(message).await });
+    let reading = Box::pin(read_own_head(shared, request, connection));
+    match select(writing, reading).await {
+        Either::Left((Ok(()), reading)) => reading.await,
+        // The endpoint may have answered before it closed its side.
+        Either::Left((Err(source), reading)) => match reading.await {
+            Ok(received) => Ok(Received { is_request_written: false, ..received }),
+            Err(_) => Err(MessageError::Io { source }),
+        },
+        Either::Right((received, _writing)) => {
+            received.map(|received| Received { is_request_written: false, ..received })
+        }
+    }
+}
+
+/// Reads heads until one answers this request. An endpoint may send a second answer to an earlier
+/// request where the next one is expected.
+async fn read_own_head(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    connection: &mut Connection,
+) -> Result<Received, MessageError> {
+    let mut stray_answers = 0;
+    loop {
+        let head = connection.read_response_head(MAX_ANSWER_HEAD_BYTES).await?;
+        if (100..200).contains(&head.status) {
+            continue;
+        }
+        let framing = Framing::of_response(&head, &request.head.method)
+            .map_err(|error| MessageError::Malformed { detail: error.to_string() })?;
+        let facts = shared.protocol.endpoint_answer(&head);
+        let is_stray = facts.request_id.as_ref().is_some_and(|id| *id != request.caller.id);
+        if !is_stray {
+            return Ok(Received { head, facts, framing, is_request_written: true });
+        }
+        stray_answers += 1;
+        if stray_answers > MAX_STRAY_ANSWERS || framing == Framing::UntilClose {
+            let detail = "the answer belongs to another request".to_owned();
+            return Err(MessageError::Malformed { detail });
+        }
+        BodyReader::new(framing).read_all(connection, MAX_ANSWER_BYTES).await?;
+    }
+}
+
+/// Collects an answer and passes it on if it is one that the caller may have.
+async fn pass_whole(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    target: &Target<'_>,
+    mut connection: Connection,
+    received: Received,
+    answer: &mut AnswerWriter,
+) -> Attempted {
+    let Received { head, facts, framing, is_request_written } = received;
+    let reading = BodyReader::new(framing).read_all(&mut connection, MAX_ANSWER_BYTES);
+    let body = match with_deadline(&*shared.clock, request.deadline, reading).await {
+        Ok(Ok(body)) => body,
+        // The head says all that counts of an answer to a request that did not run.
+        _ if facts.is_not_run => Bytes::new(),
+        Ok(Err(error)) => return Attempted::Ended(AttemptEnd::broken(error)),
+        Err(expired) => {
+            return Attempted::Ended(AttemptEnd::new(AttemptFailure::Silent, expired));
+        }
+    };
+    if is_request_written && framing != Framing::UntilClose && !connection.has_unused_bytes() {
+        shared.endpoints.put_idle(target.id, target.record, connection, &head);
+    }
+    let is_for_another_endpoint = matches!(head.status, 421 | 429 | 503);
+    if facts.is_not_run && is_for_another_endpoint {
+        let detail = format!("not run, status {}", head.status);
+        return Attempted::Ended(AttemptEnd::new(AttemptFailure::NotRun, detail));
+    }
+    let is_success = (200..300).contains(&head.status);
+    if is_success && !facts.is_signed {
+        let detail = "a success without the endpoint's signature";
+        return Attempted::Ended(AttemptEnd::new(AttemptFailure::Broken, detail));
+    }
+    if head.status >= 500 {
+        let detail = format!("status {}", head.status);
+        let whole = Some(WholeAnswer { head, body });
+        let failure = AttemptFailure::Failed;
+        return Attempted::Ended(AttemptEnd { failure, answer: whole, detail });
+    }
+    if answer.has_begun() {
+        // The beginning of a stream was passed on, and this answer does not continue it.
+        let detail = format!("status {} instead of the rest of the stream", head.status);
+        return Attempted::Ended(AttemptEnd::new(AttemptFailure::Broken, detail));
+    }
+    match answer.pass_on(&head, &body).await {
+        Ok(()) => Attempted::Answered(head.status),
+        Err(_) => Attempted::CallerGone,
+    }
+}
+
+/// Passes a stream on, event by event.
+async fn pass_stream(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    target: &Target<'_>,
+    mut connection: Connection,
+    received: Received,
+    events: &mut EventSplitter,
+    answer: &mut AnswerWriter,
+) -> Attempted {
+    let Received { head, framing, is_request_written, .. } = received;
+    let mut body = BodyReader::new(framing);
+    events.drop_partial();
+    loop {
+        let part = match with_deadline(&*shared.clock, request.deadline, body.next(&mut connection))
+            .await
+        {
+            Ok(Ok(part)) => part,
+            Ok(Err(error)) => return Attempted::Ended(AttemptEnd::broken(error)),
+            Err(expired) => {
+                return Attempted::Ended(AttemptEnd::new(AttemptFailure::Silent, expired));
+            }
+        };
+        let is_last = part.is_none();
+        let whole_events = match part {
+            Some(bytes) => events.push(bytes),
+            None => Bytes::copy_from_slice(events.partial()),
+        };
+        if whole_events.is_empty() && !is_last {
+            continue;
+        }
+        if !answer.has_begun() {
+            shared.metrics.first_event(request, shared.now());
+        }
+        let writing = async {
+            if !answer.has_begun() {
+                answer.begin_stream(&head, &whole_events).await?;
+                return match is_last {
+                    true => answer.events(&Bytes::new(), true).await,
+                    false => Ok(()),
+                };
+            }
+            answer.events(&whole_events, is_last).await
+        };
+        match with_deadline(&*shared.clock, request.deadline, writing).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return Attempted::CallerGone,
+            Err(expired) => {
+                return Attempted::Ended(AttemptEnd::new(AttemptFailure::Silent, expired));
+            }
+        }
+        if is_last {
+            break;
+        }
+    }
+    if is_request_written && framing != Framing::UntilClose && !connection.has_unused_bytes() {
+        shared.endpoints.put_idle(target.id, target.record, connection, &head);
+    }
+    Attempted::Answered(head.status)
+}
--- /dev/null
+++ b/crates/gateway/src/caller.rs
@@ -0,0 +1,247 @@
+//! Serves the connection of a caller.
+
+use std::sync::Arc;
+
+use async_std::net::TcpStream;
+use bytes::Bytes;
+use futures::future::{Either, select};
+use yuccapass_decisions::gateway::{CallerLimits, Refusal};
+use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, RequestHead};
+use yuccapass_http::with_deadline;
+use yuccapass_types::{Deadline, ResultCode};
+
+use crate::admission::{ReadRequest, admit};
+use crate::answer::AnswerWriter;
+use crate::forward::{Served, forward};
+use crate::protocol::CallerRequest;
+use crate::state::Shared;
+
+/// Longest time for the body of a request. A caller that is slower than this has used up the time
+/// that it is ready to wait.
+const BODY_LIMIT_MS: u64 = 10_000;
+
+/// Bytes of later requests that are read while an answer is awaited.
+const READ_AHEAD_BYTES: usize = 64 << 10;
+
+/// Bytes that are read after an answer to a request that was not read completely.
+const DISCARD_BYTES: usize = 256 << 10;
+
+/// Longest time for which a caller may go on sending after such an answer.
+const DISCARD_LIMIT_MS: u64 = 500;
+
+/// Why no request was read.
+enum NoRequest {
+    /// The caller has closed the connection, or was idle for too long.
+    Closed,
+    /// The caller gets this answer, and the connection is closed.
+    Refused(Refusal, String),
+}
+
+/// Serves requests until the connection is closed.
+pub(crate) async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
+    let mut connection = Connection::new(stream);
+    loop {
+        let request = match read_request(&shared, &mut connection).await {
+            Ok(request) => request,
+            Err(NoRequest::Closed) => return,
+            Err(NoRequest::Refused(refusal, detail)) => {
+                return reject(&shared, &mut connection, refusal, &detail).await;
+            }
+        };
+        let _open = shared.open_request();
+        if !serve_request(&shared, &mut connection, &request).await {
+            connection.close();
+            return;
+        }
+    }
+}
+
+/// Reads a request with its body.
+async fn read_request(
+    shared: &Shared,
+    connection: &mut Connection,
+) -> Result<ReadRequest, NoRequest> {
+    let limits = limits(shared);
+    await_request(shared, connection, &limits).await?;
+    let head = read_head(shared, connection, &limits).await?;
+    let arrived_at = shared.now();
+    let body = read_body(shared, connection, &head, &limits).await?;
+    Ok(ReadRequest { head, body, arrived_at })
+}
+
+/// Waits for the first byte of a request.
+async fn await_request(
+    shared: &Shared,
+    connection: &mut Connection,
+    limits: &CallerLimits,
+) -> Result<(), NoRequest> {
+    if connection.has_unused_bytes() {
+        return Ok(());
+    }
+    let limit = Deadline::after_ms(shared.now(), limits.idle_timeout_ms);
+    match with_deadline(&*shared.clock, limit, connection.fill()).await {
+        Ok(Ok(false)) => Ok(()),
+        _ => Err(NoRequest::Closed),
+    }
+}
+
+async fn read_head(
+    shared: &Shared,
+    connection: &mut Connection,
+    limits: &CallerLimits,
+) -> Result<RequestHead, NoRequest> {
+    let limit = Deadline::after_ms(shared.now(), limits.header_timeout_ms);
+    let max_bytes = limits.max_header_bytes.get() as usize;
+    let reading = connection.read_request_head(max_bytes);
+    match with_deadline(&*shared.clock, limit, reading).await {
+        Ok(Ok(Some(head))) => Ok(head),
+        Ok(Ok(None)) => Err(NoRequest::Closed),
+        Ok(Err(error)) => Err(no_request(&error)),
+        Err(expired) => Err(refused(408, ResultCode::RequestTimeout, expired)),
+    }
+}
+
+async fn read_body(
+    shared: &Shared,
+    connection: &mut Connection,
+    head: &RequestHead,
+    limits: &CallerLimits,
+) -> Result<Bytes, NoRequest> {
+    let framing = Framing::of_request(head)
+        .map_err(|error| refused(400, ResultCode::InvalidRequest, error))?;
+    let max_bytes = limits.max_body_bytes.get();
+    match framing {
+        Framing::Length(0) => return Ok(Bytes::new()),
+        Framing::Length(length) if length > max_bytes => {
+            return Err(refused(413, ResultCode::BodyTooLarge, length));
+        }
+        _ => {}
+    }
+    if head.headers.has_token("expect", "100-continue")
+        && connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
+    {
+        return Err(NoRequest::Closed);
+    }
+    let limit = Deadline::after_ms(shared.now(), BODY_LIMIT_MS);
+    let reading = BodyReader::new(framing).read_all(connection, max_bytes as usize);
+    match with_deadline(&*shared.clock, limit, reading).await {
+        Ok(body) => body.map_err(|error| no_request(&error)),
+        Err(expired) => Err(refused(408, ResultCode::RequestTimeout, expired)),
+    }
+}
+
+fn no_request(error: &MessageError) -> NoRequest {
+    match error {
+        MessageError::Io { .. } | MessageError::Truncated => NoRequest::Closed,
+        MessageError::HeadTooLarge { .. } => refused(431, ResultCode::HeadTooLarge, error),
+        MessageError::BodyTooLarge { .. } => refused(413, ResultCode::BodyTooLarge, error),
+        _ => refused(400, ResultCode::InvalidRequest, error),
+    }
+}
+
+fn refused(status: u16, code: ResultCode, detail: impl ToString) -> NoRequest {
+    NoRequest::Refused(Refusal::final_answer(status, code), detail.to_string())
+}
+
+/// Answers a request that was not read completely and closes the connection.
+async fn reject(shared: &Shared, connection: &mut Connection, refusal: Refusal, detail: &str) {
+    log::info!(
+        status = refusal.status, code:% = refusal.code, detail;
+        "a request was not accepted"
+    );
+    let mut answer = AnswerWriter::new(connection.writer(), false);
+    let caller = CallerRequest::default();
+    let limit = Deadline::after_ms(shared.now(), DISCARD_LIMIT_MS);
+    let closing = async {
+        if answer.refuse(&*shared.protocol, &caller, refusal).await.is_ok() {
+            connection.close_after_reading(DISCARD_BYTES).await;
+        }
+    };
+    // A caller that neither reads nor stops to send is cut off.
+    let _ = with_deadline(&*shared.clock, limit, closing).await;
+    connection.close();
+}
+
+/// Serves a request; returns whether the connection can be used again.
+async fn serve_request(
+    shared: &Shared,
+    connection: &mut Connection,
+    request: &ReadRequest,
+) -> bool {
+    let keeps = request.head.is_http_11
+        && !request.head.headers.has_token("connection", "close")
+        && !shared.is_stopping();
+    let mut answer = AnswerWriter::new(connection.writer(), keeps);
+    let serving = Box::pin(answer_request(shared, request, &mut answer));
+    let leaving = Box::pin(connection.closed_by_peer(READ_AHEAD_BYTES));
+    // Dropping the future that serves closes the connection to the endpoint, which then stops its
+    // work on the request.
+    let is_gone = matches!(select(serving, leaving).await, Either::Right(_));
+    if is_gone {
+        log::debug!("a caller left before its answer");
+        return false;
+    }
+    answer.keeps_connection()
+}
+
+async fn answer_request(shared: &Shared, request: &ReadRequest, answer: &mut AnswerWriter) {
+    let caller = match shared.protocol.caller_request(&request.head) {
+        Ok(caller) => caller,
+        Err(error) => {
+            log::info!(error:%; "a request was not accepted");
+            let refusal = Refusal::final_answer(400, ResultCode::InvalidHeader);
+            answer.close_after();
+            // A caller that is gone needs no answer.
+            let _ = answer.refuse(&*shared.protocol, &CallerRequest::default(), refusal).await;
+            return;
+        }
+    };
+    let Some(configuration) = shared.configuration() else {
+        let refusal = Refusal::not_run(ResultCode::PlatformUnavailable);
+        return refuse(shared, request, &caller, refusal, answer).await;
+    };
+    let admitted = match admit(shared, &configuration, request, &caller) {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refuse(shared, request, &caller, refusal, answer).await,
+    };
+    let served = forward(shared, &admitted, answer).await;
+    shared.metrics.served(&admitted, served, shared.now());
+    let age_ms = shared.now().ms_since(request.arrived_at);
+    match served {
+        Served::Answered(status) => log::debug!(
+            request = caller.id.as_str(), route = admitted.route.id.as_str(), status, age_ms;
+            "a request was answered"
+        ),
+        Served::Refused(refusal) => log::info!(
+            request = caller.id.as_str(), route = admitted.route.id.as_str(),
+            status = refusal.status, code:% = refusal.code, age_ms;
+            "a request was refused"
+        ),
+        Served::BrokenOff | Served::CallerGone => log::info!(
+            request = caller.id.as_str(), route = admitted.route.id.as_str(),
+            is_caller_gone = served == Served::CallerGone, age_ms;
+            "an answer was broken off"
+        ),
+    }
+}
+
+async fn refuse(
+    shared: &Shared,
+    request: &ReadRequest,
+    caller: &CallerRequest,
+    refusal: Refusal,
+    answer: &mut AnswerWriter,
+) {
+    log::info!(
+        request = caller.id.as_str(), path = request.head.path(), status = refusal.status,
+        code:% = refusal.code;
+        "a request was refused before it was placed"
+    );
+    shared.metrics.refused(refusal);
+    // A caller that is gone needs no answer.
+    let _ = answer.refuse(&*shared.protocol, caller, refusal).await;
+}
+
+fn limits(shared: &Shared) -> CallerLimits {
+    shared.configuration().map_or_else(CallerLimits::default, |current| *current.limits())
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,59 @@
+//! Splits a stream into whole events.
+
+use bytes::{Bytes, BytesMut};
+use smol_str::SmolStr;
+
+/// Collects the bytes of a stream and gives out whole events only.
+///
+/// An endpoint may stop in the middle of an event. A stream that another endpoint continues must
+/// then go on after the last whole event, so a part of an event is never passed on.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    partial: BytesMut,
+    last_id: Option<SmolStr>,
+}
+
+impl EventSplitter {
+    /// Adds bytes of the stream; returns the events that they complete, which may be none.
+    pub(crate) fn push(&mut self, bytes: Bytes) -> Bytes {
+        if self.partial.is_empty() && bytes.ends_with(b"\n\n") {
+            self.note_last_id(&bytes);
+            return bytes;
+        }
+        self.partial.extend_from_slice(&bytes);
+        let Some(end) = last_event_end(&self.partial) else { return Bytes::new() };
+        let events = self.partial.split_to(end).freeze();
+        self.note_last_id(&events);
+        events
+    }
+
+    /// Returns the bytes after the last whole event.
+    pub(crate) fn partial(&self) -> &[u8] {
+        &self.partial
+    }
+
+    /// Forgets the bytes after the last whole event, when the stream goes on elsewhere.
+    pub(crate) fn drop_partial(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Returns the id of the last whole event.
+    pub(crate) fn last_id(&self) -> Option<&SmolStr> {
+        self.last_id.as_ref()
+    }
+
+    fn note_last_id(&mut self, events: &[u8]) {
+        let id = events
+            .rsplit(|&byte| byte == b'\n')
+            .find_map(|line| line.strip_prefix(b"id:"))
+            .and_then(|id| std::str::from_utf8(id).ok());
+        if let Some(id) = id {
+            self.last_id = Some(SmolStr::new(id.trim()));
+        }
+    }
+}
+
+/// Returns the position after the empty line that ends the last whole event.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|position| position + 2)
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,263 @@
+//! Makes attempts at endpoints until the caller has its final answer.
+
+use yuccapass_decisions::gateway::next_step::next_step;
+use yuccapass_decisions::gateway::{
+    AttemptFacts, AttemptFailure, Candidate, Directory, EndpointRecord, NextStep, PlacementRequest,
+    Refusal,
+};
+use yuccapass_types::{Deadline, EndpointId, RequestsPerSecond, ResultCode};
+
+use crate::admission::Admitted;
+use crate::answer::AnswerWriter;
+use crate::attempt::{AttemptEnd, Attempted, Target, WholeAnswer, attempt};
+use crate::events::EventSplitter;
+use crate::state::Shared;
+
+/// An endpoint that has not begun to answer a request that may run again after so many times the
+/// target latency is given up for another one.
+const PATIENCE_FACTOR: u64 = 5;
+
+/// Part of what a cold endpoint bears that all nodes together send, in thousandths; the rest covers
+/// nodes that disagree about their number.
+const COLD_PART_MILLI: f64 = 700.0;
+
+/// What became of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Served {
+    /// The caller has a final answer with this status.
+    Answered(u16),
+    /// The caller has an answer of this node's own.
+    Refused(Refusal),
+    /// The connection to the caller is to be closed.
+    BrokenOff,
+    /// The caller is gone.
+    CallerGone,
+}
+
+/// Counts the attempts of one request.
+#[derive(Debug, Default)]
+struct Attempts {
+    sent: u32,
+    run: u32,
+    may_have_run: bool,
+    tried: Vec<EndpointId>,
+}
+
+impl Attempts {
+    fn note(&mut self, failure: AttemptFailure) {
+        if failure != AttemptFailure::NotSent {
+            self.sent += 1;
+        }
+        if !failure.is_not_run() {
+            self.run += 1;
+            self.may_have_run = true;
+        }
+    }
+}
+
+/// Serves an admitted request.
+pub(crate) async fn forward(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    answer: &mut AnswerWriter,
+) -> Served {
+    shared.count_request(request.service);
+    let mut attempts = Attempts::default();
+    let mut events = EventSplitter::default();
+    loop {
+        let directory = shared.directory();
+        let Some((id, record)) = choose(shared, &directory, request, &attempts.tried) else {
+            return refuse(shared, request, answer, nothing_to_try(&attempts)).await;
+        };
+        attempts.tried.push(id.clone());
+        let target = Target { id, record };
+        let limit = attempt_limit(shared, request, &attempts);
+        let end = match attempt(shared, request, &target, limit, &mut events, answer).await {
+            Attempted::Answered(status) => return Served::Answered(status),
+            Attempted::CallerGone => return Served::CallerGone,
+            Attempted::Ended(end) => end,
+        };
+        attempts.note(end.failure);
+        let step = decide(shared, &directory, request, &attempts, &end, answer);
+        log_attempt(shared, request, &target, &attempts, &end, step);
+        match step {
+            NextStep::Retry => {}
+            NextStep::BreakOff => return Served::BrokenOff,
+            NextStep::PassOn => return pass_on(shared, request, answer, end.answer).await,
+            NextStep::Refuse(refusal) => return refuse(shared, request, answer, refusal).await,
+        }
+    }
+}
+
+fn decide(
+    shared: &Shared,
+    directory: &Directory,
+    request: &Admitted<'_>,
+    attempts: &Attempts,
+    end: &AttemptEnd,
+    answer: &AnswerWriter,
+) -> NextStep {
+    let facts = AttemptFacts {
+        failure: end.failure,
+        kind: request.route.kind,
+        may_have_run: attempts.may_have_run,
+        sent_attempts: attempts.sent,
+        run_attempts: attempts.run,
+        max_attempts: request.route.max_attempts,
+        has_begun_answer: answer.has_begun(),
+        has_other_endpoint: choose(shared, directory, request, &attempts.tried).is_some(),
+        deadline: request.deadline,
+    };
+    next_step(&facts, || shared.take_retry(request.service), shared.now())
+}
+
+/// Until when an endpoint may be silent: a request that may run again should not wait for one that
+/// has stopped to answer.
+fn attempt_limit(shared: &Shared, request: &Admitted<'_>, attempts: &Attempts) -> Deadline {
+    let route = request.route;
+    let has_another = route.kind.may_run_again() && attempts.run + 1 < route.max_attempts;
+    if !has_another {
+        return request.deadline;
+    }
+    let patience_ms = route.target_latency_ms.saturating_mul(PATIENCE_FACTOR);
+    Deadline::after_ms(shared.now(), patience_ms).earlier(request.deadline)
+}
+
+/// Chooses an endpoint that was not tried yet: one without recent failures, else any that is warm,
+/// else a cold one within this node's part of what it bears.
+fn choose<'a>(
+    shared: &Shared,
+    directory: &'a Directory,
+    request: &Admitted<'_>,
+    tried: &[EndpointId],
+) -> Option<(&'a EndpointId, &'a EndpointRecord)> {
+    let now = shared.now();
+    let regions = &request.regions;
+    let untried: Vec<(&EndpointId, &EndpointRecord)> = directory
+        .eligible(request.service, regions)
+        .into_iter()
+        .filter(|(id, _)| !tried.contains(id))
+        .collect();
+    let is_cold =
+        |record: &EndpointRecord| record.cold_until.is_some_and(|until| !until.has_passed(now));
+    let (cold, warm): (Vec<_>, Vec<_>) =
+        untried.into_iter().partition(|(_, record)| is_cold(record));
+    let (avoided, sound): (Vec<_>, Vec<_>) = warm.into_iter().partition(|(id, record)| {
+        shared.endpoints.with_track(id, record, |track| track.is_avoided(now))
+    });
+    if let Some(chosen) = place(shared, directory, request, &sound) {
+        return Some(chosen);
+    }
+    if let Some(chosen) = place(shared, directory, request, &avoided) {
+        return Some(chosen);
+    }
+    let rate = cold_rate(shared, request);
+    let bearable: Vec<_> = cold
+        .into_iter()
+        .filter(|(id, record)| {
+            shared.endpoints.with_track(id, record, |track| track.may_send_cold(rate, now))
+        })
+        .collect();
+    let (id, record) = place(shared, directory, request, &bearable)?;
+    shared.endpoints.with_track(id, record, |track| track.sent_cold());
+    Some((id, record))
+}
+
+/// Thousandths of a request a second that this node may send to each cold endpoint.
+fn cold_rate(shared: &Shared, request: &Admitted<'_>) -> RequestsPerSecond {
+    let bearable = shared
+        .configuration()
+        .and_then(|configuration| {
+            configuration.service(request.service).map(|service| service.cold_requests_per_s)
+        })
+        .unwrap_or_default();
+    RequestsPerSecond::new((bearable * COLD_PART_MILLI / f64::from(shared.nodes())) as u64)
+}
+
+fn place<'a>(
+    shared: &Shared,
+    directory: &Directory,
+    request: &Admitted<'_>,
+    endpoints: &[(&'a EndpointId, &'a EndpointRecord)],
+) -> Option<(&'a EndpointId, &'a EndpointRecord)> {
+    let now = shared.now();
+    let candidates: Vec<Candidate<'_>> = endpoints
+        .iter()
+        .map(|(id, record)| {
+            let (load, failure_rate) = shared
+                .endpoints
+                .with_track(id, record, |track| (track.load(now), track.failure_rate()));
+            let distance = shared.distance(directory, &record.zone);
+            Candidate { endpoint: id, distance, load, slots: record.slots, failure_rate }
+        })
+        .collect();
+    let placement_request =
+        PlacementRequest { parts: &request.caller.parts, drawn: rand::random() };
+    let placement = match request.route.is_sticky {
+        true => &shared.placements.models,
+        false => &shared.placements.services,
+    };
+    placement.choose(&placement_request, &candidates).map(|position| endpoints[position])
+}
+
+/// The answer when no endpoint is left to try.
+fn nothing_to_try(attempts: &Attempts) -> Refusal {
+    match attempts.may_have_run {
+        false => Refusal::not_run(ResultCode::NoEndpoint),
+        true => Refusal::final_answer(502, ResultCode::EndpointFailed),
+    }
+}
+
+async fn pass_on(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    answer: &mut AnswerWriter,
+    whole: Option<WholeAnswer>,
+) -> Served {
+    let Some(WholeAnswer { head, body }) = whole else {
+        let refusal = Refusal::final_answer(502, ResultCode::EndpointFailed);
+        return refuse(shared, request, answer, refusal).await;
+    };
+    match answer.pass_on(&head, &body).await {
+        Ok(()) => Served::Answered(head.status),
+        Err(_) => Served::CallerGone,
+    }
+}
+
+async fn refuse(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    answer: &mut AnswerWriter,
+    refusal: Refusal,
+) -> Served {
+    if answer.has_begun() {
+        return Served::BrokenOff;
+    }
+    match answer.refuse(&*shared.protocol, request.caller, refusal).await {
+        Ok(()) => Served::Refused(refusal),
+        Err(_) => Served::CallerGone,
+    }
+}
+
+fn log_attempt(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    target: &Target<'_>,
+    attempts: &Attempts,
+    end: &AttemptEnd,
+    step: NextStep,
+) {
+    let now = shared.now();
+    log::info!(
+        request = request.caller.id.as_str(),
+        route = request.route.id.as_str(),
+        endpoint = target.id.as_str(),
+        attempt = attempts.tried.len(),
+        failure:? = end.failure,
+        detail = end.detail.as_str(),
+        age_ms = now.ms_since(request.arrived_at),
+        remaining_ms = request.deadline.remaining_ms(now),
+        next:? = step;
+        "an attempt gave no answer"
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,42 @@
+//! The front that passes callers' requests on to replicated services.
+//!
+//! Callers and endpoints speak HTTP/1.1 with headers that differ between platforms. What a message
+//! means is told by the traits in [`protocol`], which a platform's adapter implements; what is
+//! decided about a request comes from `yuccapass_decisions::gateway`.
+//!
+//! * [`protocol`]: the trait objects at the border to a platform.
+//! * [`options`]: what can be set.
+//! * [`node`]: a running gateway, from start to graceful stop.
+//! * [`clock`]: a clock that also counts while the machine is suspended.
+//!
+//! On the way of a request: `caller` reads it from its connection, `admission` checks it, `forward`
+//! makes attempts at endpoints, `attempt` is one of them, `events` passes a stream on, and `answer`
+//! writes to the caller. `endpoints` has the load, failures and connections of the endpoints.
+//! `follow` keeps configuration and directory up to date, `membership` counts the nodes, and
+//! `weights` orders endpoints to take new weights.
+
+mod admission;
+mod answer;
+mod attempt;
+mod caller;
+pub mod clock;
+mod endpoints;
+mod events;
+mod follow;
+mod forward;
+mod membership;
+mod metrics;
+pub mod node;
+pub mod options;
+pub mod protocol;
+mod readiness;
+mod state;
+mod weights;
+
+pub use clock::BootClock;
+pub use node::{GatewayError, GatewayNode};
+pub use options::GatewayOptions;
+pub use protocol::{
+    CallerRequest, Catalog, CatalogChange, CatalogError, EndpointAnswer, EngineOrders, Forwarding,
+    InvalidRequest, OrderOutcome, Protocol, WeightOrder,
+};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,135 @@
+//! Metrics for scraping, with histograms per organisation and kind of route.
+
+use std::sync::{Mutex, PoisonError};
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use smol_str::{SmolStr, ToSmolStr};
+use yuccapass_decisions::gateway::{Refusal, RouteKind};
+use yuccapass_types::Instant;
+
+use crate::admission::Admitted;
+use crate::forward::Served;
+
+/// Boundaries around the targets of 150 ms to 1.2 s for the first event.
+const BOUNDARIES_S: [f64; 12] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.4, 10.0];
+
+/// Most organisations with a label of their own; each costs memory here and in whatever scrapes.
+const MAX_ORGANISATION_LABELS: usize = 200;
+
+/// Label value of organisations beyond the bound and of requests without one.
+const OTHER: &str = "other";
+
+/// The instruments of a gateway.
+pub(crate) struct Metrics {
+    registry: Registry,
+    // Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    organisations: Mutex<Vec<SmolStr>>,
+    first_event: Histogram<f64>,
+    answer: Histogram<f64>,
+    refusals: Counter<u64>,
+    broken_off: Counter<u64>,
+}
+
+impl Metrics {
+    /// Sets up the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot be set up.
+    pub(crate) fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
+        let registry = Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("yuccapass-gateway");
+        let seconds = |name: &'static str, about: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(about)
+                .with_boundaries(BOUNDARIES_S.to_vec())
+                .build()
+        };
+        let counter = |name: &'static str, about: &'static str| {
+            meter.u64_counter(name).with_description(about).build()
+        };
+        Ok(Self {
+            first_event: seconds(
+                "yuccapass_gateway_first_event",
+                "Time from a request's arrival to the first event of its answer.",
+            ),
+            answer: seconds(
+                "yuccapass_gateway_answer",
+                "Time from a request's arrival to the end of its answer.",
+            ),
+            refusals: counter("yuccapass_gateway_refusals", "Answers of this node's own, by code."),
+            broken_off: counter("yuccapass_gateway_broken_off", "Answers that were broken off."),
+            registry,
+            _provider: provider,
+            organisations: Mutex::default(),
+        })
+    }
+
+    /// Notes the first event of a stream.
+    pub(crate) fn first_event(&self, request: &Admitted<'_>, now: Instant) {
+        let seconds = now.ms_since(request.arrived_at) as f64 / 1_000.0;
+        self.first_event.record(seconds, &self.labels(request));
+    }
+
+    /// Notes what became of a request.
+    pub(crate) fn served(&self, request: &Admitted<'_>, served: Served, now: Instant) {
+        match served {
+            Served::Answered(_) => {
+                let seconds = now.ms_since(request.arrived_at) as f64 / 1_000.0;
+                self.answer.record(seconds, &self.labels(request));
+            }
+            Served::Refused(refusal) => self.refused(refusal),
+            Served::BrokenOff | Served::CallerGone => {
+                self.broken_off.add(1, &self.labels(request));
+            }
+        }
+    }
+
+    /// Notes an answer of this node's own.
+    pub(crate) fn refused(&self, refusal: Refusal) {
+        self.refusals.add(1, &[KeyValue::new("code", refusal.code.to_string())]);
+    }
+
+    /// Returns the metrics in the text format of Prometheus.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(error:%; "the metrics cannot be encoded");
+        }
+        text
+    }
+
+    fn labels(&self, request: &Admitted<'_>) -> [KeyValue; 2] {
+        let organisation = match request.organisation {
+            None => SmolStr::new_static(OTHER),
+            Some(organisation) => self.bounded(organisation.as_str()),
+        };
+        let kind = match request.route.kind {
+            RouteKind::Idempotent => "idempotent",
+            RouteKind::NonIdempotent => "non_idempotent",
+            RouteKind::Streaming { .. } => "streaming",
+        };
+        [KeyValue::new("organisation", organisation.to_string()), KeyValue::new("kind", kind)]
+    }
+
+    fn bounded(&self, organisation: &str) -> SmolStr {
+        let mut known = self.organisations.lock().unwrap_or_else(PoisonError::into_inner);
+        match known.binary_search_by(|name| name.as_str().cmp(organisation)) {
+            Ok(position) => known[position].clone(),
+            Err(position) if known.len() < MAX_ORGANISATION_LABELS => {
+                known.insert(position, organisation.to_smolstr());
+                known[position].clone()
+            }
+            Err(_) => SmolStr::new_static(OTHER),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/readiness.rs
@@ -0,0 +1,62 @@
+//! Serves readiness and metrics.
+
+use std::sync::Arc;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use bytes::BufMut;
+use yuccapass_http::message::Connection;
+use yuccapass_http::with_deadline;
+use yuccapass_types::Deadline;
+
+use crate::state::Shared;
+
+/// Largest head of a question.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+
+/// Longest time between two questions on a connection.
+const IDLE_LIMIT_MS: u64 = 10_000;
+
+/// The path of the metrics; every other one asks for readiness.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers questions until the process ends.
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                task::spawn(serve_connection(Arc::clone(&shared), stream));
+            }
+            Err(error) => {
+                log::warn!(error:%; "a connection for readiness was not accepted");
+                task::sleep(std::time::Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
+    let mut connection = Connection::new(stream);
+    loop {
+        let limit = Deadline::after_ms(shared.now(), IDLE_LIMIT_MS);
+        let reading = connection.read_request_head(MAX_HEAD_BYTES);
+        let Ok(Ok(Some(head))) = with_deadline(&*shared.clock, limit, reading).await else {
+            return;
+        };
+        let is_metrics = head.path() == METRICS_PATH;
+        let (status, body) = match is_metrics {
+            true => (200, shared.metrics.encode()),
+            false if shared.is_ready() => (200, b"ready\n".to_vec()),
+            false => (503, b"not ready\n".to_vec()),
+        };
+        let length = body.len();
+        let mut out = format!(
+            "HTTP/1.1 {status} .\r\ncontent-type: text/plain\r\ncontent-length: {length}\r\n\r\n"
+        )
+        .into_bytes();
+        out.put_slice(&body);
+        if connection.write_all(&out).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,179 @@
+//! State that the tasks of a gateway share.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use yuccapass_decisions::gateway::{
+    Approval, Configuration, ConfigurationHolder, Directory, Distance, FleetSize, Placement,
+    RetryShare,
+};
+use yuccapass_types::{Clock, Instant, ServiceId, Sharded, SortedMap, ZoneId};
+
+use crate::endpoints::EndpointTable;
+use crate::metrics::Metrics;
+use crate::options::GatewayOptions;
+use crate::protocol::Protocol;
+
+/// How endpoints are chosen.
+pub(crate) struct Placements {
+    /// For requests that profit from an endpoint that has seen the beginning of their prompt.
+    pub(crate) models: Box<dyn Placement>,
+    /// For all others.
+    pub(crate) services: Box<dyn Placement>,
+}
+
+/// State that the tasks of a gateway share; each part has a lock of its own, which is never held
+/// across an await.
+pub(crate) struct Shared {
+    pub(crate) options: GatewayOptions,
+    pub(crate) protocol: Arc<dyn Protocol>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) endpoints: EndpointTable,
+    pub(crate) metrics: Metrics,
+    pub(crate) placements: Placements,
+    configuration: RwLock<ConfigurationHolder>,
+    // Replaced as a whole, so that a request reads a consistent state without holding the lock.
+    directory: RwLock<Arc<Directory>>,
+    approval: Mutex<Approval>,
+    fleet: Mutex<FleetSize>,
+    retry_shares: Sharded<SortedMap<ServiceId, RetryShare>>,
+    is_stopping: AtomicBool,
+    open_requests: AtomicUsize,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        options: GatewayOptions,
+        protocol: Arc<dyn Protocol>,
+        clock: Arc<dyn Clock>,
+        placements: Placements,
+        metrics: Metrics,
+    ) -> Self {
+        Self {
+            protocol,
+            endpoints: EndpointTable::new(Arc::clone(&clock), options.silence_ms),
+            clock,
+            metrics,
+            placements,
+            configuration: RwLock::default(),
+            directory: RwLock::new(Arc::new(Directory::new(options.zones.clone()))),
+            approval: Mutex::new(Approval::new(options.revoke_bound_ms, options.is_fail_closed)),
+            fleet: Mutex::default(),
+            retry_shares: Sharded::default(),
+            is_stopping: AtomicBool::new(false),
+            open_requests: AtomicUsize::new(0),
+            options,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
+        let holder = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
+        holder.current().cloned()
+    }
+
+    /// Takes a configuration if it is newer; returns whether it was taken.
+    pub(crate) fn offer_configuration(&self, configuration: Configuration) -> bool {
+        let mut holder = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
+        holder.offer(configuration)
+    }
+
+    pub(crate) fn directory(&self) -> Arc<Directory> {
+        Arc::clone(&self.directory.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Changes the directory and drops the connections of endpoints that are no longer in it.
+    pub(crate) fn change_directory(&self, change: impl FnOnce(&mut Directory)) {
+        let directory = {
+            let mut current = self.directory.write().unwrap_or_else(PoisonError::into_inner);
+            change(Arc::make_mut(&mut current));
+            Arc::clone(&current)
+        };
+        self.endpoints.follow(&directory);
+    }
+
+    pub(crate) fn approval(&self) -> MutexGuard<'_, Approval> {
+        self.approval.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, FleetSize> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn nodes(&self) -> u32 {
+        let now = self.now();
+        self.fleet().nodes(now)
+    }
+
+    /// Notes a caller's request to a service, of which retries are a part.
+    pub(crate) fn count_request(&self, service: &ServiceId) {
+        let now = self.now();
+        self.with_retry_share(service, |share| share.request(now));
+    }
+
+    /// Takes one of this node's retries to a service.
+    pub(crate) fn take_retry(&self, service: &ServiceId) -> bool {
+        let (now, nodes) = (self.now(), self.nodes());
+        self.with_retry_share(service, |share| share.try_take(nodes, now))
+    }
+
+    fn with_retry_share<R>(
+        &self,
+        service: &ServiceId,
+        action: impl FnOnce(&mut RetryShare) -> R,
+    ) -> R {
+        let terms = self.options.retry_terms;
+        self.retry_shares.with(service, |shares| {
+            action(shares.get_or_insert_with(service.clone(), || RetryShare::new(terms)))
+        })
+    }
+
+    pub(crate) fn distance(&self, directory: &Directory, zone: &ZoneId) -> Distance {
+        if *zone == self.options.zone {
+            return Distance::SameZone;
+        }
+        match directory.region(zone) {
+            Some(region) if Some(region) == directory.region(&self.options.zone) => {
+                Distance::SameRegion
+            }
+            _ => Distance::OtherRegion,
+        }
+    }
+
+    /// Returns whether the node can serve: it knows a configuration whose keys it may rely on.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.configuration().is_some() && self.approval().holds(self.now())
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Acquire)
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub(crate) fn open_request(&self) -> OpenRequest<'_> {
+        self.open_requests.fetch_add(1, Ordering::AcqRel);
+        OpenRequest { shared: self }
+    }
+}
+
+/// A request that was read and is not yet answered.
+pub(crate) struct OpenRequest<'a> {
+    shared: &'a Shared,
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.shared.open_requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/weights.rs
@@ -0,0 +1,346 @@
+//! Orders endpoints to take new weights, on the one node that has the duty.
+//!
+//! The duty is a lock in the platform's key-value service, with a number that grows with each
+//! holder and goes with each order. The holder keeps it as long as it lives, so that orders come
+//! from the same node in turn. A node that gets it waits before its first order until the last one
+//! of the holder before is long past.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::channel::{Receiver, Sender, bounded};
+use async_std::task;
+use futures::future::{Either, select};
+use yuccapass_decisions::gateway::{EndpointRecord, SwapPlan, SwapStep};
+use yuccapass_decisions::platform_budget::{CallRank, LeaseTerms};
+use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError};
+use yuccapass_http::{sleep_until, with_deadline};
+use yuccapass_platform::{Key, LeaseLock, LockStatus, PlatformClient};
+use yuccapass_types::{Deadline, EndpointId, Instant, ModelId, WeightRevision};
+
+use crate::membership::OWN_KEYS;
+use crate::protocol::{EngineOrders, OrderOutcome, WeightOrder};
+use crate::state::Shared;
+
+/// Lifetime of the duty's lease. Its holder stops after three quarters of it.
+const LEASE_TTL_MS: u64 = 4_000;
+
+/// How long a call for the duty may take.
+const LOCK_LIMIT_MS: u64 = 1_200;
+
+/// Longest time between two looks at the duty.
+const PERIOD_MS: u64 = 500;
+
+/// Time between two looks at an engine that carries an order out.
+const REPORT_PERIOD_MS: u64 = 200;
+
+/// How long an engine may take to answer a report or an order.
+const ENGINE_LIMIT_MS: u64 = 800;
+
+/// Time after which an order that an engine declined is given again.
+const DECLINED_MS: u64 = 300;
+
+/// Largest state of an engine, which lists its runs.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
+/// Largest head of an engine's answer.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+struct State {
+    plan: SwapPlan,
+    has_other_holder: bool,
+    // When this node may give its first order; set when it gets the duty.
+    orders_from: Option<Instant>,
+}
+
+/// The duty to order endpoints to take new weights.
+pub(crate) struct WeightDuty {
+    shared: Arc<Shared>,
+    orders: Arc<dyn EngineOrders>,
+    lock: LeaseLock,
+    holder_key: Key,
+    state: Mutex<State>,
+    wake_sender: Sender<()>,
+    wake_receiver: Receiver<()>,
+}
+
+impl WeightDuty {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        platform: &Arc<PlatformClient>,
+        orders: Arc<dyn EngineOrders>,
+    ) -> Arc<Self> {
+        let name: Key =
+            format!("{OWN_KEYS}weights").parse().expect("the lock's name is a valid key");
+        let holder_key = name.child("holder").expect("the holder's key is a valid key");
+        let lock = LeaseLock::new(
+            platform.ranked(CallRank::Lease),
+            &name,
+            shared.options.node.clone(),
+            LeaseTerms::new(LEASE_TTL_MS),
+        )
+        .expect("the lock's keys are valid keys");
+        let state = State {
+            plan: SwapPlan::new(shared.options.swap_terms),
+            has_other_holder: true,
+            orders_from: None,
+        };
+        let (wake_sender, wake_receiver) = bounded(1);
+        Arc::new(Self {
+            shared,
+            orders,
+            lock,
+            holder_key,
+            state: Mutex::new(state),
+            wake_sender,
+            wake_receiver,
+        })
+    }
+
+    /// Notes the weights that operators have named.
+    pub(crate) fn want(&self, model: ModelId, weights: WeightRevision) {
+        self.state().plan.want(model, weights);
+        self.wake();
+    }
+
+    /// Notes that there may be something to do.
+    pub(crate) fn wake(&self) {
+        // A full channel means that the duty wakes anyway.
+        let _ = self.wake_sender.try_send(());
+    }
+
+    pub(crate) fn is_holder_key(&self, key: &Key) -> bool {
+        *key == self.holder_key
+    }
+
+    /// Notes whether a node has the duty.
+    pub(crate) fn holder_seen(&self, is_present: bool) {
+        self.state().has_other_holder = is_present;
+        self.wake();
+    }
+
+    /// Gives the duty up when the node stops.
+    pub(crate) async fn release(&self) {
+        let deadline = Deadline::after_ms(self.shared.now(), LOCK_LIMIT_MS);
+        if self.lock.permit().is_some()
+            && let Err(error) = self.lock.release(deadline).await
+        {
+            log::warn!(error:%; "the duty to order new weights was not given up; its lease ends");
+        }
+    }
+
+    /// Holds the duty whenever no other node does, and gives the orders; ends with the process.
+    pub(crate) async fn run(self: Arc<Self>) {
+        loop {
+            let wake_at = self.step().await;
+            let sleeping = Box::pin(sleep_until(&*self.shared.clock, wake_at));
+            let waking = Box::pin(self.wake_receiver.recv());
+            if let Either::Right((Err(_), sleeping)) = select(sleeping, waking).await {
+                // The sender lives as long as this value, so this does not happen.
+                sleeping.await;
+            }
+        }
+    }
+
+    async fn step(self: &Arc<Self>) -> Deadline {
+        let now = self.shared.now();
+        let period = Deadline::after_ms(now, PERIOD_MS);
+        let may_try = !self.state().has_other_holder || self.lock.permit().is_some();
+        if self.shared.is_stopping() || !may_try {
+            return period;
+        }
+        let deadline = Deadline::after_ms(now, LOCK_LIMIT_MS);
+        match self.lock.step(deadline).await {
+            Ok(LockStatus::Held(next)) => {
+                self.give_orders();
+                period.earlier(Deadline::after_ms(next, 0))
+            }
+            Ok(LockStatus::HeldByOther) => {
+                self.lost_duty();
+                self.state().has_other_holder = true;
+                period
+            }
+            Err(error) => {
+                log::warn!(error:%; "the duty to order new weights could not be renewed");
+                self.lost_duty();
+                period
+            }
+        }
+    }
+
+    fn lost_duty(&self) {
+        if self.lock.permit().is_none() && self.state().orders_from.take().is_some() {
+            log::info!("the duty to order new weights was lost");
+            self.state().plan.forget_orders();
+        }
+    }
+
+    /// Starts the orders that may be given now.
+    fn give_orders(self: &Arc<Self>) {
+        let Some(permit) = self.lock.permit() else { return };
+        let now = self.shared.now();
+        let directory = self.shared.directory();
+        let mut state = self.state();
+        let orders_from = *state.orders_from.get_or_insert_with(|| {
+            // The first holder of all follows nobody.
+            let is_first = permit.fencing.get() <= 1;
+            let wait_ms = if is_first { 0 } else { state_takeover_ms(&self.shared) };
+            log::info!(fencing = permit.fencing.get(), wait_ms; "this node orders new weights");
+            Deadline::after_ms(now, wait_ms).instant()
+        });
+        if now < orders_from {
+            return;
+        }
+        while let SwapStep::Order(endpoint, model, weights) = state.plan.step(&directory, now) {
+            let Some(record) = directory.endpoint(&endpoint).cloned() else { return };
+            state.plan.ordered(endpoint.clone(), model.clone(), weights, now);
+            let duty = Arc::clone(self);
+            task::spawn(async move { duty.swap(endpoint, record, model, weights).await });
+        }
+    }
+
+    /// Orders one endpoint and waits until it serves the weights.
+    async fn swap(
+        self: Arc<Self>,
+        endpoint: EndpointId,
+        record: EndpointRecord,
+        model: ModelId,
+        weights: WeightRevision,
+    ) {
+        let limit = Deadline::after_ms(self.shared.now(), self.state().plan.terms().order_limit_ms);
+        let mut is_ordered = false;
+        while !limit.has_passed(self.shared.now()) {
+            let next = self.ask(&endpoint, &record, &model, weights, is_ordered).await;
+            match next {
+                Ok(Asked::Serves) => {
+                    self.state().plan.settled(endpoint.clone(), model.clone(), weights);
+                    log::info!(
+                        endpoint = endpoint.as_str(), model = model.as_str(),
+                        weights = weights.get();
+                        "an endpoint serves new weights"
+                    );
+                    self.wake();
+                    return;
+                }
+                Ok(Asked::Ordered) => is_ordered = true,
+                Ok(Asked::Busy) => {}
+                Ok(Asked::Declined) => break,
+                Err(error) => {
+                    log::warn!(
+                        endpoint = endpoint.as_str(), error:%;
+                        "an endpoint did not answer to a report or an order"
+                    );
+                    // Whether the order arrived shows in the next report.
+                    is_ordered = false;
+                }
+            }
+            task::sleep(Duration::from_millis(REPORT_PERIOD_MS)).await;
+        }
+        let now = self.shared.now();
+        self.state().plan.declined(endpoint, model, weights, DECLINED_MS, now);
+        self.wake();
+    }
+
+    async fn ask(
+        &self,
+        endpoint: &EndpointId,
+        record: &EndpointRecord,
+        model: &ModelId,
+        weights: WeightRevision,
+        is_ordered: bool,
+    ) -> Result<Asked, MessageError> {
+        let report = self.orders.report_request(endpoint);
+        let (status, body) = self.call(endpoint, record, &report).await?;
+        if status != 200 {
+            return Ok(Asked::Declined);
+        }
+        let report = self
+            .orders
+            .decode_report(model, &body)
+            .map_err(|error| MessageError::Malformed { detail: error.to_string() })?;
+        if report.weights >= Some(weights) {
+            return Ok(Asked::Serves);
+        }
+        if report.is_busy || is_ordered {
+            return Ok(Asked::Busy);
+        }
+        // Asked for immediately before the order: it may have ended meanwhile.
+        let Some(permit) = self.lock.permit() else { return Ok(Asked::Declined) };
+        let order = WeightOrder {
+            endpoint,
+            model,
+            weights,
+            holder: &self.shared.options.node,
+            fencing: permit.fencing,
+            after_orders: report.accepted_orders,
+        };
+        let message = self.orders.order_request(&order);
+        let (status, _) = self.call(endpoint, record, &message).await?;
+        let outcome = self.orders.order_outcome(status);
+        log::info!(
+            endpoint = endpoint.as_str(), model = model.as_str(), weights = weights.get(),
+            fencing = permit.fencing.get(), status, outcome:?;
+            "an endpoint was ordered to take new weights"
+        );
+        Ok(match outcome {
+            OrderOutcome::Accepted => Asked::Ordered,
+            OrderOutcome::Declined => Asked::Busy,
+            OrderOutcome::Fenced | OrderOutcome::Invalid => Asked::Declined,
+        })
+    }
+
+    /// Sends a message to an engine and reads its answer.
+    async fn call(
+        &self,
+        endpoint: &EndpointId,
+        record: &EndpointRecord,
+        message: &[u8],
+    ) -> Result<(u16, Vec<u8>), MessageError> {
+        let deadline = Deadline::after_ms(self.shared.now(), ENGINE_LIMIT_MS);
+        let exchange = async {
+            let mut connection = self.connect(endpoint, record, deadline).await?;
+            connection.write_all(message).await.map_err(|source| MessageError::Io { source })?;
+            let head = connection.read_response_head(MAX_HEAD_BYTES).await?;
+            let framing = Framing::of_response(&head, "POST")
+                .map_err(|error| MessageError::Malformed { detail: error.to_string() })?;
+            let body = BodyReader::new(framing).read_all(&mut connection, MAX_REPORT_BYTES).await?;
+            if framing != Framing::UntilClose && !connection.has_unused_bytes() {
+                self.shared.endpoints.put_idle(endpoint, record, connection, &head);
+            }
+            Ok((head.status, body.to_vec()))
+        };
+        let timed_out =
+            |_| MessageError::Io { source: std::io::Error::from(std::io::ErrorKind::TimedOut) };
+        with_deadline(&*self.shared.clock, deadline, exchange).await.map_err(timed_out)?
+    }
+
+    async fn connect(
+        &self,
+        endpoint: &EndpointId,
+        record: &EndpointRecord,
+        deadline: Deadline,
+    ) -> Result<Connection, MessageError> {
+        let connecting = self.shared.endpoints.connect(endpoint, record, deadline);
+        connecting.await.map_err(|source| MessageError::Io { source })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn state_takeover_ms(shared: &Shared) -> u64 {
+    shared.options.swap_terms.takeover_ms
+}
+
+/// What an engine said.
+enum Asked {
+    /// It serves the weights.
+    Serves,
+    /// It carries the order out.
+    Ordered,
+    /// It carries an order out.
+    Busy,
+    /// It takes no order now.
+    Declined,
+}
--- a/crates/yuccapassd/src/fleet/platform_watch.rs
+++ b/crates/yuccapassd/src/fleet/platform_watch.rs
@@ -73,7 +73,7 @@
                 revision = changes.last().map_or(revision, |change| change.revision);
                 offer_newest(sync, &changes).await;
             }
-            WatchOutcome::Quiet => return Ok(()),
+            WatchOutcome::Quiet { .. } => return Ok(()),
             WatchOutcome::Compacted | WatchOutcome::Restored { .. } => {
                 revision = read(sync, &reader).await?;
             }
--- /dev/null
+++ b/crates/yuccapassd/src/gateway.rs
@@ -0,0 +1,282 @@
+//! The gateway as a subcommand: its settings and its life as a process.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use async_signal::{Signal, Signals};
+use clap::Args;
+use futures::StreamExt;
+use futures::future::{Either, select};
+use log::LevelFilter;
+use smol_str::SmolStr;
+use snafu::Snafu;
+use yuccapass_decisions::gateway::{RetryTerms, SwapTerms};
+use yuccapass_decisions::platform_budget::FleetRates;
+use yuccapass_gateway::{BootClock, GatewayNode, GatewayOptions};
+use yuccapass_platform::ManagedConfig;
+use yuccapass_types::{Clock, NodeId, RegionId, RequestsPerSecond, SortedMap, ZoneId};
+
+/// Longest time between two probes of the platform in an outage, so that keys are confirmed again
+/// soon after its return.
+const MAX_PROBE_MS: u64 = 400;
+
+/// Longest time that a call to the platform may take before it is repeated.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+
+/// A zone with its region, written `ZONE=REGION`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneRegion {
+    zone: ZoneId,
+    region: RegionId,
+}
+
+/// Reports a text that is not a zone with its region.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{text:?} is not ZONE=REGION"))]
+pub struct InvalidZoneRegion {
+    text: SmolStr,
+}
+
+impl FromStr for ZoneRegion {
+    type Err = InvalidZoneRegion;
+
+    fn from_str(text: &str) -> Result<Self, InvalidZoneRegion> {
+        let invalid = || InvalidZoneRegion { text: SmolStr::new(text) };
+        let (zone, region) = text.split_once('=').ok_or_else(invalid)?;
+        Ok(Self {
+            zone: zone.parse().map_err(|_| invalid())?,
+            region: region.parse().map_err(|_| invalid())?,
+        })
+    }
+}
+
+/// Settings of the gateway. Each flag can also be given as an environment variable.
+#[derive(Debug, Clone, Args)]
+pub struct GatewaySettings {
+    /// Validate the settings and exit.
+    #[arg(long)]
+    pub check: bool,
+
+    /// Name of this node.
+    #[arg(long, env = "YUCCAPASS_NODE_ID")]
+    pub node_id: NodeId,
+
+    /// Availability zone of this VM.
+    #[arg(long, env = "YUCCAPASS_ZONE")]
+    pub zone: ZoneId,
+
+    /// The zones of the deployment as ZONE=REGION, separated by commas.
+    #[arg(long, env = "YUCCAPASS_ZONES", value_delimiter = ',')]
+    pub zones: Vec<ZoneRegion>,
+
+    /// Address for callers.
+    #[arg(long, env = "YUCCAPASS_CALLER_ADDRESS")]
+    pub caller_address: SocketAddr,
+
+    /// Address for readiness and metrics.
+    #[arg(long, env = "YUCCAPASS_ADMIN_ADDRESS")]
+    pub admin_address: SocketAddr,
+
+    /// Address of the platform's key-value service.
+    #[arg(long, env = "YUCCAPASS_PLATFORM")]
+    pub platform: SocketAddr,
+
+    /// Read calls a second that all nodes together may make to the platform.
+    #[arg(long, env = "YUCCAPASS_PLATFORM_READS_PER_S", default_value_t = 2_000)]
+    pub platform_reads_per_s: u64,
+
+    /// Write calls a second that all nodes together may make to the platform.
+    #[arg(long, env = "YUCCAPASS_PLATFORM_WRITES_PER_S", default_value_t = 300)]
+    pub platform_writes_per_s: u64,
+
+    /// Whether requests with a key are refused while it cannot be confirmed that the key is valid.
+    #[arg(long, env = "YUCCAPASS_FAIL_CLOSED", default_value_t = true, action = clap::ArgAction::Set)]
+    pub fail_closed: bool,
+
+    /// Longest time for which a revoked key may still work, in milliseconds.
+    #[arg(long, env = "YUCCAPASS_REVOKE_BOUND_MS", default_value_t = 5_000)]
+    pub revoke_bound_ms: u64,
+
+    /// Retries to a service that all nodes together may make for each request of the window.
+    #[arg(long, env = "YUCCAPASS_RETRY_RATIO", default_value_t = 0.2)]
+    pub retry_ratio: f64,
+
+    /// Retries to a service that all nodes together may make in a window without requests.
+    #[arg(long, env = "YUCCAPASS_RETRY_SLACK", default_value_t = 50.0)]
+    pub retry_slack: f64,
+
+    /// Length of the window for retries, in seconds.
+    #[arg(long, env = "YUCCAPASS_RETRY_WINDOW_S", default_value_t = 10.0)]
+    pub retry_window_s: f64,
+
+    /// Time from a stop signal after which the process is killed, in seconds.
+    #[arg(long, env = "YUCCAPASS_STOP_LIMIT_S", default_value_t = 8.0)]
+    pub stop_limit_s: f64,
+
+    /// Shortest time between orders to endpoints by two nodes, in milliseconds.
+    #[arg(long, env = "YUCCAPASS_ORDER_LEASE_MS", default_value_t = 3_000)]
+    pub order_lease_ms: u64,
+
+    /// Endpoints of a model for each one that may take new weights at the same time.
+    #[arg(long, env = "YUCCAPASS_ENDPOINTS_PER_SWAP", default_value_t = 6)]
+    pub endpoints_per_swap: u32,
+
+    /// Time without an acknowledgement after which a connection to an endpoint is given up, in
+    /// milliseconds.
+    #[arg(long, env = "YUCCAPASS_SILENCE_MS", default_value_t = 1_000)]
+    pub silence_ms: u64,
+
+    /// Most open connections from callers.
+    #[arg(long, env = "YUCCAPASS_MAX_CONNECTIONS", default_value_t = 3_000)]
+    pub max_connections: usize,
+
+    /// Least severe log level: off, error, warn, info, debug or trace.
+    #[arg(long, env = "YUCCAPASS_LOG_LEVEL", default_value = "info")]
+    pub log_level: LevelFilter,
+}
+
+/// Reports a setting of the gateway that is out of its bounds.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("--{setting} is {value}, but it must be {bound}"))]
+pub struct InvalidGatewaySetting {
+    setting: &'static str,
+    value: SmolStr,
+    bound: &'static str,
+}
+
+impl GatewaySettings {
+    /// Checks the settings against their bounds.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first setting that is out of its bounds.
+    pub fn validate(&self) -> Result<(), InvalidGatewaySetting> {
+        let fail = |setting, value: &dyn std::fmt::Display, bound| {
+            Err(InvalidGatewaySetting {
+                setting,
+                value: smol_str::format_smolstr!("{value}"),
+                bound,
+            })
+        };
+        let in_unit = |value: f64| (0.0..=1.0).contains(&value);
+        let in_hour = |seconds: f64| (0.1..=3_600.0).contains(&seconds);
+        if !self.zones.iter().any(|known| known.zone == self.zone) {
+            return fail("zone", &self.zone, "one of --zones");
+        }
+        if self.platform_reads_per_s == 0 {
+            return fail("platform-reads-per-s", &0, "at least 1");
+        }
+        if self.platform_writes_per_s == 0 {
+            return fail("platform-writes-per-s", &0, "at least 1");
+        }
+        if !(500..=3_600_000).contains(&self.revoke_bound_ms) {
+            return fail("revoke-bound-ms", &self.revoke_bound_ms, "from 500 to 3600000");
+        }
+        if !in_unit(self.retry_ratio) {
+            return fail("retry-ratio", &self.retry_ratio, "from 0 to 1");
+        }
+        if !(0.0..=1e6).contains(&self.retry_slack) {
+            return fail("retry-slack", &self.retry_slack, "from 0 to 1000000");
+        }
+        if !in_hour(self.retry_window_s) {
+            return fail("retry-window-s", &self.retry_window_s, "from 0.1 to 3600");
+        }
+        if !in_hour(self.stop_limit_s) {
+            return fail("stop-limit-s", &self.stop_limit_s, "from 0.1 to 3600");
+        }
+        if self.endpoints_per_swap == 0 {
+            return fail("endpoints-per-swap", &0, "at least 1");
+        }
+        if !(100..=60_000).contains(&self.silence_ms) {
+            return fail("silence-ms", &self.silence_ms, "from 100 to 60000");
+        }
+        if self.max_connections == 0 {
+            return fail("max-connections", &0, "at least 1");
+        }
+        Ok(())
+    }
+
+    fn options(&self) -> GatewayOptions {
+        let zones: SortedMap<ZoneId, RegionId> =
+            self.zones.iter().map(|known| (known.zone.clone(), known.region.clone())).collect();
+        GatewayOptions {
+            node: self.node_id.clone(),
+            zone: self.zone.clone(),
+            zones,
+            caller_address: self.caller_address,
+            readiness_address: self.admin_address,
+            is_fail_closed: self.fail_closed,
+            revoke_bound_ms: self.revoke_bound_ms,
+            retry_terms: RetryTerms {
+                ratio: self.retry_ratio,
+                slack: self.retry_slack,
+                window_ms: (self.retry_window_s * 1_000.0) as u64,
+            },
+            stop_limit_ms: (self.stop_limit_s * 1_000.0) as u64,
+            swap_terms: SwapTerms {
+                endpoints_per_swap: self.endpoints_per_swap,
+                takeover_ms: self.order_lease_ms,
+                ..SwapTerms::default()
+            },
+            silence_ms: self.silence_ms,
+            max_connections: self.max_connections,
+        }
+    }
+}
+
+/// Runs the gateway until a stop signal.
+pub async fn run(settings: GatewaySettings) -> ExitCode {
+    let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+        Ok(signals) => signals,
+        Err(error) => {
+            log::error!(error:%; "signals cannot be handled");
+            return ExitCode::FAILURE;
+        }
+    };
+    let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
+    let rates = FleetRates::new(
+        RequestsPerSecond::new(settings.platform_reads_per_s),
+        RequestsPerSecond::new(settings.platform_writes_per_s),
+    );
+    let managed = ManagedConfig::new(1, rand::random())
+        .rates(rates)
+        .attempt_timeout_ms(CALL_TIMEOUT_MS)
+        .max_probe_ms(MAX_PROBE_MS);
+    let adapter = yuccapass_entry::adapter(settings.platform, &managed, &clock);
+    let node = match GatewayNode::start(settings.options(), adapter, clock).await {
+        Ok(node) => node,
+        Err(error) => {
+            log::error!(error:%; "the gateway cannot start");
+            return ExitCode::FAILURE;
+        }
+    };
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => {
+                log::info!("settings are read at start only; nothing was reloaded");
+            }
+            Ok(signal) => {
+                log::info!(signal:? = signal; "stopping gracefully");
+                break;
+            }
+            Err(error) => log::warn!(error:%; "a signal could not be read"),
+        }
+    }
+    let stopping = Box::pin(node.stop());
+    let interrupted = Box::pin(async {
+        while let Some(signal) = signals.next().await {
+            if !matches!(signal, Ok(Signal::Hup)) {
+                return;
+            }
+        }
+    });
+    match select(stopping, interrupted).await {
+        Either::Left(_) => ExitCode::SUCCESS,
+        Either::Right(_) => {
+            log::warn!("a second signal ends the process at once");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/yuccapassd/src/lib.rs
+++ b/crates/yuccapassd/src/lib.rs
@@ -1,6 +1,7 @@
 //! The yuccapass daemon: wiring between the peer crates and the decisions.
 //!
 //! * [`settings`]: flags and environment variables, checked at start.
+//! * [`gateway`]: the gateway, which passes requests on to replicated services.
 //! * [`node`]: a running node, from start to graceful stop.
 //!
 //! The other modules hold the node's state and connect the peers:
@@ -24,6 +25,7 @@
 mod dispatcher;
 mod endpoint_table;
 mod fleet;
+pub mod gateway;
 pub mod logs;
 mod metrics;
 mod monitor;
--- a/crates/yuccapassd/src/settings.rs
+++ b/crates/yuccapassd/src/settings.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use clap::{Parser, ValueEnum};
+use crate::gateway::GatewaySettings;
+use clap::{Parser, Subcommand, ValueEnum};
 use log::LevelFilter;
 use smol_str::{SmolStr, format_smolstr};
 use snafu::Snafu;
@@ -15,6 +16,32 @@
 /// Longest accepted duration setting: an hour.
 const MAX_DURATION_MS: u64 = 3_600_000;
 
+/// What the daemon does.
+#[derive(Debug, Clone, Parser)]
+#[command(
+    name = "yuccapassd",
+    version,
+    about = "Serves model requests on an entry VM.",
+    args_conflicts_with_subcommands = true,
+    subcommand_negates_reqs = true
+)]
+pub struct Invocation {
+    /// Another front than the one for model requests.
+    #[command(subcommand)]
+    pub front: Option<Front>,
+
+    /// Settings of the front for model requests.
+    #[command(flatten)]
+    pub settings: Option<Settings>,
+}
+
+/// A front of its own.
+#[derive(Debug, Clone, Subcommand)]
+pub enum Front {
+    /// Passes requests on to replicated services, by routes that operators set on a platform.
+    Gateway(Box<GatewaySettings>),
+}
+
 /// Settings of the daemon. Each flag can also be given as an environment variable.
 #[derive(Debug, Clone, Parser)]
 #[command(name = "yuccapassd", version, about = "Serves model requests on an entry VM.")]
