--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -1,9 +1,12 @@
 //! What operators have decided, as one document with a revision.
 
+use std::net::SocketAddr;
+
 use smol_str::SmolStr;
 use snafu::Snafu;
 use yuccapass_types::{
-    Bytes, KeyHash, ModelId, OrganisationId, RegionId, Revision, ServiceId, SortedMap,
+    Bytes, KeyHash, ModelId, OrganisationId, RegionId, Revision, ServiceId, SortedMap, Tokens,
+    ZoneId,
 };
 
 use super::route::{Priority, Route};
@@ -33,6 +36,17 @@
     }
 }
 
+/// A store of prompt parts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartStore {
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Tokens that it can keep.
+    pub capacity: Tokens,
+}
+
 /// A replicated service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -40,6 +54,8 @@
     pub cold_requests_per_s: f64,
     /// The models that its engines serve; none for a plain service.
     pub models: Vec<ModelId>,
+    /// The store that this is, if it is one and keeps everything until it is told to free it.
+    pub store: Option<PartStore>,
 }
 
 /// An organisation.
@@ -131,6 +147,11 @@
         self.services.iter()
     }
 
+    /// Returns the stores of prompt parts.
+    pub fn stores(&self) -> impl Iterator<Item = (&ServiceId, &PartStore)> {
+        self.services.iter().filter_map(|(id, service)| Some((id, service.store.as_ref()?)))
+    }
+
     /// Returns the route of a request.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let host = SmolStr::new(host.to_ascii_lowercase());
--- a/crates/decisions/src/gateway/directory.rs
+++ b/crates/decisions/src/gateway/directory.rs
@@ -47,6 +47,15 @@
     }
 }
 
+/// Weights that operators have named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NamedWeights {
+    /// The weights.
+    pub weights: WeightRevision,
+    /// Since when this node knows of them.
+    pub known_since: Instant,
+}
+
 #[derive(Debug, Clone)]
 struct Entry {
     record: EndpointRecord,
@@ -66,7 +75,7 @@
     zones: SortedMap<ZoneId, RegionId>,
     entries: SortedMap<EndpointId, Entry>,
     evacuated: Vec<ZoneId>,
-    wanted_weights: SortedMap<ModelId, WeightRevision>,
+    wanted_weights: SortedMap<ModelId, NamedWeights>,
     is_outage: bool,
     // Removals until this instant may be registrations that lapsed in an outage.
     lapses_until: Option<Deadline>,
@@ -95,6 +104,14 @@
         self.entries.insert(id, Entry { record, gone_at: None });
     }
 
+    /// Notes that an endpoint with one model has said with an answer that it serves newer weights.
+    pub fn serves_weights(&mut self, id: &EndpointId, weights: WeightRevision) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        if let [(_, known)] = &mut entry.record.weights[..] {
+            *known = weights.max(*known);
+        }
+    }
+
     /// Notes that an endpoint's registration was removed.
     ///
     /// Around an outage it may have lapsed though the endpoint lives, so the endpoint is then kept
@@ -169,19 +186,33 @@
     }
 
     /// Notes the weights that operators have named; older ones than known change nothing.
-    pub fn want_weights(&mut self, model: ModelId, weights: WeightRevision) {
-        let known = self.wanted_weights.get_or_insert_with(model, WeightRevision::default);
-        *known = (*known).max(weights);
+    pub fn want_weights(&mut self, model: ModelId, weights: WeightRevision, now: Instant) {
+        let known = self.wanted_weights.get(&model);
+        if known.is_none_or(|known| known.weights < weights) {
+            self.wanted_weights.insert(model, NamedWeights { weights, known_since: now });
+        }
+    }
+
+    /// Returns the newest weights that operators have named for a model.
+    pub fn wanted_weights(&self, model: &ModelId) -> Option<NamedWeights> {
+        self.wanted_weights.get(model).copied()
+    }
+
+    /// Returns whether an endpoint serves weights that should have been replaced `bound_ms` after
+    /// newer ones were named.
+    pub fn is_overdue(&self, record: &EndpointRecord, bound_ms: u64, now: Instant) -> bool {
+        self.outdated_models(record)
+            .any(|(_, named)| Deadline::after_ms(named.known_since, bound_ms).has_passed(now))
     }
 
     /// Returns the models whose named weights are newer than those that an endpoint serves.
     pub fn outdated_models<'a>(
         &'a self,
         record: &'a EndpointRecord,
-    ) -> impl Iterator<Item = (&'a ModelId, WeightRevision)> {
+    ) -> impl Iterator<Item = (&'a ModelId, NamedWeights)> {
         record.weights.iter().filter_map(|(model, weights)| {
-            let wanted = *self.wanted_weights.get(model)?;
-            (*weights < wanted).then_some((model, wanted))
+            let named = *self.wanted_weights.get(model)?;
+            (*weights < named.weights).then_some((model, named))
         })
     }
 
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! * [`configuration`] and [`route`]: what operators have decided.
 //! * [`directory`]: which endpoints there are.
 //! * [`fleet`]: how many nodes share the bounds that hold for all of them together.
+//! * [`part_store`]: which prompt parts stores keep, and which to fetch from and save to them.
 //! * [`placement`]: where a request runs.
 //! * [`retry_share`]: this node's part of the retries that all nodes may make together.
 //! * [`next_step`]: what follows an attempt.
@@ -20,6 +21,7 @@
 pub mod directory;
 pub mod fleet;
 pub mod next_step;
+pub mod part_store;
 pub mod placement;
 pub mod retry_share;
 pub mod route;
@@ -29,11 +31,12 @@
 pub use approval::Approval;
 pub use configuration::{
     CallerLimits, Configuration, ConfigurationHolder, InvalidConfiguration, KeyVerdict,
-    Organisation, Service,
+    Organisation, PartStore, Service,
 };
-pub use directory::{Directory, EndpointRecord, EndpointState};
+pub use directory::{Directory, EndpointRecord, EndpointState, NamedWeights};
 pub use fleet::FleetSize;
 pub use next_step::{AttemptFacts, AttemptFailure, NextStep, Refusal};
+pub use part_store::{PartEvent, PartEvents, PartTransfers, StoreContents, plan_transfers};
 pub use placement::{
     Candidate, Distance, LeastLoaded, Placement, PlacementRequest, PrefixAffinity,
 };
--- /dev/null
+++ b/crates/decisions/src/gateway/part_store.rs
@@ -0,0 +1,285 @@
+//! Which prompt parts stores keep, and which to fetch from and save to them.
+//!
+//! A store keeps a part until it is told to free it, tells of it only once it is complete, and does
+//! not check what is fetched. A fetch of a part that is just being written would give a prompt memory
+//! that is not whole. So a node fetches only parts of which it was told in the store's present life,
+//! and within a time that ends before any node can write to a store that has restarted since:
+//!
+//! * The contents are relied on for [`TRUST_MS`] after they were confirmed, and a fetch must have
+//!   ended [`FETCH_MS`] later.
+//! * A node that sees a store for the first time, or restarted, saves nothing to it for
+//!   [`HOLD_OFF_MS`], which is longer than both together.
+//!
+//! Parts are kept under a name that contains the weights they were made with, so that new weights
+//! never meet parts of old ones.
+
+use std::net::SocketAddr;
+
+use yuccapass_types::{
+    CacheSpace, Deadline, Instant, PromptPartId, RegionId, ServiceId, SortedMap, Tokens, ZoneId,
+};
+
+use super::configuration::PartStore;
+use super::directory::Directory;
+use super::route::PromptPart;
+
+/// How long the contents of a store are relied on after the call that confirmed them was sent.
+pub const TRUST_MS: u64 = 2_200;
+
+/// Time within which a fetch must have ended. The prompt is read instead if a store's link is slow:
+/// with 2 s, requests waited for fetches longer than their target latency.
+pub const FETCH_MS: u64 = 400;
+
+/// Time for which a node saves nothing to a store that it has not known before, or that has
+/// restarted.
+pub const HOLD_OFF_MS: u64 = 5_000;
+
+/// Time after which a part that this node had saved, and of which the store has not told, may be
+/// saved again: some tellings are lost.
+const SAVE_AGAIN_MS: u64 = 8_000;
+
+/// Smallest part that is worth a transfer: reading it takes a few milliseconds, as the start of a
+/// transfer does.
+const MIN_TRANSFER: Tokens = Tokens::new(128);
+
+/// A change of what a store keeps.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartEvent {
+    /// Whether the part is now complete, rather than gone.
+    pub is_added: bool,
+    /// Where it is found.
+    pub space: CacheSpace,
+    /// The part.
+    pub part: PromptPartId,
+    /// Its length.
+    pub tokens: Tokens,
+}
+
+/// What a store answers when it is asked for changes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartEvents {
+    /// The life of the store; it changes with a restart.
+    pub epoch: u64,
+    /// What to ask for next.
+    pub next: u64,
+    /// Whether older changes were dropped.
+    pub has_gap: bool,
+    /// The changes.
+    pub events: Vec<PartEvent>,
+    /// The time on the clock that stores and endpoints share, in milliseconds, if it was told.
+    pub clock_ms: Option<u64>,
+}
+
+type PartKey = (CacheSpace, PromptPartId);
+
+/// What a store keeps, as far as this node was told.
+#[derive(Debug, Clone)]
+pub struct StoreContents {
+    store: PartStore,
+    epoch: Option<u64>,
+    next: u64,
+    parts: SortedMap<PartKey, Tokens>,
+    saving: SortedMap<PartKey, (Tokens, Deadline)>,
+    confirmed_at: Option<Instant>,
+    saves_from: Option<Instant>,
+    // The shared clock at an instant of this node's.
+    shared_clock: Option<(u64, Instant)>,
+}
+
+impl StoreContents {
+    /// Makes the state of a store of which nothing is known.
+    pub fn new(store: PartStore) -> Self {
+        Self {
+            store,
+            epoch: None,
+            next: 0,
+            parts: SortedMap::new(),
+            saving: SortedMap::new(),
+            confirmed_at: None,
+            saves_from: None,
+            shared_clock: None,
+        }
+    }
+
+    /// Returns the store.
+    pub fn store(&self) -> &PartStore {
+        &self.store
+    }
+
+    /// Returns from which change on the store is to be asked.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the life of the store, if it was ever reached.
+    pub fn epoch(&self) -> Option<u64> {
+        self.epoch
+    }
+
+    /// Takes the answer to a call that was sent at `sent_at`; returns whether the store is new to
+    /// this node or has restarted.
+    pub fn answered(&mut self, answer: PartEvents, sent_at: Instant, now: Instant) -> bool {
+        let is_new = self.epoch != Some(answer.epoch);
+        if is_new {
+            self.parts = SortedMap::new();
+            self.saving = SortedMap::new();
+            self.saves_from = Some(Deadline::after_ms(now, HOLD_OFF_MS).instant());
+            self.epoch = Some(answer.epoch);
+        }
+        for event in answer.events {
+            let key = (event.space, event.part);
+            match event.is_added {
+                true => {
+                    self.saving.remove(&key);
+                    self.parts.insert(key, event.tokens);
+                }
+                false => {
+                    self.parts.remove(&key);
+                }
+            }
+        }
+        self.next = answer.next;
+        self.confirmed_at = Some(sent_at);
+        if let Some(clock_ms) = answer.clock_ms {
+            // The answer was made after the call was sent, so this clock is never ahead.
+            self.shared_clock = Some((clock_ms, now));
+        }
+        is_new
+    }
+
+    /// Notes that the changes asked for belong to an earlier life, so that all are asked for.
+    pub fn ask_anew(&mut self) {
+        self.next = 0;
+    }
+
+    /// Returns whether a part may be fetched.
+    pub fn holds(&self, space: &CacheSpace, part: &PromptPartId, now: Instant) -> bool {
+        let is_trusted =
+            self.confirmed_at.is_some_and(|at| !Deadline::after_ms(at, TRUST_MS).has_passed(now));
+        is_trusted && self.parts.contains_key(&(space.clone(), part.clone()))
+    }
+
+    /// Returns whether a part should be saved: it is not kept, not being saved, and there is room.
+    pub fn wants(&self, space: &CacheSpace, part: &PromptPart, now: Instant) -> bool {
+        let key = (space.clone(), part.id.clone());
+        let is_saving =
+            self.saving.get(&key).is_some_and(|(_, deadline)| !deadline.has_passed(now));
+        let may_save = self.saves_from.is_some_and(|from| from <= now);
+        let is_reached =
+            self.confirmed_at.is_some_and(|at| !Deadline::after_ms(at, TRUST_MS).has_passed(now));
+        may_save
+            && is_reached
+            && !is_saving
+            && !self.parts.contains_key(&key)
+            && self.used() + part.tokens <= self.store.capacity
+    }
+
+    /// Notes that a part is being saved by this node.
+    pub fn saving(&mut self, space: &CacheSpace, part: &PromptPart, now: Instant) {
+        let deadline = Deadline::after_ms(now, SAVE_AGAIN_MS);
+        self.saving.insert((space.clone(), part.id.clone()), (part.tokens, deadline));
+    }
+
+    /// Returns the parts under names for which `is_stale` holds.
+    pub fn parts_where(&self, is_stale: impl Fn(&CacheSpace) -> bool) -> Vec<PartKey> {
+        self.parts.keys().filter(|(space, _)| is_stale(space)).cloned().collect()
+    }
+
+    /// Returns the time on the shared clock by which a fetch must have ended.
+    pub fn fetch_until_ms(&self, now: Instant) -> Option<u64> {
+        let (clock_ms, at) = self.shared_clock?;
+        Some(clock_ms + now.ms_since(at) + FETCH_MS)
+    }
+
+    fn used(&self) -> Tokens {
+        self.parts.values().copied().sum::<Tokens>()
+            + self.saving.values().map(|&(tokens, _)| tokens).sum()
+    }
+}
+
+/// What an endpoint fetches and saves for a request, one entry for each part of the prompt.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PartTransfers {
+    /// From where each part is fetched.
+    pub fetch: Vec<Option<SocketAddr>>,
+    /// To where each part is saved.
+    pub save: Vec<Option<SocketAddr>>,
+    /// When fetches must have ended, on the clock that stores and endpoints share.
+    pub fetch_until_ms: Option<u64>,
+}
+
+impl PartTransfers {
+    /// Returns whether anything is fetched.
+    pub fn has_fetch(&self) -> bool {
+        self.fetch.iter().any(Option::is_some)
+    }
+
+    /// Returns whether anything is saved.
+    pub fn has_save(&self) -> bool {
+        self.save.iter().any(Option::is_some)
+    }
+}
+
+/// Decides what an endpoint in `zone` fetches and saves for a prompt, and notes the saves.
+///
+/// All parts but the last, which belongs to the request alone, are fetched from the nearest store of
+/// the region that keeps them. A part that none of them keeps is saved to the one with the most room.
+/// Other regions are not used: transfers between regions take ten times as long.
+pub fn plan_transfers(
+    stores: &mut SortedMap<ServiceId, StoreContents>,
+    directory: &Directory,
+    zone: &ZoneId,
+    allowed_regions: &[&[RegionId]],
+    space: &CacheSpace,
+    parts: &[PromptPart],
+    now: Instant,
+) -> PartTransfers {
+    let region = directory.region(zone);
+    let is_near = |contents: &StoreContents| {
+        let store_region = directory.region(&contents.store.zone);
+        store_region.is_some()
+            && store_region == region
+            && allowed_regions.iter().all(|allowed| {
+                allowed.is_empty()
+                    || store_region.is_some_and(|region| allowed.binary_search(region).is_ok())
+            })
+    };
+    let shared = parts.len().saturating_sub(1);
+    let mut transfers = PartTransfers::default();
+    for (position, part) in parts.iter().enumerate() {
+        let (mut fetch, mut save) = (None, None);
+        if position < shared && part.tokens >= MIN_TRANSFER {
+            let holder = stores
+                .values()
+                .filter(|contents| is_near(contents) && contents.holds(space, &part.id, now))
+                .min_by_key(|contents| contents.store.zone != *zone);
+            match holder {
+                Some(contents) => {
+                    fetch = Some(contents.store.address);
+                    let until_ms = contents.fetch_until_ms(now);
+                    let earliest = transfers.fetch_until_ms.into_iter().chain(until_ms).min();
+                    transfers.fetch_until_ms = earliest;
+                }
+                None => save = begin_save(stores, is_near, space, part, now),
+            }
+        }
+        transfers.fetch.push(fetch);
+        transfers.save.push(save);
+    }
+    transfers
+}
+
+fn begin_save(
+    stores: &mut SortedMap<ServiceId, StoreContents>,
+    is_near: impl Fn(&StoreContents) -> bool,
+    space: &CacheSpace,
+    part: &PromptPart,
+    now: Instant,
+) -> Option<SocketAddr> {
+    let roomiest = stores
+        .values_mut()
+        .filter(|contents| is_near(contents) && contents.wants(space, part, now))
+        .max_by_key(|contents| contents.store.capacity.saturating_sub(contents.used()))?;
+    roomiest.saving(space, part, now);
+    Some(roomiest.store.address)
+}
--- a/crates/decisions/src/gateway/swap.rs
+++ b/crates/decisions/src/gateway/swap.rs
@@ -7,7 +7,7 @@
 
 use yuccapass_types::{Deadline, EndpointId, Instant, ModelId, SortedMap, WeightRevision};
 
-use super::directory::{Directory, EndpointState};
+use super::directory::{Directory, EndpointRecord, EndpointState, NamedWeights};
 
 /// What an engine says when it is asked before an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,18 +25,18 @@
 pub struct SwapTerms {
     /// Endpoints for each one that may swap at the same time.
     pub endpoints_per_swap: u32,
-    /// Time after which an order without visible effect is given again.
-    pub order_limit_ms: u64,
+    /// Time after weights were named by which no request may begin on older ones.
+    pub bound_ms: u64,
     /// Shortest time between an order of another node and the first one of this node.
     pub takeover_ms: u64,
 }
 
 impl Default for SwapTerms {
-    /// One in three endpoints at a time, orders again after 3 s, and 3 s after another node. An
+    /// One in three endpoints at a time, all within 10 s, and 3 s after another node. An
     /// endpoint first finishes what it runs, some seconds under load; with one in six at a time 18
     /// endpoints took 21 s.
     fn default() -> Self {
-        Self { endpoints_per_swap: 3, order_limit_ms: 3_000, takeover_ms: 3_000 }
+        Self { endpoints_per_swap: 3, bound_ms: 10_000, takeover_ms: 3_000 }
     }
 }
 
@@ -51,85 +51,66 @@
     Wait,
 }
 
-/// The swaps that the holder of the duty has ordered.
+/// An endpoint and one of the models that it serves.
+type Served = (EndpointId, ModelId);
+
+/// The swaps that the holder of the duty has begun.
 #[derive(Debug, Clone)]
 pub struct SwapPlan {
     terms: SwapTerms,
-    ordered: SortedMap<(EndpointId, ModelId), Ordered>,
+    begun: Vec<Served>,
+    declined: SortedMap<Served, Deadline>,
     // What endpoints said since their entry in the directory was last written.
-    settled: SortedMap<(EndpointId, ModelId), WeightRevision>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Ordered {
-    weights: WeightRevision,
-    limit: Deadline,
+    settled: SortedMap<Served, WeightRevision>,
 }
 
 impl SwapPlan {
-    /// Makes a plan without wanted weights.
+    /// Makes a plan of a node that has begun no swap.
     pub fn new(terms: SwapTerms) -> Self {
-        Self {
-            terms,
-            ordered: SortedMap::new(),
-            settled: SortedMap::new(),
-        }
+        Self { terms, begun: Vec::new(), declined: SortedMap::new(), settled: SortedMap::new() }
     }
 
     /// Decides the next order.
     pub fn step(&mut self, directory: &Directory, now: Instant) -> SwapStep {
-        self.forget_settled(directory, now);
-        let outdated: Vec<(EndpointId, ModelId, WeightRevision)> =
-            self.outdated(directory).collect();
-        let next = outdated
-            .iter()
-            .find(|(id, model, _)| !self.ordered.contains_key(&(id.clone(), model.clone())));
-        let Some((endpoint, model, weights)) = next else {
+        self.settled.retain(|(id, _), _| directory.endpoint(id).is_some());
+        self.declined.retain(|_, until| !until.has_passed(now));
+        let outdated: Vec<(Served, NamedWeights)> = self.outdated(directory).collect();
+        let may_begin =
+            |served: &Served| !self.begun.contains(served) && !self.declined.contains_key(served);
+        let Some((served, named)) = outdated.iter().find(|(served, _)| may_begin(served)) else {
             return if outdated.is_empty() { SwapStep::Done } else { SwapStep::Wait };
         };
-        let swapping = self.ordered.keys().filter(|(_, ordered)| ordered == model).count();
-        if swapping >= self.max_swaps(directory, model) {
+        let (endpoint, model) = served;
+        let swapping = self.begun.iter().filter(|(_, begun)| begun == model).count();
+        if swapping >= self.max_swaps(directory, model, *named, now) {
             return SwapStep::Wait;
         }
-        SwapStep::Order(endpoint.clone(), model.clone(), *weights)
+        SwapStep::Order(endpoint.clone(), model.clone(), named.weights)
     }
 
-    /// Notes that an order was given, whether or not it was answered.
-    pub fn ordered(
-        &mut self,
-        endpoint: EndpointId,
-        model: ModelId,
-        weights: WeightRevision,
-        now: Instant,
-    ) {
-        let limit = Deadline::after_ms(now, self.terms.order_limit_ms);
-        self.ordered.insert((endpoint, model), Ordered { weights, limit });
+    /// Notes that a swap is begun; it counts until it is settled or declined.
+    pub fn begun(&mut self, endpoint: EndpointId, model: ModelId) {
+        self.begun.push((endpoint, model));
     }
 
-    /// Notes that an endpoint did not take an order; it is tried again after `delay_ms`.
-    pub fn declined(
-        &mut self,
-        endpoint: EndpointId,
-        model: ModelId,
-        weights: WeightRevision,
-        delay_ms: u64,
-        now: Instant,
-    ) {
-        let limit = Deadline::after_ms(now, delay_ms);
-        self.ordered.insert((endpoint, model), Ordered { weights, limit });
+    /// Notes that a swap has ended without effect; it is begun again after `delay_ms`.
+    pub fn declined(&mut self, endpoint: EndpointId, model: ModelId, delay_ms: u64, now: Instant) {
+        let served = (endpoint, model);
+        self.end(&served);
+        self.declined.insert(served, Deadline::after_ms(now, delay_ms));
     }
 
     /// Notes that an endpoint says that it serves these weights; its entry in the directory follows.
     pub fn settled(&mut self, endpoint: EndpointId, model: ModelId, weights: WeightRevision) {
-        let key = (endpoint, model);
-        self.ordered.remove(&key);
-        self.settled.insert(key, weights);
+        let served = (endpoint, model);
+        self.end(&served);
+        self.settled.insert(served, weights);
     }
 
-    /// Forgets all orders, when another node may have taken over meanwhile.
-    pub fn forget_orders(&mut self) {
-        self.ordered = SortedMap::new();
-        self.settled = SortedMap::new();
+    fn end(&mut self, served: &Served) {
+        if let Some(position) = self.begun.iter().position(|begun| begun == served) {
+            self.begun.swap_remove(position);
+        }
     }
 
     /// Returns the terms.
@@ -140,38 +121,38 @@
     fn outdated<'a>(
         &'a self,
         directory: &'a Directory,
-    ) -> impl Iterator<Item = (EndpointId, ModelId, WeightRevision)> + 'a {
+    ) -> impl Iterator<Item = (Served, NamedWeights)> + 'a {
         directory
             .endpoints()
             .filter(|(_, record)| record.state == EndpointState::Ready)
             .flat_map(move |(id, record)| {
-                directory.outdated_models(record).filter_map(move |(model, wanted)| {
-                    let key = (id.clone(), model.clone());
-                    let has_settled = self.settled.get(&key).is_some_and(|&said| said >= wanted);
-                    let (id, model) = key;
-                    (!has_settled).then_some((id, model, wanted))
-                })
+                directory
+                    .outdated_models(record)
+                    .map(move |(model, named)| ((id.clone(), model.clone()), named))
+            })
+            .filter(|(served, named)| {
+                !self.settled.get(served).is_some_and(|&said| said >= named.weights)
             })
     }
 
-    /// Drops orders that have taken effect, whose endpoint is gone, or whose time has passed.
-    fn forget_settled(&mut self, directory: &Directory, now: Instant) {
-        self.settled.retain(|(id, _), _| directory.endpoint(id).is_some());
-        self.ordered.retain(|(id, model), ordered| {
-            let serves = |record: &super::directory::EndpointRecord| {
-                record.weights.iter().find(|(name, _)| name == model).map(|&(_, weights)| weights)
-            };
-            let weights = directory.endpoint(id).and_then(serves);
-            weights.is_some_and(|weights| weights < ordered.weights)
-                && !ordered.limit.has_passed(now)
-        });
-    }
-
-    fn max_swaps(&self, directory: &Directory, model: &ModelId) -> usize {
-        let serves = |record: &super::directory::EndpointRecord| {
-            record.weights.iter().any(|(name, _)| name == model)
-        };
+    /// Returns how many endpoints may swap at the same time. An endpoint that was ordered begins no
+    /// request on its old weights, so the bound is kept if all are ordered by then: half of them at
+    /// a time after a third of it, and all after half of it.
+    fn max_swaps(
+        &self,
+        directory: &Directory,
+        model: &ModelId,
+        named: NamedWeights,
+        now: Instant,
+    ) -> usize {
+        let serves = |record: &EndpointRecord| record.weights.iter().any(|(name, _)| name == model);
         let replicas = directory.endpoints().filter(|(_, record)| serves(record)).count();
-        replicas.div_ceil(self.terms.endpoints_per_swap.max(1) as usize).max(1)
+        let age_ms = now.ms_since(named.known_since);
+        let endpoints_per_swap = match age_ms {
+            _ if age_ms >= self.terms.bound_ms / 2 => 1,
+            _ if age_ms >= self.terms.bound_ms / 3 => self.terms.endpoints_per_swap.min(2),
+            _ => self.terms.endpoints_per_swap,
+        };
+        replicas.div_ceil(endpoints_per_swap.max(1) as usize).max(1)
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,13 +6,14 @@
 use yuccapass_decisions::gateway::{AttemptFailure, EndpointRecord, EndpointTrack};
 use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, ResponseHead};
 use yuccapass_http::with_deadline;
-use yuccapass_types::{Deadline, EndpointId};
+use yuccapass_types::{CacheSpace, Deadline, EndpointId, WeightRevision};
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
 use crate::events::EventSplitter;
 use crate::protocol::{EndpointAnswer, Forwarding};
 use crate::state::Shared;
+use crate::stores::weights_space;
 
 /// Largest head of an endpoint's answer.
 const MAX_ANSWER_HEAD_BYTES: usize = 64 << 10;
@@ -123,6 +124,9 @@
         }
     };
     let now = shared.now();
+    if let Some(weights) = received.facts.weights {
+        note_weights(shared, target, weights);
+    }
     if let Some(load) = received.facts.load {
         shared.endpoints.with_track(target.id, target.record, |track| track.reported(load, now));
     }
@@ -133,6 +137,14 @@
     pass_whole(shared, request, target, connection, received, answer).await
 }
 
+/// Notes weights that an endpoint has taken since its entry in the directory was written.
+fn note_weights(shared: &Shared, target: &Target<'_>, weights: WeightRevision) {
+    let is_known = target.record.weights.iter().any(|&(_, known)| known >= weights);
+    if !is_known {
+        shared.change_directory(|directory| directory.serves_weights(target.id, weights));
+    }
+}
+
 /// The request as the endpoint gets it.
 fn request_message(
     shared: &Shared,
@@ -141,12 +153,21 @@
     events: &EventSplitter,
 ) -> Vec<u8> {
     let resume_after = events.last_id().or(request.caller.resume_after.as_ref());
+    let weights = target.record.weights.first().map(|&(_, weights)| weights);
+    let space = cache_space(request, weights);
+    let transfers = space.as_ref().filter(|_| weights.is_some()).map(|space| {
+        let directory = shared.directory();
+        let (zone, parts) = (&target.record.zone, &request.caller.parts);
+        shared.stores.plan(&directory, zone, &request.regions, space, parts, shared.now())
+    });
     let forwarding = Forwarding {
         endpoint: target.id,
         organisation: request.organisation,
         remaining_ms: request.deadline.remaining_ms(shared.now()),
         priority: request.route.kind.is_streaming().then_some(request.priority),
-        isolated_for: request.organisation.filter(|_| request.is_isolated),
+        space: space.as_ref(),
+        weights,
+        transfers: transfers.as_ref(),
         resume_after: resume_after.map(|id| id.as_str()),
     };
     let head = request.head;
@@ -165,6 +186,20 @@
     message
 }
 
+/// Names the cache of a prompt: one for each weights, so that parts which a store keeps are never
+/// used with others, and one for each isolated organisation.
+fn cache_space(request: &Admitted<'_>, weights: Option<WeightRevision>) -> Option<CacheSpace> {
+    let organisation = request.organisation.filter(|_| request.is_isolated);
+    match (weights, organisation) {
+        (None, None) => None,
+        (None, Some(organisation)) => organisation.as_str().parse().ok(),
+        (Some(weights), None) => weights_space(weights).parse().ok(),
+        (Some(weights), Some(organisation)) => {
+            format!("{}-{organisation}", weights_space(weights)).parse().ok()
+        }
+    }
+}
+
 /// The head of an endpoint's answer to this request.
 struct Received {
     head: ResponseHead,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -227,8 +227,9 @@
             }
             CatalogChange::Weights { model, weights } => {
                 log::info!(model = model.as_str(), weights = weights.get(); "weights were named");
+                let now = self.shared.now();
                 self.shared
-                    .change_directory(|directory| directory.want_weights(model, weights));
+                    .change_directory(|directory| directory.want_weights(model, weights, now));
                 self.duty.wake();
             }
             CatalogChange::Endpoint { .. } | CatalogChange::Nothing => {}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,8 +15,13 @@
 use crate::state::Shared;
 
 /// An endpoint that has not begun to answer a request that may run again after so many times the
-/// target latency is given up for another one.
-const PATIENCE_FACTOR: u64 = 5;
+/// target latency is given up for another one. With 5 times, requests that waited behind slow
+/// transfers were sent again and took the place of others.
+const PATIENCE_FACTOR: u64 = 12;
+
+/// Tenths of the bound for new weights after which an endpoint with old ones gets no request: one
+/// that waits there would begin after the bound.
+const OVERDUE_PART: u64 = 8;
 
 /// Part of what a cold endpoint bears that all nodes together send, in thousandths; the rest covers
 /// nodes that disagree about their number.
@@ -134,10 +139,12 @@
 ) -> Option<(&'a EndpointId, &'a EndpointRecord)> {
     let now = shared.now();
     let regions = &request.regions;
+    let overdue_ms = shared.options.swap_terms.bound_ms * OVERDUE_PART / 10;
     let untried: Vec<(&EndpointId, &EndpointRecord)> = directory
         .eligible(request.service, regions)
         .into_iter()
         .filter(|(id, _)| !tried.contains(id))
+        .filter(|(_, record)| !directory.is_overdue(record, overdue_ms, now))
         .collect();
     let is_cold =
         |record: &EndpointRecord| record.cold_until.is_some_and(|until| !until.has_passed(now));
@@ -182,8 +189,7 @@
     request: &Admitted<'_>,
     endpoints: &[(&'a EndpointId, &'a EndpointRecord)],
 ) -> Option<(&'a EndpointId, &'a EndpointRecord)> {
-    let is_outdated =
-        |record: &EndpointRecord| directory.outdated_models(record).next().is_some();
+    let is_outdated = |record: &EndpointRecord| directory.outdated_models(record).next().is_some();
     let (outdated, current): (Vec<_>, Vec<_>) =
         endpoints.iter().copied().partition(|(_, record)| is_outdated(record));
     let mut candidates = candidates(shared, directory, &current);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! On the way of a request: `caller` reads it from its connection, `admission` checks it, `forward`
 //! makes attempts at endpoints, `attempt` is one of them, `events` passes a stream on, and `answer`
 //! writes to the caller. `endpoints` has the load, failures and connections of the endpoints.
+//! `stores` knows what stores of prompt parts keep.
 //! `follow` keeps configuration and directory up to date, `membership` counts the nodes, and
 //! `weights` orders endpoints to take new weights.
 
@@ -22,6 +23,7 @@
 pub mod clock;
 mod endpoints;
 mod events;
+mod exchange;
 mod follow;
 mod forward;
 mod membership;
@@ -31,6 +33,7 @@
 pub mod protocol;
 mod readiness;
 mod state;
+mod stores;
 mod weights;
 
 pub use clock::BootClock;
@@ -38,5 +41,5 @@
 pub use options::GatewayOptions;
 pub use protocol::{
     CallerRequest, Catalog, CatalogChange, CatalogError, EndpointAnswer, EngineOrders, Forwarding,
-    InvalidRequest, OrderOutcome, Protocol, WeightOrder,
+    InvalidRequest, OrderOutcome, PartStores, Protocol, WeightOrder,
 };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,10 +16,10 @@
 use crate::caller::serve_connection;
 use crate::metrics::Metrics;
 use crate::options::GatewayOptions;
-use crate::protocol::{Catalog, EngineOrders, Protocol};
+use crate::protocol::{Catalog, EngineOrders, PartStores, Protocol};
 use crate::state::{Placements, Shared};
 use crate::weights::WeightDuty;
-use crate::{follow, membership, readiness};
+use crate::{follow, membership, readiness, stores};
 
 /// Shortest time from a stop signal to the end: the balancer asks for readiness once a second and
 /// takes a node out after two misses.
@@ -63,6 +63,8 @@
     pub catalog: Arc<dyn Catalog>,
     /// Translates orders to engines.
     pub orders: Arc<dyn EngineOrders>,
+    /// Translates the calls of stores of prompt parts.
+    pub stores: Arc<dyn PartStores>,
     /// The key-value service.
     pub key_value: Arc<PlatformClient>,
 }
@@ -97,6 +99,7 @@
             WeightDuty::new(Arc::clone(&shared), &adapter.key_value, Arc::clone(&adapter.orders));
         follow::start(&shared, &adapter.key_value, &adapter.catalog, &duty);
         membership::start(&shared, &adapter.key_value, &duty);
+        task::spawn(stores::follow_stores(Arc::clone(&shared), adapter.stores, Arc::clone(&duty)));
         task::spawn(Arc::clone(&duty).run());
         task::spawn(readiness::serve(Arc::clone(&shared), questions));
         task::spawn(accept(Arc::clone(&shared), callers));
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -6,13 +6,14 @@
 use smol_str::SmolStr;
 use snafu::Snafu;
 use yuccapass_decisions::gateway::{
-    Configuration, EndpointRecord, EngineReport, LoadReport, Priority, PromptPart,
+    Configuration, EndpointRecord, EngineReport, LoadReport, PartEvents, PartTransfers, Priority,
+    PromptPart,
 };
 use yuccapass_http::message::{RequestHead, ResponseHead};
 use yuccapass_platform::{Key, Value};
 use yuccapass_types::{
-    EndpointId, FencingNumber, Instant, KeyHash, ModelId, NodeId, OrganisationId, WeightRevision,
-    ZoneId,
+    CacheSpace, EndpointId, FencingNumber, Instant, KeyHash, ModelId, NodeId, OrganisationId,
+    PromptPartId, WeightRevision, ZoneId,
 };
 
 /// What the head of a caller's request says.
@@ -51,8 +52,12 @@
     pub remaining_ms: u64,
     /// Rank among the requests of the endpoint.
     pub priority: Option<Priority>,
-    /// The organisation that its cached prompt parts are kept apart for.
-    pub isolated_for: Option<&'a OrganisationId>,
+    /// Where its cached prompt parts are found; a cache that all share if there is none.
+    pub space: Option<&'a CacheSpace>,
+    /// The weights that it must run with.
+    pub weights: Option<WeightRevision>,
+    /// The prompt parts that are fetched and saved.
+    pub transfers: Option<&'a PartTransfers>,
     /// Id of the event after which the stream is to continue.
     pub resume_after: Option<&'a str>,
 }
@@ -68,6 +73,8 @@
     pub is_signed: bool,
     /// The endpoint's load.
     pub load: Option<LoadReport>,
+    /// The weights that the endpoint serves.
+    pub weights: Option<WeightRevision>,
 }
 
 /// Translates the messages of callers and endpoints.
@@ -204,3 +211,20 @@
     /// Decodes the answer to an order.
     fn order_outcome(&self, status: u16) -> OrderOutcome;
 }
+
+/// Translates the calls of stores of prompt parts.
+pub trait PartStores: Send + Sync {
+    /// Returns the request for changes from `next` on, which waits for `wait_ms` if there are none:
+    /// a whole message.
+    fn events_request(&self, next: u64, wait_ms: u64) -> Vec<u8>;
+
+    /// Decodes the changes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body cannot be understood.
+    fn decode_events(&self, body: &[u8]) -> Result<PartEvents, CatalogError>;
+
+    /// Returns the request to free parts in a life of the store: a whole message.
+    fn free_request(&self, epoch: u64, parts: &[(CacheSpace, PromptPartId)]) -> Vec<u8>;
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use crate::metrics::Metrics;
 use crate::options::GatewayOptions;
 use crate::protocol::Protocol;
+use crate::stores::StoreTable;
 
 /// How endpoints are chosen.
 pub(crate) struct Placements {
@@ -30,6 +31,7 @@
     pub(crate) protocol: Arc<dyn Protocol>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) endpoints: EndpointTable,
+    pub(crate) stores: StoreTable,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
     configuration: RwLock<ConfigurationHolder>,
@@ -57,6 +59,7 @@
             protocol,
             endpoints: EndpointTable::new(Arc::clone(&clock), options.silence_ms),
             clock,
+            stores: StoreTable::default(),
             metrics,
             placements,
             configuration: RwLock::default(),
--- /dev/null
+++ b/crates/gateway/src/stores.rs
@@ -0,0 +1,245 @@
+//! Knows what stores of prompt parts keep.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_std::task;
+use bytes::Bytes;
+use yuccapass_decisions::gateway::{
+    Directory, PartStore, PartTransfers, PromptPart, StoreContents, plan_transfers,
+};
+use yuccapass_http::message::{Connection, MessageError};
+use yuccapass_http::{sleep_until, with_deadline};
+use yuccapass_types::{
+    CacheSpace, Deadline, Instant, RegionId, ServiceId, SortedMap, WeightRevision, ZoneId,
+};
+
+use crate::exchange::exchange;
+use crate::protocol::PartStores;
+use crate::state::Shared;
+use crate::weights::WeightDuty;
+
+/// Period of asking a store for changes.
+const PERIOD_MS: u64 = 900;
+
+/// How long a store may wait for changes: a call that is answered sooner costs more.
+const WAIT_MS: u64 = 200;
+
+/// How long a call may take.
+const CALL_LIMIT_MS: u64 = 1_000;
+
+/// Period of the look at which stores there are.
+const STORES_PERIOD_MS: u64 = 500;
+
+/// Most parts that are freed with one call.
+const MAX_FREED_PARTS: usize = 200;
+
+/// The beginning of the name of a cache that is made with some weights.
+pub(crate) fn weights_space(weights: WeightRevision) -> String {
+    format!("w{weights}")
+}
+
+/// Returns the weights that the parts of a cache were made with.
+fn weights_of(space: &CacheSpace) -> Option<WeightRevision> {
+    let digits = space.as_str().strip_prefix('w')?;
+    digits.split('-').next()?.parse().ok()
+}
+
+/// What the stores keep. One lock for all: a prompt is looked up in several of them.
+#[derive(Default)]
+pub(crate) struct StoreTable {
+    stores: Mutex<SortedMap<ServiceId, StoreContents>>,
+}
+
+impl StoreTable {
+    /// Decides what an endpoint in `zone` fetches and saves for a prompt.
+    pub(crate) fn plan(
+        &self,
+        directory: &Directory,
+        zone: &ZoneId,
+        regions: &[&[RegionId]],
+        space: &CacheSpace,
+        parts: &[PromptPart],
+        now: Instant,
+    ) -> PartTransfers {
+        self.with(|stores| plan_transfers(stores, directory, zone, regions, space, parts, now))
+    }
+
+    fn with<R>(&self, action: impl FnOnce(&mut SortedMap<ServiceId, StoreContents>) -> R) -> R {
+        action(&mut self.stores.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Takes the stores of the configuration; returns those that are new.
+    fn follow(&self, configured: &[(ServiceId, PartStore)]) -> Vec<(ServiceId, SocketAddr)> {
+        self.with(|stores| {
+            stores.retain(|id, contents| {
+                configured.iter().any(|(known, store)| known == id && store == contents.store())
+            });
+            let mut new = Vec::new();
+            for (id, store) in configured {
+                if !stores.contains_key(id) {
+                    stores.insert(id.clone(), StoreContents::new(store.clone()));
+                    new.push((id.clone(), store.address));
+                }
+            }
+            new
+        })
+    }
+
+    /// Runs `action` on the contents of a store that is still at an address.
+    fn with_store<R>(
+        &self,
+        id: &ServiceId,
+        address: SocketAddr,
+        action: impl FnOnce(&mut StoreContents) -> R,
+    ) -> Option<R> {
+        self.with(|stores| {
+            let contents = stores.get_mut(id)?;
+            (contents.store().address == address).then(|| action(contents))
+        })
+    }
+}
+
+/// Follows the stores of the configuration until the process ends.
+pub(crate) async fn follow_stores(
+    shared: Arc<Shared>,
+    calls: Arc<dyn PartStores>,
+    duty: Arc<WeightDuty>,
+) {
+    loop {
+        if let Some(configuration) = shared.configuration() {
+            let configured: Vec<(ServiceId, PartStore)> =
+                configuration.stores().map(|(id, store)| (id.clone(), store.clone())).collect();
+            for (id, address) in shared.stores.follow(&configured) {
+                let follower = StoreFollower {
+                    shared: Arc::clone(&shared),
+                    calls: Arc::clone(&calls),
+                    duty: Arc::clone(&duty),
+                    id,
+                    address,
+                    connection: None,
+                };
+                task::spawn(follower.run());
+            }
+        }
+        task::sleep(Duration::from_millis(STORES_PERIOD_MS)).await;
+    }
+}
+
+/// Follows one store.
+struct StoreFollower {
+    shared: Arc<Shared>,
+    calls: Arc<dyn PartStores>,
+    duty: Arc<WeightDuty>,
+    id: ServiceId,
+    address: SocketAddr,
+    connection: Option<Connection>,
+}
+
+impl StoreFollower {
+    async fn run(mut self) {
+        let mut is_lost = false;
+        loop {
+            let sent_at = self.shared.now();
+            let next = Deadline::after_ms(sent_at, PERIOD_MS);
+            let known = self
+                .shared
+                .stores
+                .with_store(&self.id, self.address, |contents| (contents.next(), contents.epoch()));
+            // The store is no longer in the configuration.
+            let Some((since, _)) = known else { return };
+            match self.ask(since, sent_at).await {
+                Ok(()) if is_lost => {
+                    is_lost = false;
+                    log::info!(store = self.id.as_str(); "a store answers again");
+                }
+                Ok(()) => {}
+                Err(error) => {
+                    self.connection = None;
+                    if !is_lost {
+                        log::warn!(store = self.id.as_str(), error:%; "a store does not answer");
+                    }
+                    is_lost = true;
+                }
+            }
+            self.free_replaced().await;
+            sleep_until(&*self.shared.clock, next).await;
+        }
+    }
+
+    /// Asks for changes, and for all of them if the store has restarted.
+    async fn ask(&mut self, since: u64, sent_at: Instant) -> Result<(), MessageError> {
+        let message = self.calls.events_request(since, WAIT_MS);
+        let (status, body) = self.call(&message).await?;
+        if status != 200 {
+            return Err(MessageError::Malformed { detail: format!("status {status}") });
+        }
+        let answer = self
+            .calls
+            .decode_events(&body)
+            .map_err(|error| MessageError::Malformed { detail: error.to_string() })?;
+        let now = self.shared.now();
+        let (epoch, has_gap) = (answer.epoch, answer.has_gap);
+        let is_new = self.shared.stores.with_store(&self.id, self.address, |contents| {
+            let is_new = contents.answered(answer, sent_at, now);
+            if is_new && since != 0 {
+                contents.ask_anew();
+            }
+            is_new
+        });
+        if is_new == Some(true) {
+            log::info!(store = self.id.as_str(), epoch, has_gap; "a store is new or has restarted");
+        }
+        Ok(())
+    }
+
+    /// Frees parts that were made with weights that no endpoint serves any more, if this node has
+    /// the duty.
+    async fn free_replaced(&mut self) {
+        let Some(oldest) = self.duty.oldest_weights_to_keep() else { return };
+        let found = self.shared.stores.with_store(&self.id, self.address, |contents| {
+            let is_replaced =
+                |space: &CacheSpace| weights_of(space).is_some_and(|weights| weights < oldest);
+            let mut parts = contents.parts_where(is_replaced);
+            parts.truncate(MAX_FREED_PARTS);
+            Some((contents.epoch()?, parts))
+        });
+        let Some(Some((epoch, parts))) = found else { return };
+        if parts.is_empty() {
+            return;
+        }
+        let message = self.calls.free_request(epoch, &parts);
+        match self.call(&message).await {
+            Ok((status, _)) => log::info!(
+                store = self.id.as_str(), parts = parts.len(), status;
+                "parts of replaced weights were freed"
+            ),
+            Err(error) => {
+                self.connection = None;
+                log::warn!(store = self.id.as_str(), error:%; "parts could not be freed");
+            }
+        }
+    }
+
+    async fn call(&mut self, message: &[u8]) -> Result<(u16, Bytes), MessageError> {
+        let limit = Deadline::after_ms(self.shared.now(), CALL_LIMIT_MS);
+        let kept = self.connection.take().filter(Connection::is_quiet);
+        let address = self.address;
+        let exchange = async {
+            let connection = match kept {
+                Some(connection) => connection,
+                None => {
+                    Connection::open(address).await.map_err(|source| MessageError::Io { source })?
+                }
+            };
+            exchange(connection, message).await
+        };
+        let timed_out =
+            |_| MessageError::Io { source: std::io::Error::from(std::io::ErrorKind::TimedOut) };
+        let answer =
+            with_deadline(&*self.shared.clock, limit, exchange).await.map_err(timed_out)??;
+        self.connection = answer.connection;
+        Ok((answer.head.status, answer.body))
+    }
+}
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -10,14 +10,16 @@
 
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::task;
+use bytes::Bytes;
 use futures::future::{Either, select};
 use yuccapass_decisions::gateway::{EndpointRecord, SwapPlan, SwapStep};
 use yuccapass_decisions::platform_budget::{CallRank, LeaseTerms};
-use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError};
+use yuccapass_http::message::{Connection, MessageError};
 use yuccapass_http::{sleep_until, with_deadline};
 use yuccapass_platform::{Key, LeaseLock, LockStatus, PlatformClient};
 use yuccapass_types::{Deadline, EndpointId, Instant, ModelId, WeightRevision};
 
+use crate::exchange::exchange;
 use crate::membership::OWN_KEYS;
 use crate::protocol::{EngineOrders, OrderOutcome, WeightOrder};
 use crate::state::Shared;
@@ -41,20 +43,23 @@
 /// How long an engine may take to answer a report or an order.
 const ENGINE_LIMIT_MS: u64 = 800;
 
-/// Time after which an order that an engine declined is given again.
-const DECLINED_MS: u64 = 300;
+/// Time for which stores keep the parts of replaced weights after the last endpoint has swapped: a
+/// fetch that is under way ends before.
+const KEEP_REPLACED_MS: u64 = 4_000;
 
-/// Largest state of an engine, which lists its runs.
-const MAX_REPORT_BYTES: usize = 1 << 20;
+/// Longest time for a swap: an engine may have runs of many seconds to finish.
+const SWAP_LIMIT_MS: u64 = 20_000;
 
-/// Largest head of an engine's answer.
-const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Time after which an order that an engine declined is given again.
+const DECLINED_MS: u64 = 300;
 
 struct State {
     plan: SwapPlan,
     has_other_holder: bool,
     // When this node may give its first order; set when it gets the duty.
     orders_from: Option<Instant>,
+    // Since when all endpoints serve the named weights.
+    all_settled_at: Option<Instant>,
 }
 
 /// The duty to order endpoints to take new weights.
@@ -88,6 +93,7 @@
             plan: SwapPlan::new(shared.options.swap_terms),
             has_other_holder: true,
             orders_from: None,
+            all_settled_at: None,
         };
         let (wake_sender, wake_receiver) = bounded(1);
         Arc::new(Self {
@@ -171,7 +177,6 @@
     fn lost_duty(&self) {
         if self.lock.permit().is_none() && self.state().orders_from.take().is_some() {
             log::info!("the duty to order new weights was lost");
-            self.state().plan.forget_orders();
         }
     }
 
@@ -193,7 +198,7 @@
         }
         while let SwapStep::Order(endpoint, model, weights) = state.plan.step(&directory, now) {
             let Some(record) = directory.endpoint(&endpoint).cloned() else { return };
-            state.plan.ordered(endpoint.clone(), model.clone(), weights, now);
+            state.plan.begun(endpoint.clone(), model.clone());
             let duty = Arc::clone(self);
             task::spawn(async move { duty.swap(endpoint, record, model, weights).await });
         }
@@ -207,9 +212,9 @@
         model: ModelId,
         weights: WeightRevision,
     ) {
-        let limit = Deadline::after_ms(self.shared.now(), self.state().plan.terms().order_limit_ms);
+        let limit = Deadline::after_ms(self.shared.now(), SWAP_LIMIT_MS);
         let mut is_ordered = false;
-        while !limit.has_passed(self.shared.now()) {
+        while self.is_wanted(&model, weights) && !limit.has_passed(self.shared.now()) {
             let next = self.ask(&endpoint, &record, &model, weights, is_ordered).await;
             match next {
                 Ok(Asked::Serves) => {
@@ -237,10 +242,39 @@
             task::sleep(Duration::from_millis(REPORT_PERIOD_MS)).await;
         }
         let now = self.shared.now();
-        self.state().plan.declined(endpoint, model, weights, DECLINED_MS, now);
+        self.state().plan.declined(endpoint, model, DECLINED_MS, now);
         self.wake();
     }
 
+    /// Returns the oldest weights whose parts in stores are still needed, if this node has the duty:
+    /// all endpoints, also those that leave, serve these or newer ones, and have for a while.
+    pub(crate) fn oldest_weights_to_keep(&self) -> Option<WeightRevision> {
+        self.lock.permit()?;
+        let now = self.shared.now();
+        let directory = self.shared.directory();
+        let is_settled = |(_, record): (&EndpointId, &EndpointRecord)| {
+            directory.outdated_models(record).next().is_none()
+        };
+        let oldest = directory
+            .endpoints()
+            .flat_map(|(_, record)| record.weights.iter())
+            .map(|&(_, w)| w)
+            .min();
+        let mut state = self.state();
+        if !directory.endpoints().all(is_settled) {
+            state.all_settled_at = None;
+            return None;
+        }
+        let settled_at = *state.all_settled_at.get_or_insert(now);
+        oldest.filter(|_| now.ms_since(settled_at) >= KEEP_REPLACED_MS)
+    }
+
+    /// Returns whether these are still the newest weights that operators have named.
+    fn is_wanted(&self, model: &ModelId, weights: WeightRevision) -> bool {
+        let named = self.shared.directory().wanted_weights(model);
+        named.is_some_and(|named| named.weights == weights)
+    }
+
     async fn ask(
         &self,
         endpoint: &EndpointId,
@@ -296,19 +330,15 @@
         endpoint: &EndpointId,
         record: &EndpointRecord,
         message: &[u8],
-    ) -> Result<(u16, Vec<u8>), MessageError> {
+    ) -> Result<(u16, Bytes), MessageError> {
         let deadline = Deadline::after_ms(self.shared.now(), ENGINE_LIMIT_MS);
         let exchange = async {
-            let mut connection = self.connect(endpoint, record, deadline).await?;
-            connection.write_all(message).await.map_err(|source| MessageError::Io { source })?;
-            let head = connection.read_response_head(MAX_HEAD_BYTES).await?;
-            let framing = Framing::of_response(&head, "POST")
-                .map_err(|error| MessageError::Malformed { detail: error.to_string() })?;
-            let body = BodyReader::new(framing).read_all(&mut connection, MAX_REPORT_BYTES).await?;
-            if framing != Framing::UntilClose && !connection.has_unused_bytes() {
-                self.shared.endpoints.put_idle(endpoint, record, connection, &head);
+            let connection = self.connect(endpoint, record, deadline).await?;
+            let answer = exchange(connection, message).await?;
+            if let Some(connection) = answer.connection {
+                self.shared.endpoints.put_idle(endpoint, record, connection, &answer.head);
             }
-            Ok((head.status, body.to_vec()))
+            Ok((answer.head.status, answer.body))
         };
         let timed_out =
             |_| MessageError::Io { source: std::io::Error::from(std::io::ErrorKind::TimedOut) };
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -12,6 +12,9 @@
 /// Names are sent in heartbeats and used as metric labels, so they have to stay short.
 const MAX_ID_BYTES: usize = 64;
 
+/// Longest accepted cache name: that of an organisation with a number before it.
+const MAX_CACHE_SPACE_BYTES: usize = 96;
+
 /// Longest accepted idempotency key, in bytes; clients commonly send a UUID or a UUID with a prefix.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 128;
 
@@ -207,6 +210,10 @@
     /// Names a part of a prompt; equal parts of two prompts have the same id.
     PromptPartId, MAX_ID_BYTES, is_name_char
 }
+text_id! {
+    /// Names a cache of prompt parts: parts are found only under the name that they were cached with.
+    CacheSpace, MAX_CACHE_SPACE_BYTES, is_name_char
+}
 text_id! {
     /// Names a store VM group that keeps exported KV cache blocks.
     StoreId, MAX_ID_BYTES, is_name_char
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -24,9 +24,10 @@
 
 pub use block::{BLOCK_PROMPT_BYTES, BlockHash, CacheSalt, ParseBlockHashError, block_chain};
 pub use ids::{
-    AdapterId, ClassId, CommandId, EndpointId, FencingNumber, IdempotencyKey, Incarnation, KeyHash,
-    ModelId, NodeId, OrganisationId, ParseIdError, ParseIdErrorKind, PromptPartId, RegionId,
-    RequestId, Revision, RouteId, ServiceId, StoreId, WeightRevision, WeightVersion, ZoneId,
+    AdapterId, CacheSpace, ClassId, CommandId, EndpointId, FencingNumber, IdempotencyKey,
+    Incarnation, KeyHash, ModelId, NodeId, OrganisationId, ParseIdError, ParseIdErrorKind,
+    PromptPartId, RegionId, RequestId, Revision, RouteId, ServiceId, StoreId, WeightRevision,
+    WeightVersion, ZoneId,
 };
 pub use result_code::{ResultCode, RunState};
 pub use sealed_block::SealedBlock;
--- a/crates/yuccapassd/src/gateway.rs
+++ b/crates/yuccapassd/src/gateway.rs
@@ -119,6 +119,11 @@
     #[arg(long, env = "YUCCAPASS_ORDER_LEASE_MS", default_value_t = 3_000)]
     pub order_lease_ms: u64,
 
+    /// Time after new weights were named by which no request may begin on older ones, in
+    /// milliseconds.
+    #[arg(long, env = "YUCCAPASS_WEIGHTS_BOUND_MS", default_value_t = 10_000)]
+    pub weights_bound_ms: u64,
+
     /// Endpoints of a model for each one that may take new weights at the same time.
     #[arg(long, env = "YUCCAPASS_ENDPOINTS_PER_SWAP", default_value_t = 3)]
     pub endpoints_per_swap: u32,
@@ -218,7 +223,7 @@
             swap_terms: SwapTerms {
                 endpoints_per_swap: self.endpoints_per_swap,
                 takeover_ms: self.order_lease_ms,
-                ..SwapTerms::default()
+                bound_ms: self.weights_bound_ms,
             },
             silence_ms: self.silence_ms,
             max_connections: self.max_connections,
