--- a/crates/decisions/src/gateway/placement.rs
+++ b/crates/decisions/src/gateway/placement.rs
@@ -87,9 +87,10 @@
 }
 
 impl Default for PrefixAffinity {
-    /// A load of 1.25 times the mean and 3 requests more.
+    /// Twice the mean load and 10 requests more. A tighter bound spread the same parts over more
+    /// endpoints: 1.25 times and 3 requests gave 19% more shared tokens read again at high load.
     fn default() -> Self {
-        Self { load_factor: 1.25, load_slack: 3.0 }
+        Self { load_factor: 2.0, load_slack: 10.0 }
     }
 }
 
--- a/crates/decisions/src/gateway/swap.rs
+++ b/crates/decisions/src/gateway/swap.rs
@@ -131,7 +131,7 @@
                     .map(move |(model, named)| ((id.clone(), model.clone()), named))
             })
             .filter(|(served, named)| {
-                !self.settled.get(served).is_some_and(|&said| said >= named.weights)
+                self.settled.get(served).is_none_or(|&said| said < named.weights)
             })
     }
 
