--- a/crates/decisions/src/gateway/placement.rs
+++ b/crates/decisions/src/gateway/placement.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use yuccapass_types::EndpointId;
+use yuccapass_types::{EndpointId, Tokens};
 
 use super::route::PromptPart;
 
@@ -26,6 +26,8 @@
     pub distance: Distance,
     /// Requests that are there, from all nodes as far as known.
     pub load: f64,
+    /// Tokens of the prompts of those requests.
+    pub load_tokens: f64,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Moving share of its answers that were failures, from 0 to 1.
@@ -78,25 +80,25 @@
 /// Chooses the endpoint that has most likely cached the shared beginning of the prompt.
 ///
 /// All nodes rank the endpoints for a beginning in the same order, without telling each other
-/// (rendezvous hashing), and take the first one whose load is not far above the mean. A beginning
-/// that is asked for a lot thus spreads over a few endpoints.
+/// (rendezvous hashing), and take the first one whose memory is not much more in use than that of
+/// the others. A beginning that is asked for a lot thus spreads over a few endpoints.
 #[derive(Debug, Clone, Copy)]
 pub struct PrefixAffinity {
     load_factor: f64,
-    load_slack: f64,
+    load_slack: Tokens,
 }
 
 impl Default for PrefixAffinity {
-    /// Twice the mean load and 10 requests more. A tighter bound spread the same parts over more
-    /// endpoints: 1.25 times and 3 requests gave 19% more shared tokens read again at high load.
+    /// Twice the mean load and 80,000 tokens more. A tighter bound spreads the same parts over more
+    /// endpoints, and more of them are read again.
     fn default() -> Self {
-        Self { load_factor: 2.0, load_slack: 10.0 }
+        Self { load_factor: 2.0, load_slack: Tokens::new(80_000) }
     }
 }
 
 impl PrefixAffinity {
     /// Sets how far above the mean the load of the chosen endpoint may be.
-    pub fn load_bound(mut self, factor: f64, slack: f64) -> Self {
+    pub fn load_bound(mut self, factor: f64, slack: Tokens) -> Self {
         self.load_factor = factor;
         self.load_slack = slack;
         self
@@ -108,21 +110,23 @@
     }
 }
 
+/// Tokens that an endpoint which always fails counts as fuller than it is: about an engine's memory.
+const FAILURE_TOKENS: f64 = 160_000.0;
+
 impl Placement for PrefixAffinity {
     fn choose(
         &self,
         request: &PlacementRequest<'_>,
         candidates: &[Candidate<'_>],
     ) -> Option<usize> {
-        let effective_load = |candidate: &Candidate<'_>| {
-            candidate.load + f64::from(candidate.slots) * candidate.failure_rate
+        let load = |candidate: &Candidate<'_>| {
+            candidate.load_tokens + FAILURE_TOKENS * candidate.failure_rate
         };
         let Some(key) = Self::key(request.parts) else {
-            return least(candidates, request.drawn, effective_load);
+            return least(candidates, request.drawn, |candidate| candidate.load);
         };
-        let mean =
-            candidates.iter().map(effective_load).sum::<f64>() / candidates.len().max(1) as f64;
-        let bound = self.load_factor * mean + self.load_slack;
+        let mean = candidates.iter().map(load).sum::<f64>() / candidates.len().max(1) as f64;
+        let bound = self.load_factor * mean + self.load_slack.get() as f64;
         let rank = |candidate: &Candidate<'_>| {
             let mut hasher = DefaultHasher::new();
             (key.id.as_str(), candidate.endpoint.as_str()).hash(&mut hasher);
@@ -131,10 +135,10 @@
         candidates
             .iter()
             .enumerate()
-            .filter(|(_, candidate)| effective_load(candidate) <= bound)
+            .filter(|(_, candidate)| load(candidate) <= bound)
             .max_by_key(|(_, candidate)| rank(candidate))
             .map(|(position, _)| position)
-            .or_else(|| least(candidates, request.drawn, effective_load))
+            .or_else(|| least(candidates, request.drawn, load))
     }
 }
 
--- a/crates/decisions/src/gateway/track.rs
+++ b/crates/decisions/src/gateway/track.rs
@@ -1,6 +1,6 @@
 //! Load and failures of one endpoint, as this node has seen them.
 
-use yuccapass_types::{Deadline, Instant, RequestsPerSecond};
+use yuccapass_types::{Deadline, Instant, RequestsPerSecond, Tokens};
 
 /// The load that an endpoint reports with an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -41,6 +41,9 @@
     }
 }
 
+/// Weight of a request in the moving mean of their lengths.
+const MEAN_TOKENS_WEIGHT: f64 = 0.05;
+
 /// Failed answers weigh this much in the moving failure rate.
 const FAILURE_WEIGHT: f64 = 0.15;
 
@@ -49,6 +52,8 @@
 pub struct EndpointTrack {
     settings: TrackSettings,
     outstanding: u32,
+    outstanding_tokens: Tokens,
+    mean_tokens: f64,
     others: f64,
     reported_at: Option<Instant>,
     failures_in_a_row: u32,
@@ -65,6 +70,8 @@
         Self {
             settings,
             outstanding: 0,
+            outstanding_tokens: Tokens::ZERO,
+            mean_tokens: 0.0,
             others: 0.0,
             reported_at: None,
             failures_in_a_row: 0,
@@ -76,14 +83,17 @@
         }
     }
 
-    /// Notes that a request is sent.
-    pub fn sent(&mut self) {
+    /// Notes that a request with a prompt of `tokens` is sent.
+    pub fn sent(&mut self, tokens: Tokens) {
         self.outstanding += 1;
+        self.outstanding_tokens = self.outstanding_tokens + tokens;
+        self.mean_tokens += MEAN_TOKENS_WEIGHT * (tokens.get() as f64 - self.mean_tokens);
     }
 
-    /// Notes that a request has ended in any way.
-    pub fn ended(&mut self) {
+    /// Notes that a request with a prompt of `tokens` has ended in any way.
+    pub fn ended(&mut self, tokens: Tokens) {
         self.outstanding = self.outstanding.saturating_sub(1);
+        self.outstanding_tokens = self.outstanding_tokens.saturating_sub(tokens);
     }
 
     /// Notes a report of the load, which includes the requests of this node.
@@ -127,9 +137,19 @@
 
     /// Returns the requests at the endpoint, from this node and, as far as known, from others.
     pub fn load(&self, now: Instant) -> f64 {
+        f64::from(self.outstanding) + self.others_now(now)
+    }
+
+    /// Returns the tokens of the prompts at the endpoint. Those of other nodes are taken to be as
+    /// long as this node's are on average, since all get the same mix.
+    pub fn load_tokens(&self, now: Instant) -> f64 {
+        self.outstanding_tokens.get() as f64 + self.others_now(now) * self.mean_tokens
+    }
+
+    fn others_now(&self, now: Instant) -> f64 {
         let age_ms = self.reported_at.map_or(u64::MAX, |at| now.ms_since(at));
         let halvings = age_ms as f64 / self.settings.report_half_life_ms as f64;
-        f64::from(self.outstanding) + self.others * 0.5_f64.powf(halvings.min(64.0))
+        self.others * 0.5_f64.powf(halvings.min(64.0))
     }
 
     /// Returns the moving share of answers that were failures, from 0 to 1.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use yuccapass_decisions::gateway::{Configuration, KeyVerdict, Priority, Refusal, Route};
 use yuccapass_http::message::RequestHead;
-use yuccapass_types::{Deadline, Instant, OrganisationId, RegionId, ResultCode, ServiceId};
+use yuccapass_types::{Deadline, Instant, OrganisationId, RegionId, ResultCode, ServiceId, Tokens};
 
 use crate::protocol::CallerRequest;
 use crate::state::Shared;
@@ -36,11 +36,20 @@
     pub(crate) priority: Priority,
     /// Regions in which it may be served, by the route and by the organisation.
     pub(crate) regions: [&'a [RegionId]; 2],
+    /// Requests a second that an endpoint of the service bears while it is cold.
+    pub(crate) cold_requests_per_s: f64,
     pub(crate) arrived_at: Instant,
     /// When the caller must have its final answer.
     pub(crate) deadline: Deadline,
 }
 
+impl Admitted<'_> {
+    /// Returns the length of the prompt.
+    pub(crate) fn prompt_tokens(&self) -> Tokens {
+        self.caller.parts.iter().map(|part| part.tokens).sum()
+    }
+}
+
 /// Checks a request.
 ///
 /// # Errors
@@ -71,7 +80,9 @@
         route.service_for(rand::random()).ok_or(Refusal::not_run(ResultCode::ServiceNotFound))?;
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let rank = organisation.and_then(|(_, organisation)| organisation.priority);
+    let spec = configuration.service(service);
     Ok(Admitted {
+        cold_requests_per_s: spec.map(|spec| spec.cold_requests_per_s).unwrap_or_default(),
         head,
         body: &request.body,
         caller,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -75,7 +75,7 @@
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> Attempted {
-    let _outstanding = shared.endpoints.begin(target.id, target.record);
+    let _outstanding = shared.endpoints.begin(target.id, target.record, request.prompt_tokens());
     let attempted = run(shared, request, target, limit, events, answer).await;
     note_outcome(shared, target, &attempted);
     attempted
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,5 +1,6 @@
 //! Serves the connection of a caller.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use async_std::net::TcpStream;
@@ -26,6 +27,9 @@
 /// Bytes that are read after an answer to a request that was not read completely.
 const DISCARD_BYTES: usize = 256 << 10;
 
+/// Answered requests for each one with a line.
+const ANSWERS_PER_LINE: u64 = 16;
+
 /// Longest time for which a caller may go on sending after such an answer.
 const DISCARD_LIMIT_MS: u64 = 500;
 
@@ -224,8 +228,10 @@
     shared.metrics.served(&admitted, served, shared.now());
     let age_ms = shared.now().ms_since(request.arrived_at);
     match served {
-        Served::Answered(status) => log::debug!(
-            request = caller.id.as_str(), route = admitted.route.id.as_str(), status, age_ms;
+        Served::Answered(status) => log::log!(
+            answered_level(&caller, age_ms > admitted.route.timeout_ms / 2),
+            request = caller.id.as_str(), route = admitted.route.id.as_str(), status, age_ms,
+            organisation = admitted.organisation.map(|id| id.as_str());
             "a request was answered"
         ),
         Served::Refused(refusal) => log::info!(
@@ -241,6 +247,17 @@
     }
 }
 
+/// The level of the line for an answered request: late ones are all logged, others by a sample of
+/// their ids, which all nodes take in the same way.
+fn answered_level(caller: &CallerRequest, is_late: bool) -> log::Level {
+    let mut hasher = DefaultHasher::new();
+    caller.id.hash(&mut hasher);
+    match is_late || hasher.finish().is_multiple_of(ANSWERS_PER_LINE) {
+        true => log::Level::Info,
+        false => log::Level::Debug,
+    }
+}
+
 async fn refuse(
     shared: &Shared,
     request: &ReadRequest,
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -6,7 +6,7 @@
 use yuccapass_decisions::gateway::{Directory, EndpointRecord, EndpointTrack, TrackSettings};
 use yuccapass_http::message::{Connection, ResponseHead};
 use yuccapass_http::with_deadline;
-use yuccapass_types::{Clock, Deadline, EndpointId, Sharded, SortedMap};
+use yuccapass_types::{Clock, Deadline, EndpointId, Sharded, SortedMap, Tokens};
 
 /// Longest wait for a connection: a few round trips between regions. A full queue of new
 /// connections drops the opening packet, which is sent again only after seconds.
@@ -70,9 +70,14 @@
     }
 
     /// Counts a request as sent to an endpoint until the guard is dropped.
-    pub(crate) fn begin(&self, id: &EndpointId, record: &EndpointRecord) -> Outstanding<'_> {
-        self.with_track(id, record, EndpointTrack::sent);
-        Outstanding { table: self, id: id.clone() }
+    pub(crate) fn begin(
+        &self,
+        id: &EndpointId,
+        record: &EndpointRecord,
+        tokens: Tokens,
+    ) -> Outstanding<'_> {
+        self.with_track(id, record, |track| track.sent(tokens));
+        Outstanding { table: self, id: id.clone(), tokens }
     }
 
     /// Returns an unused connection, or a new one.
@@ -174,13 +179,14 @@
 pub(crate) struct Outstanding<'a> {
     table: &'a EndpointTable,
     id: EndpointId,
+    tokens: Tokens,
 }
 
 impl Drop for Outstanding<'_> {
     fn drop(&mut self) {
         self.table.shards.with(&self.id, |shard| {
             if let Some(endpoint) = shard.get_mut(&self.id) {
-                endpoint.track.ended();
+                endpoint.track.ended(self.tokens);
             }
         });
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -173,13 +173,8 @@
 
 /// Thousandths of a request a second that this node may send to each cold endpoint.
 fn cold_rate(shared: &Shared, request: &Admitted<'_>) -> RequestsPerSecond {
-    let bearable = shared
-        .configuration()
-        .and_then(|configuration| {
-            configuration.service(request.service).map(|service| service.cold_requests_per_s)
-        })
-        .unwrap_or_default();
-    RequestsPerSecond::new((bearable * COLD_PART_MILLI / f64::from(shared.nodes())) as u64)
+    let milli_rate = request.cold_requests_per_s * COLD_PART_MILLI / f64::from(shared.nodes());
+    RequestsPerSecond::new(milli_rate as u64)
 }
 
 /// Chooses among endpoints, those with the weights that operators have named first.
@@ -215,11 +210,14 @@
 ) -> Vec<Candidate<'a>> {
     let now = shared.now();
     let candidate = |&(id, record): &(&'a EndpointId, &'a EndpointRecord)| {
-        let (load, failure_rate) = shared
-            .endpoints
-            .with_track(id, record, |track| (track.load(now), track.failure_rate()));
-        let distance = shared.distance(directory, &record.zone);
-        Candidate { endpoint: id, distance, load, slots: record.slots, failure_rate }
+        shared.endpoints.with_track(id, record, |track| Candidate {
+            endpoint: id,
+            distance: shared.distance(directory, &record.zone),
+            load: track.load(now),
+            load_tokens: track.load_tokens(now),
+            slots: record.slots,
+            failure_rate: track.failure_rate(),
+        })
     };
     endpoints.iter().map(candidate).collect()
 }
--- a/crates/yuccapass/src/options.rs
+++ b/crates/yuccapass/src/options.rs
@@ -23,7 +23,7 @@
 /// Queries and changes the configuration of yuccapass.
 ///
 /// Without words, commands are read from standard input, one a line. `yuccapass help` shows the
-/// commands.
+/// commands. `yuccapass explain REQUEST-ID FILE...` shows the way of a request from log files.
 #[derive(Debug, Clone, Parser)]
 #[command(name = "yuccapass", version, after_help = EXIT_CODES)]
 pub(crate) struct Options {
--- a/crates/yuccapassd/src/logs.rs
+++ b/crates/yuccapassd/src/logs.rs
@@ -1,6 +1,13 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines on standard output.
+//!
+//! A thread of its own writes the lines. A caller never waits for whatever reads them: lines beyond
+//! the budget, or beyond what the thread has room for, are left out and counted.
 
 use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use log::kv::{self, Key, Value, VisitSource};
@@ -8,18 +15,88 @@
 use serde_json::{Map, Value as Json};
 use simplelog::{CombinedLogger, Config, SharedLogger};
 
-/// Sends all log records of at least this level to standard error, one JSON object a line.
+/// Lines a second that are written below the level of warnings.
+pub const MAX_LINES_PER_S: u64 = 200;
+
+/// Lines that wait for the writing thread.
+const QUEUED_LINES: usize = 1_000;
+
+/// Longest line; a longer text is cut.
+const MAX_LINE_BYTES: usize = 4 << 10;
+
+/// Sends all log records of at least this level to standard output, one JSON object a line.
 ///
 /// # Errors
 ///
 /// Fails if a logger was installed before.
 pub fn init(level: LevelFilter) -> Result<(), SetLoggerError> {
-    CombinedLogger::init(vec![Box::new(JsonLogger { level })])
+    init_with(level, Box::new(std::io::stdout()))
+}
+
+/// Sends all log records of at least this level to `out`, one JSON object a line.
+///
+/// # Errors
+///
+/// Fails if a logger was installed before.
+pub fn init_with(level: LevelFilter, out: Box<dyn Write + Send>) -> Result<(), SetLoggerError> {
+    CombinedLogger::init(vec![Box::new(JsonLogger::new(level, out))])
 }
 
 /// simplelog has no JSON format; this logger composes with its others.
 struct JsonLogger {
     level: LevelFilter,
+    lines: SyncSender<String>,
+    budget: Mutex<LineBudget>,
+    left_out: AtomicU64,
+}
+
+/// Lines that were written in the present second.
+#[derive(Debug, Default)]
+struct LineBudget {
+    second: u64,
+    lines: u64,
+}
+
+impl LineBudget {
+    fn try_take(&mut self, second: u64) -> bool {
+        if second != self.second {
+            *self = Self { second, lines: 0 };
+        }
+        self.lines += 1;
+        self.lines <= MAX_LINES_PER_S
+    }
+}
+
+impl JsonLogger {
+    fn new(level: LevelFilter, out: Box<dyn Write + Send>) -> Self {
+        let (lines, queue) = sync_channel(QUEUED_LINES);
+        // Without the thread no line is written, and the queue fills up; requests go on.
+        let _ = thread::Builder::new().name("log".to_owned()).spawn(move || write(&queue, out));
+        Self { level, lines, budget: Mutex::default(), left_out: AtomicU64::new(0) }
+    }
+
+    fn send(&self, mut line: Fields) {
+        let left_out = self.left_out.swap(0, Ordering::Relaxed);
+        if left_out > 0 {
+            line.add("lines_left_out_before", left_out);
+        }
+        let mut text = Json::Object(line.0).to_string();
+        text.push('\n');
+        if self.lines.try_send(text).is_err() {
+            self.left_out.fetch_add(left_out + 1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Writes the lines, those that wait together at once.
+fn write(queue: &Receiver<String>, mut out: Box<dyn Write + Send>) {
+    while let Ok(mut text) = queue.recv() {
+        while let Ok(line) = queue.try_recv() {
+            text.push_str(&line);
+        }
+        // A full disk or a closed pipe must not stop the node.
+        let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    }
 }
 
 impl Log for JsonLogger {
@@ -34,16 +111,23 @@
             return;
         }
         let time_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis());
+        let second = (time_ms / 1_000) as u64;
+        let is_routine = record.level() > log::Level::Warn;
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        if is_routine && !budget.try_take(second) {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        drop(budget);
         let mut line = Fields(Map::new());
         line.add("time_unix_ms", time_ms as u64);
         line.add("level", record.level().as_str());
         line.add("target", record.target());
-        line.add("message", record.args().to_string());
+        let message: String = record.args().to_string().chars().take(MAX_LINE_BYTES).collect();
+        line.add("message", message);
         // A field that cannot be read is left out; the rest of the line still counts.
         let _ = record.key_values().visit(&mut line);
-        let line = Json::Object(line.0);
-        // A full disk or a closed pipe must not stop the node.
-        let _ = writeln!(std::io::stderr().lock(), "{line}");
+        self.send(line);
     }
 
     fn flush(&self) {}
