--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,10 +19,14 @@
 use crate::state::Shared;
 use crate::weights::WeightDuty;
 
-/// How long one watch of the operators' decisions waits. Its quiet end confirms the keys, which a
-/// node may rely on for some seconds only.
+/// Longest time for which one watch of the operators' decisions waits. Its quiet end confirms the
+/// keys, which a node may rely on for some seconds only.
 const DECISIONS_WATCH_MS: u64 = 1_200;
 
+/// Watches of the operators' decisions in the time for which keys are relied on: one may fail, and
+/// the next one must still end in time.
+const WATCHES_PER_BOUND: u64 = 4;
+
 /// How long one watch of the endpoints waits. A connection that has gone silent is noticed at its
 /// end.
 const ENDPOINTS_WATCH_MS: u64 = 2_500;
@@ -165,7 +169,8 @@
         let (shared, platform) = (Arc::clone(shared), Arc::clone(platform));
         task::spawn(follow(shared, platform, prefix.clone(), watch_ms, follower));
     };
-    spawn(catalog.decisions(), DECISIONS_WATCH_MS, Arc::new(decisions));
+    let confirm_ms = shared.options.revoke_bound_ms / WATCHES_PER_BOUND;
+    spawn(catalog.decisions(), confirm_ms.min(DECISIONS_WATCH_MS), Arc::new(decisions));
     spawn(catalog.endpoints(), ENDPOINTS_WATCH_MS, Arc::new(endpoints));
     task::spawn(expire_endpoints(Arc::clone(shared)));
 }
