--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -230,17 +230,17 @@
     match served {
         Served::Answered(status) => log::log!(
             answered_level(&caller, age_ms > admitted.route.timeout_ms / 2),
-            request = caller.id.as_str(), route = admitted.route.id.as_str(), status, age_ms,
+            request_id = caller.id.as_str(), route = admitted.route.id.as_str(), status, age_ms,
             organisation = admitted.organisation.map(|id| id.as_str());
             "a request was answered"
         ),
         Served::Refused(refusal) => log::info!(
-            request = caller.id.as_str(), route = admitted.route.id.as_str(),
+            request_id = caller.id.as_str(), route = admitted.route.id.as_str(),
             status = refusal.status, code:% = refusal.code, age_ms;
             "a request was refused"
         ),
         Served::BrokenOff | Served::CallerGone => log::info!(
-            request = caller.id.as_str(), route = admitted.route.id.as_str(),
+            request_id = caller.id.as_str(), route = admitted.route.id.as_str(),
             is_caller_gone = served == Served::CallerGone, age_ms;
             "an answer was broken off"
         ),
@@ -266,7 +266,7 @@
     answer: &mut AnswerWriter,
 ) {
     log::info!(
-        request = caller.id.as_str(), path = request.head.path(), status = refusal.status,
+        request_id = caller.id.as_str(), path = request.head.path(), status = refusal.status,
         code:% = refusal.code;
         "a request was refused before it was placed"
     );
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -271,7 +271,7 @@
 ) {
     let now = shared.now();
     log::info!(
-        request = request.caller.id.as_str(),
+        request_id = request.caller.id.as_str(),
         route = request.route.id.as_str(),
         endpoint = target.id.as_str(),
         attempt = attempts.tried.len(),
--- a/crates/yuccapass/src/explain.rs
+++ b/crates/yuccapass/src/explain.rs
@@ -7,7 +7,7 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 
 /// Fields that every line has and that are shown in front of the others, or not at all.
-const COMMON_FIELDS: [&str; 5] = ["time_unix_ms", "level", "target", "message", "request"];
+const COMMON_FIELDS: [&str; 5] = ["time_unix_ms", "level", "target", "message", "request_id"];
 
 /// Reports that a request cannot be explained.
 #[derive(Debug, Snafu)]
@@ -68,7 +68,7 @@
         // Other programs may write to the same file, and put something before the object.
         let Some(start) = text.find('{') else { continue };
         let Ok(Value::Object(fields)) = serde_json::from_str(&text[start..]) else { continue };
-        if fields.get("request").and_then(Value::as_str) == Some(request) {
+        if fields.get("request_id").and_then(Value::as_str) == Some(request) {
             let time_unix_ms = fields.get("time_unix_ms").and_then(Value::as_u64).unwrap_or(0);
             lines.push(Line { time_unix_ms, file: path.to_owned(), fields });
         }
--- a/crates/yuccapassd/tests/documentation.rs
+++ b/crates/yuccapassd/tests/documentation.rs
@@ -4,9 +4,10 @@
 
 use clap::{CommandFactory, Parser};
 use yuccapassd::Settings;
+use yuccapassd::settings::{Front, Invocation};
 
 fn operations_page() -> String {
-    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/operations.md");
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
     std::fs::read_to_string(path).unwrap()
 }
 
@@ -34,10 +35,36 @@
         .collect()
 }
 
-/// Returns the names of all metrics in the source, in the form in which they are scraped.
+/// Makes the table's row of each setting of the gateway: flag, environment variable, default,
+/// meaning.
+fn gateway_rows() -> Vec<String> {
+    let command = Invocation::command();
+    let gateway = command.find_subcommand("gateway").expect("the gateway is a subcommand");
+    let text = |value: Option<String>| value.unwrap_or_default();
+    gateway
+        .get_arguments()
+        .filter(|argument| argument.get_env().is_some())
+        .map(|argument| {
+            let default: Vec<_> =
+                argument.get_default_values().iter().map(|value| value.to_string_lossy()).collect();
+            format!(
+                "| `--{}` | `{}` | {} | {} |",
+                argument.get_long().unwrap_or_default(),
+                text(argument.get_env().map(|name| name.to_string_lossy().into_owned())),
+                default.join(","),
+                text(argument.get_help().map(ToString::to_string)),
+            )
+        })
+        .collect()
+}
+
+/// Returns the names of all metrics in the sources, in the form in which they are scraped.
 fn metric_names() -> Vec<&'static str> {
-    let source = include_str!("../src/metrics.rs");
-    source.split('"').filter(|text| text.starts_with("yuccapass_")).collect()
+    [include_str!("../src/metrics.rs"), include_str!("../../gateway/src/metrics.rs")]
+        .into_iter()
+        .flat_map(|source| source.split('"'))
+        .filter(|text| text.starts_with("yuccapass_"))
+        .collect()
 }
 
 /// Guards against a setting whose unit, default or bound operators read wrongly.
@@ -47,8 +74,11 @@
     let page = operations_page();
 
     // Act
-    let missing: Vec<String> =
-        setting_rows().into_iter().filter(|row| !page.lines().any(|line| line == row)).collect();
+    let missing: Vec<String> = setting_rows()
+        .into_iter()
+        .chain(gateway_rows())
+        .filter(|row| !page.lines().any(|line| line == row))
+        .collect();
 
     // Assert
     assert!(missing.is_empty(), "rows that are missing:\n{}", missing.join("\n"));
@@ -96,3 +126,31 @@
         assert_eq!(error.to_string(), expected);
     }
 }
+
+/// Guards against a setting of the gateway out of its bounds that passes as valid.
+#[test]
+fn gateway_settings_out_of_bounds_are_named() {
+    // Arrange
+    let cases = [
+        ("--zones", "other=r", "--zone is z, but it must be one of --zones"),
+        ("--retry-ratio", "1.5", "--retry-ratio is 1.5, but it must be from 0 to 1"),
+        ("--silence-ms", "99", "--silence-ms is 99, but it must be from 100 to 60000"),
+        ("--endpoints-per-swap", "0", "--endpoints-per-swap is 0, but it must be at least 1"),
+    ];
+    for (flag, value, expected) in cases {
+        let mut arguments = vec!["yuccapassd", "gateway", "--node-id", "a", "--zone", "z"];
+        arguments.extend(["--caller-address", "127.0.0.1:1", "--admin-address", "127.0.0.1:2"]);
+        arguments.extend(["--platform", "127.0.0.1:3", flag, value]);
+        if flag != "--zones" {
+            arguments.extend(["--zones", "z=r"]);
+        }
+        let invocation = Invocation::parse_from(arguments);
+        let Some(Front::Gateway(settings)) = invocation.front else { panic!("not a gateway") };
+
+        // Act
+        let error = settings.validate().unwrap_err();
+
+        // Assert
+        assert_eq!(error.to_string(), expected);
+    }
+}
