--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -189,8 +189,8 @@
     let is_outdated = |record: &EndpointRecord| directory.outdated_models(record).next().is_some();
     let (outdated, current): (Vec<_>, Vec<_>) =
         endpoints.iter().copied().partition(|(_, record)| is_outdated(record));
-    let mut candidates = candidates(shared, directory, &current);
-    let others = self::candidates(shared, directory, &outdated);
+    let mut candidates = candidates_of(shared, directory, &current);
+    let others = candidates_of(shared, directory, &outdated);
     if !prefers_current(&candidates, &others) {
         candidates.extend(others);
     }
@@ -205,7 +205,8 @@
     current.iter().chain(&outdated).nth(position).copied()
 }
 
-fn candidates<'a>(
+/// Puts together what is known of endpoints.
+fn candidates_of<'a>(
     shared: &Shared,
     directory: &Directory,
     endpoints: &[(&'a EndpointId, &'a EndpointRecord)],
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,7 @@
 //! On the way of a request: `caller` reads it from its connection, `admission` checks it, `forward`
 //! makes attempts at endpoints, `attempt` is one of them, `events` passes a stream on, and `answer`
 //! writes to the caller. `endpoints` has the load, failures and connections of the endpoints.
-//! `stores` knows what stores of prompt parts keep.
+//! `stores` knows what stores of prompt parts keep; `exchange` sends a message of the node's own.
 //! `follow` keeps configuration and directory up to date, `membership` counts the nodes, and
 //! `weights` orders endpoints to take new weights.
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -146,6 +146,7 @@
         if open.fetch_add(1, Ordering::AcqRel) >= shared.options.max_connections {
             // The caller has sent nothing that was read, so it may connect to another node.
             open.fetch_sub(1, Ordering::AcqRel);
+            log::warn!("a caller's connection was closed at once: too many are open");
             continue;
         }
         let (shared, open) = (Arc::clone(&shared), Arc::clone(&open));
