part stores: use links by what they carry, fetch from other endpoints, free old parts sooner

After two versions of weights the stores stayed full of old parts until the last swap had ended. An attempt's successor is chosen once.

--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -6,7 +6,7 @@
 use snafu::Snafu;
 use yuccapass_types::{
     Bytes, KeyHash, ModelId, OrganisationId, RegionId, Revision, ServiceId, SortedMap, Tokens,
-    ZoneId,
+    TokensPerSecond, ZoneId,
 };
 
 use super::route::{Priority, Route};
@@ -45,6 +45,8 @@
     pub zone: ZoneId,
     /// Tokens that it can keep.
     pub capacity: Tokens,
+    /// How fast its link carries parts inside its zone.
+    pub link_rate: TokensPerSecond,
     /// Calls for changes that it answers at the same time, from all nodes together.
     pub max_calls: u32,
 }
--- a/crates/decisions/src/gateway/directory.rs
+++ b/crates/decisions/src/gateway/directory.rs
@@ -6,6 +6,8 @@
     Deadline, EndpointId, Instant, ModelId, RegionId, ServiceId, SortedMap, WeightRevision, ZoneId,
 };
 
+use super::placement::Distance;
+
 /// How long endpoints have, after the directory's service has returned, to register again before
 /// they count as gone.
 const REGISTER_AGAIN_MS: u64 = 2_300;
@@ -99,6 +101,17 @@
         self.zones.get(zone)
     }
 
+    /// Returns how far two zones are from each other.
+    pub fn distance(&self, from: &ZoneId, to: &ZoneId) -> Distance {
+        if from == to {
+            return Distance::SameZone;
+        }
+        match self.region(from) {
+            Some(region) if Some(region) == self.region(to) => Distance::SameRegion,
+            _ => Distance::OtherRegion,
+        }
+    }
+
     /// Notes what an endpoint says of itself.
     pub fn register(&mut self, id: EndpointId, record: EndpointRecord) {
         self.entries.insert(id, Entry { record, gone_at: None });
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -9,8 +9,10 @@
 //! * [`configuration`] and [`route`]: what operators have decided.
 //! * [`directory`]: which endpoints there are.
 //! * [`fleet`]: how many nodes share the bounds that hold for all of them together.
+//! * [`link_share`]: this node's part of a store's link.
 //! * [`part_store`]: which prompt parts stores keep, and which to fetch from and save to them.
 //! * [`placement`]: where a request runs.
+//! * [`replaced_weights`]: since when no endpoint serves old weights any more.
 //! * [`retry_share`]: this node's part of the retries that all nodes may make together.
 //! * [`next_step`]: what follows an attempt.
 //! * [`swap`]: which endpoint takes new weights next.
@@ -20,9 +22,11 @@
 pub mod configuration;
 pub mod directory;
 pub mod fleet;
+pub mod link_share;
 pub mod next_step;
 pub mod part_store;
 pub mod placement;
+pub mod replaced_weights;
 pub mod retry_share;
 pub mod route;
 pub mod swap;
@@ -35,13 +39,16 @@
 };
 pub use directory::{Directory, EndpointRecord, EndpointState, NamedWeights};
 pub use fleet::FleetSize;
+pub use link_share::LinkShare;
 pub use next_step::{AttemptFacts, AttemptFailure, NextStep, Refusal};
 pub use part_store::{
-    AskTerms, PartEvent, PartEvents, PartTransfers, StoreContents, TransferTerms, plan_transfers,
+    AskTerms, PartEvent, PartEvents, PartTransfers, StoreContents, TransferRequest, TransferTerms,
+    plan_transfers,
 };
 pub use placement::{
     Candidate, Distance, LeastLoaded, Placement, PlacementRequest, PrefixAffinity,
 };
+pub use replaced_weights::ReplacedWeights;
 pub use retry_share::{RetryShare, RetryTerms};
 pub use route::{Priority, PromptPart, Route, RouteKind, WeightedService};
 pub use swap::{EngineReport, SwapPlan, SwapStep, SwapTerms};
--- a/crates/decisions/src/gateway/part_store.rs
+++ b/crates/decisions/src/gateway/part_store.rs
@@ -23,6 +23,8 @@
 
 use super::configuration::PartStore;
 use super::directory::Directory;
+use super::link_share::LinkShare;
+use super::placement::Distance;
 use super::route::PromptPart;
 
 /// Times that keep fetches and writes of the same part apart.
@@ -35,8 +37,9 @@
     /// Time after a part was told before it is fetched: longer than the trust of saves and a write
     /// together.
     pub settle_ms: u64,
-    /// Time within which a fetch must have ended. The prompt is read instead if a store's link is
-    /// slow: with 2 s, requests waited for fetches longer than their target latency.
+    /// Time within which a fetch must have ended. It begins only when the endpoint admits the
+    /// request: with 400 ms, the fetches of all requests that queued for longer came too late, and
+    /// reading their prompts made the queues longer still.
     pub fetch_ms: u64,
     /// Time for which a node saves nothing to a store that it has not known before, or that has
     /// restarted: longer than trust, fetch and a period of asking together.
@@ -44,15 +47,15 @@
 }
 
 impl Default for TransferTerms {
-    /// 2.2 s, 800 ms, 1.9 s, 400 ms and 3.6 s. While parts settled for 3.2 s, half of the shared
+    /// 2.2 s, 800 ms, 1.9 s, 2 s and 5.2 s. While parts settled for 3.2 s, half of the shared
     /// parts that were read again were those that had been saved less than 4 s before.
     fn default() -> Self {
         Self {
             trust_ms: 2_200,
             save_trust_ms: 800,
             settle_ms: 1_900,
-            fetch_ms: 400,
-            hold_off_ms: 3_600,
+            fetch_ms: 2_000,
+            hold_off_ms: 5_200,
         }
     }
 }
@@ -61,6 +64,9 @@
 /// saved again: some tellings are lost.
 const SAVE_AGAIN_MS: u64 = 8_000;
 
+/// How much longer a transfer between zones of a region takes than one inside a zone.
+const ZONE_SLOWDOWN: u64 = 2;
+
 /// Smallest part that is worth a transfer: reading it takes a few milliseconds, as the start of a
 /// transfer does.
 const MIN_TRANSFER: Tokens = Tokens::new(128);
@@ -146,10 +152,12 @@
     next: u64,
     parts: SortedMap<PartKey, Kept>,
     saving: SortedMap<PartKey, (Tokens, Deadline)>,
-    // The tokens of both, which are too many to add up for each request.
-    used: Tokens,
+    // The tokens of each, which are too many to add up for each request.
+    kept_tokens: Tokens,
+    saving_tokens: Tokens,
     confirmed_at: Option<Instant>,
     saves_from: Option<Instant>,
+    link: LinkShare,
     // The shared clock at an instant of this node's.
     shared_clock: Option<(u64, Instant)>,
 }
@@ -164,9 +172,11 @@
             next: 0,
             parts: SortedMap::new(),
             saving: SortedMap::new(),
-            used: Tokens::ZERO,
+            kept_tokens: Tokens::ZERO,
+            saving_tokens: Tokens::ZERO,
             confirmed_at: None,
             saves_from: None,
+            link: LinkShare::default(),
             shared_clock: None,
         }
     }
@@ -193,7 +203,8 @@
         if is_new {
             self.parts = SortedMap::new();
             self.saving = SortedMap::new();
-            self.used = Tokens::ZERO;
+            self.kept_tokens = Tokens::ZERO;
+            self.saving_tokens = Tokens::ZERO;
             self.saves_from = Some(Deadline::after_ms(now, self.terms.hold_off_ms).instant());
             self.epoch = Some(answer.epoch);
         }
@@ -201,7 +212,7 @@
             let key = (event.space, event.part);
             self.forget(&key);
             if event.is_added {
-                self.used = self.used + event.tokens;
+                self.kept_tokens = self.kept_tokens + event.tokens;
                 self.parts.insert(key, Kept { tokens: event.tokens, told_at: now });
             }
         }
@@ -216,10 +227,10 @@
 
     fn forget(&mut self, key: &PartKey) {
         if let Some((tokens, _)) = self.saving.remove(key) {
-            self.used = self.used.saturating_sub(tokens);
+            self.saving_tokens = self.saving_tokens.saturating_sub(tokens);
         }
         if let Some(kept) = self.parts.remove(key) {
-            self.used = self.used.saturating_sub(kept.tokens);
+            self.kept_tokens = self.kept_tokens.saturating_sub(kept.tokens);
         }
     }
 
@@ -239,12 +250,14 @@
     pub fn expire_saves(&mut self, now: Instant) {
         let lapsed = |&(tokens, deadline): &(Tokens, Deadline)| (tokens, deadline.has_passed(now));
         let freed = self.saving.values().map(lapsed).filter(|&(_, is_lapsed)| is_lapsed);
-        self.used = self.used.saturating_sub(freed.map(|(tokens, _)| tokens).sum());
+        self.saving_tokens =
+            self.saving_tokens.saturating_sub(freed.map(|(tokens, _)| tokens).sum());
         self.saving.retain(|_, (_, deadline)| !deadline.has_passed(now));
     }
 
-    /// Returns whether a part should be saved: it is not kept, not being saved, and there is room.
-    pub fn wants(&self, space: &CacheSpace, part: &PromptPart, now: Instant) -> bool {
+    /// Returns whether a part should be saved: it is not kept, not being saved, and there is room
+    /// when `nodes` nodes save to the store.
+    pub fn wants(&self, space: &CacheSpace, part: &PromptPart, nodes: u32, now: Instant) -> bool {
         let key = (space.clone(), part.id.clone());
         let is_saving =
             self.saving.get(&key).is_some_and(|(_, deadline)| !deadline.has_passed(now));
@@ -252,7 +265,7 @@
             && self.saves_from.is_some_and(|from| from <= now)
             && !is_saving
             && !self.parts.contains_key(&key)
-            && self.used() + part.tokens <= self.store.capacity
+            && self.used(nodes) + part.tokens <= self.store.capacity
     }
 
     fn is_confirmed_within(&self, trust_ms: u64, now: Instant) -> bool {
@@ -265,9 +278,9 @@
         let deadline = Deadline::after_ms(now, SAVE_AGAIN_MS);
         let key = (space.clone(), part.id.clone());
         if let Some((tokens, _)) = self.saving.insert(key, (part.tokens, deadline)) {
-            self.used = self.used.saturating_sub(tokens);
+            self.saving_tokens = self.saving_tokens.saturating_sub(tokens);
         }
-        self.used = self.used + part.tokens;
+        self.saving_tokens = self.saving_tokens + part.tokens;
     }
 
     /// Returns the parts under names for which `is_stale` holds.
@@ -281,9 +294,11 @@
         Some(clock_ms + now.ms_since(at) + self.terms.fetch_ms)
     }
 
-    /// Returns the tokens that it keeps or is about to keep, as far as this node knows.
-    pub fn used(&self) -> Tokens {
-        self.used
+    /// Returns the tokens that it keeps or is about to keep, if `nodes` nodes save as much as this
+    /// one. A store that has no room left for a part does not say so.
+    pub fn used(&self, nodes: u32) -> Tokens {
+        let saving = self.saving_tokens.get().saturating_mul(u64::from(nodes));
+        self.kept_tokens + Tokens::new(saving)
     }
 }
 
@@ -310,47 +325,57 @@
     }
 }
 
-/// Decides what an endpoint in `zone` fetches and saves for a prompt, and notes the saves.
+/// A prompt for which transfers are planned.
+#[derive(Debug, Clone, Copy)]
+pub struct TransferRequest<'a> {
+    /// The zone of the endpoint that is to run it.
+    pub zone: &'a ZoneId,
+    /// The regions in which it may be kept, as several lists that all bind unless they are empty.
+    pub allowed_regions: &'a [&'a [RegionId]],
+    /// The name under which its parts are cached.
+    pub space: &'a CacheSpace,
+    /// Its parts in order.
+    pub parts: &'a [PromptPart],
+    /// An endpoint that has most likely cached the parts.
+    pub home: Option<SocketAddr>,
+    /// Whether newer weights than those of the endpoint were named, so that nothing is saved for
+    /// them any more.
+    pub is_outdated: bool,
+    /// The nodes that share the links of the stores.
+    pub nodes: u32,
+}
+
+/// Decides what an endpoint fetches and saves for a prompt, and notes the saves.
 ///
-/// All parts but the last, which belongs to the request alone, are fetched from the nearest store of
-/// the region that keeps them. A part that none of them keeps is saved to the one with the most room.
-/// Other regions are not used: transfers between regions take ten times as long.
+/// All parts but the last, which belongs to the request alone, are fetched from the store of the
+/// region that keeps them and sends them soonest. A part that none of them keeps is fetched from the
+/// endpoint that has most likely cached it, and saved to the store with room that will send it
+/// soonest. Other regions are not used: transfers between regions take
+/// ten times as long and hold up all others on the links.
 pub fn plan_transfers(
     stores: &mut SortedMap<ServiceId, StoreContents>,
     directory: &Directory,
-    zone: &ZoneId,
-    allowed_regions: &[&[RegionId]],
-    space: &CacheSpace,
-    parts: &[PromptPart],
+    request: &TransferRequest<'_>,
     now: Instant,
 ) -> PartTransfers {
-    let region = directory.region(zone);
-    let is_near = |contents: &StoreContents| {
-        let store_region = directory.region(&contents.store.zone);
-        store_region.is_some()
-            && store_region == region
-            && allowed_regions.iter().all(|allowed| {
-                allowed.is_empty()
-                    || store_region.is_some_and(|region| allowed.binary_search(region).is_ok())
-            })
-    };
-    let shared = parts.len().saturating_sub(1);
+    let shared = request.parts.len().saturating_sub(1);
     let mut transfers = PartTransfers::default();
-    for (position, part) in parts.iter().enumerate() {
+    for (position, part) in request.parts.iter().enumerate() {
         let (mut fetch, mut save) = (None, None);
         if position < shared && part.tokens >= MIN_TRANSFER {
-            let holder = stores
-                .values()
-                .filter(|contents| is_near(contents) && contents.holds(space, &part.id, now))
-                .min_by_key(|contents| contents.store.zone != *zone);
-            match holder {
-                Some(contents) => {
-                    fetch = Some(contents.store.address);
-                    let until_ms = contents.fetch_until_ms(now);
+            match begin_fetch(stores, directory, request, part, now) {
+                Some((source, until_ms)) => {
+                    fetch = Some(source);
                     let earliest = transfers.fetch_until_ms.into_iter().chain(until_ms).min();
                     transfers.fetch_until_ms = earliest;
                 }
-                None => save = begin_save(stores, is_near, space, part, now),
+                None => {
+                    // An endpoint drops what it has cached at any time, so the part is saved as well.
+                    fetch = request.home;
+                    if !request.is_outdated {
+                        save = begin_save(stores, directory, request, part, now);
+                    }
+                }
             }
         }
         transfers.fetch.push(fetch);
@@ -359,23 +384,72 @@
     transfers
 }
 
+impl TransferRequest<'_> {
+    /// Returns how long a store's link is taken by a part on its way to the endpoint, or `None` if
+    /// the store is not to be used for this prompt.
+    fn link_time_us(
+        &self,
+        directory: &Directory,
+        contents: &StoreContents,
+        part: &PromptPart,
+    ) -> Option<u64> {
+        let store = &contents.store;
+        let region = directory.region(&store.zone)?;
+        let is_allowed = self
+            .allowed_regions
+            .iter()
+            .all(|allowed| allowed.is_empty() || allowed.binary_search(region).is_ok());
+        let slowdown = match directory.distance(self.zone, &store.zone) {
+            Distance::SameZone => 1,
+            Distance::SameRegion => ZONE_SLOWDOWN,
+            Distance::OtherRegion => return None,
+        };
+        let rate = store.link_rate.get().max(1);
+        is_allowed.then(|| part.tokens.get().saturating_mul(1_000_000 * slowdown) / rate)
+    }
+}
+
+/// Chooses the store from which a part is fetched; returns its address and when the fetch must have
+/// ended on the shared clock.
+fn begin_fetch(
+    stores: &mut SortedMap<ServiceId, StoreContents>,
+    directory: &Directory,
+    request: &TransferRequest<'_>,
+    part: &PromptPart,
+    now: Instant,
+) -> Option<(SocketAddr, Option<u64>)> {
+    let mut holders: Vec<(u64, &mut StoreContents)> = stores
+        .values_mut()
+        .filter(|contents| contents.holds(request.space, &part.id, now))
+        .filter_map(|contents| Some((request.link_time_us(directory, contents, part)?, contents)))
+        .collect();
+    holders.sort_by_key(|&(time_us, _)| time_us);
+    let holder = holders.into_iter().find_map(|(time_us, contents)| {
+        contents.link.try_take(time_us, request.nodes, now).then_some(contents)
+    })?;
+    Some((holder.store.address, holder.fetch_until_ms(now)))
+}
+
 fn begin_save(
     stores: &mut SortedMap<ServiceId, StoreContents>,
-    is_near: impl Fn(&StoreContents) -> bool,
-    space: &CacheSpace,
+    directory: &Directory,
+    request: &TransferRequest<'_>,
     part: &PromptPart,
     now: Instant,
 ) -> Option<SocketAddr> {
-    let is_kept = |contents: &StoreContents| {
-        is_near(contents) && contents.parts.contains_key(&(space.clone(), part.id.clone()))
-    };
+    let space = request.space;
+    let usable = |contents: &StoreContents| request.link_time_us(directory, contents, part);
+    let key = (space.clone(), part.id.clone());
+    let is_kept =
+        |contents: &StoreContents| usable(contents).is_some() && contents.parts.contains_key(&key);
     if stores.values().any(is_kept) {
         return None;
     }
-    let roomiest = stores
+    let (_, chosen) = stores
         .values_mut()
-        .filter(|contents| is_near(contents) && contents.wants(space, part, now))
-        .max_by_key(|contents| contents.store.capacity.saturating_sub(contents.used()))?;
-    roomiest.saving(space, part, now);
-    Some(roomiest.store.address)
+        .filter(|contents| contents.wants(space, part, request.nodes, now))
+        .filter_map(|contents| Some((usable(contents)?, contents)))
+        .min_by_key(|&(time_us, _)| time_us)?;
+    chosen.saving(space, part, now);
+    Some(chosen.store.address)
 }
--- a/crates/decisions/src/gateway/placement.rs
+++ b/crates/decisions/src/gateway/placement.rs
@@ -48,6 +48,12 @@
     /// Returns the position of the chosen candidate; `None` only if there is none.
     fn choose(&self, request: &PlacementRequest<'_>, candidates: &[Candidate<'_>])
     -> Option<usize>;
+
+    /// Returns the position of the endpoint that most likely has cached the shared beginning of the
+    /// prompt, if there is such a one.
+    fn home(&self, _request: &PlacementRequest<'_>, _endpoints: &[&EndpointId]) -> Option<usize> {
+        None
+    }
 }
 
 /// Chooses the endpoint with the smallest part of its slots taken, the nearer one of two that are
@@ -110,6 +116,13 @@
     }
 }
 
+/// Ranks an endpoint for a beginning of prompts; all nodes compute the same rank.
+fn rank(key: &PromptPart, endpoint: &EndpointId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (key.id.as_str(), endpoint.as_str()).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Tokens that an endpoint which always fails counts as fuller than it is: about an engine's memory.
 const FAILURE_TOKENS: f64 = 160_000.0;
 
@@ -127,19 +140,19 @@
         };
         let mean = candidates.iter().map(load).sum::<f64>() / candidates.len().max(1) as f64;
         let bound = self.load_factor * mean + self.load_slack.get() as f64;
-        let rank = |candidate: &Candidate<'_>| {
-            let mut hasher = DefaultHasher::new();
-            (key.id.as_str(), candidate.endpoint.as_str()).hash(&mut hasher);
-            hasher.finish()
-        };
         candidates
             .iter()
             .enumerate()
             .filter(|(_, candidate)| load(candidate) <= bound)
-            .max_by_key(|(_, candidate)| rank(candidate))
+            .max_by_key(|(_, candidate)| rank(key, candidate.endpoint))
             .map(|(position, _)| position)
             .or_else(|| least(candidates, request.drawn, load))
     }
+
+    fn home(&self, request: &PlacementRequest<'_>, endpoints: &[&EndpointId]) -> Option<usize> {
+        let key = Self::key(request.parts)?;
+        (0..endpoints.len()).max_by_key(|&position| rank(key, endpoints[position]))
+    }
 }
 
 /// How far above the mean load of endpoints with replaced weights that of endpoints with the named
--- a/crates/decisions/src/gateway/track.rs
+++ b/crates/decisions/src/gateway/track.rs
@@ -163,8 +163,12 @@
 
     /// Returns whether the endpoint is to be avoided as long as another one can be used.
     pub fn is_avoided(&self, now: Instant) -> bool {
-        let is_ahead = |until: Option<Deadline>| until.is_some_and(|at| !at.has_passed(now));
-        is_ahead(self.avoid_until) || is_ahead(self.full_until)
+        self.is_failing(now) || is_ahead(self.full_until, now)
+    }
+
+    /// Returns whether the endpoint was not reached, broke off or was silent a short while ago.
+    pub fn is_failing(&self, now: Instant) -> bool {
+        is_ahead(self.avoid_until, now)
     }
 
     /// Returns whether this node may send a request to the endpoint while it is cold, when the node
@@ -196,3 +200,7 @@
         self.cold_from = Some(Deadline::after_ms(now, self.cold_period_ms).instant());
     }
 }
+
+fn is_ahead(until: Option<Deadline>, now: Instant) -> bool {
+    until.is_some_and(|at| !at.has_passed(now))
+}
--- a/crates/decisions/tests/gateway_part_store.rs
+++ b/crates/decisions/tests/gateway_part_store.rs
@@ -6,14 +6,19 @@
 
 mod gateway_fixtures;
 
+use std::net::SocketAddr;
+
 use gateway_fixtures::{address, at, id, part, zones};
+use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use yuccapass_decisions::gateway::{
-    AskTerms, Directory, PartEvent, PartEvents, PartStore, StoreContents, TransferTerms,
-    plan_transfers,
+    AskTerms, Directory, LinkShare, PartEvent, PartEvents, PartStore, PartTransfers, StoreContents,
+    TransferRequest, TransferTerms, plan_transfers,
+};
+use yuccapass_types::{
+    CacheSpace, PromptPartId, RegionId, ServiceId, SortedMap, Tokens, TokensPerSecond,
 };
-use yuccapass_types::{CacheSpace, PromptPartId, ServiceId, SortedMap, Tokens};
 
 const NODES: usize = 4;
 const PARTS: u64 = 12;
@@ -30,10 +35,15 @@
 }
 
 fn store() -> PartStore {
+    store_in("w1", 1, 1_000_000)
+}
+
+fn store_in(zone: &str, number: u16, link_rate: u64) -> PartStore {
     PartStore {
-        address: address(1),
-        zone: id("w1"),
+        address: address(number),
+        zone: id(zone),
         capacity: Tokens::new(1_000_000),
+        link_rate: TokensPerSecond::new(link_rate),
         max_calls: 12,
     }
 }
@@ -190,8 +200,16 @@
     let wanted = random.random_range(0..PARTS);
     let parts = [part(&format!("p{wanted}"), 1_000), part("own", 100)];
     let zone = id("w1");
-    let transfers =
-        plan_transfers(&mut node.stores, directory, &zone, &[], &space(), &parts, at(now));
+    let request = TransferRequest {
+        zone: &zone,
+        allowed_regions: &[],
+        space: &space(),
+        parts: &parts,
+        home: None,
+        is_outdated: false,
+        nodes: 1,
+    };
+    let transfers = plan_transfers(&mut node.stores, directory, &request, at(now));
     if transfers.has_fetch() {
         let until = transfers.fetch_until_ms.expect("the store has told its clock");
         fetches.push(Fetch { part: wanted, epoch: world.epoch, until });
@@ -284,14 +302,14 @@
 
     contents.saving(&space(), &part("a", 1_000), now);
     contents.saving(&space(), &part("never", 500), now);
-    let while_saving = contents.used();
+    let while_saving = contents.used(1);
     contents.answered(told(10, &["a", "a"], true), now, now);
-    let while_told = contents.used();
+    let while_told = contents.used(1);
     contents.expire_saves(at(SETTLED_MS + 60_000));
-    let after_expiry = contents.used();
+    let after_expiry = contents.used(1);
     contents.answered(told(11, &["a"], false), now, now);
 
-    let used = [while_saving, while_told, after_expiry, contents.used()];
+    let used = [while_saving, while_told, after_expiry, contents.used(1)];
     assert_eq!(used.map(|tokens| tokens.get()), [1_500, 1_500, 1_000, 0]);
 }
 
@@ -325,15 +343,17 @@
     let parts = [part("a", 1_000), part("tiny", 10), part("own", 1_000)];
     let plan = |zone: &str, space: &CacheSpace| {
         let mut stores = known_store(&["a", "tiny", "own"]);
-        plan_transfers(
-            &mut stores,
-            &directory,
-            &id(zone),
-            &[],
+        let zone = id(zone);
+        let request = TransferRequest {
+            zone: &zone,
+            allowed_regions: &[],
             space,
-            &parts,
-            at(1_000 + SETTLED_MS),
-        )
+            parts: &parts,
+            home: None,
+            is_outdated: false,
+            nodes: 1,
+        };
+        plan_transfers(&mut stores, &directory, &request, at(1_000 + SETTLED_MS))
     };
 
     let near = plan("w2", &space());
@@ -352,15 +372,137 @@
     let east = [id("east")];
     let mut stores = known_store(&["a"]);
 
-    let transfers = plan_transfers(
-        &mut stores,
-        &directory,
-        &id("w1"),
-        &[&east, &[]],
-        &space(),
-        &parts,
-        at(SETTLED_MS),
-    );
+    let (zone, space) = (id("w1"), space());
+    let allowed_regions: &[&[RegionId]] = &[&east, &[]];
+    let request = TransferRequest {
+        zone: &zone,
+        allowed_regions,
+        space: &space,
+        parts: &parts,
+        home: None,
+        is_outdated: false,
+        nodes: 1,
+    };
+    let transfers = plan_transfers(&mut stores, &directory, &request, at(SETTLED_MS));
 
     assert!(!transfers.has_fetch() && !transfers.has_save());
 }
+
+fn holding(store: PartStore) -> StoreContents {
+    let mut contents = StoreContents::new(store, TransferTerms::default());
+    let told =
+        PartEvent { is_added: true, space: space(), part: id("a"), tokens: Tokens::new(1_000) };
+    let answer =
+        |events| PartEvents { epoch: 1, next: 9, has_gap: false, events, clock_ms: Some(0) };
+    contents.answered(answer(vec![told]), at(0), at(0));
+    contents.answered(answer(vec![]), at(SETTLED_MS), at(SETTLED_MS));
+    contents
+}
+
+fn plan_for(
+    stores: &mut SortedMap<ServiceId, StoreContents>,
+    home: Option<SocketAddr>,
+    nodes: u32,
+) -> PartTransfers {
+    let parts = [part("a", 1_000), part("own", 100)];
+    let (zone, space) = (id("w1"), space());
+    let request = TransferRequest {
+        zone: &zone,
+        allowed_regions: &[],
+        space: &space,
+        parts: &parts,
+        home,
+        is_outdated: false,
+        nodes,
+    };
+    plan_transfers(stores, &Directory::new(zones()), &request, at(SETTLED_MS))
+}
+
+/// Guards against a large store with a slow link that gets all parts because it has the most room,
+/// while faster ones of the region stay empty.
+#[test]
+fn the_store_that_sends_soonest_comes_first() {
+    let empty = |store| {
+        let mut contents = holding(store);
+        let removed = PartEvents {
+            epoch: 1,
+            next: 10,
+            has_gap: false,
+            events: vec![PartEvent {
+                is_added: false,
+                space: space(),
+                part: id("a"),
+                tokens: Tokens::ZERO,
+            }],
+            clock_ms: Some(0),
+        };
+        contents.answered(removed, at(SETTLED_MS), at(SETTLED_MS));
+        contents
+    };
+    let large = PartStore { capacity: Tokens::new(9_000_000), ..store_in("w1", 1, 1_000_000) };
+    let mut stores: SortedMap<ServiceId, StoreContents> =
+        [(id("s1"), empty(large)), (id("s2"), empty(store_in("w2", 2, 5_000_000)))]
+            .into_iter()
+            .collect();
+
+    let transfers = plan_for(&mut stores, None, 1);
+
+    assert_eq!(transfers.save, [Some(address(2)), None]);
+}
+
+/// Guards against parts that are read again although the endpoint which all nodes prefer for them
+/// still has them: they settle in the stores only seconds after they were saved.
+#[test]
+fn a_part_that_no_store_keeps_comes_from_its_home() {
+    let mut stores = known_store(&[]);
+
+    let transfers = plan_for(&mut stores, Some(address(77)), 1);
+
+    assert_eq!(transfers.fetch, [Some(address(77)), None]);
+    assert_eq!(transfers.save, [Some(address(1)), None]);
+}
+
+/// Guards against fetches that a store's link cannot carry: they all end too late, and the prompts
+/// are read after the wait.
+#[test]
+fn fetches_stay_within_the_link_of_a_store() {
+    let slow = store_in("w1", 1, 1_000);
+    let mut stores: SortedMap<ServiceId, StoreContents> =
+        [(id("s"), holding(slow))].into_iter().collect();
+
+    let fetches = (0..20).filter(|_| plan_for(&mut stores, None, 9).has_fetch()).count();
+
+    // A part takes a second on this link, so one uses up what a node has saved.
+    assert_eq!(fetches, 1);
+}
+
+proptest! {
+    /// Guards against a node that takes more of a link than its part and what it has saved up.
+    #[test]
+    fn a_link_share_holds_in_every_window(
+        steps in proptest::collection::vec((0_u64..400, 1_000_u64..150_000), 1..200),
+        nodes in 1_u32..100,
+    ) {
+        const USED_PART: f64 = 1.5;
+        const MAX_SAVED_US: f64 = 200_000.0;
+        let mut share = LinkShare::default();
+        let mut now_ms = 0;
+        let mut taken: Vec<(u64, u64)> = Vec::new();
+
+        for (pause_ms, time_us) in steps {
+            now_ms += pause_ms;
+            if share.try_take(time_us, nodes, at(now_ms)) {
+                taken.push((now_ms, time_us));
+            }
+        }
+
+        for (first, &(from_ms, _)) in taken.iter().enumerate() {
+            let mut sum_us = 0.0;
+            for &(until_ms, time_us) in &taken[first..] {
+                sum_us += time_us as f64;
+                let carried_us = (until_ms - from_ms) as f64 * 1_000.0 * USED_PART / f64::from(nodes);
+                prop_assert!(sum_us <= carried_us + MAX_SAVED_US + 1.0);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,9 +1,13 @@
 //! One attempt to run a request at an endpoint.
 
+use std::net::SocketAddr;
+
 use bytes::{BufMut, Bytes};
 use futures::AsyncWriteExt;
 use futures::future::{Either, select};
-use yuccapass_decisions::gateway::{AttemptFailure, EndpointRecord, EndpointTrack};
+use yuccapass_decisions::gateway::{
+    AttemptFailure, EndpointRecord, EndpointTrack, TransferRequest,
+};
 use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, ResponseHead};
 use yuccapass_http::with_deadline;
 use yuccapass_types::{CacheSpace, Deadline, EndpointId, WeightRevision};
@@ -26,9 +30,11 @@
 const MAX_STRAY_ANSWERS: usize = 2;
 
 /// An endpoint that was chosen for an attempt.
-pub(crate) struct Target<'a> {
-    pub(crate) id: &'a EndpointId,
-    pub(crate) record: &'a EndpointRecord,
+pub(crate) struct Target {
+    pub(crate) id: EndpointId,
+    pub(crate) record: EndpointRecord,
+    /// Another endpoint that has most likely cached the beginning of the prompt.
+    pub(crate) home: Option<SocketAddr>,
 }
 
 /// A whole answer of an endpoint.
@@ -70,21 +76,21 @@
 pub(crate) async fn attempt(
     shared: &Shared,
     request: &Admitted<'_>,
-    target: &Target<'_>,
+    target: &Target,
     limit: Deadline,
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> Attempted {
-    let _outstanding = shared.endpoints.begin(target.id, target.record, request.prompt_tokens());
+    let _outstanding = shared.endpoints.begin(&target.id, &target.record, request.prompt_tokens());
     let attempted = run(shared, request, target, limit, events, answer).await;
     note_outcome(shared, target, &attempted);
     attempted
 }
 
 /// Notes for later choices what became of an attempt.
-fn note_outcome(shared: &Shared, target: &Target<'_>, attempted: &Attempted) {
+fn note_outcome(shared: &Shared, target: &Target, attempted: &Attempted) {
     let now = shared.now();
-    let is_outdated = shared.directory().outdated_models(target.record).next().is_some();
+    let is_outdated = shared.directory().outdated_models(&target.record).next().is_some();
     let note = |track: &mut EndpointTrack| match attempted {
         Attempted::Answered(..) => track.succeeded(),
         Attempted::CallerGone => {}
@@ -96,19 +102,19 @@
             }
         },
     };
-    shared.endpoints.with_track(target.id, target.record, note);
+    shared.endpoints.with_track(&target.id, &target.record, note);
 }
 
 async fn run(
     shared: &Shared,
     request: &Admitted<'_>,
-    target: &Target<'_>,
+    target: &Target,
     limit: Deadline,
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> Attempted {
     let mut connection =
-        match shared.endpoints.connect(target.id, target.record, request.deadline).await {
+        match shared.endpoints.connect(&target.id, &target.record, request.deadline).await {
             Ok(connection) => connection,
             Err(error) => {
                 return Attempted::Ended(AttemptEnd::new(AttemptFailure::NotSent, error));
@@ -128,7 +134,7 @@
         note_weights(shared, target, weights);
     }
     if let Some(load) = received.facts.load {
-        shared.endpoints.with_track(target.id, target.record, |track| track.reported(load, now));
+        shared.endpoints.with_track(&target.id, &target.record, |track| track.reported(load, now));
     }
     let is_stream = request.route.kind.is_streaming() && received.head.status == 200;
     if is_stream && received.facts.is_signed {
@@ -138,10 +144,10 @@
 }
 
 /// Notes weights that an endpoint has taken since its entry in the directory was written.
-fn note_weights(shared: &Shared, target: &Target<'_>, weights: WeightRevision) {
+fn note_weights(shared: &Shared, target: &Target, weights: WeightRevision) {
     let is_known = target.record.weights.iter().any(|&(_, known)| known >= weights);
     if !is_known {
-        shared.change_directory(|directory| directory.serves_weights(target.id, weights));
+        shared.change_directory(|directory| directory.serves_weights(&target.id, weights));
     }
 }
 
@@ -149,7 +155,7 @@
 fn request_message(
     shared: &Shared,
     request: &Admitted<'_>,
-    target: &Target<'_>,
+    target: &Target,
     events: &EventSplitter,
 ) -> Vec<u8> {
     let resume_after = events.last_id().or(request.caller.resume_after.as_ref());
@@ -157,11 +163,19 @@
     let space = cache_space(request, weights);
     let transfers = space.as_ref().filter(|_| weights.is_some()).map(|space| {
         let directory = shared.directory();
-        let (zone, parts) = (&target.record.zone, &request.caller.parts);
-        shared.stores.plan(&directory, zone, &request.regions, space, parts, shared.now())
+        let transfer = TransferRequest {
+            zone: &target.record.zone,
+            allowed_regions: &request.regions,
+            space,
+            parts: &request.caller.parts,
+            home: target.home,
+            is_outdated: directory.outdated_models(&target.record).next().is_some(),
+            nodes: shared.nodes(),
+        };
+        shared.stores.plan(&directory, &transfer, shared.now())
     });
     let forwarding = Forwarding {
-        endpoint: target.id,
+        endpoint: &target.id,
         organisation: request.organisation,
         remaining_ms: request.deadline.remaining_ms(shared.now()),
         priority: request.route.kind.is_streaming().then_some(request.priority),
@@ -266,7 +280,7 @@
 async fn pass_whole(
     shared: &Shared,
     request: &Admitted<'_>,
-    target: &Target<'_>,
+    target: &Target,
     mut connection: Connection,
     received: Received,
     answer: &mut AnswerWriter,
@@ -283,7 +297,7 @@
         }
     };
     if is_request_written && framing != Framing::UntilClose && !connection.has_unused_bytes() {
-        shared.endpoints.put_idle(target.id, target.record, connection, &head);
+        shared.endpoints.put_idle(&target.id, &target.record, connection, &head);
     }
     let is_for_another_endpoint = matches!(head.status, 421 | 429 | 503);
     if facts.is_not_run && is_for_another_endpoint {
@@ -316,7 +330,7 @@
 async fn pass_stream(
     shared: &Shared,
     request: &Admitted<'_>,
-    target: &Target<'_>,
+    target: &Target,
     mut connection: Connection,
     received: Received,
     events: &mut EventSplitter,
@@ -368,7 +382,7 @@
         }
     }
     if is_request_written && framing != Framing::UntilClose && !connection.has_unused_bytes() {
-        shared.endpoints.put_idle(target.id, target.record, connection, &head);
+        shared.endpoints.put_idle(&target.id, &target.record, connection, &head);
     }
     Attempted::Answered(head.status)
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,5 +1,7 @@
 //! Makes attempts at endpoints until the caller has its final answer.
 
+use std::net::SocketAddr;
+
 use yuccapass_decisions::gateway::next_step::next_step;
 use yuccapass_decisions::gateway::placement::prefers_current;
 use yuccapass_decisions::gateway::{
@@ -70,13 +72,12 @@
     shared.count_request(request.service);
     let mut attempts = Attempts::default();
     let mut events = EventSplitter::default();
+    let mut next_target = choose(shared, request, &attempts.tried);
     loop {
-        let directory = shared.directory();
-        let Some((id, record)) = choose(shared, &directory, request, &attempts.tried) else {
+        let Some(target) = next_target else {
             return refuse(shared, request, answer, nothing_to_try(&attempts)).await;
         };
-        attempts.tried.push(id.clone());
-        let target = Target { id, record };
+        attempts.tried.push(target.id.clone());
         let limit = attempt_limit(shared, request, &attempts);
         let end = match attempt(shared, request, &target, limit, &mut events, answer).await {
             Attempted::Answered(status) => return Served::Answered(status),
@@ -84,7 +85,8 @@
             Attempted::Ended(end) => end,
         };
         attempts.note(end.failure);
-        let step = decide(shared, &directory, request, &attempts, &end, answer);
+        next_target = choose(shared, request, &attempts.tried);
+        let step = decide(shared, request, &attempts, &end, answer, next_target.is_some());
         log_attempt(shared, request, &target, &attempts, &end, step);
         match step {
             NextStep::Retry => {}
@@ -97,11 +99,11 @@
 
 fn decide(
     shared: &Shared,
-    directory: &Directory,
     request: &Admitted<'_>,
     attempts: &Attempts,
     end: &AttemptEnd,
     answer: &AnswerWriter,
+    has_other_endpoint: bool,
 ) -> NextStep {
     let facts = AttemptFacts {
         failure: end.failure,
@@ -111,7 +113,7 @@
         run_attempts: attempts.run,
         max_attempts: request.route.max_attempts,
         has_begun_answer: answer.has_begun(),
-        has_other_endpoint: choose(shared, directory, request, &attempts.tried).is_some(),
+        has_other_endpoint,
         deadline: request.deadline,
     };
     next_step(&facts, || shared.take_retry(request.service), shared.now())
@@ -129,20 +131,19 @@
     Deadline::after_ms(shared.now(), patience_ms).earlier(request.deadline)
 }
 
+/// An endpoint of the directory.
+type Entry<'a> = (&'a EndpointId, &'a EndpointRecord);
+
 /// Chooses an endpoint that was not tried yet: one without recent failures, else any that is warm,
 /// else a cold one within this node's part of what it bears.
-fn choose<'a>(
-    shared: &Shared,
-    directory: &'a Directory,
-    request: &Admitted<'_>,
-    tried: &[EndpointId],
-) -> Option<(&'a EndpointId, &'a EndpointRecord)> {
+fn choose(shared: &Shared, request: &Admitted<'_>, tried: &[EndpointId]) -> Option<Target> {
     let now = shared.now();
-    let regions = &request.regions;
+    let directory = shared.directory();
     let overdue_ms = shared.options.swap_terms.bound_ms * OVERDUE_PART / 10;
-    let untried: Vec<(&EndpointId, &EndpointRecord)> = directory
-        .eligible(request.service, regions)
-        .into_iter()
+    let eligible = directory.eligible(request.service, &request.regions);
+    let untried: Vec<Entry<'_>> = eligible
+        .iter()
+        .copied()
         .filter(|(id, _)| !tried.contains(id))
         .filter(|(_, record)| !directory.is_overdue(record, overdue_ms, now))
         .collect();
@@ -153,26 +154,56 @@
     let (avoided, sound): (Vec<_>, Vec<_>) = warm.into_iter().partition(|(id, record)| {
         shared.endpoints.with_track(id, record, |track| track.is_avoided(now))
     });
-    if let Some(chosen) = place(shared, directory, request, &sound) {
-        return Some(chosen);
-    }
-    if let Some(chosen) = place(shared, directory, request, &avoided) {
-        return Some(chosen);
-    }
+    let warm = place(shared, &directory, request, &sound)
+        .or_else(|| place(shared, &directory, request, &avoided));
+    let (id, record) = match warm {
+        Some(chosen) => chosen,
+        None => choose_cold(shared, &directory, request, cold)?,
+    };
+    let home = home(shared, request, &eligible, record).filter(|home| *home != record.address);
+    Some(Target { id: id.clone(), record: record.clone(), home })
+}
+
+/// Chooses a cold endpoint within this node's part of what it bears.
+fn choose_cold<'a>(
+    shared: &Shared,
+    directory: &Directory,
+    request: &Admitted<'_>,
+    cold: Vec<Entry<'a>>,
+) -> Option<Entry<'a>> {
+    let now = shared.now();
     let rate = cold_rate(shared, request);
-    let bearable: Vec<_> = cold
-        .into_iter()
-        .filter(|(id, record)| {
-            shared
-                .endpoints
-                .with_track(id, record, |track| track.may_send_cold(rate, rand::random(), now))
-        })
-        .collect();
+    let may_send = |(id, record): &Entry<'_>| {
+        let drawn = rand::random();
+        shared.endpoints.with_track(id, record, |track| track.may_send_cold(rate, drawn, now))
+    };
+    let bearable: Vec<_> = cold.into_iter().filter(may_send).collect();
     let (id, record) = place(shared, directory, request, &bearable)?;
     shared.endpoints.with_track(id, record, |track| track.sent_cold(now));
     Some((id, record))
 }
 
+/// Returns the address of the endpoint that has most likely cached the beginning of the prompt with
+/// the weights of the chosen one. It may be full, but must be reachable.
+fn home(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    eligible: &[Entry<'_>],
+    chosen: &EndpointRecord,
+) -> Option<SocketAddr> {
+    if !request.route.is_sticky {
+        return None;
+    }
+    let now = shared.now();
+    let sources: Vec<&Entry<'_>> =
+        eligible.iter().filter(|(_, record)| record.weights == chosen.weights).collect();
+    let ids: Vec<&EndpointId> = sources.iter().map(|(id, _)| *id).collect();
+    let placement_request = PlacementRequest { parts: &request.caller.parts, drawn: 0 };
+    let (id, record) = sources[shared.placements.models.home(&placement_request, &ids)?];
+    let is_failing = shared.endpoints.with_track(id, record, |track| track.is_failing(now));
+    (!is_failing).then_some(record.address)
+}
+
 /// Thousandths of a request a second that this node may send to each cold endpoint.
 fn cold_rate(shared: &Shared, request: &Admitted<'_>) -> RequestsPerSecond {
     let milli_rate = request.cold_requests_per_s * COLD_PART_MILLI / f64::from(shared.nodes());
@@ -184,8 +215,8 @@
     shared: &Shared,
     directory: &Directory,
     request: &Admitted<'_>,
-    endpoints: &[(&'a EndpointId, &'a EndpointRecord)],
-) -> Option<(&'a EndpointId, &'a EndpointRecord)> {
+    endpoints: &[Entry<'a>],
+) -> Option<Entry<'a>> {
     let is_outdated = |record: &EndpointRecord| directory.outdated_models(record).next().is_some();
     let (outdated, current): (Vec<_>, Vec<_>) =
         endpoints.iter().copied().partition(|(_, record)| is_outdated(record));
@@ -209,10 +240,10 @@
 fn candidates_of<'a>(
     shared: &Shared,
     directory: &Directory,
-    endpoints: &[(&'a EndpointId, &'a EndpointRecord)],
+    endpoints: &[Entry<'a>],
 ) -> Vec<Candidate<'a>> {
     let now = shared.now();
-    let candidate = |&(id, record): &(&'a EndpointId, &'a EndpointRecord)| {
+    let candidate = |&(id, record): &Entry<'a>| {
         shared.endpoints.with_track(id, record, |track| Candidate {
             endpoint: id,
             distance: shared.distance(directory, &record.zone),
@@ -267,7 +298,7 @@
 fn log_attempt(
     shared: &Shared,
     request: &Admitted<'_>,
-    target: &Target<'_>,
+    target: &Target,
     attempts: &Attempts,
     end: &AttemptEnd,
     step: NextStep,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -140,16 +140,9 @@
         })
     }
 
+    /// Returns how far a zone is from this node.
     pub(crate) fn distance(&self, directory: &Directory, zone: &ZoneId) -> Distance {
-        if *zone == self.options.zone {
-            return Distance::SameZone;
-        }
-        match directory.region(zone) {
-            Some(region) if Some(region) == directory.region(&self.options.zone) => {
-                Distance::SameRegion
-            }
-            _ => Distance::OtherRegion,
-        }
+        directory.distance(&self.options.zone, zone)
     }
 
     /// Returns whether the node can serve: it knows a configuration whose keys it may rely on.
--- a/crates/gateway/src/stores.rs
+++ b/crates/gateway/src/stores.rs
@@ -7,14 +7,12 @@
 use async_std::task;
 use bytes::Bytes;
 use yuccapass_decisions::gateway::{
-    AskTerms, Directory, PartStore, PartTransfers, PromptPart, StoreContents, TransferTerms,
+    AskTerms, Directory, PartStore, PartTransfers, StoreContents, TransferRequest, TransferTerms,
     plan_transfers,
 };
 use yuccapass_http::message::{Connection, MessageError};
 use yuccapass_http::{sleep_until, with_deadline};
-use yuccapass_types::{
-    CacheSpace, Deadline, Instant, RegionId, ServiceId, SortedMap, WeightRevision, ZoneId,
-};
+use yuccapass_types::{CacheSpace, Deadline, Instant, ServiceId, SortedMap, WeightRevision};
 
 use crate::exchange::exchange;
 use crate::protocol::PartStores;
@@ -54,17 +52,14 @@
 }
 
 impl StoreTable {
-    /// Decides what an endpoint in `zone` fetches and saves for a prompt.
+    /// Decides what an endpoint fetches and saves for a prompt.
     pub(crate) fn plan(
         &self,
         directory: &Directory,
-        zone: &ZoneId,
-        regions: &[&[RegionId]],
-        space: &CacheSpace,
-        parts: &[PromptPart],
+        request: &TransferRequest<'_>,
         now: Instant,
     ) -> PartTransfers {
-        self.with(|stores| plan_transfers(stores, directory, zone, regions, space, parts, now))
+        self.with(|stores| plan_transfers(stores, directory, request, now))
     }
 
     fn with<R>(&self, action: impl FnOnce(&mut SortedMap<ServiceId, StoreContents>) -> R) -> R {
@@ -227,7 +222,7 @@
     /// Frees parts that were made with weights that no endpoint serves any more, if this node has
     /// the duty.
     async fn free_replaced(&mut self) {
-        let Some(oldest) = self.duty.oldest_weights_to_keep() else { return };
+        let Some(oldest) = self.duty.oldest_needed() else { return };
         let found = self.shared.stores.with_store(&self.id, self.address, |contents| {
             let is_replaced =
                 |space: &CacheSpace| weights_of(space).is_some_and(|weights| weights < oldest);
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -12,7 +12,7 @@
 use async_std::task;
 use bytes::Bytes;
 use futures::future::{Either, select};
-use yuccapass_decisions::gateway::{EndpointRecord, SwapPlan, SwapStep};
+use yuccapass_decisions::gateway::{EndpointRecord, ReplacedWeights, SwapPlan, SwapStep};
 use yuccapass_decisions::platform_budget::{CallRank, LeaseTerms};
 use yuccapass_http::message::{Connection, MessageError};
 use yuccapass_http::{sleep_until, with_deadline};
@@ -43,10 +43,6 @@
 /// How long an engine may take to answer a report or an order.
 const ENGINE_LIMIT_MS: u64 = 800;
 
-/// Time for which stores keep the parts of replaced weights after the last endpoint has swapped: a
-/// fetch that is under way ends before.
-const KEEP_REPLACED_MS: u64 = 4_000;
-
 /// Longest time for a swap: an engine may have runs of many seconds to finish.
 const SWAP_LIMIT_MS: u64 = 20_000;
 
@@ -58,8 +54,7 @@
     has_other_holder: bool,
     // When this node may give its first order; set when it gets the duty.
     orders_from: Option<Instant>,
-    // Since when all endpoints serve the named weights.
-    all_settled_at: Option<Instant>,
+    replaced: ReplacedWeights,
 }
 
 /// The duty to order endpoints to take new weights.
@@ -93,7 +88,7 @@
             plan: SwapPlan::new(shared.options.swap_terms),
             has_other_holder: true,
             orders_from: None,
-            all_settled_at: None,
+            replaced: ReplacedWeights::default(),
         };
         let (wake_sender, wake_receiver) = bounded(1);
         Arc::new(Self {
@@ -246,27 +241,12 @@
         self.wake();
     }
 
-    /// Returns the oldest weights whose parts in stores are still needed, if this node has the duty:
-    /// all endpoints, also those that leave, serve these or newer ones, and have for a while.
-    pub(crate) fn oldest_weights_to_keep(&self) -> Option<WeightRevision> {
+    /// Returns the oldest weights whose parts in stores are still needed, if this node has the duty
+    /// and that is certain.
+    pub(crate) fn oldest_needed(&self) -> Option<WeightRevision> {
         self.lock.permit()?;
-        let now = self.shared.now();
         let directory = self.shared.directory();
-        let is_settled = |(_, record): (&EndpointId, &EndpointRecord)| {
-            directory.outdated_models(record).next().is_none()
-        };
-        let oldest = directory
-            .endpoints()
-            .flat_map(|(_, record)| record.weights.iter())
-            .map(|&(_, w)| w)
-            .min();
-        let mut state = self.state();
-        if !directory.endpoints().all(is_settled) {
-            state.all_settled_at = None;
-            return None;
-        }
-        let settled_at = *state.all_settled_at.get_or_insert(now);
-        oldest.filter(|_| now.ms_since(settled_at) >= KEEP_REPLACED_MS)
+        self.state().replaced.oldest_needed(&directory, self.shared.now())
     }
 
     /// Returns whether these are still the newest weights that operators have named.
