gateway: fewer calls to the platform's key-value service

Each change of a key costs a call of each node that watches it, so 87 nodes that start cost 87 x 87 calls, and so do endpoints that change one after the other. Ruled out: one watch for all keys (saves no more than 0.3 calls/s a node, and each change of an endpoint would then end the watch that confirms keys). A node that has just started takes a share as if there were 100 nodes until it has read its own registration twice: nodes that start together after a power cut do not each take the whole of a bound.

--- a/crates/decisions/src/gateway/fleet.rs
+++ b/crates/decisions/src/gateway/fleet.rs
@@ -6,41 +6,55 @@
 /// serving, and what it was allowed shortly before still counts in the windows of the bounds.
 const LINGER_MS: u64 = 10_000;
 
+/// Number of nodes that a node assumes while it does not know the others: more than there are, so
+/// that nodes which all start at the same moment do not each take the whole of a bound.
+const ASSUMED_NODES: u32 = 100;
+
+/// Lists with this node's own registration after which it knows the others: those that have started
+/// together with it have registered by the second one.
+const LISTS_TO_KNOW: u32 = 2;
+
 /// The nodes that are registered or were a short while ago.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct FleetSize {
+    own: NodeId,
     // The deadline is that of a node that has left.
     nodes: SortedMap<NodeId, Deadline>,
+    lists_with_own: u32,
 }
 
 impl FleetSize {
-    /// Notes that a node is registered.
-    pub fn joined(&mut self, node: NodeId) {
-        self.nodes.insert(node, Deadline::NEVER);
-    }
-
-    /// Notes that a node is no longer registered.
-    pub fn left(&mut self, node: &NodeId, now: Instant) {
-        if let Some(deadline) = self.nodes.get_mut(node) {
-            *deadline = Deadline::after_ms(now, LINGER_MS).earlier(*deadline);
-        }
+    /// Makes the state of a node that knows no other.
+    pub fn new(own: NodeId) -> Self {
+        Self { own, nodes: SortedMap::new(), lists_with_own: 0 }
     }
 
     /// Takes the complete list of registered nodes.
     pub fn replace(&mut self, nodes: Vec<NodeId>, now: Instant) {
-        let gone: Vec<NodeId> =
-            self.nodes.keys().filter(|node| !nodes.contains(node)).cloned().collect();
-        for node in &gone {
-            self.left(node, now);
+        for (node, deadline) in self.nodes.iter_mut() {
+            if !nodes.contains(node) {
+                *deadline = Deadline::after_ms(now, LINGER_MS).earlier(*deadline);
+            }
         }
+        self.nodes.retain(|_, deadline| !deadline.has_passed(now));
+        self.lists_with_own += u32::from(nodes.contains(&self.own));
         for node in nodes {
-            self.joined(node);
+            self.nodes.insert(node, Deadline::NEVER);
         }
     }
 
+    /// Returns whether the node knows the others.
+    pub fn is_known(&self) -> bool {
+        self.lists_with_own >= LISTS_TO_KNOW
+    }
+
     /// Returns the number of nodes, of which this one is always one.
     pub fn nodes(&self, now: Instant) -> u32 {
         let present = self.nodes.values().filter(|deadline| !deadline.has_passed(now)).count();
-        u32::try_from(present).unwrap_or(u32::MAX).max(1)
+        let present = u32::try_from(present).unwrap_or(u32::MAX);
+        match self.is_known() {
+            true => present.max(1),
+            false => present.max(ASSUMED_NODES),
+        }
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,17 +19,24 @@
 use crate::state::Shared;
 use crate::weights::WeightDuty;
 
-/// Longest time for which one watch of the operators' decisions waits. Its quiet end confirms the
-/// keys, which a node may rely on for some seconds only.
-const DECISIONS_WATCH_MS: u64 = 1_200;
+/// Longest time for which one watch of the operators' decisions waits, since a connection that has
+/// gone silent is noticed at its end only.
+const MAX_DECISIONS_WATCH_MS: u64 = 1_800;
 
-/// Watches of the operators' decisions in the time for which keys are relied on: one may fail, and
-/// the next one must still end in time.
-const WATCHES_PER_BOUND: u64 = 4;
+/// What is left of the time for which keys are relied on after two watches: the first confirms them,
+/// the second may fail with its connection, and reading anew must end in time.
+const CONFIRM_RESERVE_MS: u64 = 1_400;
 
 /// How long one watch of the endpoints waits. A connection that has gone silent is noticed at its
 /// end.
-const ENDPOINTS_WATCH_MS: u64 = 2_500;
+const ENDPOINTS_WATCH_MS: u64 = 3_000;
+
+/// Pause between a watch of the decisions that showed changes and the next one. Changes that follow
+/// each other are then shown together: each of them costs a call of each node otherwise.
+const DECISIONS_PAUSE_MS: u64 = 150;
+
+/// The same for endpoints, of which many change together: all of a zone, or all of a model.
+const ENDPOINTS_PAUSE_MS: u64 = 300;
 
 /// How long reading all keys may take.
 const READ_LIMIT_MS: u64 = 3_000;
@@ -58,20 +65,31 @@
     fn lost(&self) {}
 }
 
-/// Follows the keys with a prefix until the process ends.
+/// Which keys are followed, and how.
+#[derive(Debug, Clone)]
+pub(crate) struct FollowTerms {
+    /// The beginning of the keys.
+    pub(crate) prefix: Key,
+    /// How long one watch waits.
+    pub(crate) watch_ms: u64,
+    /// Pause after a watch that showed changes.
+    pub(crate) pause_ms: u64,
+}
+
+/// Follows keys until the process ends.
 pub(crate) async fn follow(
     shared: Arc<Shared>,
     platform: Arc<PlatformClient>,
-    prefix: Key,
-    watch_ms: u64,
+    terms: FollowTerms,
     follower: Arc<dyn Follower>,
 ) {
     let mut is_lost = false;
     loop {
-        let result = follow_once(&shared, &platform, &prefix, watch_ms, &*follower, &mut is_lost);
+        let result = follow_once(&shared, &platform, &terms, &*follower, &mut is_lost);
         if let Err(error) = result.await {
             if !is_lost {
-                log::warn!(prefix = prefix.as_str(), error:%; "the platform does not answer");
+                let prefix = terms.prefix.as_str();
+                log::warn!(prefix, error:%; "the platform does not answer");
             }
             is_lost = true;
             follower.lost();
@@ -84,15 +102,15 @@
 async fn follow_once(
     shared: &Shared,
     platform: &Arc<PlatformClient>,
-    prefix: &Key,
-    watch_ms: u64,
+    terms: &FollowTerms,
     follower: &dyn Follower,
     is_lost: &mut bool,
 ) -> Result<(), PlatformError> {
+    let prefix = &terms.prefix;
     let reader = platform.ranked(CallRank::Refresh);
     let watcher = platform.ranked(CallRank::Watch);
     let sent_at = shared.now();
-    let (entries, mut revision) = read_all(shared, &reader, prefix).await?;
+    let (entries, mut revision) = read_all(shared, &reader, prefix, false).await?;
     if *is_lost {
         log::info!(prefix = prefix.as_str(), revision = revision.get(); "the platform answers again");
         *is_lost = false;
@@ -103,32 +121,39 @@
         let request =
             WatchRequest { range: KeyRange::Prefix(prefix.clone()), from: revision.next() };
         let sent_at = shared.now();
-        let deadline = Deadline::after_ms(sent_at, watch_ms);
-        match watcher.watch(&request, deadline).await? {
+        let deadline = Deadline::after_ms(sent_at, terms.watch_ms);
+        let pause_ms = match watcher.watch(&request, deadline).await? {
             WatchOutcome::Changes(changes) => {
                 for change in &changes {
                     follower.change(change);
                     revision = revision.max(change.revision);
                 }
+                terms.pause_ms
             }
             WatchOutcome::Quiet { revision: newest } => {
                 revision = revision.max(newest.unwrap_or(revision));
+                0
             }
             WatchOutcome::Compacted | WatchOutcome::Restored { .. } => {
                 log::info!(prefix = prefix.as_str(); "changes were dropped; reading anew");
                 return Ok(());
             }
-        }
+        };
         follower.confirmed(sent_at);
+        if pause_ms > 0 {
+            let resume_at = Deadline::after_ms(shared.now(), pause_ms);
+            sleep_until(&*shared.clock, resume_at).await;
+        }
     }
 }
 
 /// Reads all pages. They show different moments, so the watch starts after the first one and
 /// repeats changes that later pages may already show.
-async fn read_all(
+pub(crate) async fn read_all(
     shared: &Shared,
     reader: &RankedKeyValue,
     prefix: &Key,
+    may_be_stale: bool,
 ) -> Result<(Vec<Entry>, StoreRevision), PlatformError> {
     let deadline = Deadline::after_ms(shared.now(), READ_LIMIT_MS);
     let mut request = RangeRequest {
@@ -136,6 +161,7 @@
         start: None,
         limit: PAGE_ENTRIES,
         revision: None,
+        may_be_stale,
     };
     let first = reader.range(&request, deadline).await?;
     let (mut entries, revision, mut next) = (first.entries, first.revision, first.next);
@@ -165,16 +191,31 @@
         catalog: Arc::clone(catalog),
         duty: Arc::clone(duty),
     };
-    let spawn = |prefix: &Key, watch_ms, follower: Arc<dyn Follower>| {
+    let spawn = |terms, follower: Arc<dyn Follower>| {
         let (shared, platform) = (Arc::clone(shared), Arc::clone(platform));
-        task::spawn(follow(shared, platform, prefix.clone(), watch_ms, follower));
+        task::spawn(follow(shared, platform, terms, follower));
+    };
+    let decisions_terms = FollowTerms {
+        prefix: catalog.decisions().clone(),
+        watch_ms: decisions_watch_ms(shared.options.revoke_bound_ms),
+        pause_ms: DECISIONS_PAUSE_MS,
+    };
+    let endpoints_terms = FollowTerms {
+        prefix: catalog.endpoints().clone(),
+        watch_ms: ENDPOINTS_WATCH_MS,
+        pause_ms: ENDPOINTS_PAUSE_MS,
     };
-    let confirm_ms = shared.options.revoke_bound_ms / WATCHES_PER_BOUND;
-    spawn(catalog.decisions(), confirm_ms.min(DECISIONS_WATCH_MS), Arc::new(decisions));
-    spawn(catalog.endpoints(), ENDPOINTS_WATCH_MS, Arc::new(endpoints));
+    spawn(decisions_terms, Arc::new(decisions));
+    spawn(endpoints_terms, Arc::new(endpoints));
     task::spawn(expire_endpoints(Arc::clone(shared)));
 }
 
+/// How long a watch of the decisions may wait, so that keys are confirmed within their bound even if
+/// the connection of one watch is lost.
+fn decisions_watch_ms(revoke_bound_ms: u64) -> u64 {
+    (revoke_bound_ms.saturating_sub(CONFIRM_RESERVE_MS) / 2).min(MAX_DECISIONS_WATCH_MS)
+}
+
 /// Drops endpoints that did not register again after an outage.
 async fn expire_endpoints(shared: Arc<Shared>) {
     loop {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
@@ -32,6 +32,7 @@
     answer: Histogram<f64>,
     refusals: Counter<u64>,
     broken_off: Counter<u64>,
+    nodes: Gauge<u64>,
 }
 
 impl Metrics {
@@ -67,6 +68,10 @@
                 "Time from a request's arrival to the end of its answer.",
             ),
             refusals: counter("yuccapass_gateway_refusals", "Answers of this node's own, by code."),
+            nodes: meter
+                .u64_gauge("yuccapass_gateway_nodes")
+                .with_description("Nodes that share the bounds which hold for all together.")
+                .build(),
             broken_off: counter("yuccapass_gateway_broken_off", "Answers that were broken off."),
             registry,
             _provider: provider,
@@ -94,6 +99,11 @@
         }
     }
 
+    /// Notes how many nodes share the bounds that hold for all of them together.
+    pub(crate) fn nodes(&self, nodes: u32) {
+        self.nodes.record(u64::from(nodes), &[]);
+    }
+
     /// Notes an answer of this node's own.
     pub(crate) fn refused(&self, refusal: Refusal) {
         self.refusals.add(1, &[KeyValue::new("code", refusal.code.to_string())]);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -65,7 +65,7 @@
             configuration: RwLock::default(),
             directory: RwLock::new(Arc::new(Directory::new(options.zones.clone()))),
             approval: Mutex::new(Approval::new(options.revoke_bound_ms, options.is_fail_closed)),
-            fleet: Mutex::default(),
+            fleet: Mutex::new(FleetSize::new(options.node.clone())),
             retry_shares: Sharded::default(),
             stop_controller: Mutex::new(Some(controller)),
             stop,
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -48,6 +48,8 @@
     pub limit: u32,
     /// Revision to read at, so that all pages show one state; the newest if absent.
     pub revision: Option<StoreRevision>,
+    /// Whether the page may show a state of some seconds ago, which costs the service less.
+    pub may_be_stale: bool,
 }
 
 /// A page of entries in key order.
--- a/crates/platform/src/managed.rs
+++ b/crates/platform/src/managed.rs
@@ -272,7 +272,7 @@
         &self,
         deadline: Deadline,
         call: impl Fn(Deadline) -> F,
-        revision_of: fn(&T) -> StoreRevision,
+        revision_of: impl Fn(&T) -> Option<StoreRevision>,
     ) -> Result<T, PlatformError>
     where
         F: Future<Output = Result<T, PlatformError>>,
@@ -286,7 +286,9 @@
             client.note(&result);
             let error = match result {
                 Ok(answer) => {
-                    client.check_revision(seen, revision_of(&answer))?;
+                    if let Some(revision) = revision_of(&answer) {
+                        client.check_revision(seen, revision)?;
+                    }
                     return Ok(answer);
                 }
                 Err(error) => error,
@@ -320,7 +322,7 @@
 impl KeyValue for RankedKeyValue {
     async fn get(&self, key: &Key, deadline: Deadline) -> Result<GetResponse, PlatformError> {
         let call = |limit| self.client.inner.get(key, limit);
-        self.read(deadline, call, |answer| answer.revision).await
+        self.read(deadline, call, |answer| Some(answer.revision)).await
     }
 
     async fn range(
@@ -329,7 +331,9 @@
         deadline: Deadline,
     ) -> Result<Page, PlatformError> {
         let call = |limit| self.client.inner.range(request, limit);
-        self.read(deadline, call, |answer| answer.revision).await
+        // A stale page would look as if the service had been restored from an older state.
+        let checked = |page: &Page| (!request.may_be_stale).then_some(page.revision);
+        self.read(deadline, call, checked).await
     }
 
     async fn compare_and_swap(
