--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -23,6 +23,9 @@
 /// gone silent is noticed at its end only.
 const MAX_DECISIONS_WATCH_MS: u64 = 1_800;
 
+/// Shortest such time, so that a small bound does not make calls in a loop.
+const MIN_DECISIONS_WATCH_MS: u64 = 100;
+
 /// What is left of the time for which keys are relied on after two watches: the first confirms them,
 /// the second may fail with its connection, and reading anew must end in time.
 const CONFIRM_RESERVE_MS: u64 = 1_400;
@@ -213,7 +216,8 @@
 /// How long a watch of the decisions may wait, so that keys are confirmed within their bound even if
 /// the connection of one watch is lost.
 fn decisions_watch_ms(revoke_bound_ms: u64) -> u64 {
-    (revoke_bound_ms.saturating_sub(CONFIRM_RESERVE_MS) / 2).min(MAX_DECISIONS_WATCH_MS)
+    let wait_ms = revoke_bound_ms.saturating_sub(CONFIRM_RESERVE_MS) / 2;
+    wait_ms.clamp(MIN_DECISIONS_WATCH_MS, MAX_DECISIONS_WATCH_MS)
 }
 
 /// Drops endpoints that did not register again after an outage.
