gateway: longer watches of endpoints and of the duty

Ruled out: longer watches of the decisions, whose quiet end confirms keys. Change: watches of endpoints last 5 s and leave 500 ms for further changes; those of the duty 20 s.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -31,15 +31,15 @@
 const CONFIRM_RESERVE_MS: u64 = 1_400;
 
 /// How long one watch of the endpoints waits. A connection that has gone silent is noticed at its
-/// end.
-const ENDPOINTS_WATCH_MS: u64 = 3_000;
+/// end, which must come before a leaving endpoint that was not shown may get nothing more.
+const ENDPOINTS_WATCH_MS: u64 = 5_000;
 
 /// Pause between a watch of the decisions that showed changes and the next one. Changes that follow
 /// each other are then shown together: each of them costs a call of each node otherwise.
 const DECISIONS_PAUSE_MS: u64 = 150;
 
 /// The same for endpoints, of which many change together: all of a zone, or all of a model.
-const ENDPOINTS_PAUSE_MS: u64 = 300;
+const ENDPOINTS_PAUSE_MS: u64 = 500;
 
 /// How long reading all keys may take.
 const READ_LIMIT_MS: u64 = 3_000;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -27,7 +27,7 @@
 
 /// How long one watch for the holder of the duty waits. It is the other nodes that notice if this
 /// one's connection has gone silent.
-const DUTY_WATCH_MS: u64 = 8_000;
+const DUTY_WATCH_MS: u64 = 20_000;
 
 /// Period of reading the nodes' keys. The number of nodes is a share of bounds that keep a reserve,
 /// and a watch would cost a call of each node for each node that starts.
