gateway: refuse requests that crash endpoints, on all nodes

Ruled out: counting requests without a body, which many callers share and which are at endpoints that crash for other reasons. Change: a node that loses the connection of a request probes the endpoint; if that does not answer, the crash guard counts the request. Counts stand in each node's registration, which the others read anyway, now each 2 s. A node's calls to the platform are shared only once it knows the other nodes: the registration of a node that had just started waited for seconds behind its other calls.

--- a/crates/decisions/src/crash_guard.rs
+++ b/crates/decisions/src/crash_guard.rs
@@ -10,18 +10,28 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request.
     pub fn of(organisation: &OrganisationId, model: &ModelId, prompt: &[u8]) -> Self {
+        Self::of_fields([organisation.as_str(), model.as_str()], prompt)
+    }
+
+    fn of_fields(fields: [&str; 2], body: &[u8]) -> Self {
         let mut hasher = blake3::Hasher::new();
-        for field in [organisation.as_str(), model.as_str()] {
+        for field in fields {
             hasher.update(field.as_bytes());
-            // Ids cannot contain a zero byte, so the fields cannot run together.
+            // They cannot contain a zero byte, so the fields cannot run together.
             hasher.update(&[0]);
         }
-        hasher.update(prompt);
+        hasher.update(body);
         let mut bytes = [0; 8];
         hasher.finalize_xof().fill(&mut bytes);
         Self(u64::from_be_bytes(bytes))
     }
 
+    /// Computes the fingerprint of an HTTP message. Its key is left out: an organisation whose message
+    /// has the same body crashes endpoints just as well.
+    pub fn of_message(method: &str, target: &str, body: &[u8]) -> Self {
+        Self::of_fields([method, target], body)
+    }
+
     /// Wraps a fingerprint from another node's report.
     pub const fn from_bits(bits: u64) -> Self {
         Self(bits)
--- a/crates/decisions/src/gateway/next_step.rs
+++ b/crates/decisions/src/gateway/next_step.rs
@@ -67,12 +67,21 @@
 /// an endpoint to finish some requests, short against the time that callers have.
 const RETRY_AFTER_MS: u64 = 250;
 
+/// Time after which a caller whose request is held back may ask again: short against the time for
+/// which it is.
+const HELD_BACK_MS: u64 = 10_000;
+
 impl Refusal {
     /// Makes an answer which says that the request has not run.
     pub const fn not_run(code: ResultCode) -> Self {
         Self { status: 503, code, retry_after_ms: Some(RETRY_AFTER_MS) }
     }
 
+    /// Makes an answer which says that the request has not run and will not for a while.
+    pub const fn held_back(code: ResultCode) -> Self {
+        Self { status: 503, code, retry_after_ms: Some(HELD_BACK_MS) }
+    }
+
     /// Makes an answer after which a caller should not send the request again.
     pub const fn final_answer(status: u16, code: ResultCode) -> Self {
         Self { status, code, retry_after_ms: None }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -26,8 +26,7 @@
 
 /// A request that may be sent to a service.
 pub(crate) struct Admitted<'a> {
-    pub(crate) head: &'a RequestHead,
-    pub(crate) body: &'a Bytes,
+    pub(crate) read: &'a ReadRequest,
     pub(crate) caller: &'a CallerRequest,
     pub(crate) route: &'a Route,
     pub(crate) service: &'a ServiceId,
@@ -76,6 +75,9 @@
         KeyVerdict::NotNeeded => None,
         KeyVerdict::Known(id, organisation) => Some((id, organisation)),
     };
+    if shared.crashes.blocks(request, shared.now()) {
+        return Err(Refusal::held_back(ResultCode::RequestBlocked));
+    }
     let service =
         route.service_for(rand::random()).ok_or(Refusal::not_run(ResultCode::ServiceNotFound))?;
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
@@ -83,8 +85,7 @@
     let spec = configuration.service(service);
     Ok(Admitted {
         cold_requests_per_s: spec.map(|spec| spec.cold_requests_per_s).unwrap_or_default(),
-        head,
-        body: &request.body,
+        read: request,
         caller,
         route,
         service,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -84,6 +84,7 @@
     let _outstanding = shared.endpoints.begin(&target.id, &target.record, request.prompt_tokens());
     let attempted = run(shared, request, target, limit, events, answer).await;
     note_outcome(shared, target, &attempted);
+    note_crash(shared, request, target, &attempted);
     attempted
 }
 
@@ -105,6 +106,17 @@
     shared.endpoints.with_track(&target.id, &target.record, note);
 }
 
+/// Notes whether the request may crash endpoints.
+fn note_crash(shared: &Shared, request: &Admitted<'_>, target: &Target, attempted: &Attempted) {
+    match attempted {
+        Attempted::Answered(..) => shared.crashes.answered(request.read, shared.now()),
+        Attempted::Ended(end) if end.failure == AttemptFailure::Broken => {
+            shared.crashes.broke(request.read, target.record.address);
+        }
+        Attempted::Ended(_) | Attempted::CallerGone => {}
+    }
+}
+
 async fn run(
     shared: &Shared,
     request: &Admitted<'_>,
@@ -184,19 +196,19 @@
         transfers: transfers.as_ref(),
         resume_after: resume_after.map(|id| id.as_str()),
     };
-    let head = request.head;
-    let mut message = Vec::with_capacity(1_024 + request.body.len());
+    let head = &request.read.head;
+    let mut message = Vec::with_capacity(1_024 + request.read.body.len());
     message.put_slice(head.method.as_bytes());
     message.put_slice(b" ");
     message.put_slice(head.target.as_bytes());
     message.put_slice(b" HTTP/1.1\r\n");
     shared.protocol.write_request_headers(head, &forwarding, &mut message);
-    let has_body = !request.body.is_empty() || !matches!(head.method.as_str(), "GET" | "HEAD");
+    let has_body = !request.read.body.is_empty() || !matches!(head.method.as_str(), "GET" | "HEAD");
     if has_body {
-        message.put_slice(format!("content-length: {}\r\n", request.body.len()).as_bytes());
+        message.put_slice(format!("content-length: {}\r\n", request.read.body.len()).as_bytes());
     }
     message.put_slice(b"\r\n");
-    message.put_slice(request.body);
+    message.put_slice(&request.read.body);
     message
 }
 
@@ -260,7 +272,7 @@
         if (100..200).contains(&head.status) {
             continue;
         }
-        let framing = Framing::of_response(&head, &request.head.method)
+        let framing = Framing::of_response(&head, &request.read.head.method)
             .map_err(|error| MessageError::Malformed { detail: error.to_string() })?;
         let facts = shared.protocol.endpoint_answer(&head);
         let is_stray = facts.request_id.as_ref().is_some_and(|id| *id != request.caller.id);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,13 +14,14 @@
 //! writes to the caller. `endpoints` has the load, failures and connections of the endpoints.
 //! `stores` knows what stores of prompt parts keep; `exchange` sends a message of the node's own.
 //! `follow` keeps configuration and directory up to date, `membership` counts the nodes, and
-//! `weights` orders endpoints to take new weights.
+//! `weights` orders endpoints to take new weights. `crashes` finds requests that crash endpoints.
 
 mod admission;
 mod answer;
 mod attempt;
 mod caller;
 pub mod clock;
+mod crashes;
 mod endpoints;
 mod events;
 mod exchange;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -3,14 +3,17 @@
 use std::sync::Arc;
 
 use async_std::task;
+use futures::future::{Either, select};
+use serde::{Deserialize, Serialize};
 use yuccapass_decisions::platform_budget::{Asked, CallRank, LeaseHolder, LeaseStep, LeaseTerms};
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{
     Change, ChangeKind, Entry, Key, KeyValue, LeaseId, LeaseTtl, PlatformClient, PlatformError,
     PlatformErrorKind, RankedKeyValue, Transaction, Value, Write,
 };
-use yuccapass_types::{Deadline, FencingNumber, NodeId};
+use yuccapass_types::{Deadline, FencingNumber, Incarnation, NodeId};
 
+use crate::crashes::CrashEntry;
 use crate::follow::{FollowTerms, Follower, follow, read_all};
 use crate::state::Shared;
 use crate::weights::WeightDuty;
@@ -31,7 +34,7 @@
 
 /// Period of reading the nodes' keys. The number of nodes is a share of bounds that keep a reserve,
 /// and a watch would cost a call of each node for each node that starts.
-const NODES_PERIOD_MS: u64 = 4_000;
+const NODES_PERIOD_MS: u64 = 2_000;
 
 /// Period while this node does not find its own registration in what it reads.
 const FIRST_NODES_PERIOD_MS: u64 = 1_000;
@@ -72,6 +75,7 @@
         let next = Deadline::after_ms(shared.now(), period_ms);
         match read_all(&shared, &reader, &prefix, may_be_stale).await {
             Ok((entries, _)) => {
+                merge_crashes(&shared, &entries);
                 let nodes = entries.iter().filter_map(|entry| node_of(&entry.key)).collect();
                 note_nodes(&shared, &platform, nodes);
             }
@@ -89,10 +93,36 @@
     if before != after {
         log::info!(before, after; "the number of nodes has changed");
     }
-    platform.set_fleet_nodes(after);
+    // A node that does not know the others may call as it likes: while it took the part of one of a
+    // hundred nodes, its registration waited for seconds behind its other calls.
+    if shared.fleet().is_known() {
+        platform.set_fleet_nodes(after);
+    }
     shared.metrics.nodes(after);
 }
 
+/// Takes what other nodes have counted of requests that crash endpoints.
+fn merge_crashes(shared: &Shared, entries: &[Entry]) {
+    for entry in entries {
+        let Some(node) = node_of(&entry.key) else { continue };
+        match serde_json::from_slice::<NodeEntry>(entry.value.as_bytes()) {
+            Ok(said) => {
+                shared.crashes.merge(&node, said.incarnation, &said.crashes, shared.now());
+            }
+            Err(error) => {
+                log::debug!(node = node.as_str(), error:%; "a node's entry cannot be understood");
+            }
+        }
+    }
+}
+
+/// What a node says of itself to the others.
+#[derive(Debug, Serialize, Deserialize)]
+struct NodeEntry {
+    incarnation: Incarnation,
+    crashes: Vec<CrashEntry>,
+}
+
 /// The registration of this node.
 struct Registration {
     key_value: RankedKeyValue,
@@ -116,7 +146,24 @@
                     }
                 },
             };
-            sleep_until(&*self.shared.clock, wake_at).await;
+            let sleeping = Box::pin(sleep_until(&*self.shared.clock, wake_at));
+            let changing = Box::pin(self.shared.crashes.changed());
+            if matches!(select(sleeping, changing).await, Either::Right(_)) {
+                self.tell_crashes().await;
+            }
+        }
+    }
+
+    /// Writes the registration anew with what this node has counted, and lets some time pass, so that
+    /// a crash that breaks many requests costs few writes.
+    async fn tell_crashes(&self) {
+        let pause = Deadline::after_ms(self.shared.now(), PAUSE_MS);
+        sleep_until(&*self.shared.clock, pause).await;
+        let Some(lease) = self.lease else { return };
+        let deadline = Deadline::after_ms(self.shared.now(), CALL_LIMIT_MS);
+        if let Err(error) = self.write(lease, deadline).await {
+            log::debug!(error:%; "the node's registration could not be written anew");
+            self.shared.crashes.wake();
         }
     }
 
@@ -146,19 +193,28 @@
     async fn register(&mut self, asked: Asked, deadline: Deadline) -> Result<(), PlatformError> {
         let ttl = LeaseTtl::new(REGISTRATION_TTL_MS.div_ceil(1_000));
         let grant = self.key_value.lease_grant(ttl, deadline).await?;
+        self.write(grant.id, deadline).await?;
+        self.lease = Some(grant.id);
+        self.holder.acquired(asked, grant.ttl.as_ms(), FencingNumber::default());
+        log::info!(node = self.shared.options.node.as_str(); "the node is registered");
+        Ok(())
+    }
+
+    async fn write(&self, lease: LeaseId, deadline: Deadline) -> Result<(), PlatformError> {
         let node = &self.shared.options.node;
         let invalid = |error: &dyn std::fmt::Display| {
             PlatformError::new(PlatformErrorKind::InvalidRequest, error.to_string())
         };
         let key: Key = format!("{NODE_KEYS}{node}").parse().map_err(|error| invalid(&error))?;
-        let value = Value::new(node.as_str().into()).map_err(|error| invalid(&error))?;
-        let put = Write::Put { key, value, lease: Some(grant.id) };
+        let entry = NodeEntry {
+            incarnation: self.shared.options.incarnation,
+            crashes: self.shared.crashes.reports(self.shared.now()),
+        };
+        let json = serde_json::to_vec(&entry).map_err(|error| invalid(&error))?;
+        let value = Value::new(json).map_err(|error| invalid(&error))?;
+        let put = Write::Put { key, value, lease: Some(lease) };
         let transaction = Transaction { compares: Vec::new(), writes: vec![put] };
-        self.key_value.compare_and_swap(&transaction, deadline).await?;
-        self.lease = Some(grant.id);
-        self.holder.acquired(asked, grant.ttl.as_ms(), FencingNumber::default());
-        log::info!(node = node.as_str(); "the node is registered");
-        Ok(())
+        self.key_value.compare_and_swap(&transaction, deadline).await.map(drop)
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,7 +19,7 @@
 use crate::protocol::{Catalog, EngineOrders, PartStores, Protocol};
 use crate::state::{Placements, Shared};
 use crate::weights::WeightDuty;
-use crate::{follow, membership, readiness, stores};
+use crate::{crashes, follow, membership, readiness, stores};
 
 /// Shortest time from a stop signal to the end: the balancer asks for readiness once a second and
 /// takes a node out after two misses.
@@ -101,6 +101,7 @@
         membership::start(&shared, &adapter.key_value, &duty);
         task::spawn(stores::follow_stores(Arc::clone(&shared), adapter.stores, Arc::clone(&duty)));
         task::spawn(Arc::clone(&duty).run());
+        task::spawn(crashes::run(Arc::clone(&shared)));
         task::spawn(readiness::serve(Arc::clone(&shared), questions));
         task::spawn(accept(Arc::clone(&shared), callers));
         log::info!(
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 
 use yuccapass_decisions::gateway::{RetryTerms, SwapTerms};
-use yuccapass_types::{NodeId, RegionId, SortedMap, ZoneId};
+use yuccapass_types::{Incarnation, NodeId, RegionId, SortedMap, ZoneId};
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
 pub struct GatewayOptions {
     /// Name of this node.
     pub node: NodeId,
+    /// Tells this process from earlier ones of the node.
+    pub incarnation: Incarnation,
     /// Its availability zone.
     pub zone: ZoneId,
     /// The zones of the deployment with their regions.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
 use yuccapass_http::{StopController, StopSignal, stop_pair};
 use yuccapass_types::{Clock, Deadline, Instant, ServiceId, Sharded, SortedMap, ZoneId};
 
+use crate::crashes::Crashes;
 use crate::endpoints::EndpointTable;
 use crate::metrics::Metrics;
 use crate::options::GatewayOptions;
@@ -32,6 +33,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) endpoints: EndpointTable,
     pub(crate) stores: StoreTable,
+    pub(crate) crashes: Crashes,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
     configuration: RwLock<ConfigurationHolder>,
@@ -60,6 +62,7 @@
             endpoints: EndpointTable::new(Arc::clone(&clock), options.silence_ms),
             clock,
             stores: StoreTable::default(),
+            crashes: Crashes::new(options.node.clone(), options.incarnation),
             metrics,
             placements,
             configuration: RwLock::default(),
--- a/crates/yuccapassd/src/gateway.rs
+++ b/crates/yuccapassd/src/gateway.rs
@@ -16,7 +16,7 @@
 use yuccapass_decisions::platform_budget::FleetRates;
 use yuccapass_gateway::{BootClock, GatewayNode, GatewayOptions};
 use yuccapass_platform::ManagedConfig;
-use yuccapass_types::{Clock, NodeId, RegionId, RequestsPerSecond, SortedMap, ZoneId};
+use yuccapass_types::{Clock, Incarnation, NodeId, RegionId, RequestsPerSecond, SortedMap, ZoneId};
 
 /// Longest time between two probes of the platform in an outage, so that keys are confirmed again
 /// soon after its return.
@@ -208,6 +208,7 @@
             self.zones.iter().map(|known| (known.zone.clone(), known.region.clone())).collect();
         GatewayOptions {
             node: self.node_id.clone(),
+            incarnation: Incarnation::new(rand::random()),
             zone: self.zone.clone(),
             zones,
             caller_address: self.caller_address,
