gateway: split part stores, transfers, polling and registration; remove dead accessors

Cause: part_store.rs had grown to 455 lines with three jobs, membership.rs registered, counted and followed; Service::models, Configuration::services and SwapPlan::terms had no caller. Change: transfers.rs plans, part_store.rs knows contents, store_polling.rs says how often to ask; registration.rs keeps this node's entry, membership.rs reads the others.

--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -5,7 +5,7 @@
 use smol_str::SmolStr;
 use snafu::Snafu;
 use yuccapass_types::{
-    Bytes, KeyHash, ModelId, OrganisationId, RegionId, Revision, ServiceId, SortedMap, Tokens,
+    Bytes, KeyHash, OrganisationId, RegionId, Revision, ServiceId, SortedMap, Tokens,
     TokensPerSecond, ZoneId,
 };
 
@@ -56,8 +56,6 @@
 pub struct Service {
     /// Requests a second that an endpoint bears while it is cold; zero if it has no cold phase.
     pub cold_requests_per_s: f64,
-    /// The models that its engines serve; none for a plain service.
-    pub models: Vec<ModelId>,
     /// The store that this is, if it is one and keeps everything until it is told to free it.
     pub store: Option<PartStore>,
 }
@@ -146,11 +144,6 @@
         self.services.get(id)
     }
 
-    /// Returns the services in the order of their names.
-    pub fn services(&self) -> impl Iterator<Item = (&ServiceId, &Service)> {
-        self.services.iter()
-    }
-
     /// Returns the stores of prompt parts.
     pub fn stores(&self) -> impl Iterator<Item = (&ServiceId, &PartStore)> {
         self.services.iter().filter_map(|(id, service)| Some((id, service.store.as_ref()?)))
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -10,13 +10,15 @@
 //! * [`directory`]: which endpoints there are.
 //! * [`fleet`]: how many nodes share the bounds that hold for all of them together.
 //! * [`link_share`]: this node's part of a store's link.
-//! * [`part_store`]: which prompt parts stores keep, and which to fetch from and save to them.
+//! * [`part_store`]: which prompt parts stores keep, and when they may be fetched and saved.
 //! * [`placement`]: where a request runs.
 //! * [`replaced_weights`]: since when no endpoint serves old weights any more.
 //! * [`retry_share`]: this node's part of the retries that all nodes may make together.
 //! * [`next_step`]: what follows an attempt.
+//! * [`store_polling`]: how often a store is asked for changes.
 //! * [`swap`]: which endpoint takes new weights next.
 //! * [`track`]: load and failures of one endpoint.
+//! * [`transfers`]: which prompt parts an endpoint fetches and saves.
 
 pub mod approval;
 pub mod configuration;
@@ -29,8 +31,10 @@
 pub mod replaced_weights;
 pub mod retry_share;
 pub mod route;
+pub mod store_polling;
 pub mod swap;
 pub mod track;
+pub mod transfers;
 
 pub use approval::Approval;
 pub use configuration::{
@@ -41,15 +45,14 @@
 pub use fleet::FleetSize;
 pub use link_share::LinkShare;
 pub use next_step::{AttemptFacts, AttemptFailure, NextStep, Refusal};
-pub use part_store::{
-    AskTerms, PartEvent, PartEvents, PartTransfers, StoreContents, TransferRequest, TransferTerms,
-    plan_transfers,
-};
+pub use part_store::{PartEvent, PartEvents, StoreContents, TransferTerms};
 pub use placement::{
     Candidate, Distance, LeastLoaded, Placement, PlacementRequest, PrefixAffinity,
 };
 pub use replaced_weights::ReplacedWeights;
 pub use retry_share::{RetryShare, RetryTerms};
 pub use route::{Priority, PromptPart, Route, RouteKind, WeightedService};
+pub use store_polling::AskTerms;
 pub use swap::{EngineReport, SwapPlan, SwapStep, SwapTerms};
 pub use track::{EndpointTrack, LoadReport, TrackSettings};
+pub use transfers::{PartTransfers, TransferRequest, plan_transfers};
--- a/crates/decisions/src/gateway/part_store.rs
+++ b/crates/decisions/src/gateway/part_store.rs
@@ -15,16 +15,10 @@
 //! Parts are kept under a name that contains the weights they were made with, so that new weights
 //! never meet parts of old ones.
 
-use std::net::SocketAddr;
-
-use yuccapass_types::{
-    CacheSpace, Deadline, Instant, PromptPartId, RegionId, ServiceId, SortedMap, Tokens, ZoneId,
-};
+use yuccapass_types::{CacheSpace, Deadline, Instant, PromptPartId, SortedMap, Tokens};
 
 use super::configuration::PartStore;
-use super::directory::Directory;
 use super::link_share::LinkShare;
-use super::placement::Distance;
 use super::route::PromptPart;
 
 /// Times that keep fetches and writes of the same part apart.
@@ -64,13 +58,6 @@
 /// saved again: some tellings are lost.
 const SAVE_AGAIN_MS: u64 = 8_000;
 
-/// How much longer a transfer between zones of a region takes than one inside a zone.
-const ZONE_SLOWDOWN: u64 = 2;
-
-/// Smallest part that is worth a transfer: reading it takes a few milliseconds, as the start of a
-/// transfer does.
-const MIN_TRANSFER: Tokens = Tokens::new(128);
-
 /// A change of what a store keeps.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PartEvent {
@@ -99,42 +86,6 @@
     pub clock_ms: Option<u64>,
 }
 
-/// Part of the calls of a store that nodes use; the rest covers nodes that disagree about their
-/// number, and calls that meet by chance.
-const USED_CALLS_PART: f64 = 0.6;
-
-/// How often a node asks a store for changes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AskTerms {
-    /// Time between two calls, from one's sending to the other's.
-    pub period_ms: u64,
-    /// How long a store waits with its answer if there are no changes.
-    pub wait_ms: u64,
-    /// Longest time between two calls: what is known must not lapse between them.
-    pub max_period_ms: u64,
-}
-
-impl Default for AskTerms {
-    /// 400 ms, 200 ms and 1.7 s. A call that waits for less than 200 ms costs more.
-    fn default() -> Self {
-        Self { period_ms: 400, wait_ms: 200, max_period_ms: 1_700 }
-    }
-}
-
-impl AskTerms {
-    /// Returns the time from one call to the next. While a store has changes it answers at once, so
-    /// that many nodes can ask it often; while it has none, the calls of `nodes` nodes wait there and
-    /// have to share the `max_calls` that it holds.
-    pub fn next_ms(&self, is_quiet: bool, nodes: u32, max_calls: u32) -> u64 {
-        if !is_quiet {
-            return self.period_ms;
-        }
-        let calls = USED_CALLS_PART * f64::from(max_calls.max(1));
-        let shared_ms = (f64::from(nodes) * self.wait_ms as f64 / calls) as u64;
-        shared_ms.clamp(self.period_ms, self.max_period_ms.max(self.period_ms))
-    }
-}
-
 type PartKey = (CacheSpace, PromptPartId);
 
 #[derive(Debug, Clone, Copy)]
@@ -239,6 +190,16 @@
         self.next = 0;
     }
 
+    /// Returns whether the store was told to keep a part, whether or not it may be fetched yet.
+    pub(crate) fn keeps(&self, space: &CacheSpace, part: &PromptPartId) -> bool {
+        self.parts.contains_key(&(space.clone(), part.clone()))
+    }
+
+    /// Takes `time_us` of this node's part of the store's link, if that is left.
+    pub(crate) fn take_link(&mut self, time_us: u64, nodes: u32, now: Instant) -> bool {
+        self.link.try_take(time_us, nodes, now)
+    }
+
     /// Returns whether a part may be fetched.
     pub fn holds(&self, space: &CacheSpace, part: &PromptPartId, now: Instant) -> bool {
         let is_settled = |kept: &Kept| now.ms_since(kept.told_at) >= self.terms.settle_ms;
@@ -264,7 +225,7 @@
         self.is_confirmed_within(self.terms.save_trust_ms, now)
             && self.saves_from.is_some_and(|from| from <= now)
             && !is_saving
-            && !self.parts.contains_key(&key)
+            && !self.keeps(space, &part.id)
             && self.used(nodes) + part.tokens <= self.store.capacity
     }
 
@@ -301,155 +262,3 @@
         self.kept_tokens + Tokens::new(saving)
     }
 }
-
-/// What an endpoint fetches and saves for a request, one entry for each part of the prompt.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct PartTransfers {
-    /// From where each part is fetched.
-    pub fetch: Vec<Option<SocketAddr>>,
-    /// To where each part is saved.
-    pub save: Vec<Option<SocketAddr>>,
-    /// When fetches must have ended, on the clock that stores and endpoints share.
-    pub fetch_until_ms: Option<u64>,
-}
-
-impl PartTransfers {
-    /// Returns whether anything is fetched.
-    pub fn has_fetch(&self) -> bool {
-        self.fetch.iter().any(Option::is_some)
-    }
-
-    /// Returns whether anything is saved.
-    pub fn has_save(&self) -> bool {
-        self.save.iter().any(Option::is_some)
-    }
-}
-
-/// A prompt for which transfers are planned.
-#[derive(Debug, Clone, Copy)]
-pub struct TransferRequest<'a> {
-    /// The zone of the endpoint that is to run it.
-    pub zone: &'a ZoneId,
-    /// The regions in which it may be kept, as several lists that all bind unless they are empty.
-    pub allowed_regions: &'a [&'a [RegionId]],
-    /// The name under which its parts are cached.
-    pub space: &'a CacheSpace,
-    /// Its parts in order.
-    pub parts: &'a [PromptPart],
-    /// An endpoint that has most likely cached the parts.
-    pub home: Option<SocketAddr>,
-    /// Whether newer weights than those of the endpoint were named, so that nothing is saved for
-    /// them any more.
-    pub is_outdated: bool,
-    /// The nodes that share the links of the stores.
-    pub nodes: u32,
-}
-
-/// Decides what an endpoint fetches and saves for a prompt, and notes the saves.
-///
-/// All parts but the last, which belongs to the request alone, are fetched from the store of the
-/// region that keeps them and sends them soonest. A part that none of them keeps is fetched from the
-/// endpoint that has most likely cached it, and saved to the store with room that will send it
-/// soonest. Other regions are not used: transfers between regions take
-/// ten times as long and hold up all others on the links.
-pub fn plan_transfers(
-    stores: &mut SortedMap<ServiceId, StoreContents>,
-    directory: &Directory,
-    request: &TransferRequest<'_>,
-    now: Instant,
-) -> PartTransfers {
-    let shared = request.parts.len().saturating_sub(1);
-    let mut transfers = PartTransfers::default();
-    for (position, part) in request.parts.iter().enumerate() {
-        let (mut fetch, mut save) = (None, None);
-        if position < shared && part.tokens >= MIN_TRANSFER {
-            match begin_fetch(stores, directory, request, part, now) {
-                Some((source, until_ms)) => {
-                    fetch = Some(source);
-                    let earliest = transfers.fetch_until_ms.into_iter().chain(until_ms).min();
-                    transfers.fetch_until_ms = earliest;
-                }
-                None => {
-                    // An endpoint drops what it has cached at any time, so the part is saved as well.
-                    fetch = request.home;
-                    if !request.is_outdated {
-                        save = begin_save(stores, directory, request, part, now);
-                    }
-                }
-            }
-        }
-        transfers.fetch.push(fetch);
-        transfers.save.push(save);
-    }
-    transfers
-}
-
-impl TransferRequest<'_> {
-    /// Returns how long a store's link is taken by a part on its way to the endpoint, or `None` if
-    /// the store is not to be used for this prompt.
-    fn link_time_us(
-        &self,
-        directory: &Directory,
-        contents: &StoreContents,
-        part: &PromptPart,
-    ) -> Option<u64> {
-        let store = &contents.store;
-        let region = directory.region(&store.zone)?;
-        let is_allowed = self
-            .allowed_regions
-            .iter()
-            .all(|allowed| allowed.is_empty() || allowed.binary_search(region).is_ok());
-        let slowdown = match directory.distance(self.zone, &store.zone) {
-            Distance::SameZone => 1,
-            Distance::SameRegion => ZONE_SLOWDOWN,
-            Distance::OtherRegion => return None,
-        };
-        let rate = store.link_rate.get().max(1);
-        is_allowed.then(|| part.tokens.get().saturating_mul(1_000_000 * slowdown) / rate)
-    }
-}
-
-/// Chooses the store from which a part is fetched; returns its address and when the fetch must have
-/// ended on the shared clock.
-fn begin_fetch(
-    stores: &mut SortedMap<ServiceId, StoreContents>,
-    directory: &Directory,
-    request: &TransferRequest<'_>,
-    part: &PromptPart,
-    now: Instant,
-) -> Option<(SocketAddr, Option<u64>)> {
-    let mut holders: Vec<(u64, &mut StoreContents)> = stores
-        .values_mut()
-        .filter(|contents| contents.holds(request.space, &part.id, now))
-        .filter_map(|contents| Some((request.link_time_us(directory, contents, part)?, contents)))
-        .collect();
-    holders.sort_by_key(|&(time_us, _)| time_us);
-    let holder = holders.into_iter().find_map(|(time_us, contents)| {
-        contents.link.try_take(time_us, request.nodes, now).then_some(contents)
-    })?;
-    Some((holder.store.address, holder.fetch_until_ms(now)))
-}
-
-fn begin_save(
-    stores: &mut SortedMap<ServiceId, StoreContents>,
-    directory: &Directory,
-    request: &TransferRequest<'_>,
-    part: &PromptPart,
-    now: Instant,
-) -> Option<SocketAddr> {
-    let space = request.space;
-    let usable = |contents: &StoreContents| request.link_time_us(directory, contents, part);
-    let key = (space.clone(), part.id.clone());
-    let is_kept =
-        |contents: &StoreContents| usable(contents).is_some() && contents.parts.contains_key(&key);
-    if stores.values().any(is_kept) {
-        return None;
-    }
-    let (_, chosen) = stores
-        .values_mut()
-        .filter(|contents| contents.wants(space, part, request.nodes, now))
-        .filter_map(|contents| Some((usable(contents)?, contents)))
-        .min_by_key(|&(time_us, _)| time_us)?;
-    chosen.saving(space, part, now);
-    Some(chosen.store.address)
-}
--- a/crates/decisions/src/gateway/swap.rs
+++ b/crates/decisions/src/gateway/swap.rs
@@ -113,11 +113,6 @@
         }
     }
 
-    /// Returns the terms.
-    pub fn terms(&self) -> SwapTerms {
-        self.terms
-    }
-
     fn outdated<'a>(
         &'a self,
         directory: &'a Directory,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,8 +13,9 @@
 //! makes attempts at endpoints, `attempt` is one of them, `events` passes a stream on, and `answer`
 //! writes to the caller. `endpoints` has the load, failures and connections of the endpoints.
 //! `stores` knows what stores of prompt parts keep; `exchange` sends a message of the node's own.
-//! `follow` keeps configuration and directory up to date, `membership` counts the nodes, and
-//! `weights` orders endpoints to take new weights. `crashes` finds requests that crash endpoints.
+//! `follow` keeps configuration and directory up to date, `registration` keeps this node's entry,
+//! `membership` reads those of the others, and `weights` orders endpoints to take new weights.
+//! `crashes` finds requests that crash endpoints.
 
 mod admission;
 mod answer;
@@ -33,6 +34,7 @@
 pub mod options;
 pub mod protocol;
 mod readiness;
+mod registration;
 mod state;
 mod stores;
 mod weights;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -1,30 +1,19 @@
-//! Registers this node in the platform's key-value service and counts the others.
+//! Follows what the nodes tell each other through the platform's key-value service: how many there
+//! are, which requests crash endpoints, and which node orders new weights.
 
 use std::sync::Arc;
 
 use async_std::task;
-use futures::future::{Either, select};
-use serde::{Deserialize, Serialize};
-use yuccapass_decisions::platform_budget::{Asked, CallRank, LeaseHolder, LeaseStep, LeaseTerms};
+use yuccapass_decisions::platform_budget::CallRank;
 use yuccapass_http::sleep_until;
-use yuccapass_platform::{
-    Change, ChangeKind, Entry, Key, KeyValue, LeaseId, LeaseTtl, PlatformClient, PlatformError,
-    PlatformErrorKind, RankedKeyValue, Transaction, Value, Write,
-};
-use yuccapass_types::{Deadline, FencingNumber, Incarnation, NodeId};
+use yuccapass_platform::{Change, ChangeKind, Entry, Key, PlatformClient};
+use yuccapass_types::{Deadline, NodeId};
 
-use crate::crashes::CrashEntry;
 use crate::follow::{FollowTerms, Follower, follow, read_all};
+use crate::registration::{NODE_KEYS, NodeEntry, Registration};
 use crate::state::Shared;
 use crate::weights::WeightDuty;
 
-/// The beginning of the keys of nodes.
-const NODE_KEYS: &str = "yuccapass/nodes/";
-
-/// Lifetime of a registration. Shorter ones cost more renewals; nothing but shares of bounds, which
-/// keep a reserve, depends on it.
-const REGISTRATION_TTL_MS: u64 = 6_000;
-
 /// The beginning of the keys of the duty to order new weights.
 pub(crate) const DUTY_KEYS: &str = "yuccapass/weights/";
 
@@ -39,12 +28,6 @@
 /// Period while this node does not find its own registration in what it reads.
 const FIRST_NODES_PERIOD_MS: u64 = 1_000;
 
-/// How long a call may take.
-const CALL_LIMIT_MS: u64 = 1_500;
-
-/// Pause after a failed call.
-const PAUSE_MS: u64 = 500;
-
 /// Starts the registration, the count of the nodes and the follower of the duty's keys.
 pub(crate) fn start(shared: &Arc<Shared>, platform: &Arc<PlatformClient>, duty: &Arc<WeightDuty>) {
     let duty_terms = FollowTerms {
@@ -55,12 +38,7 @@
     let holders = Arc::new(Holders { duty: Arc::clone(duty) });
     task::spawn(follow(Arc::clone(shared), Arc::clone(platform), duty_terms, holders));
     task::spawn(count_nodes(Arc::clone(shared), Arc::clone(platform)));
-    let registration = Registration {
-        key_value: platform.ranked(CallRank::Lease),
-        shared: Arc::clone(shared),
-        holder: LeaseHolder::new(LeaseTerms::new(REGISTRATION_TTL_MS)),
-        lease: None,
-    };
+    let registration = Registration::new(Arc::clone(shared), platform.ranked(CallRank::Lease));
     task::spawn(registration.keep());
 }
 
@@ -107,7 +85,7 @@
         let Some(node) = node_of(&entry.key) else { continue };
         match serde_json::from_slice::<NodeEntry>(entry.value.as_bytes()) {
             Ok(said) => {
-                shared.crashes.merge(&node, said.incarnation, &said.crashes, shared.now());
+                said.merge_into(shared, &node);
             }
             Err(error) => {
                 log::debug!(node = node.as_str(), error:%; "a node's entry cannot be understood");
@@ -116,108 +94,6 @@
     }
 }
 
-/// What a node says of itself to the others.
-#[derive(Debug, Serialize, Deserialize)]
-struct NodeEntry {
-    incarnation: Incarnation,
-    crashes: Vec<CrashEntry>,
-}
-
-/// The registration of this node.
-struct Registration {
-    key_value: RankedKeyValue,
-    shared: Arc<Shared>,
-    holder: LeaseHolder,
-    lease: Option<LeaseId>,
-}
-
-impl Registration {
-    /// Registers the node and renews the registration until the process ends.
-    async fn keep(mut self) {
-        loop {
-            let now = self.shared.now();
-            let wake_at = match self.holder.next_step(now) {
-                LeaseStep::WaitUntil(instant) => Deadline::after_ms(instant, 0),
-                step => match self.call(step).await {
-                    Ok(()) => continue,
-                    Err(error) => {
-                        log::debug!(error:%; "the node's registration could not be renewed");
-                        Deadline::after_ms(self.shared.now(), PAUSE_MS)
-                    }
-                },
-            };
-            let sleeping = Box::pin(sleep_until(&*self.shared.clock, wake_at));
-            let changing = Box::pin(self.shared.crashes.changed());
-            if matches!(select(sleeping, changing).await, Either::Right(_)) {
-                self.tell_crashes().await;
-            }
-        }
-    }
-
-    /// Writes the registration anew with what this node has counted, and lets some time pass, so that
-    /// a crash that breaks many requests costs few writes.
-    async fn tell_crashes(&self) {
-        let pause = Deadline::after_ms(self.shared.now(), PAUSE_MS);
-        sleep_until(&*self.shared.clock, pause).await;
-        let Some(lease) = self.lease else { return };
-        let deadline = Deadline::after_ms(self.shared.now(), CALL_LIMIT_MS);
-        if let Err(error) = self.write(lease, deadline).await {
-            log::debug!(error:%; "the node's registration could not be written anew");
-            self.shared.crashes.wake();
-        }
-    }
-
-    async fn call(&mut self, step: LeaseStep) -> Result<(), PlatformError> {
-        let asked_at = self.shared.now();
-        let deadline = Deadline::after_ms(asked_at, CALL_LIMIT_MS);
-        let asked = Asked::at(asked_at);
-        match (step, self.lease) {
-            (LeaseStep::Renew, Some(lease)) => {
-                match self.key_value.lease_keep_alive(lease, deadline).await {
-                    Ok(grant) => {
-                        self.holder.renewed(asked, grant.ttl.as_ms(), self.shared.now());
-                        Ok(())
-                    }
-                    Err(error) => {
-                        if error.kind() == PlatformErrorKind::LeaseNotFound {
-                            self.holder.lost();
-                        }
-                        Err(error)
-                    }
-                }
-            }
-            _ => self.register(asked, deadline).await,
-        }
-    }
-
-    async fn register(&mut self, asked: Asked, deadline: Deadline) -> Result<(), PlatformError> {
-        let ttl = LeaseTtl::new(REGISTRATION_TTL_MS.div_ceil(1_000));
-        let grant = self.key_value.lease_grant(ttl, deadline).await?;
-        self.write(grant.id, deadline).await?;
-        self.lease = Some(grant.id);
-        self.holder.acquired(asked, grant.ttl.as_ms(), FencingNumber::default());
-        log::info!(node = self.shared.options.node.as_str(); "the node is registered");
-        Ok(())
-    }
-
-    async fn write(&self, lease: LeaseId, deadline: Deadline) -> Result<(), PlatformError> {
-        let node = &self.shared.options.node;
-        let invalid = |error: &dyn std::fmt::Display| {
-            PlatformError::new(PlatformErrorKind::InvalidRequest, error.to_string())
-        };
-        let key: Key = format!("{NODE_KEYS}{node}").parse().map_err(|error| invalid(&error))?;
-        let entry = NodeEntry {
-            incarnation: self.shared.options.incarnation,
-            crashes: self.shared.crashes.reports(self.shared.now()),
-        };
-        let json = serde_json::to_vec(&entry).map_err(|error| invalid(&error))?;
-        let value = Value::new(json).map_err(|error| invalid(&error))?;
-        let put = Write::Put { key, value, lease: Some(lease) };
-        let transaction = Transaction { compares: Vec::new(), writes: vec![put] };
-        self.key_value.compare_and_swap(&transaction, deadline).await.map(drop)
-    }
-}
-
 fn node_of(key: &Key) -> Option<NodeId> {
     key.as_str().strip_prefix(NODE_KEYS)?.parse().ok()
 }
