gateway: apply the endpoints of one answer of the platform together

Cause: each change of an endpoint copied the directory, since requests keep it as it was; 3,000 endpoints that register cost 3,000 copies of up to 3,000 entries on each node. Change: the changes of one answer are applied in one change of the directory.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -59,8 +59,8 @@
     /// Takes all entries.
     fn replace(&self, entries: &[Entry]);
 
-    /// Takes one change.
-    fn change(&self, change: &Change);
+    /// Takes changes in their order.
+    fn change(&self, changes: &[Change]);
 
     /// Notes that a call which was sent at `sent_at` has shown everything up to then.
     fn confirmed(&self, _sent_at: Instant) {}
@@ -128,10 +128,8 @@
         let deadline = Deadline::after_ms(sent_at, terms.watch_ms);
         let pause_ms = match watcher.watch(&request, deadline).await? {
             WatchOutcome::Changes(changes) => {
-                for change in &changes {
-                    follower.change(change);
-                    revision = revision.max(change.revision);
-                }
+                follower.change(&changes);
+                revision = changes.iter().map(|change| change.revision).fold(revision, Ord::max);
                 terms.pause_ms
             }
             WatchOutcome::Quiet { revision: newest } => {
@@ -302,9 +300,11 @@
         self.shared.change_directory(|directory| directory.replace_evacuated(evacuated));
     }
 
-    fn change(&self, change: &Change) {
-        if let Ok(change) = decode(&*self.catalog, changed_entry(change), self.shared.now()) {
-            self.apply(change);
+    fn change(&self, changes: &[Change]) {
+        for change in changes {
+            if let Ok(change) = decode(&*self.catalog, changed_entry(change), self.shared.now()) {
+                self.apply(change);
+            }
         }
     }
 
@@ -320,6 +320,28 @@
     duty: Arc<WeightDuty>,
 }
 
+impl Endpoints {
+    /// Decodes a change; an endpoint whose entry cannot be understood is not used.
+    fn changed_endpoint(
+        &self,
+        change: &Change,
+        now: Instant,
+    ) -> Option<(EndpointId, Option<EndpointRecord>)> {
+        let (key, value) = changed_entry(change);
+        let removed = || self.catalog.decode(key, None, now);
+        let decoded = decode(&*self.catalog, (key, value), now).or_else(|_| removed());
+        let Ok(CatalogChange::Endpoint { id, record }) = decoded else { return None };
+        log::info!(
+            endpoint = id.as_str(),
+            state:? = record.as_ref().map(|record| record.state),
+            is_ready = record.as_ref().is_some_and(|record| record.state == EndpointState::Ready),
+            revision = change.revision.get();
+            "an endpoint has changed"
+        );
+        Some((id, record))
+    }
+}
+
 impl Follower for Endpoints {
     fn replace(&self, entries: &[Entry]) {
         let now = self.shared.now();
@@ -338,23 +360,18 @@
         self.duty.wake();
     }
 
-    fn change(&self, change: &Change) {
+    fn change(&self, changes: &[Change]) {
         let now = self.shared.now();
-        let (key, value) = changed_entry(change);
-        let removed = || self.catalog.decode(key, None, now);
-        // An endpoint whose entry cannot be understood is not used.
-        let decoded = decode(&*self.catalog, (key, value), now).or_else(|_| removed());
-        let Ok(CatalogChange::Endpoint { id, record }) = decoded else { return };
-        log::info!(
-            endpoint = id.as_str(),
-            state:? = record.as_ref().map(|record| record.state),
-            is_ready = record.as_ref().is_some_and(|record| record.state == EndpointState::Ready),
-            revision = change.revision.get();
-            "an endpoint has changed"
-        );
-        self.shared.change_directory(|directory| match record {
-            Some(record) => directory.register(id, record),
-            None => directory.remove(&id, now),
+        let changed: Vec<_> =
+            changes.iter().filter_map(|change| self.changed_endpoint(change, now)).collect();
+        // Once for all, since readers keep the directory as it was and a change copies it.
+        self.shared.change_directory(|directory| {
+            for (id, record) in changed {
+                match record {
+                    Some(record) => directory.register(id, record),
+                    None => directory.remove(&id, now),
+                }
+            }
         });
         self.duty.wake();
     }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -109,13 +109,15 @@
         self.duty.holder_seen(has_holder);
     }
 
-    fn change(&self, change: &Change) {
-        let (key, is_present) = match &change.kind {
-            ChangeKind::Put(entry) => (&entry.key, true),
-            ChangeKind::Deleted(key) => (key, false),
-        };
-        if self.duty.is_holder_key(key) {
-            self.duty.holder_seen(is_present);
+    fn change(&self, changes: &[Change]) {
+        for change in changes {
+            let (key, is_present) = match &change.kind {
+                ChangeKind::Put(entry) => (&entry.key, true),
+                ChangeKind::Deleted(key) => (key, false),
+            };
+            if self.duty.is_holder_key(key) {
+                self.duty.holder_seen(is_present);
+            }
         }
     }
 }
