platform: let pauses between failed renewals of a lock grow

Change: the lock keeps the backoff from one failure to the next, and starts it anew after a renewal or an acquisition.

--- a/crates/platform/src/lease_lock.rs
+++ b/crates/platform/src/lease_lock.rs
@@ -16,6 +16,11 @@
 /// also the shortest delay.
 const RENEWAL_RETRY_MS: (u64, u64) = (100, 1_000);
 
+fn new_renewal_backoff() -> Backoff {
+    let (base_ms, limit_ms) = RENEWAL_RETRY_MS;
+    Backoff::new(base_ms, limit_ms)
+}
+
 /// Who holds the lock after [`LeaseLock::step`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LockStatus {
@@ -29,6 +34,8 @@
     holder: LeaseHolder,
     // The lease under which the lock was acquired, and the revision of the holder key.
     lease: Option<(LeaseId, KeyValueRevision)>,
+    // Grows with each failed renewal in a row, until a renewal succeeds.
+    renewal_backoff: Backoff,
     highest_fencing: FencingNumber,
     restorations: u64,
     // No acquisition before this instant; set when a restoration of the service is detected.
@@ -64,6 +71,7 @@
         let state = State {
             holder: LeaseHolder::new(terms),
             lease: None,
+            renewal_backoff: new_renewal_backoff(),
             highest_fencing: FencingNumber::default(),
             restorations: key_value.client().restorations(),
             acquire_after: Instant::default(),
@@ -141,19 +149,23 @@
         let requested_at = RequestTime::at(self.now());
         let result = self.key_value.lease_keep_alive(lease, deadline).await;
         let now = self.now();
-        let (base_ms, limit_ms) = RENEWAL_RETRY_MS;
-        let mut backoff = Backoff::new(base_ms, limit_ms);
+        let (base_ms, _) = RENEWAL_RETRY_MS;
+        let mut backoff = self.lock().renewal_backoff;
         let delay_ms =
             self.key_value.client().with_random(|random| base_ms + backoff.next_delay_ms(random));
         let mut state = self.lock();
         match result {
-            Ok(grant) => state.holder.renewed(requested_at, grant.ttl.as_ms(), now),
+            Ok(grant) => {
+                state.renewal_backoff = new_renewal_backoff();
+                state.holder.renewed(requested_at, grant.ttl.as_ms(), now);
+            }
             Err(error) if error.kind() == PlatformErrorKind::LeaseNotFound => {
                 state.holder.lost();
                 state.lease = None;
                 return Ok(LockStatus::HeldByOther);
             }
             Err(error) => {
+                state.renewal_backoff = backoff;
                 state.holder.renewal_failed(now, delay_ms);
                 return Err(error);
             }
@@ -190,6 +202,7 @@
         let mut state = self.lock();
         state.highest_fencing = fencing;
         state.lease = Some((grant.id, revision));
+        state.renewal_backoff = new_renewal_backoff();
         state.holder.acquired(requested_at, grant.ttl.as_ms(), fencing);
         Ok(match state.holder.permit(now) {
             Some(_) => LockStatus::Held(now),
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -204,3 +204,31 @@
     assert_eq!(status, LockStatus::HeldByOther);
     assert_eq!(lock.permit(), None);
 }
+
+/// Guards against failed renewals that are repeated at the shortest interval until the lease ends,
+/// by each holder of a lock, while the platform is in trouble.
+#[test]
+fn pauses_between_failed_renewals_grow() {
+    // Arrange
+    let setup = setup(&[]);
+    let lock = setup.lock("node-1");
+    block_on(lock.step(setup.limit())).unwrap();
+    setup.clock.jump_ms(10_000);
+    setup.fake.data.lock().unwrap().faults = [Fault::NotSent; 20].into();
+
+    // Act
+    let mut pauses_ms = Vec::new();
+    for _ in 0..8 {
+        block_on(lock.step(setup.limit())).unwrap_err();
+        let LockStatus::Held(next) = block_on(lock.step(setup.limit())).unwrap() else {
+            panic!("the lock was lost before its lease ended");
+        };
+        let pause_ms = next.ms_since(setup.clock.now());
+        setup.clock.jump_ms(pause_ms);
+        pauses_ms.push(pause_ms);
+    }
+
+    // Assert: after the first failure, a pause is at most 200 ms long.
+    assert!(pauses_ms.iter().any(|&pause_ms| pause_ms > 200), "{pauses_ms:?}");
+    assert!(pauses_ms.iter().all(|&pause_ms| pause_ms <= 1_100), "{pauses_ms:?}");
+}
