yuccapassd: tell the voter which nodes use the present list

Ruled out: recording the list of each vote request; voters that propose nothing would never be seen. Change: each heartbeat period, a node records the list for all nodes whose active revision lies between the one in which the list began and its own.

--- a/crates/decisions/src/quorum/voter.rs
+++ b/crates/decisions/src/quorum/voter.rs
@@ -179,7 +179,7 @@
         self.list_state.write().unwrap_or_else(PoisonError::into_inner).replace_list(list, now);
     }
 
-    /// Records the list that another node uses, as its requests and heartbeats show.
+    /// Records the list that another node uses, as the revision in its heartbeats shows.
     pub fn record_list_in_use(&self, node: &NodeId, list: VoterListId, now: Instant) {
         let mut list_state = self.list_state.write().unwrap_or_else(PoisonError::into_inner);
         list_state.record_list_in_use(node, list, now);
--- a/crates/yuccapassd/src/fleet/heartbeats.rs
+++ b/crates/yuccapassd/src/fleet/heartbeats.rs
@@ -137,8 +137,9 @@
         tokens_per_s: TokensPerSecond::ZERO,
     };
     let active = core.configuration.active();
+    let revision = active.document().revision;
     core.votes.update_voters(active.document());
-    let revision = core.configuration.revision();
+    core.votes.record_revisions(&core.members.revisions(), revision);
     core.members.update(|table| {
         table.set_usage(usage);
         table.set_crashes(crashes);
--- a/crates/yuccapassd/src/fleet/members.rs
+++ b/crates/yuccapassd/src/fleet/members.rs
@@ -147,6 +147,14 @@
         })
     }
 
+    /// Returns the revisions of the active configurations of the other nodes that are alive or
+    /// suspect.
+    pub(crate) fn revisions(&self) -> Vec<(NodeId, Revision)> {
+        let table = lock(&self.table);
+        let present = table.members().filter(|member| is_present(member.state()));
+        present.map(|member| (member.row().node.clone(), member.row().revision)).collect()
+    }
+
     /// Returns whether this node is among the `count` alive nodes of its zone with the smallest
     /// ids, which do a task for the whole zone.
     ///
--- a/crates/yuccapassd/src/fleet/votes.rs
+++ b/crates/yuccapassd/src/fleet/votes.rs
@@ -12,7 +12,7 @@
     VoterList,
 };
 use yuccapass_peers::{PeerMessage, PeerTransport};
-use yuccapass_types::{Clock, Deadline, NodeId, SortedMap};
+use yuccapass_types::{Clock, Deadline, NodeId, Revision, SortedMap};
 
 use crate::fleet::Identity;
 
@@ -23,6 +23,8 @@
 #[derive(Debug)]
 pub(crate) struct VoterDirectory {
     pub(crate) list: VoterList,
+    // The oldest revision with this list that this node has activated in sequence.
+    since: Revision,
     addresses: SortedMap<NodeId, SocketAddr>,
 }
 
@@ -44,7 +46,13 @@
         }
         let list = VoterList::new(listed);
         let list = if replaced.is_empty() { list } else { list.with_replaced(replaced) };
-        Self { list, addresses }
+        Self { list, since: document.revision, addresses }
+    }
+
+    /// Returns whether a node whose active configuration has this revision uses this list, if this
+    /// node's own is at `newest`.
+    fn is_used_at(&self, revision: Revision, newest: Revision) -> bool {
+        (self.since..=newest).contains(&revision)
     }
 }
 
@@ -74,14 +82,31 @@
 
     /// Switches to the voters of the active configuration.
     pub(crate) fn update_voters(&self, document: &Document) {
-        let directory = VoterDirectory::new(document);
+        let mut directory = VoterDirectory::new(document);
         let mut current = self.directory.lock().unwrap_or_else(PoisonError::into_inner);
         if current.list != directory.list {
             self.voter.replace_list(directory.list.clone(), self.clock.now());
+        } else {
+            directory.since = current.since;
         }
         *current = Arc::new(directory);
     }
 
+    /// Records which of the other nodes use the present list, from the revisions of their active
+    /// configurations; `newest` is this node's own.
+    ///
+    /// Without it, a voter that has joined a panel abstains until the list no longer names the
+    /// voters that it replaced.
+    pub(crate) fn record_revisions(&self, revisions: &[(NodeId, Revision)], newest: Revision) {
+        let directory = self.directory();
+        let now = self.clock.now();
+        for (node, revision) in revisions {
+            if directory.is_used_at(*revision, newest) {
+                self.voter.record_list_in_use(node, directory.list.id(), now);
+            }
+        }
+    }
+
     pub(crate) fn directory(&self) -> Arc<VoterDirectory> {
         Arc::clone(&self.directory.lock().unwrap_or_else(PoisonError::into_inner))
     }
--- a/crates/yuccapassd/tests/common/mod.rs
+++ b/crates/yuccapassd/tests/common/mod.rs
@@ -122,6 +122,7 @@
     pub process: Process,
     pub caller_address: SocketAddr,
     pub admin_address: SocketAddr,
+    pub peer_address: SocketAddr,
 }
 
 /// The processes of a deployment and their flags.
@@ -245,7 +246,7 @@
     arguments.extend(to_strings(flags));
     let process = Process::spawn("yuccapassd", &arguments);
     [caller_address, admin_address, peers[number]].into_iter().for_each(wait_listening);
-    NodeProcess { process, caller_address, admin_address }
+    NodeProcess { process, caller_address, admin_address, peer_address: peers[number] }
 }
 
 fn to_strings(words: &[&str]) -> Vec<String> {
--- a/crates/yuccapassd/tests/fleet.rs
+++ b/crates/yuccapassd/tests/fleet.rs
@@ -420,3 +420,41 @@
     }
     assert_eq!(common::engine_count(leaving, "received_requests"), before);
 }
+
+/// Guards against a voter that joined a panel and abstains for as long as the list names the voters
+/// that it replaced: the panel then has no majority as soon as one other member fails.
+#[test]
+fn voter_that_joined_votes_once_the_replaced_voters_use_the_new_list() {
+    // Arrange
+    let deployment = start(&DeploymentSpec {
+        engines: 1,
+        nodes: 4,
+        node_flags: &SHORT_LEDGER,
+        has_platform: true,
+        has_service: true,
+        ..DeploymentSpec::default()
+    });
+    wait_for_voters(&deployment);
+    let admin_address = deployment.nodes[0].admin_address;
+    let peer_address = deployment.nodes[3].peer_address;
+    let remove = "remove voter node-3 from zone burnaby-yard";
+    let add = format!("add voter node-3 at {peer_address} to zone burnaby-yard");
+    assert_eq!(run_command(admin_address, remove, "remove-1")["result"], "accepted");
+    wait_revision(&deployment, "2");
+    assert_eq!(run_command(admin_address, &add, "add-1")["result"], "accepted");
+    wait_revision(&deployment, "3");
+
+    // Act
+    deployment.nodes[0].process.signal("KILL");
+
+    // Assert: all panels have a majority without the killed node.
+    let client = deployment.caller(1);
+    let mut round = 0;
+    wait_until("some panels have no majority", || {
+        round += 1;
+        (0..16).all(|number| {
+            let exchange = send(&client, booking(&client, &format!("round-{round}-{number}")));
+            exchange.response().status().is_success()
+        })
+    });
+}
