gateway: bound bytes without end in answers of endpoints

Cause: an endpoint in trouble may send bytes without end. An event without end was buffered whole and searched from its beginning with each read, and many answers at once could together buffer more than a VM has. Ruled out: heads, header lines and chunk extensions, which were bounded. Change: at most 8 interim answers; chunk sizes, extensions and trailers are bounded against the body; an event has at most 256 KiB; all buffered answers share a limit. The limits on heads, answers and their sum are settings.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use bytes::{BufMut, Bytes};
+use bytes::{BufMut, Bytes, BytesMut};
 use futures::AsyncWriteExt;
 use futures::future::{Either, select};
 use yuccapass_decisions::gateway::{
@@ -16,15 +16,12 @@
 use crate::answer::AnswerWriter;
 use crate::events::EventSplitter;
 use crate::protocol::{EndpointAnswer, Forwarding};
-use crate::state::Shared;
+use crate::state::{AnswerReservation, Shared};
 use crate::stores::cache_namespace_prefix;
 
-/// Maximum size of the head of an endpoint's answer.
-const MAX_ANSWER_HEAD_BYTES: usize = 64 << 10;
-
-/// Maximum size of an answer that is not a stream. It is buffered completely before it is
-/// forwarded, so that an incomplete one never looks like a success.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Maximum number of interim answers (status 1xx) before an answer. If they came without end and
+/// always were there to be read, the reader would not even notice its deadline.
+const MAX_INTERIM_ANSWERS: usize = 8;
 
 /// Maximum number of answers to earlier requests that are skipped on a connection.
 const MAX_STRAY_ANSWERS: usize = 2;
@@ -279,10 +276,16 @@
     request: &Admitted<'_>,
     connection: &mut Connection,
 ) -> Result<Received, MessageError> {
-    let mut stray_answers = 0;
+    let limits = shared.options.answer_limits;
+    let (mut stray_answers, mut interim_answers) = (0, 0);
     loop {
-        let head = connection.read_response_head(MAX_ANSWER_HEAD_BYTES).await?;
+        let head = connection.read_response_head(limits.head_bytes).await?;
         if (100..200).contains(&head.status) {
+            interim_answers += 1;
+            if interim_answers > MAX_INTERIM_ANSWERS {
+                let detail = "there are too many interim answers".to_owned();
+                return Err(MessageError::Malformed { detail });
+            }
             continue;
         }
         let framing = Framing::of_response(&head, &request.message.head.method)
@@ -297,8 +300,30 @@
             let detail = "the answer belongs to another request".to_owned();
             return Err(MessageError::Malformed { detail });
         }
-        BodyReader::new(framing).read_all(connection, MAX_ANSWER_BYTES).await?;
+        read_answer(shared, framing, connection).await?;
+    }
+}
+
+/// Reads the body of an answer within the limits.
+async fn read_answer(
+    shared: &Shared,
+    framing: Framing,
+    connection: &mut Connection,
+) -> Result<Bytes, MessageError> {
+    let limits = shared.options.answer_limits;
+    let mut reservation = AnswerReservation::new(shared);
+    let mut reader = BodyReader::new(framing);
+    let mut body = BytesMut::new();
+    while let Some(bytes) = reader.next(connection).await? {
+        if body.len() + bytes.len() > limits.body_bytes {
+            return Err(MessageError::BodyTooLarge { limit_bytes: limits.body_bytes });
+        }
+        if !reservation.grow(bytes.len()) {
+            return Err(MessageError::BodyTooLarge { limit_bytes: limits.buffered_bytes });
+        }
+        body.extend_from_slice(&bytes);
     }
+    Ok(body.freeze())
 }
 
 /// Buffers an answer and forwards it to the caller unless the attempt counts as failed.
@@ -311,7 +336,7 @@
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
     let Received { head, info, framing, is_request_written } = received;
-    let reading = BodyReader::new(framing).read_all(&mut connection, MAX_ANSWER_BYTES);
+    let reading = read_answer(shared, framing, &mut connection);
     let body = match with_deadline(&*shared.clock, request.deadline, reading).await {
         Ok(Ok(body)) => body,
         // If the request did not run, the body does not matter.
@@ -376,7 +401,10 @@
         };
         let is_last = part.is_none();
         let whole_events = match part {
-            Some(bytes) => events.push(bytes),
+            Some(bytes) => match events.push(bytes) {
+                Ok(whole_events) => whole_events,
+                Err(error) => return AttemptOutcome::Failed(FailedAttempt::broken(error)),
+            },
             None => Bytes::copy_from_slice(events.partial()),
         };
         if whole_events.is_empty() && !is_last {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -2,6 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 use smol_str::SmolStr;
+use yuccapass_http::message::MessageError;
+
+/// Maximum size of an event, which is buffered until it is complete.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Buffers the bytes of a stream and returns complete events only.
 ///
@@ -15,16 +19,28 @@
 
 impl EventSplitter {
     /// Adds bytes of the stream; returns the events that are now complete, which may be none.
-    pub(crate) fn push(&mut self, bytes: Bytes) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event is too long.
+    pub(crate) fn push(&mut self, bytes: Bytes) -> Result<Bytes, MessageError> {
         if self.partial.is_empty() && bytes.ends_with(b"\n\n") {
             self.record_last_id(&bytes);
-            return bytes;
+            return Ok(bytes);
         }
+        // The end of an event may lie across the end of the earlier bytes.
+        let searched = self.partial.len().saturating_sub(1);
         self.partial.extend_from_slice(&bytes);
-        let Some(end) = last_event_end(&self.partial) else { return Bytes::new() };
+        let Some(end) = last_event_end(&self.partial[searched..]) else {
+            return match self.partial.len() <= MAX_EVENT_BYTES {
+                true => Ok(Bytes::new()),
+                false => Err(MessageError::BodyTooLarge { limit_bytes: MAX_EVENT_BYTES }),
+            };
+        };
+        let end = searched + end;
         let events = self.partial.split_to(end).freeze();
         self.record_last_id(&events);
-        events
+        Ok(events)
     }
 
     /// Returns the bytes after the last complete event.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, ResponseHead};
 
 /// Maximum size of an answer: the state of an engine, or a few thousand events of a store.
-const MAX_ANSWER_BYTES: usize = 2 << 20;
+const MAX_ANSWER_BYTES: usize = 512 << 10;
 
 /// Maximum size of the head of an answer.
 const MAX_HEAD_BYTES: usize = 16 << 10;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,7 +45,7 @@
 
 pub use clock::BootClock;
 pub use node::{GatewayError, GatewayNode};
-pub use options::GatewayOptions;
+pub use options::{AnswerLimits, GatewayOptions};
 pub use protocol::{
     CallerRequest, DecodeError, EndpointAnswer, EngineProtocol, EntryChange, EntryDecoder,
     Forwarding, InvalidRequest, OrderOutcome, PartStoreProtocol, Protocol, WeightOrder,
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -34,6 +34,27 @@
     pub swap_limits: SwapLimits,
     /// Time without a TCP acknowledgement after which a connection to an endpoint counts as broken.
     pub silence_ms: u64,
+    /// Limits on the answers of endpoints.
+    pub answer_limits: AnswerLimits,
     /// Maximum number of open connections from callers.
     pub max_connections: usize,
 }
+
+/// Limits on the answers of endpoints, which may send bytes without end when they are in trouble.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerLimits {
+    /// Maximum size of the head of an answer.
+    pub head_bytes: usize,
+    /// Maximum size of an answer that is not a stream. It is buffered completely before it is
+    /// forwarded, so that an incomplete one never looks like a success.
+    pub body_bytes: usize,
+    /// Maximum size of all answers together that are being buffered.
+    pub buffered_bytes: usize,
+}
+
+impl Default for AnswerLimits {
+    /// Returns 64 KiB for heads, 4 MiB for an answer and 32 MiB for all answers together.
+    fn default() -> Self {
+        Self { head_bytes: 64 << 10, body_bytes: 4 << 20, buffered_bytes: 32 << 20 }
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -48,6 +48,7 @@
     stop: StopSignal,
     refuses_from: Mutex<Option<Deadline>>,
     open_requests: AtomicUsize,
+    buffered_answer_bytes: AtomicUsize,
 }
 
 impl Shared {
@@ -80,6 +81,7 @@
             stop,
             refuses_from: Mutex::default(),
             open_requests: AtomicUsize::new(0),
+            buffered_answer_bytes: AtomicUsize::new(0),
             options,
         }
     }
@@ -196,6 +198,31 @@
     }
 }
 
+/// The part of the limit on buffered answers that one answer takes, until it is dropped.
+pub(crate) struct AnswerReservation<'a> {
+    shared: &'a Shared,
+    bytes: usize,
+}
+
+impl<'a> AnswerReservation<'a> {
+    pub(crate) fn new(shared: &'a Shared) -> Self {
+        Self { shared, bytes: 0 }
+    }
+
+    /// Takes more of the limit; returns `false` if that is exceeded.
+    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
+        let others = self.shared.buffered_answer_bytes.fetch_add(bytes, Ordering::AcqRel);
+        self.bytes += bytes;
+        others + bytes <= self.shared.options.answer_limits.buffered_bytes
+    }
+}
+
+impl Drop for AnswerReservation<'_> {
+    fn drop(&mut self) {
+        self.shared.buffered_answer_bytes.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
 /// Counts a request that was read and not yet answered.
 pub(crate) struct OpenRequest<'a> {
     shared: &'a Shared,
--- a/crates/http/src/message/body.rs
+++ b/crates/http/src/message/body.rs
@@ -9,6 +9,13 @@
 /// Longest accepted line with a chunk size or a trailer.
 const MAX_LINE_BYTES: usize = 4 << 10;
 
+/// Bytes of chunk sizes, chunk extensions and trailers that are accepted besides those in proportion
+/// to the body.
+const MIN_OVERHEAD_BYTES: u64 = 64 << 10;
+
+/// Such bytes that are accepted for each byte of the body. A chunk with one byte needs five.
+const OVERHEAD_FACTOR: u64 = 16;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     /// This many bytes of the body follow.
@@ -29,6 +36,9 @@
 #[derive(Debug)]
 pub struct BodyReader {
     state: State,
+    // Bytes of the body, and of chunk sizes, chunk extensions and trailers.
+    body_bytes: u64,
+    overhead_bytes: u64,
 }
 
 impl BodyReader {
@@ -40,7 +50,7 @@
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self { state, body_bytes: 0, overhead_bytes: 0 }
     }
 
     /// Returns the next bytes of the body, or `None` at its end.
@@ -54,6 +64,7 @@
     ) -> Result<Option<Bytes>, MessageError> {
         loop {
             if let Some(bytes) = self.take(connection.buffer())? {
+                self.body_bytes += bytes.len() as u64;
                 return Ok(Some(bytes));
             }
             if self.state == State::Ended {
@@ -126,6 +137,7 @@
                 State::ChunkSize => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((line_bytes, size))) => {
                         let _ = buffer.split_to(line_bytes);
+                        self.count_overhead(line_bytes)?;
                         self.state =
                             if size == 0 { State::Trailers } else { State::ChunkData(size) };
                     }
@@ -142,6 +154,7 @@
                         };
                     };
                     let _ = buffer.split_to(end + 2);
+                    self.count_overhead(end + 2)?;
                     if end == 0 {
                         self.state = State::Ended;
                     }
@@ -151,6 +164,19 @@
     }
 }
 
+impl BodyReader {
+    /// Counts bytes that are not part of the body. A peer could send them without end, and if they
+    /// always were there to be read, the reader would not even notice its deadline.
+    fn count_overhead(&mut self, bytes: usize) -> Result<(), MessageError> {
+        self.overhead_bytes += bytes as u64;
+        let limit_bytes = MIN_OVERHEAD_BYTES + OVERHEAD_FACTOR * self.body_bytes;
+        match self.overhead_bytes <= limit_bytes {
+            true => Ok(()),
+            false => Err(MessageError::malformed("chunk sizes and trailers are too long")),
+        }
+    }
+}
+
 fn take_up_to(buffer: &mut BytesMut, limit: u64) -> Option<Bytes> {
     let count = (buffer.len() as u64).min(limit) as usize;
     (count > 0).then(|| buffer.split_to(count).freeze())
--- a/crates/yuccapassd/src/gateway.rs
+++ b/crates/yuccapassd/src/gateway.rs
@@ -14,7 +14,7 @@
 use snafu::Snafu;
 use yuccapass_decisions::gateway::{RetryLimits, SwapLimits};
 use yuccapass_decisions::platform_budget::FleetRates;
-use yuccapass_gateway::{BootClock, GatewayNode, GatewayOptions};
+use yuccapass_gateway::{AnswerLimits, BootClock, GatewayNode, GatewayOptions};
 use yuccapass_platform::PlatformClientConfig;
 use yuccapass_types::{Clock, Incarnation, NodeId, RegionId, RequestsPerSecond, SortedMap, ZoneId};
 
@@ -139,6 +139,18 @@
     #[arg(long, env = "YUCCAPASS_SILENCE_MS", default_value_t = 1_000)]
     pub silence_ms: u64,
 
+    /// Most bytes in the head of an endpoint's answer.
+    #[arg(long, env = "YUCCAPASS_MAX_ANSWER_HEAD_BYTES", default_value_t = 65_536)]
+    pub max_answer_head_bytes: usize,
+
+    /// Most bytes in an endpoint's answer that is not a stream.
+    #[arg(long, env = "YUCCAPASS_MAX_ANSWER_BYTES", default_value_t = 4_194_304)]
+    pub max_answer_bytes: usize,
+
+    /// Most bytes in all answers together that are buffered before they are forwarded.
+    #[arg(long, env = "YUCCAPASS_MAX_BUFFERED_ANSWER_BYTES", default_value_t = 33_554_432)]
+    pub max_buffered_answer_bytes: usize,
+
     /// Most open connections from callers.
     #[arg(long, env = "YUCCAPASS_MAX_CONNECTIONS", default_value_t = 3_000)]
     pub max_connections: usize,
@@ -203,6 +215,16 @@
         if !(100..=60_000).contains(&self.silence_ms) {
             return fail("silence-ms", &self.silence_ms, "from 100 to 60000");
         }
+        if self.max_answer_head_bytes < 1_024 {
+            return fail("max-answer-head-bytes", &self.max_answer_head_bytes, "at least 1024");
+        }
+        if self.max_answer_bytes < 1_024 {
+            return fail("max-answer-bytes", &self.max_answer_bytes, "at least 1024");
+        }
+        if self.max_buffered_answer_bytes < self.max_answer_bytes {
+            let bound = "at least --max-answer-bytes";
+            return fail("max-buffered-answer-bytes", &self.max_buffered_answer_bytes, bound);
+        }
         if self.max_connections == 0 {
             return fail("max-connections", &0, "at least 1");
         }
@@ -234,6 +256,11 @@
                 bound_ms: self.weights_bound_ms,
             },
             silence_ms: self.silence_ms,
+            answer_limits: AnswerLimits {
+                head_bytes: self.max_answer_head_bytes,
+                body_bytes: self.max_answer_bytes,
+                buffered_bytes: self.max_buffered_answer_bytes,
+            },
             max_connections: self.max_connections,
         }
     }
