gateway: do not avoid an endpoint that answers others for its silence

Cause: a request whose time ran out counted as a failure of its endpoint, which was then avoided for 0.5 to 4 s. Ruled out: leaving silence out altogether, since an endpoint that hangs must be avoided. Change: silence counts as a failure only if nothing was heard of the endpoint meanwhile; otherwise it raises the failure rate that placement weighs. A caller that does not read in time is no failure of the endpoint either.

--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -61,6 +61,8 @@
     mean_tokens: f64,
     other_load: f64,
     reported_at: Option<Instant>,
+    // When the endpoint last began or completed an answer.
+    answered_at: Option<Instant>,
     failures_in_a_row: u32,
     failure_rate: f64,
     avoid_until: Option<Deadline>,
@@ -80,6 +82,7 @@
             mean_tokens: 0.0,
             other_load: 0.0,
             reported_at: None,
+            answered_at: None,
             failures_in_a_row: 0,
             failure_rate: 0.0,
             avoid_until: None,
@@ -109,8 +112,14 @@
         self.reported_at = Some(now);
     }
 
+    /// Records that the endpoint has begun an answer.
+    pub fn record_answer_begun(&mut self, now: Instant) {
+        self.answered_at = Some(now);
+    }
+
     /// Records a complete answer that does not report a failure.
-    pub fn record_success(&mut self) {
+    pub fn record_success(&mut self, now: Instant) {
+        self.answered_at = Some(now);
         self.failures_in_a_row = 0;
         self.failure_rate *= 1.0 - FAILURE_WEIGHT;
         self.avoid_until = None;
@@ -122,7 +131,8 @@
         self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
     }
 
-    /// Records that the endpoint was unreachable, broke the connection or did not answer in time.
+    /// Records that the endpoint was unreachable or broke the connection, or that nothing is heard of
+    /// it.
     pub fn record_failure(&mut self, now: Instant) {
         self.record_error_answer();
         let doublings = self.failures_in_a_row.min(16);
@@ -132,6 +142,18 @@
         self.avoid_until = Some(Deadline::after_ms(now, avoid_ms));
     }
 
+    /// Records that the time for a request ran out, and the endpoint had sent nothing for it since
+    /// `silent_since`.
+    ///
+    /// If it has answered other requests meanwhile, it is only slow for this one, or the time was
+    /// short, so it is not avoided: avoiding one of a few sound endpoints overloads the others.
+    pub fn record_silence(&mut self, silent_since: Instant, now: Instant) {
+        match self.answered_at.is_some_and(|at| at > silent_since) {
+            true => self.record_error_answer(),
+            false => self.record_failure(now),
+        }
+    }
+
     /// Records that the endpoint rejected a request; `is_outdated` if its weights are older than
     /// the target weights.
     pub fn record_rejection(&mut self, is_outdated: bool, now: Instant) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,8 +9,8 @@
     AttemptFailure, EndpointRecord, EndpointTracker, TransferRequest,
 };
 use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, ResponseHead};
-use yuccapass_http::with_deadline;
-use yuccapass_types::{CacheNamespace, Deadline, EndpointId, WeightRevision};
+use yuccapass_http::{Expired, with_deadline};
+use yuccapass_types::{CacheNamespace, Deadline, EndpointId, Instant, WeightRevision};
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
@@ -47,11 +47,18 @@
     pub(crate) answer: Option<BufferedAnswer>,
     /// Description for the log.
     pub(crate) detail: String,
+    // Since when the endpoint had sent nothing, if the failure is [`AttemptFailure::Silent`].
+    silent_since: Option<Instant>,
 }
 
 impl FailedAttempt {
     fn new(failure: AttemptFailure, detail: impl ToString) -> Self {
-        Self { failure, answer: None, detail: detail.to_string() }
+        Self { failure, answer: None, detail: detail.to_string(), silent_since: None }
+    }
+
+    fn silent(expired: Expired, silent_since: Instant) -> Self {
+        let silent_since = Some(silent_since);
+        Self { silent_since, ..Self::new(AttemptFailure::Silent, expired) }
     }
 
     fn broken(error: MessageError) -> Self {
@@ -91,14 +98,15 @@
     let now = shared.now();
     let is_outdated = shared.directory().outdated_models(&target.record).next().is_some();
     let record = |tracker: &mut EndpointTracker| match outcome {
-        AttemptOutcome::Answered(..) => tracker.record_success(),
+        AttemptOutcome::Answered(..) => tracker.record_success(now),
         AttemptOutcome::CallerGone => {}
         AttemptOutcome::Failed(failed) => match failed.failure {
             AttemptFailure::NotRun => tracker.record_rejection(is_outdated, now),
             AttemptFailure::Failed => tracker.record_error_answer(),
-            AttemptFailure::NotSent | AttemptFailure::Broken | AttemptFailure::Silent => {
-                tracker.record_failure(now);
+            AttemptFailure::Silent => {
+                tracker.record_silence(failed.silent_since.unwrap_or(now), now);
             }
+            AttemptFailure::NotSent | AttemptFailure::Broken => tracker.record_failure(now),
         },
     };
     shared.endpoints.with_tracker(&target.id, &target.record, record);
@@ -136,15 +144,16 @@
             }
         };
     let message = request_message(shared, request, target, events);
+    let sent_at = shared.now();
     let exchange = exchange(shared, request, &mut connection, &message);
     let received = match with_deadline(&*shared.clock, limit, exchange).await {
         Ok(Ok(received)) => received,
         Ok(Err(error)) => return AttemptOutcome::Failed(FailedAttempt::broken(error)),
-        Err(expired) => {
-            return AttemptOutcome::Failed(FailedAttempt::new(AttemptFailure::Silent, expired));
-        }
+        Err(expired) => return AttemptOutcome::Failed(FailedAttempt::silent(expired, sent_at)),
     };
     let now = shared.now();
+    let record_begun = |tracker: &mut EndpointTracker| tracker.record_answer_begun(now);
+    shared.endpoints.with_tracker(&target.id, &target.record, record_begun);
     if let Some(weights) = received.info.weights {
         record_weights(shared, target, weights);
     }
@@ -336,15 +345,14 @@
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
     let Received { head, info, framing, is_request_written } = received;
+    let begun_at = shared.now();
     let reading = read_answer(shared, framing, &mut connection);
     let body = match with_deadline(&*shared.clock, request.deadline, reading).await {
         Ok(Ok(body)) => body,
         // If the request did not run, the body does not matter.
         _ if info.is_not_run => Bytes::new(),
         Ok(Err(error)) => return AttemptOutcome::Failed(FailedAttempt::broken(error)),
-        Err(expired) => {
-            return AttemptOutcome::Failed(FailedAttempt::new(AttemptFailure::Silent, expired));
-        }
+        Err(expired) => return AttemptOutcome::Failed(FailedAttempt::silent(expired, begun_at)),
     };
     if is_request_written && framing != Framing::UntilClose && !connection.has_buffered_bytes() {
         shared.endpoints.put_idle(&target.id, &target.record, connection, &head);
@@ -363,7 +371,8 @@
         let detail = format!("status {}", head.status);
         let buffered = Some(BufferedAnswer { head, body });
         let failure = AttemptFailure::Failed;
-        return AttemptOutcome::Failed(FailedAttempt { failure, answer: buffered, detail });
+        let failed = FailedAttempt { answer: buffered, ..FailedAttempt::new(failure, detail) };
+        return AttemptOutcome::Failed(failed);
     }
     if answer.has_begun() {
         // The beginning of a stream was forwarded, and this answer does not resume it.
@@ -389,6 +398,7 @@
     let Received { head, framing, is_request_written, .. } = received;
     let mut body = BodyReader::new(framing);
     events.drop_partial();
+    let mut heard_at = shared.now();
     loop {
         let part = match with_deadline(&*shared.clock, request.deadline, body.next(&mut connection))
             .await
@@ -396,9 +406,10 @@
             Ok(Ok(part)) => part,
             Ok(Err(error)) => return AttemptOutcome::Failed(FailedAttempt::broken(error)),
             Err(expired) => {
-                return AttemptOutcome::Failed(FailedAttempt::new(AttemptFailure::Silent, expired));
+                return AttemptOutcome::Failed(FailedAttempt::silent(expired, heard_at));
             }
         };
+        heard_at = shared.now();
         let is_last = part.is_none();
         let whole_events = match part {
             Some(bytes) => match events.push(bytes) {
@@ -425,10 +436,8 @@
         };
         match with_deadline(&*shared.clock, request.deadline, writing).await {
             Ok(Ok(())) => {}
-            Ok(Err(_)) => return AttemptOutcome::CallerGone,
-            Err(expired) => {
-                return AttemptOutcome::Failed(FailedAttempt::new(AttemptFailure::Silent, expired));
-            }
+            // A caller that does not read in time is no failure of the endpoint.
+            Ok(Err(_)) | Err(_) => return AttemptOutcome::CallerGone,
         }
         if is_last {
             break;
