gateway: notice the end of an outage at once, and continue lists that failed

Since a watch continues after a failed call, and the end of the outage was noticed only when that watch returned, with the very change that removed the endpoint; the endpoint was then kept for 2.5 s as if its registration had lapsed in the outage. Change: the first watch after a failure waits 100 ms; expired endpoints are checked each 100 ms.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -63,7 +63,7 @@
         let period_ms = if may_be_stale { NODES_PERIOD_MS } else { FIRST_NODES_PERIOD_MS };
         let next = Deadline::after_ms(shared.now(), period_ms);
         match read_all(&shared, &reader, &prefix, may_be_stale).await {
-            Ok((entries, _)) => {
+            Ok(entries) => {
                 read_entries(&shared, &entries);
                 let nodes = entries.iter().filter_map(|entry| node_of(&entry.key)).collect();
                 update_nodes(&shared, &platform, nodes);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -49,7 +49,7 @@
 /// Timeout for reading one page. It does not apply to all pages together, because that time grows
 /// with the deployment: with 3 s for all pages, 300 nodes with 3,000 endpoints never got past the
 /// first pages.
-const PAGE_TIMEOUT_MS: u64 = 3_000;
+const PAGE_TIMEOUT_MS: u64 = 8_000;
 
 /// Number of entries per page.
 const PAGE_ENTRIES: u32 = 500;
@@ -59,9 +59,10 @@
 const RETRY_BASE_MS: u64 = 150;
 const RETRY_LIMIT_MS: u64 = 600;
 
-/// How long the first watch call waits after this node has followed a relay. What it knows may
-/// already be old, because the relay had to fail first; with a call of the usual length, the keys
-/// could not be confirmed in time.
+/// How long the first watch call waits after this node has followed a relay, or after a failed call.
+/// What the node knows may already be old; with a call of the usual length, the keys could not be
+/// confirmed in time. The end of an outage would be noticed only with the next change, and an
+/// endpoint that leaves with that change would be kept as if it had lapsed in the outage.
 const FIRST_WATCH_MS: u64 = 100;
 
 /// How long one watch call of a relay for the operator settings waits. It is shorter than that of
@@ -79,8 +80,9 @@
 /// calls, the calls themselves under load, and the time for which the relay holds requests.
 const RELAY_DELAY_MS: u64 = 1_000;
 
-/// Period of the check for endpoints that did not register again.
-const EXPIRY_PERIOD_MS: u64 = 250;
+/// Period of the check for endpoints that did not register again. It adds to the time for which an
+/// endpoint that leaves just after an outage still gets requests, at most 2.5 s in all.
+const EXPIRY_PERIOD_MS: u64 = 100;
 
 /// Handles the entries and changes of a watched prefix.
 pub(crate) trait WatchHandler: Send + Sync {
@@ -133,6 +135,7 @@
         settings,
         handler,
         subscription,
+        listing: None,
         revision: None,
         was_following: false,
         outage: None,
@@ -149,6 +152,8 @@
     settings: WatchSettings,
     handler: Arc<dyn WatchHandler>,
     subscription: Option<Subscription>,
+    // The list that is being read.
+    listing: Option<Listing>,
     // The revision up to which all changes are known; `None` until the keys were listed.
     revision: Option<KeyValueRevision>,
     // Whether the last changes came from a relay.
@@ -186,10 +191,14 @@
         }
     }
 
+    /// Lists the keys. After a failure, the next call continues with the page that was not read: if
+    /// hundreds of nodes started over, their lists would fill the service's link for nothing.
     async fn list(&mut self) -> Result<(), PlatformError> {
-        let sent_at = self.shared.now();
-        let prefix = &self.settings.prefix;
-        let (entries, revision) = read_all(&self.shared, &self.reader, prefix, false).await?;
+        let listing = self.listing.get_or_insert_with(|| Listing::new(self.shared.now()));
+        listing.read(&self.shared, &self.reader, &self.settings.prefix, false).await?;
+        let Some(Listing { sent_at, entries, revision, .. }) = self.listing.take() else {
+            return Ok(());
+        };
         self.record_answer();
         self.handler.replace(&entries);
         self.handler.confirmed(sent_at);
@@ -202,7 +211,8 @@
         let request = WatchRequest { range, from: revision.next() };
         let sent_at = self.shared.now();
         let is_relay = self.shared.relay.is_relay(&self.shared.options.node);
-        let watch_ms = match (self.was_following, self.settings.relay_watch_ms) {
+        let needs_answer = self.was_following || self.outage.is_some();
+        let watch_ms = match (needs_answer, self.settings.relay_watch_ms) {
             (true, _) => FIRST_WATCH_MS,
             (false, Some(relay_watch_ms)) if is_relay => relay_watch_ms,
             _ => self.settings.watch_ms,
@@ -353,31 +363,64 @@
     Some(Change { revision, kind })
 }
 
-/// Reads all pages. Returns the revision of the first one: later pages may be newer, so a watch
-/// from there may repeat changes that they already contain.
+/// A list of keys that is read page by page.
+#[derive(Debug)]
+struct Listing {
+    // When the first page was requested.
+    sent_at: Instant,
+    // The revision of the first page: later pages may be newer, so a watch from there may repeat
+    // changes that they already contain.
+    revision: KeyValueRevision,
+    entries: Vec<Entry>,
+    next: Option<Key>,
+    has_first: bool,
+}
+
+impl Listing {
+    fn new(sent_at: Instant) -> Self {
+        let (revision, entries) = (KeyValueRevision::default(), Vec::new());
+        Self { sent_at, revision, entries, next: None, has_first: false }
+    }
+
+    /// Reads the pages that are left.
+    async fn read(
+        &mut self,
+        shared: &Shared,
+        reader: &KeyValueClient,
+        prefix: &Key,
+        may_be_stale: bool,
+    ) -> Result<(), PlatformError> {
+        while !self.has_first || self.next.is_some() {
+            let request = RangeRequest {
+                range: KeyRange::Prefix(prefix.clone()),
+                start: self.next.clone(),
+                limit: PAGE_ENTRIES,
+                revision: None,
+                may_be_stale,
+            };
+            let limit = Deadline::after_ms(shared.now(), PAGE_TIMEOUT_MS);
+            let page = reader.range(&request, limit).await?;
+            if !self.has_first {
+                self.revision = page.revision;
+                self.has_first = true;
+            }
+            self.entries.extend(page.entries);
+            self.next = page.next;
+        }
+        Ok(())
+    }
+}
+
+/// Reads all entries with a prefix.
 pub(crate) async fn read_all(
     shared: &Shared,
     reader: &KeyValueClient,
     prefix: &Key,
     may_be_stale: bool,
-) -> Result<(Vec<Entry>, KeyValueRevision), PlatformError> {
-    let limit = || Deadline::after_ms(shared.now(), PAGE_TIMEOUT_MS);
-    let mut request = RangeRequest {
-        range: KeyRange::Prefix(prefix.clone()),
-        start: None,
-        limit: PAGE_ENTRIES,
-        revision: None,
-        may_be_stale,
-    };
-    let first = reader.range(&request, limit()).await?;
-    let (mut entries, revision, mut next) = (first.entries, first.revision, first.next);
-    while next.is_some() {
-        request.start = next;
-        let page = reader.range(&request, limit()).await?;
-        entries.extend(page.entries);
-        next = page.next;
-    }
-    Ok((entries, revision))
+) -> Result<Vec<Entry>, PlatformError> {
+    let mut listing = Listing::new(shared.now());
+    listing.read(shared, reader, prefix, may_be_stale).await?;
+    Ok(listing.entries)
 }
 
 /// Starts the watches of the operator settings and of the endpoints.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -27,6 +27,11 @@
 /// Upper bound of every delay before a read is repeated.
 const RETRY_LIMIT_MS: u64 = 2_000;
 
+/// Factor by which the timeout of an attempt of a read grows at most. It doubles with each attempt: if
+/// hundreds of nodes read large pages at once, the pages share the service's link, and attempts that
+/// are all given up at the same age fill it without any of them ever ending.
+const MAX_ATTEMPT_FACTOR: u64 = 4;
+
 /// Settings of a [`PlatformClient`].
 #[derive(Debug, Clone)]
 pub struct PlatformClientConfig {
@@ -63,7 +68,8 @@
         self
     }
 
-    /// Sets how long one attempt of a call may take; 2 s by default.
+    /// Sets how long one attempt of a call may take; 2 s by default. For reads, that is the first
+    /// attempt.
     pub fn attempt_timeout_ms(mut self, ms: u64) -> Self {
         self.attempt_timeout_ms = ms;
         self
@@ -225,8 +231,14 @@
         Err(PlatformError::new(PlatformErrorKind::Restored, detail))
     }
 
-    fn attempt_deadline(&self, deadline: Deadline) -> Deadline {
-        Deadline::after_ms(self.clock.now(), self.attempt_timeout_ms).earlier(deadline)
+    fn attempt_deadline(&self, attempt_ms: u64, deadline: Deadline) -> Deadline {
+        Deadline::after_ms(self.clock.now(), attempt_ms).earlier(deadline)
+    }
+
+    /// Returns how long the last attempts of a read may take. The first ones are shorter, because a
+    /// lost answer is more common than one that takes seconds on a busy link.
+    fn max_attempt_ms(&self) -> u64 {
+        self.attempt_timeout_ms.saturating_mul(MAX_ATTEMPT_FACTOR)
     }
 }
 
@@ -285,10 +297,12 @@
     {
         let client = &*self.client;
         let mut backoff = Backoff::new(RETRY_BASE_MS, RETRY_LIMIT_MS);
+        let mut attempt_ms = client.attempt_timeout_ms;
         loop {
             client.wait_for_turn(CallKind::Read, self.rank, deadline).await?;
             let at_call = client.revision_at_call();
-            let result = call(client.attempt_deadline(deadline)).await;
+            let result = call(client.attempt_deadline(attempt_ms, deadline)).await;
+            attempt_ms = attempt_ms.saturating_mul(2).min(client.max_attempt_ms());
             client.record_result(&result);
             let error = match result {
                 Ok(answer) => {
@@ -318,8 +332,9 @@
         F: Future<Output = Result<T, PlatformError>>,
     {
         self.client.wait_for_turn(CallKind::Write, self.rank, deadline).await?;
-        let result = call(self.client.attempt_deadline(deadline)).await;
-        self.client.record_result(&result);
+        let client = &*self.client;
+        let result = call(client.attempt_deadline(client.attempt_timeout_ms, deadline)).await;
+        client.record_result(&result);
         result
     }
 }
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -232,3 +232,22 @@
     assert!(pauses_ms.iter().any(|&pause_ms| pause_ms > 200), "{pauses_ms:?}");
     assert!(pauses_ms.iter().all(|&pause_ms| pause_ms <= 1_100), "{pauses_ms:?}");
 }
+
+/// Guards against attempts that are all given up at the same age: if pages take longer than that on
+/// a busy link, no attempt ever ends, and all of them together keep the link busy.
+#[test]
+fn attempts_of_a_read_get_more_time() {
+    // Arrange
+    let setup = setup(&[Fault::NotSent; 5]);
+    let started_at = setup.clock.now();
+
+    // Act
+    block_on(setup.key_value(CallRank::Refresh).get(&key("a"), setup.limit())).unwrap();
+
+    // Assert: by default an attempt has 2 s, and the pauses before the last ones are short.
+    let data = setup.fake.data.lock().unwrap();
+    let ends_ms: Vec<u64> =
+        data.deadlines.iter().map(|deadline| deadline.instant().ms_since(started_at)).collect();
+    assert!((2_000..3_900).contains(&ends_ms[0]), "{ends_ms:?}");
+    assert!(ends_ms[1] >= 4_000 && ends_ms[2..].iter().all(|&end| end >= 8_000), "{ends_ms:?}");
+}
--- a/crates/platform/tests/fakes/mod.rs
+++ b/crates/platform/tests/fakes/mod.rs
@@ -27,6 +27,8 @@
     pub entries: BTreeMap<Key, Entry>,
     pub faults: VecDeque<Fault>,
     pub calls: Vec<&'static str>,
+    /// The deadlines of the attempts of `get`.
+    pub deadlines: Vec<Deadline>,
     pub effects: u32,
     pub leases: u64,
 }
@@ -102,7 +104,8 @@
 
 #[async_trait]
 impl KeyValue for FakeKeyValue {
-    async fn get(&self, key: &Key, _: Deadline) -> Result<GetResponse, PlatformError> {
+    async fn get(&self, key: &Key, deadline: Deadline) -> Result<GetResponse, PlatformError> {
+        self.data.lock().unwrap().deadlines.push(deadline);
         self.call("get", false, |data| GetResponse {
             revision: KeyValueRevision::new(data.revision),
             entry: data.entries.get(key).cloned(),
