gateway: one relay for each 20 nodes of a zone

Change: a zone has at least two relays, and one for each 20 nodes. Zones of up to 40 nodes, as all sites have, keep two.

--- a/crates/decisions/src/gateway/relay/mod.rs
+++ b/crates/decisions/src/gateway/relay/mod.rs
@@ -24,7 +24,7 @@
 use yuccapass_types::{Bytes, Instant};
 
 pub use log::ChangeLog;
-pub use sources::{ChangeSource, RelaySources, is_relayed, relays, relays_of};
+pub use sources::{ChangeSource, RelaySources, is_relayed, relay_count, relays};
 pub use topics::{OriginRead, RelayTopics, TopicRequest, TopicUpdate};
 
 use super::part_store::PartEvent;
--- a/crates/decisions/src/gateway/relay/sources.rs
+++ b/crates/decisions/src/gateway/relay/sources.rs
@@ -4,8 +4,12 @@
 
 use yuccapass_types::{Deadline, Instant, NodeId, SortedMap};
 
-/// Number of relays in a zone. With one, its failure would send the whole zone to the origin.
-const RELAYS_PER_ZONE: usize = 2;
+/// Minimum number of relays in a zone. With one, its failure would send the whole zone to the origin.
+const MIN_RELAYS: usize = 2;
+
+/// Maximum number of nodes for each relay of a larger zone. With 25, the busiest relay of 300 nodes
+/// before 3,000 endpoints sent more than a link of 10 Mbit/s carries.
+const MAX_NODES_PER_RELAY: usize = 20;
 
 /// Number of nodes in a zone up to which all of them read from the origin. The calls that so few
 /// nodes save are not worth a longer way of each change.
@@ -32,18 +36,18 @@
     nodes > MAX_DIRECT_NODES
 }
 
-/// Returns the number of relays of a deployment in which each zone has followers.
-pub fn relays_of(zones: usize) -> u32 {
-    u32::try_from(RELAYS_PER_ZONE * zones).unwrap_or(u32::MAX)
+/// Returns the number of relays of a zone with this many nodes.
+pub fn relay_count(nodes: usize) -> usize {
+    match is_relayed(nodes) {
+        true => nodes.div_ceil(MAX_NODES_PER_RELAY).max(MIN_RELAYS),
+        false => nodes,
+    }
 }
 
 /// Returns the nodes of a zone that read from origins and pass the changes on. `nodes` are the
 /// registered nodes of the zone, sorted.
 pub fn relays(nodes: &[NodeId]) -> &[NodeId] {
-    match is_relayed(nodes.len()) {
-        true => &nodes[..RELAYS_PER_ZONE],
-        false => nodes,
-    }
+    &nodes[..relay_count(nodes.len())]
 }
 
 /// The choice of one node between its relays and the origin.
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -18,7 +18,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use smol_str::SmolStr;
 use yuccapass_decisions::gateway::relay::{
-    OriginRead, RelayItem, RelayTopics, TopicRequest, TopicUpdate, is_relayed, relays,
+    OriginRead, RelayItem, RelayTopics, TopicRequest, TopicUpdate, is_relayed, relay_count, relays,
 };
 use yuccapass_types::{Bytes, Instant, NodeId, SortedMap};
 
@@ -152,6 +152,11 @@
         is_relayed(nodes.len()) && relays(&nodes).contains(own)
     }
 
+    /// Returns the number of relays in the zone of this node.
+    pub(crate) fn relay_count(&self) -> u32 {
+        u32::try_from(relay_count(lock(&self.nodes).len())).unwrap_or(u32::MAX)
+    }
+
     fn node_ids(&self) -> Vec<NodeId> {
         lock(&self.nodes).iter().map(|(id, _)| id.clone()).collect()
     }
--- a/crates/gateway/src/stores.rs
+++ b/crates/gateway/src/stores.rs
@@ -6,7 +6,7 @@
 
 use async_std::task;
 use bytes::Bytes;
-use yuccapass_decisions::gateway::relay::{OriginRead, RelayItem, relays_of};
+use yuccapass_decisions::gateway::relay::{OriginRead, RelayItem};
 use yuccapass_decisions::gateway::{
     Directory, PartEvents, PartStore, PartTransfers, StoreContents, StorePollSettings,
     TransferRequest, TransferTiming, plan_transfers,
@@ -216,7 +216,8 @@
     /// Returns the number of nodes that poll the store.
     fn polling_nodes(&self) -> u32 {
         match self.shared.relay.is_relay(&self.shared.options.node) {
-            true => relays_of(self.shared.options.zones.len()),
+            // Other zones have about as many relays as this one.
+            true => self.shared.relay.relay_count() * self.shared.options.zones.len() as u32,
             false => self.shared.nodes(),
         }
     }
