gateway: count one outage once, however often relays report it

Cause: found by reading. A follower estimates the end of an outage from each reply, always too early by the time that its request took; a later estimate looked like another outage, so that for ten seconds endpoints that left could be kept for 2.3 s each time. Change: OutageEnds tells two ends apart if they differ by more than a second. Measured: reports_of_one_outage_count_once (new, did not compile before).

--- a/crates/decisions/src/gateway/relay/mod.rs
+++ b/crates/decisions/src/gateway/relay/mod.rs
@@ -9,6 +9,7 @@
 //! * [`RelayTopics`] is what a node has read from its origins, and its answers to followers.
 //! * [`ChangeLog`] has the recent changes that a relay has read from an origin.
 //! * [`RelaySources`] decides whether a node reads from the origin or follows a relay.
+//! * [`OutageEnds`] tells the outages apart that relays report.
 //! * [`confirmed_at`] converts the age of a relay's knowledge to an instant of the follower.
 //!
 //! What a follower hears is never newer than it claims to be: a relay that is frozen, slow or cut
@@ -17,6 +18,7 @@
 //! lost on the way.
 
 mod log;
+mod outage_ends;
 mod sources;
 mod topics;
 
@@ -24,6 +26,7 @@
 use yuccapass_types::{Bytes, Instant};
 
 pub use log::ChangeLog;
+pub use outage_ends::OutageEnds;
 pub use sources::{ChangeSource, RelaySources, is_relayed, relay_count, relays};
 pub use topics::{OriginRead, RelayTopics, TopicRequest, TopicUpdate};
 
--- a/crates/decisions/tests/gateway_relay.rs
+++ b/crates/decisions/tests/gateway_relay.rs
@@ -6,8 +6,8 @@
 use proptest::test_runner::RngSeed;
 use relay_model::{Guard, Model};
 use yuccapass_decisions::gateway::relay::{
-    ChangeLog, ChangeSource, OriginRead, RelayItem, RelaySources, RelayTopics, RelayedEntry,
-    TopicRequest, confirmed_at, relay_count, relays,
+    ChangeLog, ChangeSource, OriginRead, OutageEnds, RelayItem, RelaySources, RelayTopics,
+    RelayedEntry, TopicRequest, confirmed_at, relay_count, relays,
 };
 use yuccapass_types::{Bytes, Instant, NodeId};
 
@@ -202,6 +202,20 @@
     assert_eq!(late.outage_age_ms, None);
 }
 
+/// Guards against followers that take repeated reports of one outage for several: each would keep
+/// endpoints that leave for as long as if their registrations had lapsed in the outage.
+#[test]
+fn reports_of_one_outage_count_once() {
+    // Arrange: the reports are too early by the time that the requests took.
+    let mut ends = OutageEnds::default();
+
+    // Act
+    let reports = [5_000, 4_990, 5_040, 5_300, 9_000, 8_950].map(|ms| ends.record(at(ms)));
+
+    // Assert
+    assert_eq!(reports, [true, false, false, false, true, false]);
+}
+
 /// Guards against relays that break a rule for their followers while nodes are frozen, killed and
 /// cut off from the origin in any order: a change that is taken as confirmed but was not read, a
 /// position that goes back, and an undisturbed node that hears of a change too late or cannot
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -26,6 +26,12 @@
 /// given up after 700 ms, and then another one is asked.
 const UPDATE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum size of the items in a reply; a frame between nodes carries 68 KB.
+const MAX_REPLY: Bytes = Bytes::new(56 << 10);
+
+/// Prefix of the names of topics whose news are sent to followers at once.
+const URGENT_TOPICS: &str = "keys:";
+
 /// An update that was received from a relay, with times of this node's clock.
 #[derive(Debug, Clone)]
 pub(crate) struct RelayedChanges {
@@ -238,12 +244,6 @@
     }
 }
 
-/// Maximum size of the items in a reply; a frame between nodes carries 68 KB.
-const MAX_REPLY: Bytes = Bytes::new(56 << 10);
-
-/// Prefix of the names of topics whose news are sent to followers at once.
-const URGENT_TOPICS: &str = "keys:";
-
 /// Returns the topic of the keys with a prefix.
 pub(crate) fn keys_topic(prefix: &str) -> SmolStr {
     smol_str::format_smolstr!("{URGENT_TOPICS}{prefix}")
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use async_std::task;
-use yuccapass_decisions::gateway::relay::{OriginRead, RelayItem, RelayedEntry};
+use yuccapass_decisions::gateway::relay::{OriginRead, OutageEnds, RelayItem, RelayedEntry};
 use yuccapass_decisions::gateway::{EndpointRecord, EndpointState};
 use yuccapass_decisions::platform_budget::{Backoff, CallRank};
 use yuccapass_http::sleep_until;
@@ -139,7 +139,7 @@
         revision: None,
         was_following: false,
         outage: None,
-        last_outage_end: None,
+        outage_ends: OutageEnds::default(),
     };
     watcher.run().await;
 }
@@ -160,8 +160,8 @@
     was_following: bool,
     // The pauses between calls while they fail.
     outage: Option<Backoff>,
-    // The end of the last outage that a relay has reported.
-    last_outage_end: Option<Instant>,
+    // The ends of outages that relays have reported.
+    outage_ends: OutageEnds,
 }
 
 impl PrefixWatcher {
@@ -264,8 +264,7 @@
         let now = self.shared.now();
         self.was_following = true;
         self.record_answer();
-        if relayed.outage_ended_at > self.last_outage_end {
-            self.last_outage_end = relayed.outage_ended_at;
+        if relayed.outage_ended_at.is_some_and(|at| self.outage_ends.record(at)) {
             // Registrations that the service removed during the outage may return.
             self.handler.lost();
             self.handler.recovered(now);
--- a/crates/http/src/message/body.rs
+++ b/crates/http/src/message/body.rs
@@ -162,9 +162,7 @@
             }
         }
     }
-}
 
-impl BodyReader {
     /// Counts bytes that are not part of the body. A peer could send them without end, and if they
     /// always were there to be read, the reader would not even notice its deadline.
     fn count_overhead(&mut self, bytes: usize) -> Result<(), MessageError> {
