gateway: end a stop only after new requests are refused

The logs show stops that ended 2.60 to 2.70 s after the signal with no open request, but new requests were served for 2.8 s: one that arrived at that moment was forwarded and cut off when the process ended. Ruled out: the order of the check and the count of a request, between which nothing is awaited. Change: a stop takes at least 100 ms longer than new requests are served. Measured: no_request_runs_after_a_stop_has_ended failed before (200, one run) and passes (503, none).

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,14 +24,15 @@
 use crate::swap_leader::SwapLeader;
 use crate::{crashes, membership, readiness, stores, watch};
 
-/// Minimum time from a stop signal to the end of the process: the load balancer checks readiness
-/// once a second and removes a node after two failed checks.
-const MIN_STOP_MS: u64 = 2_600;
-
 /// How long new requests are served after a stop signal: the load balancer sends some until it has
 /// removed the node, and a stream that starts later may not end in time.
 const SERVE_WHILE_STOPPING_MS: u64 = 2_800;
 
+/// Minimum time from a stop signal to the end of the process: the load balancer checks readiness
+/// once a second and removes a node after two failed checks. It is longer than the time for which
+/// new requests are served; otherwise one that arrives just before the end would be cut off.
+const MIN_STOP_MS: u64 = SERVE_WHILE_STOPPING_MS + 100;
+
 /// How long before the process would be killed it ends by itself.
 const STOP_MARGIN_MS: u64 = 400;
 
