gateway: log what becomes of each broken attempt as evidence of a crash

Change: lines for an attempt without a fingerprint, for a full queue of probes, for a probe that finds the endpoint, and for a cleared suspect with the status that cleared it; request ids and the status of the request in the line of a crash.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -143,14 +143,14 @@
 ) {
     match outcome {
         AttemptOutcome::Answered(status) => {
-            shared.crashes.record_answer(request.message, shared.now());
+            shared.crashes.record_answer(request, *status, shared.now());
             // A stream cleared its parts when it began; it may have begun before a crash.
             if *status < 300 && !request.route.kind.is_streaming() {
                 shared.part_crashes.record_answer(&request.caller.parts, shared.now());
             }
         }
         AttemptOutcome::Failed(failed) if failed.failure == AttemptFailure::Broken => {
-            shared.crashes.record_broken(request.message, target.record.address);
+            shared.crashes.record_broken(request, target.record.address);
             if !failed.has_begun {
                 shared.part_crashes.record_broken(&request.caller.parts, target);
             }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -13,12 +13,13 @@
 use async_std::net::TcpStream;
 use async_std::{future, task};
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 use yuccapass_decisions::crash_guard::{
     CrashGuard, CrashGuardSettings, CrashReport, Fingerprint, FingerprintStatus,
 };
 use yuccapass_types::{Incarnation, Instant, NodeId};
 
-use crate::admission::ReadRequest;
+use crate::admission::{Admitted, ReadRequest};
 use crate::state::Shared;
 
 /// Number of crashes after which a request is blocked. The platform allows three.
@@ -38,8 +39,9 @@
 const MAX_REPORTS: usize = 16;
 
 /// A request whose connection to an endpoint broke.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct BrokenAttempt {
+    request_id: SmolStr,
     fingerprint: Fingerprint,
     endpoint: SocketAddr,
 }
@@ -74,22 +76,40 @@
     }
 
     /// Records that the connection of a request to an endpoint broke.
-    pub(crate) fn record_broken(&self, request: &ReadRequest, endpoint: SocketAddr) {
-        if let Some(fingerprint) = fingerprint(request) {
-            // When many connections break at once, probing the first ones is enough.
-            let _ = self.broken.0.try_send(BrokenAttempt { fingerprint, endpoint });
+    pub(crate) fn record_broken(&self, request: &Admitted<'_>, endpoint: SocketAddr) {
+        let request_id = request.caller.id.clone();
+        let Some(fingerprint) = fingerprint(request.message) else {
+            log::info!(
+                request_id = request_id.as_str(), endpoint:%, reason = "it has no fingerprint";
+                "a broken attempt is not counted as a crash"
+            );
+            return;
+        };
+        // When many connections break at once, probing the first ones is enough.
+        let attempt = BrokenAttempt { request_id, fingerprint, endpoint };
+        if let Err(error) = self.broken.0.try_send(attempt) {
+            log::info!(
+                request_id = error.into_inner().request_id.as_str(), endpoint:%,
+                reason = "too many probes wait";
+                "a broken attempt is not counted as a crash"
+            );
         }
     }
 
-    /// Records that a request was answered.
-    pub(crate) fn record_answer(&self, request: &ReadRequest, now: Instant) {
+    /// Records that a request was answered with this status.
+    pub(crate) fn record_answer(&self, request: &Admitted<'_>, status: u16, now: Instant) {
+        let message = request.message;
         let is_cleared = self.with(|guard| {
-            let fingerprint = (!guard.is_empty()).then(|| fingerprint(request)).flatten();
+            let fingerprint = (!guard.is_empty()).then(|| fingerprint(message)).flatten();
             let suspect =
                 fingerprint.filter(|&known| guard.status(known, now) == FingerprintStatus::Suspect);
             suspect.map(|known| guard.record_completion(known, now)).is_some()
         });
         if is_cleared {
+            log::info!(
+                request_id = request.caller.id.as_str(), status;
+                "a request that may have crashed endpoints was answered and is not suspected"
+            );
             self.wake();
         }
     }
@@ -148,16 +168,23 @@
 
 async fn probe(shared: Arc<Shared>, broken: BrokenAttempt) {
     let connecting = TcpStream::connect(broken.endpoint);
-    if matches!(
-        future::timeout(Duration::from_millis(PROBE_TIMEOUT_MS), connecting).await,
-        Ok(Ok(_))
-    ) {
+    let outcome = future::timeout(Duration::from_millis(PROBE_TIMEOUT_MS), connecting).await;
+    let fingerprint = broken.fingerprint.to_bits();
+    if matches!(outcome, Ok(Ok(_))) {
+        log::info!(
+            request_id = broken.request_id.as_str(), fingerprint, endpoint:% = broken.endpoint;
+            "the endpoint of a broken attempt accepts connections"
+        );
         return;
     }
     let now = shared.now();
-    shared.crashes.with(|guard| guard.record_crash(&[broken.fingerprint], now));
+    let status = shared.crashes.with(|guard| {
+        guard.record_crash(&[broken.fingerprint], now);
+        guard.status(broken.fingerprint, now)
+    });
     log::info!(
-        fingerprint = broken.fingerprint.to_bits(), endpoint:% = broken.endpoint;
+        request_id = broken.request_id.as_str(), fingerprint, endpoint:% = broken.endpoint,
+        status:?;
         "a request was at an endpoint that crashed"
     );
     shared.crashes.wake();
