--- a/crates/decisions/tests/crash_guard.rs
+++ b/crates/decisions/tests/crash_guard.rs
@@ -140,6 +140,24 @@
     assert_eq!(guard.status(numbered(14), at(25)), FingerprintStatus::Clear);
 }
 
+/// Guards against a request that crashes endpoints and of which the other nodes hear nothing, because
+/// many other requests were at endpoints that crashed later.
+#[test]
+fn reports_keep_requests_at_several_crashes_before_newer_ones() {
+    // Arrange
+    let (mut first, mut second, mut third) = (guard("a"), guard("b"), guard("c"));
+    first.record_crash(&[numbered(1)], at(0));
+    first.reports(8, at(1)).iter().for_each(|report| second.merge(report, at(1)));
+    second.record_crash(&[numbered(1)], at(2));
+
+    // Act
+    (2..30).for_each(|number| drop(second.record_crash(&[numbered(number)], at(number + 1))));
+    second.reports(8, at(40)).iter().for_each(|report| third.merge(report, at(40)));
+
+    // Assert
+    assert_eq!(third.status(numbered(1), at(41)), FingerprintStatus::Suspect);
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Crash(BTreeSet<u64>),
