crashes: tell the requests of organisations apart

Callers saw: a request that crashes endpoints for one organisation went on to crash them. Cause: the fingerprint left the organisation out, so an answer to the same message of another caller cleared the suspect. Class: evidence about one thing taken for another. Change: the organisation is part of the fingerprint. Measured: an_answer_to_another_organisation_does_not_clear_a_crashing_request failed before (not refused within 8 requests) and passes.

--- a/crates/decisions/src/crash_guard.rs
+++ b/crates/decisions/src/crash_guard.rs
@@ -11,10 +11,10 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request.
     pub fn of(organisation: &OrganisationId, model: &ModelId, prompt: &[u8]) -> Self {
-        Self::of_fields([organisation.as_str(), model.as_str()], prompt)
+        Self::of_fields(&[organisation.as_str(), model.as_str()], prompt)
     }
 
-    fn of_fields(fields: [&str; 2], body: &[u8]) -> Self {
+    fn of_fields(fields: &[&str], body: &[u8]) -> Self {
         let mut hasher = blake3::Hasher::new();
         for field in fields {
             hasher.update(field.as_bytes());
@@ -27,11 +27,16 @@
         Self(u64::from_be_bytes(bytes))
     }
 
-    /// Computes the fingerprint of an HTTP message.
-    ///
-    /// It covers no organisation: the same message crashes endpoints whichever organisation sends it.
-    pub fn of_message(method: &str, target: &str, body: &[u8]) -> Self {
-        Self::of_fields([method, target], body)
+    /// Computes the fingerprint of an HTTP message, which may crash endpoints for one organisation
+    /// only.
+    pub fn of_message(
+        organisation: Option<&OrganisationId>,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Self {
+        let organisation = organisation.map(OrganisationId::as_str).unwrap_or_default();
+        Self::of_fields(&[organisation, method, target], body)
     }
 
     /// Creates a fingerprint from the bits in another node's report.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -84,7 +84,10 @@
         KeyVerdict::Known(id, organisation) => Some((id, organisation)),
     };
     let now = shared.now();
-    if shared.crashes.blocks(request, now) || shared.part_crashes.blocks(&caller.parts, now) {
+    let organisation_id = organisation.map(|(id, _)| id);
+    if shared.crashes.blocks(request, organisation_id, now)
+        || shared.part_crashes.blocks(&caller.parts, now)
+    {
         return Err(Refusal::blocked(ResultCode::RequestBlocked));
     }
     let service =
@@ -98,7 +101,7 @@
         caller,
         route,
         service,
-        organisation: organisation.map(|(id, _)| id),
+        organisation: organisation_id,
         is_isolated: organisation.is_some_and(|(_, organisation)| organisation.is_isolated),
         priority: combined_priority(organisation_priority, route.priority),
         regions: [
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -17,7 +17,7 @@
 use yuccapass_decisions::crash_guard::{
     CrashGuard, CrashGuardSettings, CrashReport, Fingerprint, FingerprintStatus,
 };
-use yuccapass_types::{Incarnation, Instant, NodeId};
+use yuccapass_types::{Incarnation, Instant, NodeId, OrganisationId};
 
 use crate::admission::{Admitted, ReadRequest};
 use crate::state::Shared;
@@ -64,11 +64,17 @@
         }
     }
 
-    /// Returns whether a request is blocked.
-    pub(crate) fn blocks(&self, request: &ReadRequest, now: Instant) -> bool {
+    /// Returns whether a request of this organisation is blocked.
+    pub(crate) fn blocks(
+        &self,
+        request: &ReadRequest,
+        organisation: Option<&OrganisationId>,
+        now: Instant,
+    ) -> bool {
         self.with(|guard| {
             // Usually there are no suspects, and the body does not need to be hashed.
-            let fingerprint = (!guard.is_empty()).then(|| fingerprint(request)).flatten();
+            let fingerprint =
+                (!guard.is_empty()).then(|| fingerprint(request, organisation)).flatten();
             fingerprint.is_some_and(|known| {
                 matches!(guard.status(known, now), FingerprintStatus::Blocked { .. })
             })
@@ -78,7 +84,7 @@
     /// Records that the connection of a request to an endpoint broke.
     pub(crate) fn record_broken(&self, request: &Admitted<'_>, endpoint: SocketAddr) {
         let request_id = request.caller.id.clone();
-        let Some(fingerprint) = fingerprint(request.message) else {
+        let Some(fingerprint) = fingerprint(request.message, request.organisation) else {
             log::info!(
                 request_id = request_id.as_str(), endpoint:%, reason = "it has no fingerprint";
                 "a broken attempt is not counted as a crash"
@@ -98,9 +104,10 @@
 
     /// Records that a request was answered with this status.
     pub(crate) fn record_answer(&self, request: &Admitted<'_>, status: u16, now: Instant) {
-        let message = request.message;
         let is_cleared = self.with(|guard| {
-            let fingerprint = (!guard.is_empty()).then(|| fingerprint(message)).flatten();
+            let fingerprint = (!guard.is_empty())
+                .then(|| fingerprint(request.message, request.organisation))
+                .flatten();
             let suspect =
                 fingerprint.filter(|&known| guard.status(known, now) == FingerprintStatus::Suspect);
             suspect.map(|known| guard.record_completion(known, now)).is_some()
@@ -154,9 +161,13 @@
 
 /// Returns the fingerprint of a request. Requests without a body have none: many callers send the
 /// same one, so it would often be at an endpoint that crashes for another reason.
-fn fingerprint(request: &ReadRequest) -> Option<Fingerprint> {
+fn fingerprint(
+    request: &ReadRequest,
+    organisation: Option<&OrganisationId>,
+) -> Option<Fingerprint> {
     let ReadRequest { head, body, .. } = request;
-    (!body.is_empty()).then(|| Fingerprint::of_message(&head.method, &head.target, body))
+    (!body.is_empty())
+        .then(|| Fingerprint::of_message(organisation, &head.method, &head.target, body))
 }
 
 /// Probes endpoints whose connections broke, until the process ends.
