crashes: clear a suspect only by an answer with success

Callers saw: a request that crashes endpoints went on to crash them. Cause: any answer that was passed on cleared the suspect, also an endpoint's 4xx, which does not show that the endpoint could run the request. The guard against parts asked for a success already. Class: three counters of one event that disagree on what clears it. Change: only statuses below 300 clear. Measured: an_error_answer_does_not_clear_a_crashing_request failed before (not refused within 8 requests) and passes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -142,10 +142,11 @@
     outcome: &AttemptOutcome,
 ) {
     match outcome {
-        AttemptOutcome::Answered(status) => {
-            shared.crashes.record_answer(request, *status, shared.now());
+        // An endpoint may reject a request that it could not run.
+        AttemptOutcome::Answered(status) if *status < 300 => {
+            shared.crashes.record_answer(request, shared.now());
             // A stream cleared its parts when it began; it may have begun before a crash.
-            if *status < 300 && !request.route.kind.is_streaming() {
+            if !request.route.kind.is_streaming() {
                 shared.part_crashes.record_answer(&request.caller.parts, shared.now());
             }
         }
@@ -155,7 +156,7 @@
                 shared.part_crashes.record_broken(&request.caller.parts, target);
             }
         }
-        AttemptOutcome::Failed(_) | AttemptOutcome::CallerGone => {}
+        AttemptOutcome::Answered(_) | AttemptOutcome::Failed(_) | AttemptOutcome::CallerGone => {}
     }
 }
 
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -102,8 +102,8 @@
         }
     }
 
-    /// Records that a request was answered with this status.
-    pub(crate) fn record_answer(&self, request: &Admitted<'_>, status: u16, now: Instant) {
+    /// Records that a request was answered with success.
+    pub(crate) fn record_answer(&self, request: &Admitted<'_>, now: Instant) {
         let is_cleared = self.with(|guard| {
             let fingerprint = (!guard.is_empty())
                 .then(|| fingerprint(request.message, request.organisation))
@@ -114,7 +114,7 @@
         });
         if is_cleared {
             log::info!(
-                request_id = request.caller.id.as_str(), status;
+                request_id = request.caller.id.as_str();
                 "a request that may have crashed endpoints was answered and is not suspected"
             );
             self.wake();
