forward: ask the crash guard again before a retry

Callers saw: a request that had crashed several endpoints was sent to one more. Cause: the guard was asked when a request is admitted. A request that waited at an endpoint meanwhile was retried after its block; before a retry only the guard against parts was asked. Class: a guard that is asked once. Change: one function asks both guards, at admission and before each retry.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -51,6 +51,11 @@
         self.caller.model.as_ref()
     }
 
+    /// Returns whether the request is refused because it, or a part of its prompt, crashes endpoints.
+    pub(crate) fn is_blocked(&self, shared: &Shared) -> bool {
+        is_blocked(shared, self.message, self.caller, self.organisation)
+    }
+
     /// Returns the length of the prompt.
     pub(crate) fn prompt_tokens(&self) -> Tokens {
         self.caller.parts.iter().map(|part| part.tokens).sum()
@@ -83,11 +88,8 @@
         KeyVerdict::NotRequired => None,
         KeyVerdict::Known(id, organisation) => Some((id, organisation)),
     };
-    let now = shared.now();
     let organisation_id = organisation.map(|(id, _)| id);
-    if shared.crashes.blocks(request, organisation_id, now)
-        || shared.part_crashes.blocks(&caller.parts, now)
-    {
+    if is_blocked(shared, request, caller, organisation_id) {
         return Err(Refusal::blocked(ResultCode::RequestBlocked));
     }
     let service =
@@ -113,6 +115,17 @@
     })
 }
 
+fn is_blocked(
+    shared: &Shared,
+    request: &ReadRequest,
+    caller: &CallerRequest,
+    organisation: Option<&OrganisationId>,
+) -> bool {
+    let now = shared.now();
+    shared.crashes.blocks(request, organisation, now)
+        || shared.part_crashes.blocks(&caller.parts, now)
+}
+
 /// Combines the priorities of the organisation and the route; that of the organisation takes
 /// precedence.
 fn combined_priority(organisation: Option<Priority>, route: Priority) -> Priority {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -92,7 +92,7 @@
         let step = decide(shared, request, &attempts, &failed, answer, next_target.is_some());
         log_attempt(shared, request, &target, &attempts, &failed, step);
         match step {
-            NextStep::Retry if shared.part_crashes.blocks(&request.caller.parts, shared.now()) => {
+            NextStep::Retry if request.is_blocked(shared) => {
                 return refuse(shared, request, answer, blocked_refusal(&attempts)).await;
             }
             NextStep::Retry => {}
@@ -285,7 +285,7 @@
     }
 }
 
-/// Returns the error answer for a request with a part that was blocked after its first attempt.
+/// Returns the error answer for a request that was blocked after its first attempt.
 fn blocked_refusal(attempts: &Attempts) -> Refusal {
     match attempts.may_have_run {
         false => Refusal::blocked(ResultCode::RequestBlocked),
