crash guard: report requests at several crashes first

Callers saw: a request that crashes endpoints ran at more of them, each time at another node. Cause: a node reports a limited number of counts, the newest first. An endpoint ends under many requests, and those of later crashes pushed out the one that had been at crashes seen by several nodes. Class: a limit that drops evidence by age instead of by weight. Change: fingerprints at the most crashes, by all nodes, come first.

--- a/crates/decisions/src/crash_guard.rs
+++ b/crates/decisions/src/crash_guard.rs
@@ -1,5 +1,7 @@
 //! Blocks requests that crash the endpoints that run them.
 
+use std::cmp::Reverse;
+
 use yuccapass_types::{Deadline, Incarnation, Instant, ModelId, NodeId, OrganisationId, SortedMap};
 
 /// Hash that identifies a request's content.
@@ -230,20 +232,26 @@
         counts.last_crash = counts.last_crash.max(crashed);
     }
 
-    /// Returns the reports of this process for the other nodes, the most recent crashes first.
+    /// Returns the reports of this process for the other nodes: first those of fingerprints at the most
+    /// crashes, by all nodes, and among these the most recent crashes.
     pub fn reports(&self, max_reports: usize, now: Instant) -> Vec<CrashReport> {
         let own = (self.node.clone(), self.incarnation);
         let report = |(&fingerprint, counts): (&Fingerprint, &CrashCounts)| {
             let &ProcessCount { number, crashes } = counts.by_process.get(&own)?;
             let (node, incarnation) = own.clone();
             let age_ms = now.ms_since(counts.last_crash);
-            Some(CrashReport { node, incarnation, fingerprint, number, crashes, age_ms })
+            let report = CrashReport { node, incarnation, fingerprint, number, crashes, age_ms };
+            Some((counts.total(), report))
+        };
+        let mut reports: Vec<(u32, CrashReport)> = self.counts.iter().filter_map(report).collect();
+        reports.retain(|(_, report)| report.age_ms < self.settings.block_ms);
+        // A cleared fingerprint must reach the nodes that have counted a crash of it.
+        let key = |(total, report): &(u32, CrashReport)| {
+            (Reverse((*total).max(1)), report.age_ms, report.fingerprint)
         };
-        let mut reports: Vec<CrashReport> = self.counts.iter().filter_map(report).collect();
-        reports.retain(|report| report.age_ms < self.settings.block_ms);
-        reports.sort_by_key(|report| (report.age_ms, report.fingerprint));
+        reports.sort_by_key(key);
         reports.truncate(max_reports);
-        reports
+        reports.into_iter().map(|(_, report)| report).collect()
     }
 
     /// Removes fingerprints whose last crash is at least the block time ago.
