attempt: a silent attempt may be a crash

Callers saw: a request that ends endpoints without their connections breaking ran at one after the other. Cause: only a broken connection was taken as a sign of a crash. An attempt that ended by its time limit left no evidence, although its endpoint may have ended. Class: evidence that one way of failing leaves out. Change: after a silent attempt too, the endpoint is probed, for both guards. Measured: a_request_that_ends_replicas_silently_is_refused failed before (not refused within 8 requests) and passes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -150,7 +150,10 @@
                 shared.part_crashes.record_answer(&request.caller.parts, shared.now());
             }
         }
-        AttemptOutcome::Failed(failed) if failed.failure == AttemptFailure::Broken => {
+        // An endpoint whose host has failed, or that ended behind a broken path, sends nothing more.
+        AttemptOutcome::Failed(failed)
+            if matches!(failed.failure, AttemptFailure::Broken | AttemptFailure::Silent) =>
+        {
             shared.crashes.record_broken(request, target.record.address);
             if !failed.has_begun {
                 shared.part_crashes.record_broken(&request.caller.parts, target);
@@ -525,7 +528,8 @@
             Ok(Ok(part)) => part,
             Ok(Err(error)) => return broken_stream(error, has_begun),
             Err(expired) => {
-                return AttemptOutcome::Failed(FailedAttempt::silent(expired, heard_at));
+                let failed = FailedAttempt::silent(expired, heard_at);
+                return AttemptOutcome::Failed(FailedAttempt { has_begun, ..failed });
             }
         };
         heard_at = shared.now();
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,7 +1,7 @@
 //! Finds requests that crash the endpoints that run them, together with the other nodes.
 //!
-//! If the connection of a request breaks, the node probes whether the endpoint still accepts
-//! connections. If it does not, the request becomes a suspect. A request that was a suspect in
+//! If the connection of a request breaks or is silent until the request's time is over, the node probes
+//! whether the endpoint still accepts connections. If it does not, the request becomes a suspect. A request that was a suspect in
 //! several crashes, and was not answered in between, is blocked for a while. Each node publishes
 //! its counts in its registration.
 
@@ -38,7 +38,7 @@
 /// Maximum number of crash counts in a node's registration.
 const MAX_REPORTS: usize = 16;
 
-/// A request whose connection to an endpoint broke.
+/// A request whose connection to an endpoint broke or was silent.
 #[derive(Debug, Clone)]
 pub(crate) struct BrokenAttempt {
     request_id: SmolStr,
@@ -81,7 +81,7 @@
         })
     }
 
-    /// Records that the connection of a request to an endpoint broke.
+    /// Records that the connection of a request to an endpoint broke or was silent.
     pub(crate) fn record_broken(&self, request: &Admitted<'_>, endpoint: SocketAddr) {
         let request_id = request.caller.id.clone();
         let Some(fingerprint) = fingerprint(request.message, request.organisation) else {
--- a/crates/gateway/src/part_crashes.rs
+++ b/crates/gateway/src/part_crashes.rs
@@ -1,7 +1,7 @@
 //! Finds parts of prompts that crash the endpoints that run them, from the crashes that this node
 //! sees and the evidence of the other nodes, see `yuccapass_decisions::part_guard`.
 //!
-//! If the connection of a request breaks before its answer has begun, the node probes whether the
+//! If the connection of a request breaks or is silent before its answer has begun, the node probes whether the
 //! endpoint's process has ended. Only a refused connection shows that: after a loss of power or of
 //! the network, connecting times out.
 
@@ -76,7 +76,7 @@
         })
     }
 
-    /// Records that the connection of a request broke before its answer had begun.
+    /// Records that the connection of a request broke or was silent before its answer had begun.
     pub(crate) fn record_broken(&self, parts: &[PromptPart], target: &Target) {
         let prompt: SharedParts = shared(parts).iter().map(|part| part.id.clone()).collect();
         if prompt.is_empty() {
