crashes: count requests without a body

Cause: a request without a body had no fingerprint, because many callers send the same one, so no node counted its crashes. Class: a rule that was kept for the example at hand, and an exception that turned the guard off instead of making its evidence stricter. Change: all requests have a fingerprint, of organisation, method, path and body. What the exception was for is handled by the evidence: copies that were at several endpoints at the same time count once, since these may have failed together. Ruled out: counting crashes within 200 ms once.

--- a/crates/decisions/src/crash_guard.rs
+++ b/crates/decisions/src/crash_guard.rs
@@ -128,6 +128,8 @@
 struct ProcessCount {
     number: u64,
     crashes: u32,
+    // When the last crash was counted, for the counts of this process.
+    counted_at: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -201,6 +203,27 @@
         counted
     }
 
+    /// Counts a crash of an endpoint to which this node sent a request at `sent_at`, and which ended the
+    /// request at `ended_at`.
+    ///
+    /// Copies of a request that were at several endpoints at the same time count once: the endpoints may
+    /// have failed together for another reason.
+    pub fn record_attempt_crash(
+        &mut self,
+        fingerprint: Fingerprint,
+        sent_at: Instant,
+        ended_at: Instant,
+    ) {
+        let own = (self.node.clone(), self.incarnation);
+        let count = self.counts.get(&fingerprint).and_then(|known| known.by_process.get(&own));
+        let was_counted = |count: &ProcessCount| {
+            count.crashes > 0 && count.counted_at.is_some_and(|counted_at| sent_at < counted_at)
+        };
+        if !count.is_some_and(was_counted) {
+            self.count_crash(fingerprint, ended_at);
+        }
+    }
+
     /// Clears a suspect that completed; a blocked fingerprint stays blocked.
     pub fn record_completion(&mut self, fingerprint: Fingerprint, now: Instant) {
         if self.status(fingerprint, now) != FingerprintStatus::Suspect {
@@ -228,7 +251,7 @@
         if report.number <= known.number {
             return;
         }
-        *known = ProcessCount { number: report.number, crashes: report.crashes };
+        *known = ProcessCount { number: report.number, crashes: report.crashes, counted_at: None };
         counts.last_crash = counts.last_crash.max(crashed);
     }
 
@@ -237,7 +260,7 @@
     pub fn reports(&self, max_reports: usize, now: Instant) -> Vec<CrashReport> {
         let own = (self.node.clone(), self.incarnation);
         let report = |(&fingerprint, counts): (&Fingerprint, &CrashCounts)| {
-            let &ProcessCount { number, crashes } = counts.by_process.get(&own)?;
+            let &ProcessCount { number, crashes, .. } = counts.by_process.get(&own)?;
             let (node, incarnation) = own.clone();
             let age_ms = now.ms_since(counts.last_crash);
             let report = CrashReport { node, incarnation, fingerprint, number, crashes, age_ms };
@@ -288,7 +311,8 @@
         let counts = self.entry(fingerprint, now);
         counts.last_crash = counts.last_crash.max(now);
         let own = counts.process_count(&node, incarnation);
-        *own = ProcessCount { number, crashes: own.crashes.saturating_add(1) };
+        let crashes = own.crashes.saturating_add(1);
+        *own = ProcessCount { number, crashes, counted_at: Some(now) };
     }
 
     fn next_number(&mut self) -> u64 {
--- a/crates/decisions/tests/crash_guard.rs
+++ b/crates/decisions/tests/crash_guard.rs
@@ -63,6 +63,25 @@
     assert_eq!(guard.status(numbered(1), at(10 + BLOCK_MS)), FingerprintStatus::Clear);
 }
 
+/// Guards against blocking a request that many callers send, because copies of it were at several
+/// endpoints that failed together, and against not counting copies that were sent one after the other.
+#[test]
+fn copies_at_several_endpoints_at_the_same_time_count_once() {
+    // Arrange
+    let mut guard = guard("n");
+
+    // Act
+    guard.record_attempt_crash(numbered(1), at(0), at(100));
+    guard.record_attempt_crash(numbered(1), at(50), at(101));
+    guard.record_attempt_crash(numbered(1), at(99), at(300));
+    let together = guard.status(numbered(1), at(301));
+    guard.record_attempt_crash(numbered(1), at(100), at(310));
+
+    // Assert
+    assert_eq!(together, FingerprintStatus::Suspect);
+    assert!(matches!(guard.status(numbered(1), at(311)), FingerprintStatus::Blocked { .. }));
+}
+
 /// Guards against blocking harmless requests that ran at an endpoint beside a crashing one.
 #[test]
 fn requests_beside_a_suspect_are_not_counted() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -103,9 +103,10 @@
 ) -> AttemptOutcome {
     let _outstanding =
         shared.endpoints.track_request(&target.id, &target.record, request.prompt_tokens());
+    let sent_at = shared.now();
     let outcome = run(shared, request, target, limit, events, answer).await;
     record_outcome(shared, request, target, &outcome);
-    record_crash_evidence(shared, request, target, &outcome);
+    record_crash_evidence(shared, request, target, sent_at, &outcome);
     outcome
 }
 
@@ -139,6 +140,7 @@
     shared: &Shared,
     request: &Admitted<'_>,
     target: &Target,
+    sent_at: Instant,
     outcome: &AttemptOutcome,
 ) {
     match outcome {
@@ -154,7 +156,8 @@
         AttemptOutcome::Failed(failed)
             if matches!(failed.failure, AttemptFailure::Broken | AttemptFailure::Silent) =>
         {
-            shared.crashes.record_broken(request, target.record.address);
+            let address = target.record.address;
+            shared.crashes.record_broken(request, address, sent_at, shared.now());
             if !failed.has_begun {
                 shared.part_crashes.record_broken(&request.caller.parts, target);
             }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -44,6 +44,8 @@
     request_id: SmolStr,
     fingerprint: Fingerprint,
     endpoint: SocketAddr,
+    sent_at: Instant,
+    ended_at: Instant,
 }
 
 /// Tracks requests that may crash endpoints.
@@ -73,31 +75,28 @@
     ) -> bool {
         self.with(|guard| {
             // Usually there are no suspects, and the body does not need to be hashed.
-            let fingerprint =
-                (!guard.is_empty()).then(|| fingerprint(request, organisation)).flatten();
-            fingerprint.is_some_and(|known| {
-                matches!(guard.status(known, now), FingerprintStatus::Blocked { .. })
-            })
+            let is_blocked =
+                |known| matches!(guard.status(known, now), FingerprintStatus::Blocked { .. });
+            !guard.is_empty() && is_blocked(fingerprint(request, organisation))
         })
     }
 
     /// Records that the connection of a request to an endpoint broke or was silent.
-    pub(crate) fn record_broken(&self, request: &Admitted<'_>, endpoint: SocketAddr) {
+    pub(crate) fn record_broken(
+        &self,
+        request: &Admitted<'_>,
+        endpoint: SocketAddr,
+        sent_at: Instant,
+        ended_at: Instant,
+    ) {
         let request_id = request.caller.id.clone();
-        let Some(fingerprint) = fingerprint(request.message, request.organisation) else {
-            log::info!(
-                request_id = request_id.as_str(), endpoint:%, reason = "it has no fingerprint";
-                "a broken attempt is not counted as a crash"
-            );
-            return;
-        };
+        let fingerprint = fingerprint(request.message, request.organisation);
         // When many connections break at once, probing the first ones is enough.
-        let attempt = BrokenAttempt { request_id, fingerprint, endpoint };
+        let attempt = BrokenAttempt { request_id, fingerprint, endpoint, sent_at, ended_at };
         if let Err(error) = self.broken.0.try_send(attempt) {
             log::info!(
-                request_id = error.into_inner().request_id.as_str(), endpoint:%,
-                reason = "too many probes wait";
-                "a broken attempt is not counted as a crash"
+                request_id = error.into_inner().request_id.as_str(), endpoint:%;
+                "a broken attempt is not counted as a crash: too many probes wait"
             );
         }
     }
@@ -105,9 +104,8 @@
     /// Records that a request was answered with success.
     pub(crate) fn record_answer(&self, request: &Admitted<'_>, now: Instant) {
         let is_cleared = self.with(|guard| {
-            let fingerprint = (!guard.is_empty())
-                .then(|| fingerprint(request.message, request.organisation))
-                .flatten();
+            let fingerprint =
+                (!guard.is_empty()).then(|| fingerprint(request.message, request.organisation));
             let suspect =
                 fingerprint.filter(|&known| guard.status(known, now) == FingerprintStatus::Suspect);
             suspect.map(|known| guard.record_completion(known, now)).is_some()
@@ -159,15 +157,9 @@
     }
 }
 
-/// Returns the fingerprint of a request. Requests without a body have none: many callers send the
-/// same one, so it would often be at an endpoint that crashes for another reason.
-fn fingerprint(
-    request: &ReadRequest,
-    organisation: Option<&OrganisationId>,
-) -> Option<Fingerprint> {
+fn fingerprint(request: &ReadRequest, organisation: Option<&OrganisationId>) -> Fingerprint {
     let ReadRequest { head, body, .. } = request;
-    (!body.is_empty())
-        .then(|| Fingerprint::of_message(organisation, &head.method, &head.target, body))
+    Fingerprint::of_message(organisation, &head.method, &head.target, body)
 }
 
 /// Probes endpoints whose connections broke, until the process ends.
@@ -190,7 +182,7 @@
     }
     let now = shared.now();
     let status = shared.crashes.with(|guard| {
-        guard.record_crash(&[broken.fingerprint], now);
+        guard.record_attempt_crash(broken.fingerprint, broken.sent_at, broken.ended_at);
         guard.status(broken.fingerprint, now)
     });
     log::info!(
