crash evidence: keep blocked requests beyond the nodes that blocked them

Callers saw: after restarts of nodes, a request that had crashed endpoints crashed more of them. Cause: the counts lay in the registrations of the nodes that had made them. A new process overwrites its registration, and nothing else says that a request is blocked. Class: state that ends with the process which made it. Change: a node that has counted a crash of a blocked request writes a key of its own for it, as the guard against parts does, with a lease of the time for which it is blocked. The counts move from the registration into a key below the same prefix, which is watched.

--- a/crates/decisions/src/crash_guard.rs
+++ b/crates/decisions/src/crash_guard.rs
@@ -165,17 +165,31 @@
     incarnation: Incarnation,
     settings: CrashGuardSettings,
     counts: SortedMap<Fingerprint, CrashCounts>,
+    // Blocks that this node or another one has announced. They outlast the processes that counted the
+    // crashes.
+    announced: SortedMap<Fingerprint, Deadline>,
     last_number: u64,
 }
 
 impl CrashGuard {
     /// Creates a guard that has counted no crash.
     pub fn new(node: NodeId, incarnation: Incarnation, settings: CrashGuardSettings) -> Self {
-        Self { node, incarnation, settings, counts: SortedMap::new(), last_number: 0 }
+        Self {
+            node,
+            incarnation,
+            settings,
+            counts: SortedMap::new(),
+            announced: SortedMap::new(),
+            last_number: 0,
+        }
     }
 
     /// Returns the status of a fingerprint.
     pub fn status(&self, fingerprint: Fingerprint, now: Instant) -> FingerprintStatus {
+        let announced = self.announced.get(&fingerprint).copied();
+        if let Some(until) = announced.filter(|until| !until.has_passed(now)) {
+            return FingerprintStatus::Blocked { until };
+        }
         let Some(counts) = self.counts.get(&fingerprint) else { return FingerprintStatus::Clear };
         let until = self.expiry(counts);
         match counts.total() {
@@ -236,6 +250,40 @@
         counts.process_count(&self.node, self.incarnation).number = number;
     }
 
+    /// Blocks a fingerprint that another node has announced. A block that is known is not extended.
+    pub fn block(&mut self, fingerprint: Fingerprint, now: Instant) {
+        let known = self.announced.get(&fingerprint);
+        if known.is_some_and(|until| !until.has_passed(now)) {
+            return;
+        }
+        if self.announced.len() >= self.settings.max_fingerprints {
+            let first = self.announced.iter().min_by_key(|(_, until)| **until);
+            if let Some(first) = first.map(|(&fingerprint, _)| fingerprint) {
+                self.announced.remove(&first);
+            }
+        }
+        self.announced.insert(fingerprint, Deadline::after_ms(now, self.settings.block_ms));
+    }
+
+    /// Returns the blocked fingerprints that this process must announce to the other nodes, each once:
+    /// those of which it has counted a crash.
+    pub fn take_announcements(&mut self, now: Instant) -> Vec<Fingerprint> {
+        self.expire(now);
+        let own = (self.node.clone(), self.incarnation);
+        let has_own = |counts: &CrashCounts| {
+            counts.by_process.get(&own).is_some_and(|count| count.crashes > 0)
+        };
+        let is_due = |(fingerprint, counts): &(&Fingerprint, &CrashCounts)| {
+            has_own(counts)
+                && counts.total() >= self.settings.crashes_to_block
+                && !self.announced.contains_key(*fingerprint)
+        };
+        let due: Vec<Fingerprint> =
+            self.counts.iter().filter(is_due).map(|(&fingerprint, _)| fingerprint).collect();
+        due.iter().for_each(|&fingerprint| self.block(fingerprint, now));
+        due
+    }
+
     /// Merges a report of another process; a report that was merged before changes nothing.
     pub fn merge(&mut self, report: &CrashReport, now: Instant) {
         let is_own = report.node == self.node && report.incarnation == self.incarnation;
@@ -282,6 +330,7 @@
         let block_ms = self.settings.block_ms;
         self.counts
             .retain(|_, counts| !Deadline::after_ms(counts.last_crash, block_ms).has_passed(now));
+        self.announced.retain(|_, until| !until.has_passed(now));
     }
 
     /// Returns how many fingerprints are blocked.
@@ -297,9 +346,9 @@
         self.counts.len()
     }
 
-    /// Returns whether the table is empty.
+    /// Returns whether no fingerprint is suspected or blocked.
     pub fn is_empty(&self) -> bool {
-        self.counts.is_empty()
+        self.counts.is_empty() && self.announced.is_empty()
     }
 
     fn expiry(&self, counts: &CrashCounts) -> Deadline {
--- a/crates/gateway/src/part_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -1,25 +1,28 @@
-//! Shares the evidence about parts of prompts that crash endpoints with the other nodes, through the
-//! platform's key-value service.
+//! Shares the evidence about requests and parts of prompts that crash endpoints with the other nodes,
+//! through the platform's key-value service.
 //!
-//! Each node has one key for its evidence. A part that is blocked has a key of its own, which is
-//! written once and ends with its lease, so that a node that starts knows of it although the nodes
-//! that saw the crashes may have restarted too.
+//! Each node has one key for its evidence about parts and one for its counts of requests. A part or
+//! request that is blocked has a key of its own, which is written once and ends with its lease, so that a
+//! node that starts knows of it although the nodes that saw the crashes may have restarted too.
 
 use std::sync::Arc;
 
 use async_std::task;
 use futures::future::select;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use yuccapass_decisions::crash_guard::Fingerprint;
 use yuccapass_decisions::part_guard::{BlockDecision, CrashedProcess, Evidence};
 use yuccapass_decisions::platform_budget::CallRank;
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{
-    Change, ChangeKind, Compare, Entry, Key, KeyValue, KeyValueClient, LeaseId, LeaseTtl,
-    PlatformClient, PlatformError, PlatformErrorKind, Transaction, TransactionOutcome, Value,
-    Write,
+    Change, ChangeKind, Compare, Entry, Key, KeyValue, KeyValueClient, LeaseGrant, LeaseId,
+    LeaseTtl, PlatformClient, PlatformError, PlatformErrorKind, Transaction, TransactionOutcome,
+    Value, Write,
 };
 use yuccapass_types::{Deadline, Incarnation, NodeId, PromptPartId};
 
+use crate::crashes::{BLOCK_MS, CrashEntry};
 use crate::state::Shared;
 use crate::watch::{WatchHandler, WatchSettings, watch_prefix};
 
@@ -32,6 +35,12 @@
 /// Prefix of the keys of blocked parts.
 const BLOCKED_KEYS: &str = "yuccapass/crashes/blocked/";
 
+/// Prefix of the keys of nodes with counts of requests.
+const COUNT_KEYS: &str = "yuccapass/crashes/counts/";
+
+/// Prefix of the keys of blocked requests.
+const BLOCKED_REQUEST_KEYS: &str = "yuccapass/crashes/requests/";
+
 /// How long one watch call waits. A connection that hangs is noticed only when this time is over, and
 /// until then the node, or the followers of a relay, learn of no blocked part.
 const WATCH_MS: u64 = 3_000;
@@ -40,7 +49,7 @@
 /// crash is returned together.
 const WATCH_PAUSE_MS: u64 = 200;
 
-/// Time to live of the keys: how long a part is blocked.
+/// Time to live of the keys, except those of blocked requests: how long a part is blocked.
 const TTL_MS: u64 = 600_000;
 
 /// Timeout of a call to the key-value service.
@@ -59,6 +68,19 @@
     evidence: Evidence,
 }
 
+/// The value of a node's key for its counts of requests.
+#[derive(Debug, Serialize, Deserialize)]
+struct CountsEntry {
+    incarnation: Incarnation,
+    requests: Vec<CrashEntry>,
+}
+
+/// The value of the key of a blocked request, for operators.
+#[derive(Debug, Serialize, Deserialize)]
+struct BlockedRequestEntry {
+    node: NodeId,
+}
+
 /// The value of the key of a blocked part, for operators.
 #[derive(Debug, Serialize, Deserialize)]
 struct BlockedEntry {
@@ -82,6 +104,8 @@
         lease: None,
         evidence: None,
         decisions: Vec::new(),
+        counts: None,
+        blocked_requests: Vec::new(),
     };
     task::spawn(publisher.run());
 }
@@ -101,18 +125,46 @@
             }
             return;
         }
-        let Some(node) = key.strip_prefix(EVIDENCE_KEYS) else { return };
-        match serde_json::from_slice::<EvidenceEntry>(entry.value.as_bytes()) {
-            Ok(known) => {
-                let options = &self.shared.options;
-                let is_own = node == options.node.as_str();
-                if !(is_own && known.incarnation == options.incarnation) {
-                    self.shared.part_crashes.merge(&known.evidence, self.shared.now());
-                }
-            }
-            Err(error) => {
-                log::debug!(node, error:%; "the evidence of a node could not be decoded");
+        if let Some(fingerprint) = key.strip_prefix(BLOCKED_REQUEST_KEYS) {
+            if let Ok(bits) = u64::from_str_radix(fingerprint, 16) {
+                log::info!(fingerprint = bits; "a request is blocked by a node");
+                self.shared.crashes.block(Fingerprint::from_bits(bits), self.shared.now());
             }
+            return;
+        }
+        if let Some(node) = key.strip_prefix(COUNT_KEYS) {
+            return self.merge_counts(node, entry);
+        }
+        if let Some(node) = key.strip_prefix(EVIDENCE_KEYS) {
+            self.merge_evidence(node, entry);
+        }
+    }
+
+    fn merge_counts(&self, node: &str, entry: &Entry) {
+        let Some(known) = decoded::<CountsEntry>(node, entry) else { return };
+        // The guard leaves out what this process has counted itself.
+        if let Ok(node) = node.parse() {
+            let now = self.shared.now();
+            self.shared.crashes.merge(&node, known.incarnation, &known.requests, now);
+        }
+    }
+
+    fn merge_evidence(&self, node: &str, entry: &Entry) {
+        let Some(known) = decoded::<EvidenceEntry>(node, entry) else { return };
+        let options = &self.shared.options;
+        let is_own = node == options.node.as_str() && known.incarnation == options.incarnation;
+        if !is_own {
+            self.shared.part_crashes.merge(&known.evidence, self.shared.now());
+        }
+    }
+}
+
+fn decoded<T: DeserializeOwned>(node: &str, entry: &Entry) -> Option<T> {
+    match serde_json::from_slice(entry.value.as_bytes()) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            log::debug!(node, error:%; "the evidence of a node could not be decoded");
+            None
         }
     }
 }
@@ -132,7 +184,7 @@
     }
 }
 
-/// Publishes the evidence of this node and the parts that it blocks.
+/// Publishes the evidence of this node and what it blocks.
 struct EvidencePublisher {
     shared: Arc<Shared>,
     key_value: KeyValueClient,
@@ -141,6 +193,8 @@
     // What could not be published yet.
     evidence: Option<Evidence>,
     decisions: Vec<BlockDecision>,
+    counts: Option<Vec<CrashEntry>>,
+    blocked_requests: Vec<Fingerprint>,
 }
 
 impl EvidencePublisher {
@@ -157,6 +211,8 @@
                 }
             }
             self.evidence = tracker.report(now).or(self.evidence.take());
+            self.blocked_requests.extend(self.shared.crashes.take_announcements(now));
+            self.counts = self.shared.crashes.take_reports(now).or(self.counts.take());
             let (suspected, blocked) = tracker.counts();
             self.shared.metrics.record_crash_parts(suspected, blocked);
             if let Err(error) = self.publish().await {
@@ -170,26 +226,49 @@
         let now = self.shared.now();
         let pause_ms = PAUSE_MS + rand::random_range(0..PAUSE_RANDOM_MS);
         let pause = Deadline::after_ms(now, pause_ms);
-        let is_pending = self.evidence.is_some() || !self.decisions.is_empty();
+        let is_pending = self.evidence.is_some()
+            || self.counts.is_some()
+            || !self.decisions.is_empty()
+            || !self.blocked_requests.is_empty();
         if !is_pending {
             let next_check = self.shared.part_crashes.next_check(now).unwrap_or(Deadline::NEVER);
             let sleeping = Box::pin(sleep_until(&*self.shared.clock, next_check));
-            select(sleeping, Box::pin(self.shared.part_crashes.changed())).await;
+            let changing = select(
+                Box::pin(self.shared.part_crashes.changed()),
+                Box::pin(self.shared.crashes.changed()),
+            );
+            select(sleeping, changing).await;
             let pause = Deadline::after_ms(self.shared.now(), pause_ms);
             return sleep_until(&*self.shared.clock, pause).await;
         }
         sleep_until(&*self.shared.clock, pause).await;
     }
 
-    /// Publishes blocked parts first: other nodes refuse these at once, and evidence may be large.
+    /// Publishes what is blocked first: other nodes refuse it at once, and evidence may be large.
     async fn publish(&mut self) -> Result<(), PlatformError> {
+        while let Some(fingerprint) = self.blocked_requests.first() {
+            let key = key(BLOCKED_REQUEST_KEYS, &format!("{:016x}", fingerprint.to_bits()))?;
+            let entry = BlockedRequestEntry { node: self.shared.options.node.clone() };
+            let lease = self.grant(BLOCK_MS).await?;
+            self.write(key, &entry, lease.id, true).await?;
+            self.blocked_requests.remove(0);
+        }
         while let Some(decision) = self.decisions.first() {
             let key = key(BLOCKED_KEYS, decision.part.as_str())?;
             let node = self.shared.options.node.clone();
             let entry = BlockedEntry { node, crashes: decision.crashes.clone() };
-            self.write(key, &entry, true).await?;
+            let lease = self.lease().await?;
+            self.write(key, &entry, lease, true).await?;
             self.decisions.remove(0);
         }
+        if let Some(counts) = &self.counts {
+            let options = &self.shared.options;
+            let key = key(COUNT_KEYS, options.node.as_str())?;
+            let entry = CountsEntry { incarnation: options.incarnation, requests: counts.clone() };
+            let lease = self.lease().await?;
+            self.write(key, &entry, lease, false).await?;
+            self.counts = None;
+        }
         if let Some(evidence) = &self.evidence {
             log::info!(
                 observations = evidence.observations.len(),
@@ -200,7 +279,8 @@
             let key = key(EVIDENCE_KEYS, options.node.as_str())?;
             let entry =
                 EvidenceEntry { incarnation: options.incarnation, evidence: evidence.clone() };
-            match self.write(key, &entry, false).await {
+            let lease = self.lease().await?;
+            match self.write(key, &entry, lease, false).await {
                 // The same evidence would be refused again. What comes next replaces it.
                 Err(error) if error.kind() == PlatformErrorKind::InvalidRequest => {
                     log::warn!(error:%; "evidence about crashes is not valid and was dropped");
@@ -212,14 +292,14 @@
         Ok(())
     }
 
-    /// Writes a key under this node's lease, or only if it does not exist.
+    /// Writes a key under a lease, if `is_once` only if the key does not exist.
     async fn write(
         &mut self,
         key: Key,
         entry: &impl Serialize,
+        lease: LeaseId,
         is_once: bool,
     ) -> Result<(), PlatformError> {
-        let lease = self.lease().await?;
         let json = serde_json::to_vec(entry).map_err(|error| invalid(&error))?;
         let value = Value::new(json).map_err(|error| invalid(&error))?;
         let compares = if is_once { vec![Compare::Absent(key.clone())] } else { Vec::new() };
@@ -248,12 +328,15 @@
         {
             return Ok(lease);
         }
-        let deadline = Deadline::after_ms(now, CALL_TIMEOUT_MS);
-        let ttl = LeaseTtl::new(TTL_MS / 1_000);
-        let grant = self.key_value.lease_grant(ttl, deadline).await?;
+        let grant = self.grant(TTL_MS).await?;
         self.lease = Some((grant.id, Deadline::after_ms(now, grant.ttl.as_ms() / 2)));
         Ok(grant.id)
     }
+
+    async fn grant(&self, ttl_ms: u64) -> Result<LeaseGrant, PlatformError> {
+        let deadline = Deadline::after_ms(self.shared.now(), CALL_TIMEOUT_MS);
+        self.key_value.lease_grant(LeaseTtl::new(ttl_ms / 1_000), deadline).await
+    }
 }
 
 fn key(prefix: &str, name: &str) -> Result<Key, PlatformError> {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -2,10 +2,11 @@
 //!
 //! If the connection of a request breaks or is silent until the request's time is over, the node probes
 //! whether the endpoint still accepts connections. If it does not, the request becomes a suspect. A request that was a suspect in
-//! several crashes, and was not answered in between, is blocked for a while. Each node publishes
-//! its counts in its registration.
+//! several crashes, and was not answered in between, is blocked for a while. `crash_evidence` shares the
+//! counts and the blocks with the other nodes.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -27,7 +28,7 @@
 
 /// How long a request is blocked after its last crash. Whole availability zones fail at once, so a
 /// request that was running during two failures by chance must not be blocked for long.
-const BLOCK_MS: u64 = 60_000;
+pub(crate) const BLOCK_MS: u64 = 60_000;
 
 /// Timeout for connecting to an endpoint that may have crashed.
 const PROBE_TIMEOUT_MS: u64 = 300;
@@ -35,8 +36,8 @@
 /// Maximum number of broken attempts that wait for a probe. Further ones are ignored.
 const MAX_WAITING_PROBES: usize = 32;
 
-/// Maximum number of crash counts in a node's registration.
-const MAX_REPORTS: usize = 16;
+/// Maximum number of crash counts that a node publishes.
+const MAX_REPORTS: usize = 128;
 
 /// A request whose connection to an endpoint broke or was silent.
 #[derive(Debug, Clone)]
@@ -53,6 +54,7 @@
     guard: Mutex<CrashGuard>,
     broken: (Sender<BrokenAttempt>, Receiver<BrokenAttempt>),
     changed: (Sender<()>, Receiver<()>),
+    has_news: AtomicBool,
 }
 
 impl CrashTracker {
@@ -63,6 +65,7 @@
             guard: Mutex::new(CrashGuard::new(node, incarnation, settings)),
             broken: bounded(MAX_WAITING_PROBES),
             changed: bounded(1),
+            has_news: AtomicBool::new(false),
         }
     }
 
@@ -115,16 +118,30 @@
                 request_id = request.caller.id.as_str();
                 "a request that may have crashed endpoints was answered and is not suspected"
             );
-            self.wake();
+            self.record_news();
         }
     }
 
-    /// Returns the crashes counted by this node.
-    pub(crate) fn reports(&self, now: Instant) -> Vec<CrashEntry> {
-        self.with(|guard| {
+    /// Returns the crashes counted by this node if they have changed since the last call.
+    pub(crate) fn take_reports(&self, now: Instant) -> Option<Vec<CrashEntry>> {
+        if !self.has_news.swap(false, Ordering::AcqRel) {
+            return None;
+        }
+        let reports = self.with(|guard| {
             guard.expire(now);
-            guard.reports(MAX_REPORTS, now).iter().map(CrashEntry::from).collect()
-        })
+            guard.reports(MAX_REPORTS, now)
+        });
+        Some(reports.iter().map(CrashEntry::from).collect())
+    }
+
+    /// Returns the requests whose block this node must announce to the others, each once.
+    pub(crate) fn take_announcements(&self, now: Instant) -> Vec<Fingerprint> {
+        self.with(|guard| guard.take_announcements(now))
+    }
+
+    /// Blocks a request, as another node has decided.
+    pub(crate) fn block(&self, fingerprint: Fingerprint, now: Instant) {
+        self.with(|guard| guard.block(fingerprint, now));
     }
 
     /// Merges the crashes counted by another node.
@@ -138,16 +155,22 @@
         self.with(|guard| {
             rows.iter().for_each(|row| guard.merge(&row.report(node, incarnation), now));
         });
+        self.wake();
     }
 
-    /// Waits until there are changes to publish.
+    /// Waits until a count of this node or of another one has changed.
     pub(crate) async fn changed(&self) {
         // This cannot fail: the sender lives as long as this value.
         let _ = self.changed.1.recv().await;
     }
 
-    /// Signals that there are changes to publish.
-    pub(crate) fn wake(&self) {
+    /// Signals that there are counts of this node to publish.
+    fn record_news(&self) {
+        self.has_news.store(true, Ordering::Release);
+        self.wake();
+    }
+
+    fn wake(&self) {
         // One pending signal is enough.
         let _ = self.changed.0.try_send(());
     }
@@ -190,10 +213,10 @@
         status:?;
         "a request was at an endpoint that crashed"
     );
-    shared.crashes.wake();
+    shared.crashes.record_news();
 }
 
-/// The form of a [`CrashReport`] in a node's registration.
+/// The form of a [`CrashReport`] in the key-value service.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct CrashEntry {
     fingerprint: u64,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,14 +18,15 @@
 //! endpoints and stores; `watch` keeps the configuration and the directory up to date;
 //! `registration` maintains this node's entry in the key-value service, and `membership` reads
 //! those of the other nodes; `relay` passes changes on within a zone; `swap_leader` orders endpoints to take new weights; `crashes` finds
-//! requests that crash endpoints, `part_crashes` finds parts of prompts that do, and `part_evidence`
-//! shares what is known about these.
+//! requests that crash endpoints, `part_crashes` finds parts of prompts that do, and `crash_evidence`
+//! shares what is known about both.
 
 mod admission;
 mod answer;
 mod attempt;
 mod caller;
 pub mod clock;
+mod crash_evidence;
 mod crashes;
 mod endpoints;
 mod events;
@@ -36,7 +37,6 @@
 pub mod node;
 pub mod options;
 mod part_crashes;
-mod part_evidence;
 pub mod protocol;
 mod readiness;
 mod registration;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -1,5 +1,5 @@
-//! Reads what the nodes publish in the platform's key-value service: their registrations, with the
-//! requests that crash endpoints, and the lock for weight swaps.
+//! Reads what the nodes publish in the platform's key-value service: their registrations, and the lock
+//! for weight swaps.
 
 use std::sync::Arc;
 
@@ -91,14 +91,13 @@
     shared.metrics.record_node_count(after);
 }
 
-/// Merges the crashes counted by other nodes, and records which nodes of the zone may be relays.
+/// Records which nodes of the zone may be relays.
 fn read_entries(shared: &Shared, entries: &[Entry]) {
     let mut zone_nodes = Vec::new();
     for entry in entries {
         let Some(node) = node_of(&entry.key) else { continue };
         match serde_json::from_slice::<NodeEntry>(entry.value.as_bytes()) {
             Ok(node_entry) => {
-                node_entry.merge_into(shared, &node);
                 let address = node_entry.address_in(&shared.options.zone);
                 zone_nodes.extend(address.map(|address| (node, address)));
             }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -22,7 +22,7 @@
 use crate::relay::server::RelayHandler;
 use crate::state::{Placements, Shared};
 use crate::swap_leader::SwapLeader;
-use crate::{crashes, membership, part_crashes, part_evidence, readiness, stores, watch};
+use crate::{crash_evidence, crashes, membership, part_crashes, readiness, stores, watch};
 
 /// How long new requests are served after a stop signal: the load balancer sends some until it has
 /// removed the node, and a stream that starts later may not end in time.
@@ -110,7 +110,7 @@
         );
         watch::start(&shared, &adapter.key_value, &adapter.entry_decoder, &swap_leader);
         membership::start(&shared, &adapter.key_value, &swap_leader);
-        part_evidence::start(&shared, &adapter.key_value);
+        crash_evidence::start(&shared, &adapter.key_value);
         task::spawn(stores::poll_stores(
             Arc::clone(&shared),
             adapter.part_store_protocol,
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use futures::future::{Either, select};
 use serde::{Deserialize, Serialize};
 use yuccapass_decisions::platform_budget::{LeaseHolder, LeaseStep, LeaseTerms, RequestTime};
 use yuccapass_http::sleep_until;
@@ -11,9 +10,8 @@
     Key, KeyValue, KeyValueClient, LeaseId, LeaseTtl, PlatformError, PlatformErrorKind,
     Transaction, Value, Write,
 };
-use yuccapass_types::{Deadline, FencingNumber, Incarnation, NodeId, ZoneId};
+use yuccapass_types::{Deadline, FencingNumber, Incarnation, ZoneId};
 
-use crate::crashes::CrashEntry;
 use crate::state::Shared;
 
 /// Prefix of the keys of nodes.
@@ -26,25 +24,19 @@
 /// Timeout of a call to the key-value service.
 const CALL_TIMEOUT_MS: u64 = 1_500;
 
-/// Pause after a failed call, and before crash counts are published.
+/// Pause after a failed call.
 const RETRY_PAUSE_MS: u64 = 500;
 
 /// The value of a node's registration.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct NodeEntry {
     incarnation: Incarnation,
-    crashes: Vec<CrashEntry>,
     // Absent in entries of versions that had no relays.
     zone: Option<ZoneId>,
     peer_address: Option<SocketAddr>,
 }
 
 impl NodeEntry {
-    /// Merges the crashes counted by the node.
-    pub(crate) fn merge_into(&self, shared: &Shared, node: &NodeId) {
-        shared.crashes.merge(node, self.incarnation, &self.crashes, shared.now());
-    }
-
     /// Returns the node's address for other nodes if it is in `zone`.
     pub(crate) fn address_in(&self, zone: &ZoneId) -> Option<SocketAddr> {
         self.peer_address.filter(|_| self.zone.as_ref() == Some(zone))
@@ -79,24 +71,7 @@
                     }
                 },
             };
-            let sleeping = Box::pin(sleep_until(&*self.shared.clock, wake_at));
-            let changing = Box::pin(self.shared.crashes.changed());
-            if matches!(select(sleeping, changing).await, Either::Right(_)) {
-                self.publish_crashes().await;
-            }
-        }
-    }
-
-    /// Writes the registration again with the current crash counts. It waits before the write, so
-    /// that a crash that breaks many requests costs few writes.
-    async fn publish_crashes(&self) {
-        let pause = Deadline::after_ms(self.shared.now(), RETRY_PAUSE_MS);
-        sleep_until(&*self.shared.clock, pause).await;
-        let Some(lease) = self.lease else { return };
-        let deadline = Deadline::after_ms(self.shared.now(), CALL_TIMEOUT_MS);
-        if let Err(error) = self.write(lease, deadline).await {
-            log::debug!(error:%; "the crash counts of this node could not be published");
-            self.shared.crashes.wake();
+            sleep_until(&*self.shared.clock, wake_at).await;
         }
     }
 
@@ -145,7 +120,6 @@
         let key: Key = format!("{NODE_KEYS}{node}").parse().map_err(|error| invalid(&error))?;
         let entry = NodeEntry {
             incarnation: self.shared.options.incarnation,
-            crashes: self.shared.crashes.reports(self.shared.now()),
             zone: Some(self.shared.options.zone.clone()),
             peer_address: self.shared.options.peer_address,
         };
