gateway: keep to the limits that endpoints name

Cause: no node read the limit. Class: a word of an endpoint about itself that binds all nodes, for which there was no place. The notices of each process of an endpoint are kept in one table that is asked before every request, first attempts and retries. A request that no endpoint may take is refused at once with the time in which the limit allows another one. A limit ends with an answer without it to a request that was sent after it was last named. Conclusion: the rule is kept; a limit of which one node was told should bind the others.

--- /dev/null
+++ b/crates/decisions/src/gateway/endpoint_notices.rs
@@ -0,0 +1,77 @@
+//! What an endpoint says about itself in its answers, and which requests that allows.
+
+use yuccapass_types::{Instant, RequestRate};
+
+use super::rate_share::RateShare;
+
+/// What an answer says about its endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EndpointNotice {
+    /// The requests that the endpoint takes from all nodes together; `None` if it names no limit.
+    pub limit: Option<RequestRate>,
+}
+
+impl EndpointNotice {
+    /// Returns whether the answer says nothing that binds a node.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// A limit that an endpoint names.
+#[derive(Debug, Clone, Copy)]
+struct NamedLimit {
+    rate: RequestRate,
+    // When it was last named.
+    named_at: Instant,
+    share: RateShare,
+}
+
+/// What this node has learned from the answers of one process of an endpoint.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EndpointNotices {
+    limit: Option<NamedLimit>,
+}
+
+impl EndpointNotices {
+    /// Records what an answer says that has arrived at `now` to a request sent at `sent_at`.
+    pub fn record(&mut self, notice: &EndpointNotice, sent_at: Instant, now: Instant) {
+        match (notice.limit, &mut self.limit) {
+            (Some(rate), Some(known)) => (known.rate, known.named_at) = (rate, now),
+            (Some(rate), None) => {
+                self.limit = Some(NamedLimit { rate, named_at: now, share: RateShare::default() });
+            }
+            // An answer that was on its way when the limit was named does not end it.
+            (None, Some(known)) if sent_at > known.named_at => self.limit = None,
+            (None, _) => {}
+        }
+    }
+
+    /// Returns whether nothing binds this node.
+    pub fn is_empty(&self) -> bool {
+        self.limit.is_none()
+    }
+
+    /// Returns whether this node may send a request to the endpoint now. `nodes` is the number of nodes
+    /// that share its limit, and `random`, from 0 to 1, spreads their first requests.
+    pub fn may_send(&mut self, nodes: u32, random: f64, now: Instant) -> bool {
+        self.limit.as_mut().is_none_or(|limit| limit.share.may_send(limit.rate, nodes, random, now))
+    }
+
+    /// Takes the right to send a request now; returns `false` if there is none.
+    #[must_use]
+    pub fn try_send(&mut self, nodes: u32, random: f64, now: Instant) -> bool {
+        let may_send = self.may_send(nodes, random, now);
+        if let Some(limit) = self.limit.as_mut().filter(|_| may_send) {
+            limit.share.record_sent();
+        }
+        may_send
+    }
+
+    /// Returns after which time the endpoint takes another request from some node, in milliseconds;
+    /// `None` if it says nothing about that.
+    pub fn retry_after_ms(&self) -> Option<u64> {
+        let limit = self.limit.as_ref()?;
+        limit.rate.period_us(1).map(|period_us| period_us.div_ceil(1_000))
+    }
+}
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! * [`configuration`] and [`route`]: the operators' configuration.
 //! * [`directory`]: the registered endpoints.
+//! * [`endpoint_notices`]: what an endpoint says about itself, and which requests that allows.
 //! * [`endpoint_tracker`]: load and failures of one endpoint.
 //! * [`fleet`]: how many nodes share the limits that apply to all of them together.
 //! * [`key_validity`]: how long a node may rely on the API keys that it has read.
@@ -14,6 +15,7 @@
 //! * [`next_step`]: whether an attempt is retried, and what the caller gets otherwise.
 //! * [`part_store`]: the prompt parts in a store, and when they may be fetched and saved.
 //! * [`placement`]: which endpoint runs a request.
+//! * [`rate_share`]: this node's share of a request rate that all nodes may send together.
 //! * [`relay`]: changes that a few nodes of each zone read and pass on to the others.
 //! * [`replaced_weights`]: which weights no endpoint serves any more.
 //! * [`retry_share`]: this node's share of the retries that all nodes may make together.
@@ -25,6 +27,7 @@
 
 pub mod configuration;
 pub mod directory;
+pub mod endpoint_notices;
 pub mod endpoint_tracker;
 pub mod fleet;
 pub mod key_validity;
@@ -32,6 +35,7 @@
 pub mod next_step;
 pub mod part_store;
 pub mod placement;
+pub mod rate_share;
 pub mod relay;
 pub mod replaced_weights;
 pub mod retry_share;
@@ -47,6 +51,7 @@
     Organisation, PartStore, Service,
 };
 pub use directory::{Directory, EndpointRecord, EndpointState};
+pub use endpoint_notices::{EndpointNotice, EndpointNotices};
 pub use endpoint_tracker::{EndpointTracker, EndpointTrackerSettings, LoadReport};
 pub use fleet::FleetSize;
 pub use key_validity::KeyValidity;
@@ -56,6 +61,7 @@
 pub use placement::{
     Candidate, Distance, LeastLoaded, Placement, PlacementRequest, PrefixAffinity,
 };
+pub use rate_share::RateShare;
 pub use replaced_weights::ReplacedWeights;
 pub use retry_share::{RetryLimits, RetryShare};
 pub use route::{Priority, PromptPart, Route, RouteKind, WeightedService};
--- a/crates/decisions/src/gateway/next_step.rs
+++ b/crates/decisions/src/gateway/next_step.rs
@@ -79,6 +79,11 @@
         Self { status: 503, code, retry_after_ms: Some(RETRY_AFTER_MS) }
     }
 
+    /// Creates the answer for a request that did not run and can run after this time at the earliest.
+    pub fn not_run_before(code: ResultCode, earliest_ms: u64) -> Self {
+        Self { retry_after_ms: Some(earliest_ms.max(RETRY_AFTER_MS)), ..Self::not_run(code) }
+    }
+
     /// Creates the answer for a request that is blocked for a while.
     pub const fn blocked(code: ResultCode) -> Self {
         Self { status: 503, code, retry_after_ms: Some(BLOCKED_RETRY_AFTER_MS) }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -204,6 +204,9 @@
             record_outdated_answer(shared, request, target, sent_at);
         }
     }
+    if let Some(notice) = &received.info.notice {
+        shared.notices.record((&target.id, &target.record), notice, sent_at, now);
+    }
     if let Some(load) = received.info.load {
         shared
             .endpoints
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -77,8 +77,9 @@
     let mut events = EventSplitter::default();
     let mut next_target = choose(shared, request, &attempts.tried);
     loop {
-        let Some(target) = next_target else {
-            return refuse(shared, request, answer, no_endpoint_refusal(&attempts)).await;
+        let Some(target) = take_turn(shared, request, next_target, &attempts.tried) else {
+            let refusal = no_endpoint_refusal(shared, request, &attempts);
+            return refuse(shared, request, answer, refusal).await;
         };
         attempts.tried.push(target.id.clone());
         let limit = attempt_limit(shared, request, &attempts);
@@ -103,6 +104,23 @@
     }
 }
 
+/// Takes the right to send the request to the chosen endpoint, or chooses another one if that was taken by
+/// another request meanwhile.
+fn take_turn(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    mut chosen: Option<Target>,
+    tried: &[EndpointId],
+) -> Option<Target> {
+    loop {
+        let target = chosen?;
+        if shared.notices.try_send(&target.id, &target.record, shared.nodes(), shared.now()) {
+            return Some(target);
+        }
+        chosen = choose(shared, request, tried);
+    }
+}
+
 /// Decides what follows a failed attempt.
 fn decide(
     shared: &Shared,
@@ -141,10 +159,10 @@
 /// An endpoint of the directory.
 type DirectoryEntry<'a> = (&'a EndpointId, &'a EndpointRecord);
 
-/// Chooses an endpoint that was not tried yet: a warm one without recent failures, else any warm
+/// Chooses an endpoint that was not tried yet and takes another request of this node: a warm one without recent failures, else any warm
 /// one, else a cold one within this node's share of its capacity.
 fn choose(shared: &Shared, request: &Admitted<'_>, tried: &[EndpointId]) -> Option<Target> {
-    let now = shared.now();
+    let (now, nodes) = (shared.now(), shared.nodes());
     let directory = shared.directory();
     let reserve_ms =
         (shared.options.swap_limits.bound_ms * RESERVE_TENTHS / 10).min(MAX_RESERVE_MS);
@@ -159,6 +177,7 @@
         .copied()
         .filter(|(id, _)| !tried.contains(id))
         .filter(|(_, record)| !is_overdue(record))
+        .filter(|(id, record)| shared.notices.may_send(id, record, nodes, now))
         .collect();
     let is_cold =
         |record: &EndpointRecord| record.cold_until.is_some_and(|until| !until.has_passed(now));
@@ -278,10 +297,19 @@
 }
 
 /// Returns the error answer for a request without an endpoint that is left to try.
-fn no_endpoint_refusal(attempts: &Attempts) -> Refusal {
-    match attempts.may_have_run {
-        false => Refusal::not_run(ResultCode::NoEndpoint),
-        true => Refusal::without_retry(502, ResultCode::EndpointFailed),
+fn no_endpoint_refusal(shared: &Shared, request: &Admitted<'_>, attempts: &Attempts) -> Refusal {
+    if attempts.may_have_run {
+        return Refusal::without_retry(502, ResultCode::EndpointFailed);
+    }
+    let directory = shared.directory();
+    let untried = directory
+        .eligible(request.service, &request.regions)
+        .into_iter()
+        .filter(|(id, _)| !attempts.tried.contains(id));
+    let waits_ms = untried.filter_map(|(id, record)| shared.notices.retry_after_ms(id, record));
+    match waits_ms.min() {
+        Some(earliest_ms) => Refusal::not_run_before(ResultCode::NoEndpoint, earliest_ms),
+        None => Refusal::not_run(ResultCode::NoEndpoint),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,8 @@
 //! endpoints and retries, and `attempt` makes one attempt at an endpoint. `events` splits streams
 //! into events, and `answer` writes to the caller.
 //!
-//! State and background tasks: `endpoints` has the load, failures and connections of the endpoints;
+//! State and background tasks: `endpoints` has the load, failures and connections of the endpoints, and
+//! `notices` what they say about themselves;
 //! `stores` polls the stores of prompt parts; `exchange` sends this node's own requests to
 //! endpoints and stores; `watch` keeps the configuration and the directory up to date;
 //! `registration` maintains this node's entry in the key-value service, and `membership` reads
@@ -35,6 +36,7 @@
 mod membership;
 mod metrics;
 pub mod node;
+mod notices;
 pub mod options;
 mod part_crashes;
 pub mod protocol;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -6,8 +6,8 @@
 use smol_str::SmolStr;
 use snafu::Snafu;
 use yuccapass_decisions::gateway::{
-    Configuration, EndpointRecord, EngineReport, LoadReport, PartEvents, PartTransfers, Priority,
-    PromptPart,
+    Configuration, EndpointNotice, EndpointRecord, EngineReport, LoadReport, PartEvents,
+    PartTransfers, Priority, PromptPart,
 };
 use yuccapass_http::message::{RequestHead, ResponseHead};
 use yuccapass_platform::{Key, Value};
@@ -77,6 +77,9 @@
     pub load: Option<LoadReport>,
     /// The weights that the endpoint serves.
     pub weights: Option<WeightRevision>,
+    /// What the endpoint says about itself; `None` if the answer is not about the endpoint that was
+    /// asked, or cannot be read.
+    pub notice: Option<EndpointNotice>,
 }
 
 /// Encodes and decodes the messages of callers and endpoints.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use crate::crashes::CrashTracker;
 use crate::endpoints::EndpointTable;
 use crate::metrics::Metrics;
+use crate::notices::NoticeTable;
 use crate::options::GatewayOptions;
 use crate::part_crashes::PartCrashTracker;
 use crate::protocol::Protocol;
@@ -34,6 +35,7 @@
     pub(crate) protocol: Arc<dyn Protocol>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) endpoints: EndpointTable,
+    pub(crate) notices: NoticeTable,
     pub(crate) stores: StoreTable,
     pub(crate) crashes: CrashTracker,
     pub(crate) part_crashes: PartCrashTracker,
@@ -66,6 +68,7 @@
             protocol,
             endpoints: EndpointTable::new(Arc::clone(&clock), options.silence_ms),
             clock,
+            notices: NoticeTable::default(),
             stores: StoreTable::default(),
             relay: RelayTable::default(),
             crashes: CrashTracker::new(options.node.clone(), options.incarnation),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,7 +4,7 @@
 //! pass on as a [`Clock`] trait object.
 //!
 //! * [`ids`]: checked newtypes for names and numbers that identify something.
-//! * [`units`]: newtypes for sizes, token counts and rates.
+//! * [`units`] and [`request_rate`]: newtypes for sizes, token counts and rates.
 //! * [`time`]: instants and deadlines on a process-local monotonic clock.
 //! * [`block`]: salted hash chains over prompt prefixes.
 //! * [`checksummed_block`]: KV cache blocks with a checksum, for transfers between endpoints and
@@ -16,6 +16,7 @@
 pub mod block;
 pub mod checksummed_block;
 pub mod ids;
+pub mod request_rate;
 pub mod result_code;
 pub mod sharded;
 pub mod shared;
@@ -31,6 +32,7 @@
     PromptPartId, RegionId, RequestId, Revision, RouteId, ServiceId, StoreId, WeightRevision,
     WeightVersion, ZoneId,
 };
+pub use request_rate::{ParseRequestRateError, RequestRate};
 pub use result_code::{ResultCode, RunState};
 pub use sharded::Sharded;
 pub use shared::Shared;
