attempt: do not take an answer without a request id for one's own on a kept connection

Callers saw (a report of other operators): 'not run, try again' for a request that an endpoint had run, or a second run of a request that may run once. Cause: an answer with the id of another request is skipped, but one without an id was taken as the answer to the request that had just been sent. On a kept connection it may be an earlier refusal that a faulty endpoint writes once more. Class: identity that is checked only where it is given. Change: on a connection that was used before, an answer without an id counts as broken: the request may have run. Not checked: answers to orders and reports of engines carry no id.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -174,7 +174,7 @@
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
-    let mut connection =
+    let (mut connection, is_reused) =
         match shared.endpoints.connect(&target.id, &target.record, request.deadline).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -183,7 +183,7 @@
         };
     let message = request_message(shared, request, target, events);
     let sent_at = shared.now();
-    let exchange = exchange(shared, request, &mut connection, &message);
+    let exchange = exchange(shared, request, &mut connection, is_reused, &message);
     let received = match within_weights_bound(shared, request, target, limit, exchange).await {
         Ok(Ok(received)) => received,
         Ok(Err(error)) => return AttemptOutcome::Failed(FailedAttempt::broken(error)),
@@ -383,11 +383,12 @@
     shared: &Shared,
     request: &Admitted<'_>,
     connection: &mut Connection,
+    is_reused: bool,
     message: &[u8],
 ) -> Result<Received, MessageError> {
     let mut writer = connection.writer();
     let writing = Box::pin(async move { writer.write_all(message).await });
-    let reading = Box::pin(read_own_head(shared, request, connection));
+    let reading = Box::pin(read_own_head(shared, request, connection, is_reused));
     match select(writing, reading).await {
         Either::Left((Ok(()), reading)) => reading.await,
         // The endpoint may have answered before it closed the connection.
@@ -402,11 +403,12 @@
 }
 
 /// Reads answer heads until one belongs to this request. On a reused connection, an endpoint may
-/// first send a duplicate answer to an earlier request.
+/// first send a duplicate answer to an earlier request, or one that does not say to which.
 async fn read_own_head(
     shared: &Shared,
     request: &Admitted<'_>,
     connection: &mut Connection,
+    is_reused: bool,
 ) -> Result<Received, MessageError> {
     let limits = shared.options.answer_limits;
     let (mut stray_answers, mut interim_answers) = (0, 0);
@@ -423,6 +425,10 @@
         let framing = Framing::of_response(&head, &request.message.head.method)
             .map_err(|error| MessageError::Malformed { detail: error.to_string() })?;
         let info = shared.protocol.endpoint_answer(&head);
+        if is_reused && info.request_id.is_none() && !request.caller.id.is_empty() {
+            let detail = "the answer does not say to which request it belongs".to_owned();
+            return Err(MessageError::Malformed { detail });
+        }
         let is_stray = info.request_id.as_ref().is_some_and(|id| *id != request.caller.id);
         if !is_stray {
             return Ok(Received { head, info, framing, is_request_written: true });
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -82,7 +82,7 @@
         OutstandingRequest { table: self, id: id.clone(), tokens }
     }
 
-    /// Returns an idle connection, or opens a new one.
+    /// Returns an idle connection, or opens a new one, and whether it was used before.
     ///
     /// # Errors
     ///
@@ -92,9 +92,9 @@
         id: &EndpointId,
         record: &EndpointRecord,
         deadline: Deadline,
-    ) -> std::io::Result<Connection> {
+    ) -> std::io::Result<(Connection, bool)> {
         if let Some(connection) = self.take_idle(id, record) {
-            return Ok(connection);
+            return Ok((connection, true));
         }
         let limit = Deadline::after_ms(self.clock.now(), CONNECT_TIMEOUT_MS).earlier(deadline);
         let connection = with_deadline(&*self.clock, limit, Connection::open(record.address))
@@ -106,7 +106,7 @@
                 "the dead-peer timeout of a connection could not be set"
             );
         }
-        Ok(connection)
+        Ok((connection, false))
     }
 
     /// Keeps an idle connection for another request, if the endpoint keeps it open after this
--- a/crates/gateway/src/swap_leader.rs
+++ b/crates/gateway/src/swap_leader.rs
@@ -380,7 +380,8 @@
         deadline: Deadline,
     ) -> Result<Connection, MessageError> {
         let connecting = self.shared.endpoints.connect(endpoint, record, deadline);
-        connecting.await.map_err(|source| MessageError::Io { source })
+        let (connection, _) = connecting.await.map_err(|source| MessageError::Io { source })?;
+        Ok(connection)
     }
 
     /// Returns how long a new leader waits. The previous one gave no orders in the margin at the
