gateway: send nothing to an endpoint that says that it leaves

Cause: Server-Leaving was read by nothing; a node stopped only when the registration changed, which some endpoints never do before they leave (DRAIN). Change: a notice of the answer, kept for the process of the endpoint beyond a lapse of its registration. A process that leaves does not come back; one that starts again under its id is another.

--- a/crates/decisions/src/gateway/endpoint_notices.rs
+++ b/crates/decisions/src/gateway/endpoint_notices.rs
@@ -9,6 +9,8 @@
 pub struct EndpointNotice {
     /// The requests that the endpoint takes from all nodes together; `None` if it names no limit.
     pub limit: Option<RequestRate>,
+    /// Whether the endpoint is about to leave.
+    pub is_leaving: bool,
 }
 
 impl EndpointNotice {
@@ -31,11 +33,14 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EndpointNotices {
     limit: Option<NamedLimit>,
+    // A process that leaves does not come back.
+    is_leaving: bool,
 }
 
 impl EndpointNotices {
     /// Records what an answer says that has arrived at `now` to a request sent at `sent_at`.
     pub fn record(&mut self, notice: &EndpointNotice, sent_at: Instant, now: Instant) {
+        self.is_leaving |= notice.is_leaving;
         match (notice.limit, &mut self.limit) {
             (Some(rate), Some(known)) => (known.rate, known.named_at) = (rate, now),
             (Some(rate), None) => {
@@ -49,13 +54,15 @@
 
     /// Returns whether nothing binds this node.
     pub fn is_empty(&self) -> bool {
-        self.limit.is_none()
+        self.limit.is_none() && !self.is_leaving
     }
 
     /// Returns whether this node may send a request to the endpoint now. `nodes` is the number of nodes
     /// that share its limit, and `random`, from 0 to 1, spreads their first requests.
     pub fn may_send(&mut self, nodes: u32, random: f64, now: Instant) -> bool {
-        self.limit.as_mut().is_none_or(|limit| limit.share.may_send(limit.rate, nodes, random, now))
+        let has_turn =
+            |limit: &mut NamedLimit| limit.share.may_send(limit.rate, nodes, random, now);
+        !self.is_leaving && self.limit.as_mut().is_none_or(has_turn)
     }
 
     /// Takes the right to send a request now; returns `false` if there is none.
@@ -71,7 +78,7 @@
     /// Returns after which time the endpoint takes another request from some node, in milliseconds;
     /// `None` if it says nothing about that.
     pub fn retry_after_ms(&self) -> Option<u64> {
-        let limit = self.limit.as_ref()?;
+        let limit = self.limit.as_ref().filter(|_| !self.is_leaving)?;
         limit.rate.period_us(1).map(|period_us| period_us.div_ceil(1_000))
     }
 }
--- a/crates/decisions/tests/endpoint_limit.rs
+++ b/crates/decisions/tests/endpoint_limit.rs
@@ -49,7 +49,7 @@
 }
 
 fn named(per_s: f64) -> EndpointNotice {
-    EndpointNotice { limit: Some(rate(per_s)) }
+    EndpointNotice { limit: Some(rate(per_s)), ..EndpointNotice::default() }
 }
 
 /// Guards against nodes that together send more than an endpoint's limit, at three sizes, with a demand
--- a/crates/decisions/tests/endpoint_limit_model/mod.rs
+++ b/crates/decisions/tests/endpoint_limit_model/mod.rs
@@ -91,7 +91,8 @@
 
 impl NodeLimit for EndpointNotices {
     fn told(&mut self, limit: RequestRate, sent_at: Instant, now: Instant) {
-        self.record(&EndpointNotice { limit: Some(limit) }, sent_at, now);
+        let notice = EndpointNotice { limit: Some(limit), ..EndpointNotice::default() };
+        self.record(&notice, sent_at, now);
     }
 
     fn sends(&mut self, nodes: u32, random: f64, now: Instant) -> bool {
