gateway: send nothing to an endpoint in the time for which it asks for a pause

Callers saw refusals that told them to come back after 250 ms whatever the endpoints had asked for. Change: a notice of the answer; the longest pause holds. A refusal that has not run names the time after which the first endpoint takes a request again, if all are held back by what they said.

--- a/crates/decisions/src/gateway/endpoint_notices.rs
+++ b/crates/decisions/src/gateway/endpoint_notices.rs
@@ -1,9 +1,12 @@
 //! What an endpoint says about itself in its answers, and which requests that allows.
 
-use yuccapass_types::{Instant, RequestRate};
+use yuccapass_types::{Deadline, Instant, RequestRate};
 
 use super::rate_share::RateShare;
 
+/// The longest pause for which an endpoint can ask.
+const MAX_PAUSE_MS: u64 = 600_000;
+
 /// What an answer says about its endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct EndpointNotice {
@@ -11,6 +14,8 @@
     pub limit: Option<RequestRate>,
     /// Whether the endpoint is about to leave.
     pub is_leaving: bool,
+    /// For how long the endpoint wants nothing from this node, which it has turned away.
+    pub pause_ms: Option<u64>,
 }
 
 impl EndpointNotice {
@@ -35,12 +40,17 @@
     limit: Option<NamedLimit>,
     // A process that leaves does not come back.
     is_leaving: bool,
+    pause_end: Option<Deadline>,
 }
 
 impl EndpointNotices {
     /// Records what an answer says that has arrived at `now` to a request sent at `sent_at`.
     pub fn record(&mut self, notice: &EndpointNotice, sent_at: Instant, now: Instant) {
         self.is_leaving |= notice.is_leaving;
+        self.pause_end = self.pause_end.filter(|end| !end.has_passed(now));
+        let pause_end = notice.pause_ms.map(|ms| Deadline::after_ms(now, ms.min(MAX_PAUSE_MS)));
+        // Answers may overtake each other, so a shorter pause does not end a longer one.
+        self.pause_end = self.pause_end.max(pause_end);
         match (notice.limit, &mut self.limit) {
             (Some(rate), Some(known)) => (known.rate, known.named_at) = (rate, now),
             (Some(rate), None) => {
@@ -54,7 +64,7 @@
 
     /// Returns whether nothing binds this node.
     pub fn is_empty(&self) -> bool {
-        self.limit.is_none() && !self.is_leaving
+        self.limit.is_none() && !self.is_leaving && self.pause_end.is_none()
     }
 
     /// Returns whether this node may send a request to the endpoint now. `nodes` is the number of nodes
@@ -62,7 +72,8 @@
     pub fn may_send(&mut self, nodes: u32, random: f64, now: Instant) -> bool {
         let has_turn =
             |limit: &mut NamedLimit| limit.share.may_send(limit.rate, nodes, random, now);
-        !self.is_leaving && self.limit.as_mut().is_none_or(has_turn)
+        let is_paused = self.pause_end.is_some_and(|end| !end.has_passed(now));
+        !self.is_leaving && !is_paused && self.limit.as_mut().is_none_or(has_turn)
     }
 
     /// Takes the right to send a request now; returns `false` if there is none.
@@ -75,10 +86,14 @@
         may_send
     }
 
-    /// Returns after which time the endpoint takes another request from some node, in milliseconds;
-    /// `None` if it says nothing about that.
-    pub fn retry_after_ms(&self) -> Option<u64> {
-        let limit = self.limit.as_ref().filter(|_| !self.is_leaving)?;
-        limit.rate.period_us(1).map(|period_us| period_us.div_ceil(1_000))
+    /// Returns after which time the endpoint takes another request from this node, or from any node if it
+    /// only names a limit, in milliseconds; `None` if it says nothing about that.
+    pub fn retry_after_ms(&self, now: Instant) -> Option<u64> {
+        if self.is_leaving {
+            return None;
+        }
+        let pause_ms = self.pause_end.map(|end| end.remaining_ms(now));
+        let period_us = self.limit.as_ref().and_then(|limit| limit.rate.period_us(1));
+        pause_ms.max(period_us.map(|period_us| period_us.div_ceil(1_000)))
     }
 }
--- a/crates/decisions/src/gateway/next_step.rs
+++ b/crates/decisions/src/gateway/next_step.rs
@@ -79,9 +79,9 @@
         Self { status: 503, code, retry_after_ms: Some(RETRY_AFTER_MS) }
     }
 
-    /// Creates the answer for a request that did not run and can run after this time at the earliest.
-    pub fn not_run_before(code: ResultCode, earliest_ms: u64) -> Self {
-        Self { retry_after_ms: Some(earliest_ms.max(RETRY_AFTER_MS)), ..Self::not_run(code) }
+    /// Tells the caller to retry after this time at the earliest, unless it should not retry.
+    pub fn not_before(self, earliest_ms: u64) -> Self {
+        Self { retry_after_ms: self.retry_after_ms.map(|ms| ms.max(earliest_ms)), ..self }
     }
 
     /// Creates the answer for a request that is blocked for a while.
--- a/crates/decisions/tests/endpoint_limit.rs
+++ b/crates/decisions/tests/endpoint_limit.rs
@@ -139,7 +139,25 @@
 
     // Assert
     assert!(!is_sent);
-    assert_eq!(notices.retry_after_ms(), None);
+    assert_eq!(notices.retry_after_ms(at(2)), None);
+}
+
+/// Guards against a pause that ends because of a later answer with a shorter one, or that never ends.
+#[test]
+fn the_longest_pause_holds() {
+    // Arrange
+    let pause = |ms| EndpointNotice { pause_ms: Some(ms), ..EndpointNotice::default() };
+    let mut notices = EndpointNotices::default();
+
+    // Act
+    notices.record(&pause(3_000), at(0), at(100));
+    notices.record(&pause(1_000), at(50), at(200));
+    notices.record(&EndpointNotice::default(), at(150), at(300));
+
+    // Assert
+    assert_eq!(notices.retry_after_ms(at(1_100)), Some(2_000));
+    assert!(!notices.try_send(9, 0.0, at(3_099)));
+    assert!(notices.try_send(9, 0.0, at(3_100)));
 }
 
 /// Guards against limits that are misread.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -78,8 +78,7 @@
     let mut next_target = choose(shared, request, &attempts.tried);
     loop {
         let Some(target) = take_turn(shared, request, next_target, &attempts.tried) else {
-            let refusal = no_endpoint_refusal(shared, request, &attempts);
-            return refuse(shared, request, answer, refusal).await;
+            return refuse(shared, request, answer, no_endpoint_refusal(&attempts)).await;
         };
         attempts.tried.push(target.id.clone());
         let limit = attempt_limit(shared, request, &attempts);
@@ -297,20 +296,27 @@
 }
 
 /// Returns the error answer for a request without an endpoint that is left to try.
-fn no_endpoint_refusal(shared: &Shared, request: &Admitted<'_>, attempts: &Attempts) -> Refusal {
-    if attempts.may_have_run {
-        return Refusal::without_retry(502, ResultCode::EndpointFailed);
+fn no_endpoint_refusal(attempts: &Attempts) -> Refusal {
+    match attempts.may_have_run {
+        false => Refusal::not_run(ResultCode::NoEndpoint),
+        true => Refusal::without_retry(502, ResultCode::EndpointFailed),
     }
+}
+
+/// Returns when the first endpoint of the request's service takes another one, in milliseconds; `None` if
+/// some endpoint does now, or none says when it does.
+fn earliest_ms(shared: &Shared, request: &Admitted<'_>) -> Option<u64> {
+    let (now, nodes) = (shared.now(), shared.nodes());
     let directory = shared.directory();
-    let untried = directory
-        .eligible(request.service, &request.regions)
-        .into_iter()
-        .filter(|(id, _)| !attempts.tried.contains(id));
-    let waits_ms = untried.filter_map(|(id, record)| shared.notices.retry_after_ms(id, record));
-    match waits_ms.min() {
-        Some(earliest_ms) => Refusal::not_run_before(ResultCode::NoEndpoint, earliest_ms),
-        None => Refusal::not_run(ResultCode::NoEndpoint),
+    let mut earliest_ms = None;
+    for (id, record) in directory.eligible(request.service, &request.regions) {
+        if shared.notices.may_send(id, record, nodes, now) {
+            return None;
+        }
+        let wait_ms = shared.notices.retry_after_ms(id, record, now);
+        earliest_ms = earliest_ms.into_iter().chain(wait_ms).min();
     }
+    earliest_ms
 }
 
 /// Returns the error answer for a request that was blocked after its first attempt.
@@ -346,6 +352,8 @@
     if answer.has_begun() {
         return RequestOutcome::BrokenOff;
     }
+    let refusal =
+        earliest_ms(shared, request).map_or(refusal, |earliest_ms| refusal.not_before(earliest_ms));
     match answer.refuse(&*shared.protocol, request.caller, refusal).await {
         Ok(()) => RequestOutcome::Refused(refusal),
         Err(_) => RequestOutcome::CallerGone,
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -88,8 +88,13 @@
 
     /// Returns after which time an endpoint takes another request from some node, in milliseconds, if it
     /// says anything about that.
-    pub(crate) fn retry_after_ms(&self, id: &EndpointId, record: &EndpointRecord) -> Option<u64> {
-        self.with(id, record, |notices| notices.retry_after_ms()).flatten()
+    pub(crate) fn retry_after_ms(
+        &self,
+        id: &EndpointId,
+        record: &EndpointRecord,
+        now: Instant,
+    ) -> Option<u64> {
+        self.with(id, record, |notices| notices.retry_after_ms(now)).flatten()
     }
 
     fn with<R>(
