gateway: let many nodes use a small capacity of a cold endpoint

Each node's share of what a cold endpoint sustains was rounded down to thousandths of a request a second: with 0.3 a second and 340 nodes nothing was left, so no node used the endpoint. Class: a bound of all nodes that is split by their number and rounded. Change: the rate is divided as a period in microseconds, as for the limits that endpoints name.

--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -1,6 +1,6 @@
 //! Load and failures of one endpoint, as seen by this node.
 
-use yuccapass_types::{Deadline, Instant, RequestsPerSecond, Tokens};
+use yuccapass_types::{Deadline, Instant, RequestRate, Tokens};
 
 /// The load that an endpoint reports with an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -46,9 +46,6 @@
 /// Weight of a new sample in the moving average of prompt lengths.
 const MEAN_TOKENS_WEIGHT: f64 = 0.05;
 
-/// Period of a rate of one thousandth of a request per second.
-const MILLI_RATE_PERIOD_MS: u64 = 1_000_000;
-
 /// Weight of a new sample in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
@@ -196,22 +193,21 @@
         is_pending(self.avoid_until, now)
     }
 
-    /// Returns whether this node may send a request to the endpoint while it is cold. `milli_rate`
-    /// is the rate that the node may send, in thousandths of a request per second.
+    /// Returns whether this node may send a request to the endpoint while it is cold. `rate` is what
+    /// `nodes` nodes may send together.
     ///
     /// Unused capacity does not accumulate, and the first request is delayed by `random`, from 0 to
     /// 1, times the period. Otherwise all nodes would send a request at the moment at which the
     /// endpoint becomes cold.
     pub fn may_send_cold(
         &mut self,
-        milli_rate: RequestsPerSecond,
+        rate: RequestRate,
+        nodes: u32,
         random: f64,
         now: Instant,
     ) -> bool {
-        if milli_rate == RequestsPerSecond::ZERO {
-            return false;
-        }
-        self.cold_period_ms = MILLI_RATE_PERIOD_MS / milli_rate.get();
+        let Some(period_us) = rate.period_us(nodes) else { return false };
+        self.cold_period_ms = period_us / 1_000;
         let is_unused =
             self.next_cold_at.is_none_or(|from| now.ms_since(from) > self.cold_period_ms);
         if is_unused {
--- a/crates/decisions/tests/gateway_soundness.rs
+++ b/crates/decisions/tests/gateway_soundness.rs
@@ -12,7 +12,7 @@
     EndpointTracker, EndpointTrackerSettings, FleetSize, KeyValidity, KeyVerdict, NextStep,
     Organisation, RetryLimits, RetryShare, RouteKind,
 };
-use yuccapass_types::{KeyHash, NodeId, RequestsPerSecond, Revision, SortedMap};
+use yuccapass_types::{KeyHash, NodeId, RequestRate, Revision, SortedMap};
 
 const REVOKE_BOUND_MS: u64 = 5_000;
 const RESUMABLE: RouteKind = RouteKind::Streaming { is_resumable: true };
@@ -156,15 +156,14 @@
     const CAPACITY_PER_S: f64 = 13.0;
     const FRACTION: f64 = 0.7;
     for nodes in [1_u32, 3, 9, 87] {
-        let rate =
-            RequestsPerSecond::new((CAPACITY_PER_S * FRACTION * 1_000.0 / f64::from(nodes)) as u64);
+        let rate = RequestRate::from_per_s(CAPACITY_PER_S * FRACTION).expect("the rate is valid");
         let mut trackers: Vec<EndpointTracker> =
             (0..nodes).map(|_| EndpointTracker::new(EndpointTrackerSettings::default())).collect();
         let mut random = StdRng::seed_from_u64(u64::from(nodes));
         let mut sent = Vec::new();
         for now in (0..20_000).step_by(20) {
             for tracker in &mut trackers {
-                if tracker.may_send_cold(rate, random.random(), at(now)) {
+                if tracker.may_send_cold(rate, nodes, random.random(), at(now)) {
                     tracker.record_sent_cold(at(now));
                     sent.push(now);
                 }
@@ -179,6 +178,31 @@
     }
 }
 
+/// Guards against a cold endpoint that gets nothing because its capacity is small for the number of nodes.
+#[test]
+fn a_small_capacity_of_a_cold_endpoint_is_used_by_many_nodes() {
+    // Arrange
+    const NODES: u32 = 340;
+    let rate = RequestRate::from_per_s(0.3).expect("the rate is valid");
+    let mut trackers: Vec<EndpointTracker> =
+        (0..NODES).map(|_| EndpointTracker::new(EndpointTrackerSettings::default())).collect();
+    let mut random = StdRng::seed_from_u64(1);
+
+    // Act
+    let mut sent = 0;
+    for now in (0..60_000).step_by(50) {
+        for tracker in &mut trackers {
+            if tracker.may_send_cold(rate, NODES, random.random(), at(now)) {
+                tracker.record_sent_cold(at(now));
+                sent += 1;
+            }
+        }
+    }
+
+    // Assert
+    assert!((9..=27).contains(&sent), "{sent} requests in 60 s, capacity 18");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..Default::default() })]
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,7 +8,7 @@
     AttemptFailure, AttemptSummary, Candidate, Directory, EndpointRecord, NextStep,
     PlacementRequest, Refusal,
 };
-use yuccapass_types::{Deadline, EndpointId, RequestsPerSecond, ResultCode};
+use yuccapass_types::{Deadline, EndpointId, RequestRate, ResultCode};
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
@@ -28,9 +28,9 @@
 /// it finds.
 const MAX_RESERVE_MS: u64 = 2_000;
 
-/// Share of a cold endpoint's capacity that all nodes together use, in thousandths. The rest allows
-/// for nodes that disagree about their number.
-const COLD_SHARE_MILLI: f64 = 700.0;
+/// Share of a cold endpoint's capacity that all nodes together use. The rest allows for nodes that
+/// disagree about their number.
+const COLD_SHARE: f64 = 0.7;
 
 /// The outcome of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -204,12 +204,12 @@
     cold: Vec<DirectoryEntry<'a>>,
 ) -> Option<DirectoryEntry<'a>> {
     let now = shared.now();
-    let rate = cold_rate(shared, request);
+    let (rate, nodes) = (cold_rate(request), shared.nodes());
     let may_send = |(id, record): &DirectoryEntry<'_>| {
         let random = rand::random();
         shared
             .endpoints
-            .with_tracker(id, record, |tracker| tracker.may_send_cold(rate, random, now))
+            .with_tracker(id, record, |tracker| tracker.may_send_cold(rate, nodes, random, now))
     };
     let allowed: Vec<_> = cold.into_iter().filter(may_send).collect();
     let (id, record) = place(shared, directory, request, &allowed)?;
@@ -241,11 +241,10 @@
     (!is_failing).then_some(record.address)
 }
 
-/// Returns the rate that this node may send to each cold endpoint, in thousandths of a request per
-/// second.
-fn cold_rate(shared: &Shared, request: &Admitted<'_>) -> RequestsPerSecond {
-    let milli_rate = request.cold_requests_per_s * COLD_SHARE_MILLI / f64::from(shared.nodes());
-    RequestsPerSecond::new(milli_rate as u64)
+/// Returns the rate that all nodes together may send to each cold endpoint.
+fn cold_rate(request: &Admitted<'_>) -> RequestRate {
+    // A capacity that is not valid allows nothing.
+    RequestRate::from_per_s(request.cold_requests_per_s * COLD_SHARE).unwrap_or_default()
 }
 
 /// Chooses one of these endpoints, preferably one with the target weights.
