crash guard: do not suspect a request that is answered during a probe

A probe of an endpoint whose host is gone lasts 300 ms; another endpoint has answered the request long before, which cleared nothing yet, and then the crash was counted. Two of these within a minute blocked a sound request. Class: evidence that is ordered by its arrival instead of by what happened. Change: an answer ends the probes of its fingerprint, and their results are not counted.

--- a/crates/decisions/src/crash_guard.rs
+++ b/crates/decisions/src/crash_guard.rs
@@ -168,6 +168,9 @@
     // Blocks that this node or another one has announced. They outlast the processes that counted the
     // crashes.
     announced: SortedMap<Fingerprint, Deadline>,
+    // The number of ended attempts whose endpoints are being probed. An answer removes those of its
+    // fingerprint.
+    probes: SortedMap<Fingerprint, u32>,
     last_number: u64,
 }
 
@@ -180,6 +183,7 @@
             settings,
             counts: SortedMap::new(),
             announced: SortedMap::new(),
+            probes: SortedMap::new(),
             last_number: 0,
         }
     }
@@ -217,6 +221,22 @@
         counted
     }
 
+    /// Records that an attempt has ended without an answer and that its endpoint is probed.
+    pub fn begin_probe(&mut self, fingerprint: Fingerprint) {
+        *self.probes.get_or_insert_with(fingerprint, || 0) += 1;
+    }
+
+    /// Records that a probe is over; returns whether a crash may be counted. It may not if the request
+    /// was answered since [`begin_probe`](Self::begin_probe).
+    pub fn end_probe(&mut self, fingerprint: Fingerprint) -> bool {
+        let Some(count) = self.probes.get_mut(&fingerprint) else { return false };
+        *count -= 1;
+        if *count == 0 {
+            self.probes.remove(&fingerprint);
+        }
+        true
+    }
+
     /// Counts a crash of an endpoint to which this node sent a request at `sent_at`, and which ended the
     /// request at `ended_at`.
     ///
@@ -240,6 +260,7 @@
 
     /// Clears a suspect that completed; a blocked fingerprint stays blocked.
     pub fn record_completion(&mut self, fingerprint: Fingerprint, now: Instant) {
+        self.probes.remove(&fingerprint);
         if self.status(fingerprint, now) != FingerprintStatus::Suspect {
             return;
         }
@@ -346,9 +367,9 @@
         self.counts.len()
     }
 
-    /// Returns whether no fingerprint is suspected or blocked.
+    /// Returns whether no fingerprint is suspected, blocked or waits for a probe.
     pub fn is_empty(&self) -> bool {
-        self.counts.is_empty() && self.announced.is_empty()
+        self.counts.is_empty() && self.announced.is_empty() && self.probes.is_empty()
     }
 
     fn expiry(&self, counts: &CrashCounts) -> Deadline {
--- a/crates/decisions/tests/crash_guard.rs
+++ b/crates/decisions/tests/crash_guard.rs
@@ -82,6 +82,23 @@
     assert!(matches!(guard.status(numbered(1), at(311)), FingerprintStatus::Blocked { .. }));
 }
 
+/// Guards against suspecting a request that another endpoint has answered while the first one is probed.
+#[test]
+fn a_request_that_is_answered_during_a_probe_is_not_suspected() {
+    // Arrange
+    let mut guard = guard("n");
+    guard.begin_probe(numbered(1));
+    guard.begin_probe(numbered(2));
+
+    // Act
+    guard.record_completion(numbered(1), at(10));
+    let may_count = [guard.end_probe(numbered(1)), guard.end_probe(numbered(2))];
+
+    // Assert
+    assert_eq!(may_count, [false, true]);
+    assert!(guard.is_empty());
+}
+
 /// Guards against blocking harmless requests that ran at an endpoint beside a crashing one.
 #[test]
 fn requests_beside_a_suspect_are_not_counted() {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -96,7 +96,9 @@
         let fingerprint = fingerprint(request.message, request.organisation);
         // When many connections break at once, probing the first ones is enough.
         let attempt = BrokenAttempt { request_id, fingerprint, endpoint, sent_at, ended_at };
+        self.with(|guard| guard.begin_probe(fingerprint));
         if let Err(error) = self.broken.0.try_send(attempt) {
+            self.with(|guard| guard.end_probe(fingerprint));
             log::info!(
                 request_id = error.into_inner().request_id.as_str(), endpoint:%;
                 "a broken attempt is not counted as a crash: too many probes wait"
@@ -107,11 +109,13 @@
     /// Records that a request was answered with success.
     pub(crate) fn record_answer(&self, request: &Admitted<'_>, now: Instant) {
         let is_cleared = self.with(|guard| {
-            let fingerprint =
-                (!guard.is_empty()).then(|| fingerprint(request.message, request.organisation));
-            let suspect =
-                fingerprint.filter(|&known| guard.status(known, now) == FingerprintStatus::Suspect);
-            suspect.map(|known| guard.record_completion(known, now)).is_some()
+            if guard.is_empty() {
+                return false;
+            }
+            let known = fingerprint(request.message, request.organisation);
+            let is_suspect = guard.status(known, now) == FingerprintStatus::Suspect;
+            guard.record_completion(known, now);
+            is_suspect
         });
         if is_cleared {
             log::info!(
@@ -196,10 +200,12 @@
     let connecting = TcpStream::connect(broken.endpoint);
     let outcome = future::timeout(Duration::from_millis(PROBE_TIMEOUT_MS), connecting).await;
     let fingerprint = broken.fingerprint.to_bits();
-    if matches!(outcome, Ok(Ok(_))) {
+    let is_answered = !shared.crashes.with(|guard| guard.end_probe(broken.fingerprint));
+    if is_answered || matches!(outcome, Ok(Ok(_))) {
         log::info!(
-            request_id = broken.request_id.as_str(), fingerprint, endpoint:% = broken.endpoint;
-            "the endpoint of a broken attempt accepts connections"
+            request_id = broken.request_id.as_str(), fingerprint, endpoint:% = broken.endpoint,
+            is_answered;
+            "an attempt that ended without an answer is no sign of a crash"
         );
         return;
     }
