--- a/crates/decisions/src/gateway/rate_share.rs
+++ b/crates/decisions/src/gateway/rate_share.rs
@@ -14,7 +14,8 @@
 pub struct RateShare {
     // On the clock of `Instant`, in microseconds.
     next_turn_us: Option<u64>,
-    period_us: u64,
+    // The rate and the number of nodes from which that turn was planned.
+    planned_for: Option<(RequestRate, u32)>,
 }
 
 impl RateShare {
@@ -33,21 +34,25 @@
             },
         };
         self.next_turn_us = Some(turn_us);
-        self.period_us = period_us;
+        self.planned_for = Some((rate, nodes));
         turn_us <= now_us
     }
 
     /// Records that a request is sent in the turn for which [`may_send`](Self::may_send) was true.
     pub fn record_sent(&mut self) {
-        self.next_turn_us = self.next_turn_us.map(|turn_us| turn_us.saturating_add(self.period_us));
+        let period_us = self.planned_period_us().unwrap_or_default();
+        self.next_turn_us = self.next_turn_us.map(|turn_us| turn_us.saturating_add(period_us));
+    }
+
+    fn planned_period_us(&self) -> Option<u64> {
+        let (rate, nodes) = self.planned_for?;
+        rate.period_us(nodes).map(|period_us| period_us.max(1))
     }
 
     /// Returns a wait for the next turn under a new period: nodes may have left, or the rate changed.
     fn rescaled(&self, wait_us: u64, period_us: u64) -> u64 {
-        match self.period_us {
-            0 => wait_us,
-            before_us => (wait_us as f64 * period_us as f64 / before_us as f64) as u64,
-        }
+        let planned_us = self.planned_period_us().unwrap_or(period_us);
+        (wait_us as f64 * period_us as f64 / planned_us as f64) as u64
     }
 }
 
