attempt: do not probe a slow endpoint that answers other requests

In an overload many attempts end by their time limit, and each would open one more connection to an endpoint that is busy. Change: a silent attempt is probed only if nothing was heard from the endpoint since it was sent.

--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -145,12 +145,17 @@
     /// If it has answered other requests meanwhile, it is only slow for this one, or the time was
     /// short, so it is not avoided: avoiding one of a few sound endpoints overloads the others.
     pub fn record_silence(&mut self, silent_since: Instant, now: Instant) {
-        match self.answered_at.is_some_and(|at| at > silent_since) {
+        match self.has_answered_since(silent_since) {
             true => self.record_error_answer(),
             false => self.record_failure(now),
         }
     }
 
+    /// Returns whether the endpoint has begun or completed an answer after `instant`.
+    pub fn has_answered_since(&self, instant: Instant) -> bool {
+        self.answered_at.is_some_and(|at| at > instant)
+    }
+
     /// Records that the endpoint rejected a request; `is_outdated` if its weights are older than
     /// the target weights.
     pub fn record_rejection(&mut self, is_outdated: bool, now: Instant) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -152,10 +152,7 @@
                 shared.part_crashes.record_answer(&request.caller.parts, shared.now());
             }
         }
-        // An endpoint whose host has failed, or that ended behind a broken path, sends nothing more.
-        AttemptOutcome::Failed(failed)
-            if matches!(failed.failure, AttemptFailure::Broken | AttemptFailure::Silent) =>
-        {
+        AttemptOutcome::Failed(failed) if may_be_crash(shared, target, failed) => {
             let address = target.record.address;
             shared.crashes.record_broken(request, address, sent_at, shared.now());
             if !failed.has_begun {
@@ -166,6 +163,21 @@
     }
 }
 
+/// Returns whether an attempt may have failed because its endpoint has ended. If the host of an endpoint
+/// has failed or the path to it is broken, its connections are silent. One that answers other requests is
+/// only slow.
+fn may_be_crash(shared: &Shared, target: &Target, failed: &FailedAttempt) -> bool {
+    let answers_others = |since| {
+        let answered = |tracker: &mut EndpointTracker| tracker.has_answered_since(since);
+        shared.endpoints.with_tracker(&target.id, &target.record, answered)
+    };
+    match failed.failure {
+        AttemptFailure::Broken => true,
+        AttemptFailure::Silent => !failed.silent_since.is_some_and(answers_others),
+        _ => false,
+    }
+}
+
 async fn run(
     shared: &Shared,
     request: &Admitted<'_>,
