crash guard: remember a request that was blocked for longer than its block

Callers saw: a request that keeps coming crashes two more endpoints each minute. Cause: its crashes were forgotten when the block of a minute ended, so it needed two more for the next one. A longer block would hold back sound requests that were at two crashes by chance. Change: what was blocked is remembered for 10 minutes. When the block ends it is a suspect: an answer clears it, and one more crash blocks it again, for twice as long. Suspects that were never blocked are remembered as before. Measured: a_block_is_renewed_by_one_crash_and_lasts_longer; with the code before, the request is clear after 60 s (second_crash_blocks_until_a_deadline, unchanged, shows the same end of a block of 10 minutes).

--- a/crates/decisions/src/crash_guard.rs
+++ b/crates/decisions/src/crash_guard.rs
@@ -57,13 +57,19 @@
 pub struct CrashGuardSettings {
     crashes_to_block: u32,
     block_ms: u64,
+    remember_ms: u64,
     max_fingerprints: usize,
 }
 
 impl Default for CrashGuardSettings {
-    /// 2 crashes, 10 minutes, 4,096 fingerprints.
+    /// 2 crashes, 10 minutes, 10 minutes, 4,096 fingerprints.
     fn default() -> Self {
-        Self { crashes_to_block: 2, block_ms: 600_000, max_fingerprints: 4_096 }
+        Self {
+            crashes_to_block: 2,
+            block_ms: 600_000,
+            remember_ms: 600_000,
+            max_fingerprints: 4_096,
+        }
     }
 }
 
@@ -74,13 +80,22 @@
         self
     }
 
-    /// Sets how long a fingerprint is blocked, and how long a suspect is remembered, after its last
-    /// crash; default 10 minutes.
+    /// Sets how long a fingerprint is blocked, and how long a suspect that was never blocked is
+    /// remembered, after its last crash; default 10 minutes. The time of the block doubles with each
+    /// further crash.
     pub fn block_ms(mut self, block_ms: u64) -> Self {
         self.block_ms = block_ms;
         self
     }
 
+    /// Sets how long a fingerprint that was blocked is remembered after its last crash, which is also
+    /// the longest block; default 10 minutes. When the block ends it is a suspect, and one more crash
+    /// blocks it again.
+    pub fn remember_ms(mut self, remember_ms: u64) -> Self {
+        self.remember_ms = remember_ms;
+        self
+    }
+
     /// Sets the maximum number of fingerprints in the table; default 4,096. The fingerprint whose
     /// last crash is the oldest is removed first.
     pub fn max_fingerprints(mut self, max_fingerprints: usize) -> Self {
@@ -195,12 +210,12 @@
             return FingerprintStatus::Blocked { until };
         }
         let Some(counts) = self.counts.get(&fingerprint) else { return FingerprintStatus::Clear };
-        let until = self.expiry(counts);
-        match counts.total() {
-            _ if until.has_passed(now) => FingerprintStatus::Clear,
-            0 => FingerprintStatus::Clear,
-            crashes if crashes < self.settings.crashes_to_block => FingerprintStatus::Suspect,
-            _ => FingerprintStatus::Blocked { until },
+        match self.block_end(counts) {
+            _ if self.expiry(counts).has_passed(now) || counts.total() == 0 => {
+                FingerprintStatus::Clear
+            }
+            Some(until) if !until.has_passed(now) => FingerprintStatus::Blocked { until },
+            _ => FingerprintStatus::Suspect,
         }
     }
 
@@ -296,7 +311,7 @@
         };
         let is_due = |(fingerprint, counts): &(&Fingerprint, &CrashCounts)| {
             has_own(counts)
-                && counts.total() >= self.settings.crashes_to_block
+                && self.block_end(counts).is_some_and(|end| !end.has_passed(now))
                 && !self.announced.contains_key(*fingerprint)
         };
         let due: Vec<Fingerprint> =
@@ -308,7 +323,7 @@
     /// Merges a report of another process; a report that was merged before changes nothing.
     pub fn merge(&mut self, report: &CrashReport, now: Instant) {
         let is_own = report.node == self.node && report.incarnation == self.incarnation;
-        if is_own || report.age_ms >= self.settings.block_ms {
+        if is_own || report.age_ms >= self.longest_ms() {
             return;
         }
         if report.crashes == 0 && !self.counts.contains_key(&report.fingerprint) {
@@ -329,6 +344,9 @@
     pub fn reports(&self, max_reports: usize, now: Instant) -> Vec<CrashReport> {
         let own = (self.node.clone(), self.incarnation);
         let report = |(&fingerprint, counts): (&Fingerprint, &CrashCounts)| {
+            if self.expiry(counts).has_passed(now) {
+                return None;
+            }
             let &ProcessCount { number, crashes, .. } = counts.by_process.get(&own)?;
             let (node, incarnation) = own.clone();
             let age_ms = now.ms_since(counts.last_crash);
@@ -336,7 +354,6 @@
             Some((counts.total(), report))
         };
         let mut reports: Vec<(u32, CrashReport)> = self.counts.iter().filter_map(report).collect();
-        reports.retain(|(_, report)| report.age_ms < self.settings.block_ms);
         // A cleared fingerprint must reach the nodes that have counted a crash of it.
         let key = |(total, report): &(u32, CrashReport)| {
             (Reverse((*total).max(1)), report.age_ms, report.fingerprint)
@@ -348,9 +365,9 @@
 
     /// Removes fingerprints whose last crash is at least the block time ago.
     pub fn expire(&mut self, now: Instant) {
-        let block_ms = self.settings.block_ms;
-        self.counts
-            .retain(|_, counts| !Deadline::after_ms(counts.last_crash, block_ms).has_passed(now));
+        let mut counts = std::mem::take(&mut self.counts);
+        counts.retain(|_, counts| !self.expiry(counts).has_passed(now));
+        self.counts = counts;
         self.announced.retain(|_, until| !until.has_passed(now));
     }
 
@@ -372,8 +389,22 @@
         self.counts.is_empty() && self.announced.is_empty() && self.probes.is_empty()
     }
 
+    /// Returns when the crashes of a fingerprint are forgotten.
     fn expiry(&self, counts: &CrashCounts) -> Deadline {
-        Deadline::after_ms(counts.last_crash, self.settings.block_ms)
+        let was_blocked = counts.total() >= self.settings.crashes_to_block;
+        let remember_ms = if was_blocked { self.longest_ms() } else { self.settings.block_ms };
+        Deadline::after_ms(counts.last_crash, remember_ms)
+    }
+
+    /// Returns the end of the block of a fingerprint with enough crashes for one.
+    fn block_end(&self, counts: &CrashCounts) -> Option<Deadline> {
+        let further = counts.total().checked_sub(self.settings.crashes_to_block)?;
+        let block_ms = self.settings.block_ms.saturating_mul(1 << further.min(32));
+        Some(Deadline::after_ms(counts.last_crash, block_ms.min(self.longest_ms())))
+    }
+
+    fn longest_ms(&self) -> u64 {
+        self.settings.remember_ms.max(self.settings.block_ms)
     }
 
     fn count_crash(&mut self, fingerprint: Fingerprint, now: Instant) {
--- a/crates/decisions/tests/crash_guard.rs
+++ b/crates/decisions/tests/crash_guard.rs
@@ -99,6 +99,27 @@
     assert!(guard.is_empty());
 }
 
+/// Guards against a request that keeps coming and crashes two more endpoints each time its block ends.
+#[test]
+fn a_block_is_renewed_by_one_crash_and_lasts_longer() {
+    // Arrange
+    let settings = CrashGuardSettings::default().block_ms(60_000).remember_ms(600_000);
+    let mut guard = CrashGuard::new("n".parse().unwrap(), Incarnation::new(1), settings);
+    guard.record_crash(&[numbered(1)], at(0));
+    guard.record_crash(&[numbered(1)], at(0));
+
+    // Act
+    let after_block = guard.status(numbered(1), at(60_000));
+    guard.record_crash(&[numbered(1)], at(60_000));
+    let renewed = guard.status(numbered(1), at(60_001));
+    let after_all = guard.status(numbered(1), at(660_000));
+
+    // Assert
+    assert_eq!(after_block, FingerprintStatus::Suspect);
+    assert_eq!(renewed, FingerprintStatus::Blocked { until: Deadline::after_ms(at(0), 180_000) });
+    assert_eq!(after_all, FingerprintStatus::Clear);
+}
+
 /// Guards against blocking harmless requests that ran at an endpoint beside a crashing one.
 #[test]
 fn requests_beside_a_suspect_are_not_counted() {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,9 +1,10 @@
 //! Finds requests that crash the endpoints that run them, together with the other nodes.
 //!
-//! If the connection of a request breaks or is silent until the request's time is over, the node probes
-//! whether the endpoint still accepts connections. If it does not, the request becomes a suspect. A request that was a suspect in
-//! several crashes, and was not answered in between, is blocked for a while. `crash_evidence` shares the
-//! counts and the blocks with the other nodes.
+//! If the connection of a request breaks, or nothing is heard from the endpoint until the time of the
+//! request is over, the node probes whether the endpoint still accepts connections. If it does not, the
+//! request becomes a suspect. A request that was a suspect in several crashes, and was not answered in
+//! between, is blocked for a while. `crash_evidence` shares the counts and the blocks with the other
+//! nodes.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,10 +27,13 @@
 /// Number of crashes after which a request is blocked. The platform allows three.
 const CRASHES_TO_BLOCK: u32 = 2;
 
-/// How long a request is blocked after its last crash. Whole availability zones fail at once, so a
+/// How long a request is blocked after its second crash; longer after each further one. Whole availability zones fail at once, so a
 /// request that was running during two failures by chance must not be blocked for long.
 pub(crate) const BLOCK_MS: u64 = 60_000;
 
+/// How long a request that was blocked is remembered.
+const REMEMBER_MS: u64 = 600_000;
+
 /// Timeout for connecting to an endpoint that may have crashed.
 const PROBE_TIMEOUT_MS: u64 = 300;
 
@@ -59,8 +63,10 @@
 
 impl CrashTracker {
     pub(crate) fn new(node: NodeId, incarnation: Incarnation) -> Self {
-        let settings =
-            CrashGuardSettings::default().crashes_to_block(CRASHES_TO_BLOCK).block_ms(BLOCK_MS);
+        let settings = CrashGuardSettings::default()
+            .crashes_to_block(CRASHES_TO_BLOCK)
+            .block_ms(BLOCK_MS)
+            .remember_ms(REMEMBER_MS);
         Self {
             guard: Mutex::new(CrashGuard::new(node, incarnation, settings)),
             broken: bounded(MAX_WAITING_PROBES),
@@ -84,7 +90,7 @@
         })
     }
 
-    /// Records that the connection of a request to an endpoint broke or was silent.
+    /// Records that an attempt, sent at `sent_at`, has ended at `ended_at` without an answer.
     pub(crate) fn record_broken(
         &self,
         request: &Admitted<'_>,
