--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,13 +14,12 @@
 //! into events, and `answer` writes to the caller.
 //!
 //! State and background tasks: `endpoints` has the load, failures and connections of the endpoints, and
-//! `notices` what they say about themselves;
-//! `stores` polls the stores of prompt parts; `exchange` sends this node's own requests to
-//! endpoints and stores; `watch` keeps the configuration and the directory up to date;
-//! `registration` maintains this node's entry in the key-value service, and `membership` reads
-//! those of the other nodes; `relay` passes changes on within a zone; `swap_leader` orders endpoints to take new weights; `crashes` finds
-//! requests that crash endpoints, `part_crashes` finds parts of prompts that do, and `crash_evidence`
-//! shares what is known about both.
+//! `notices` what they say about themselves; `stores` polls the stores of prompt parts; `exchange` sends
+//! this node's own requests to endpoints and stores; `watch` keeps the configuration and the directory
+//! up to date; `registration` maintains this node's entry in the key-value service, and `membership`
+//! reads those of the other nodes; `relay` passes changes on within a zone; `swap_leader` orders
+//! endpoints to take new weights; `crashes` finds requests that crash endpoints, `part_crashes` finds
+//! parts of prompts that do, and `crash_evidence` shares what is known about both.
 
 mod admission;
 mod answer;
