--- a/review/harness/src/gateway.rs
+++ b/review/harness/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -33,7 +33,24 @@
 }
 
 impl Gateway {
+    /// Starts a gateway on free ports. Another program may take a port before the gateway does; it is
+    /// then started again on others.
     pub fn start(name: &str, zone: &str, store: SocketAddr, folder: &str) -> Self {
+        loop {
+            let mut gateway = Self::spawn(name, zone, store, folder);
+            loop {
+                if TcpStream::connect(gateway.ready).is_ok() {
+                    return gateway;
+                }
+                if !matches!(gateway.child.try_wait(), Ok(None)) {
+                    break;
+                }
+                std::thread::sleep(Duration::from_millis(10));
+            }
+        }
+    }
+
+    fn spawn(name: &str, zone: &str, store: SocketAddr, folder: &str) -> Self {
         let (front, ready, peer) = (free_address(), free_address(), free_address());
         let log = PathBuf::from(folder).join(format!("{name}.log"));
         let output = File::create(&log).expect("the log can be created");
--- a/review/harness/src/relay.rs
+++ b/review/harness/src/relay.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::gateway::Gateway;
 use crate::http::answer;
@@ -14,7 +14,7 @@
 
 const DRAIN_MS: u64 = 2_500;
 /// How long the store turns machines away.
-const REFUSED_MS: u64 = 1_200;
+const REFUSED_MS: u64 = 500;
 const NAMES: [&str; 6] = ["node-a", "node-b", "node-c", "node-d", "node-e", "node-f"];
 /// The machines that the store turns away.
 const REFUSED: [&str; 2] = ["node-a", "node-b"];
@@ -45,15 +45,21 @@
     if !gateways.iter().all(Gateway::await_ready) {
         return Err("the gateways did not become ready".to_owned());
     }
-    // The first calls of the machines are longer, so they begin to follow others for good only when
-    // these have ended.
-    thread::sleep(Duration::from_millis(14_000));
+    // A call to the store that began before a machine followed another one goes on for up to 5.5 s.
     let follows = |gateway: &Gateway| {
         let lines = gateway.log_lines("the source of changes has changed");
         lines.last().is_some_and(|line| !line.contains("\"none\""))
     };
-    if !gateways[2..].iter().all(follows) {
-        return Err("the machines do not follow others of their zone".to_owned());
+    let limit = Instant::now() + Duration::from_secs(60);
+    let mut followed_since = Instant::now();
+    while followed_since.elapsed() < Duration::from_millis(7_000) {
+        if !gateways[2..].iter().all(follows) {
+            followed_since = Instant::now();
+        }
+        if Instant::now() >= limit {
+            return Err("the machines do not follow others of their zone".to_owned());
+        }
+        thread::sleep(Duration::from_millis(100));
     }
     book(record, &gateways, "calm", 6);
     let leaving = &replicas[0];
@@ -62,16 +68,16 @@
         store.refuse(&REFUSED);
         record.line(&format!("the store turns {REFUSED:?} away and serves the others"));
     }
-    thread::sleep(Duration::from_millis(100));
+    thread::sleep(Duration::from_millis(50));
     // It goes on serving for a while, and says in its answers that it leaves.
     leaving.is_leaving.store(true, Ordering::SeqCst);
     store.delete(&format!("servers/{}", leaving.id));
     let acknowledged_at = record.now_ms();
     record.line(&format!("the entry of {} is removed", leaving.id));
-    thread::sleep(Duration::from_millis(REFUSED_MS - 100));
+    thread::sleep(Duration::from_millis(REFUSED_MS - 50));
     store.refuse(&[]);
     record.line("the store serves all machines");
-    let resume_at = acknowledged_at + DRAIN_MS + 400;
+    let resume_at = acknowledged_at + DRAIN_MS + 80;
     thread::sleep(Duration::from_millis(resume_at.saturating_sub(record.now_ms())));
     let sent_from = record.now_ms();
     book(record, &gateways[2..], "later", 12);
