--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -10,6 +10,7 @@
 mod relay;
 mod site;
 mod store;
+mod version;
 
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -33,6 +34,7 @@
     let outcome = match case.as_str() {
         "drain" => drain::run(&record, is_disturbed, &folder_text),
         "endless" => endless::run(&record, is_disturbed, &folder_text),
+        "version" => version::run(&record, is_disturbed, &folder_text),
         "relay" => relay::run(&record, is_disturbed, &folder_text),
         "part" => part::run(&record, is_disturbed, &folder_text),
         _ => Err(format!("there is no case {case}")),
