--- a/review/harness/src/endless.rs
+++ b/review/harness/src/endless.rs
@@ -21,8 +21,10 @@
 const SLACK_MS: u64 = 500;
 /// Clients abandon a stream that brings no event for so long.
 const GAP_MS: u64 = 2_000;
-/// The rate at which the replica sends on each connection. All of them stay below 1,000 Mbit/s.
+/// Highest rate at which the replica sends on each connection. All of them together stay below
+/// `LINK_MBIT_PER_S`, also when three groups are there at once.
 const MBIT_PER_S: u64 = 20;
+const LINK_MBIT_PER_S: u64 = 1_000;
 /// Requests for streams come in groups at this interval.
 const GROUP_MS: u64 = 1_200;
 const GROUPS: usize = 3;
@@ -35,6 +37,9 @@
     let adviser = Replica::new("adviser-1", ADVISER, 1);
     let sent: Arc<Mutex<u64>> = Arc::default();
     let sent_here = Arc::clone(&sent);
+    let cores = thread::available_parallelism().map_or(8, usize::from);
+    let streams = (2 * cores).clamp(16, 24);
+    let rate = MBIT_PER_S.min(LINK_MBIT_PER_S / (GROUPS * streams) as u64);
     adviser.listen(record, move |replica, request, connection, record| {
         let id = request.header("request-id").unwrap_or_default().to_owned();
         let head = format!(
@@ -56,7 +61,7 @@
         while is_open {
             is_open = connection.write(&block).is_ok();
             bytes += block.len() as u64;
-            let due = Duration::from_micros(bytes * 8 / MBIT_PER_S);
+            let due = Duration::from_micros(bytes * 8 / rate);
             thread::sleep(due.saturating_sub(began.elapsed()));
         }
         *sent_here.lock().expect("sound") += bytes;
@@ -67,7 +72,9 @@
     adviser.register(&store, "ready");
     for number in 1..=2 {
         let ledger = Replica::new(&format!("ledger-{number}"), LEDGER, 0);
-        ledger.listen(record, |replica, request, connection, _| {
+        ledger.listen(record, |replica, request, connection, record| {
+            let id = request.header("request-id").unwrap_or_default();
+            record.line(&format!("replica {} runs {id}", replica.id));
             connection.write(&answer(200, &replica.headers(request), "read")).is_ok()
         });
         ledger.register(&store, "ready");
@@ -78,8 +85,6 @@
         return Err("the gateway did not become ready".to_owned());
     }
     thread::sleep(Duration::from_millis(1_000));
-    let cores = thread::available_parallelism().map_or(8, usize::from);
-    let streams = (2 * cores).clamp(16, 24);
     record.line(&format!("{GROUPS} times {streams} clients send requests for streams"));
     let (front, mut clients, mut reads) = (gateway.front, Vec::new(), Vec::new());
     for number in 0..GROUPS * streams {
@@ -126,6 +131,7 @@
         let Ok(mut open) = Connection::open(front, Duration::from_millis(100)) else { continue };
         let message = request("POST", "/ask/1", &id, &headers, "question");
         let (sent_at, mut seen) = (Instant::now(), Vec::new());
+        record.line(&format!("client sends {id}"));
         let _ = open.write(message.as_bytes());
         let mut bytes = vec![0; 1 << 16];
         let outcome = loop {
@@ -158,6 +164,7 @@
     let id = format!("read-{number}");
     let headers = format!("Deadline-Ms: {READ_DEADLINE_MS}\r\n");
     let message = request("GET", "/read/1", &id, &headers, "");
+    record.line(&format!("client sends {id}"));
     let began = Instant::now();
     let timeout = Duration::from_millis(READ_DEADLINE_MS);
     let status = Connection::open(front, timeout).and_then(|mut open| {
--- a/review/harness/src/part.rs
+++ b/review/harness/src/part.rs
@@ -70,7 +70,10 @@
                 let id = format!("sound-{number}-{serial}");
                 let parts =
                     format!("{COMMON}:200,5{:07x}:300,{number}{serial:07x}:40", serial % 40);
-                let is_answered = ask(front, &id, &parts).is_some_and(|(status, _)| status == 200);
+                record.line(&format!("client sends {id}"));
+                let got = ask(front, &id, &parts);
+                record.line(&format!("client got {got:?} for {id}"));
+                let is_answered = got.is_some_and(|(status, _)| status == 200);
                 counts.lock().expect("sound").push((record.now_ms(), is_answered));
                 thread::sleep(Duration::from_millis(150));
             }
@@ -174,8 +177,8 @@
         let is_deadly = request.header("prefix-hash").is_some_and(|parts| parts.contains(DEADLY));
         if is_deadly {
             self.arrivals.lock().expect("sound").push(self.record.now_ms());
-            self.record.line(&format!("{id} reaches {}", replica.id));
         }
+        self.record.line(&format!("{id} reaches {}, which runs it", replica.id));
         let last: u32 = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         thread::sleep(Duration::from_millis(20));
         let head = format!(
--- a/review/harness/src/version.rs
+++ b/review/harness/src/version.rs
@@ -98,12 +98,15 @@
         "Model-Id: {MODEL}\r\nToken-Count: 240,20\r\nPrefix-Hash: {parts}\r\nDeadline-Ms: 3000\r\n"
     );
     let message = request("POST", "/ask/1", &id, &headers, "question");
+    record.line(&format!("client sends {id}"));
     let asking = || {
         let mut open = Connection::open(gateway.front, Duration::from_secs(4)).ok()?;
         open.write(message.as_bytes()).ok()?;
         open.read().ok()?
     };
-    asking().map_or(0, |answer| answer.status())
+    let status = asking().map_or(0, |answer| answer.status());
+    record.line(&format!("client got {status} for {id}"));
+    status
 }
 
 /// Writes the replica's entry whenever its weights have changed.
@@ -168,6 +171,8 @@
             if is_other {
                 return answer(421, "Not-Executed: 1\r\n", "");
             }
+            let id = request.header("request-id").unwrap_or_default();
+            record.line(&format!("replica {} runs {id} on version {version}", replica.id));
             let headers = replica.headers(request);
             let events = "id: 1\ndata: token\n\n";
             answer(200, &format!("{headers}Content-Type: text/event-stream\r\n"), events)
