design: parts for hard load, their interfaces and their switches

Cause: two deployments need decisions under load that the gateway does not make, and each part must know what the others provide before it is built. The settings name the features that a deployment uses and what the platform allows the process; the configuration has the slots and the memory of the engines of a service. Nothing uses them yet.

--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -58,6 +58,17 @@
     pub cold_requests_per_s: f64,
     /// The store of prompt parts that this service is, if it is one that never evicts parts itself.
     pub store: Option<PartStore>,
+    /// The engines that its endpoints are, if it serves models.
+    pub engine: Option<EngineSpec>,
+}
+
+/// The model engines of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// Requests that an engine runs at once.
+    pub slots: u32,
+    /// Tokens that fit into the memory that its running requests and its cached parts share.
+    pub capacity: Tokens,
 }
 
 /// The settings of an organisation.
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -48,7 +48,7 @@
 pub mod weight_targets;
 
 pub use configuration::{
-    CallerLimits, Configuration, ConfigurationHolder, InvalidConfiguration, KeyVerdict,
+    CallerLimits, Configuration, ConfigurationHolder, EngineSpec, InvalidConfiguration, KeyVerdict,
     Organisation, PartStore, Service,
 };
 pub use directory::{Directory, EndpointRecord, EndpointState};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,7 +49,7 @@
 
 pub use clock::BootClock;
 pub use node::{GatewayError, GatewayNode};
-pub use options::{AnswerLimits, GatewayOptions};
+pub use options::{AnswerLimits, Capabilities, GatewayOptions, ProcessLimits};
 pub use protocol::{
     CallerRequest, DecodeError, EndpointAnswer, EngineProtocol, EntryChange, EntryDecoder,
     Forwarding, InvalidRequest, OrderOutcome, PartStoreProtocol, Protocol, WeightOrder,
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use yuccapass_decisions::gateway::{RetryLimits, SwapLimits};
-use yuccapass_types::{Incarnation, NodeId, RegionId, SortedMap, ZoneId};
+use yuccapass_types::{Bytes, Incarnation, NodeId, RegionId, SortedMap, ZoneId};
 
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
@@ -38,6 +38,28 @@
     pub answer_limits: AnswerLimits,
     /// Maximum number of open connections from callers.
     pub max_connections: usize,
+    /// The features of the platform that the deployment uses.
+    pub capabilities: Capabilities,
+    /// What the platform allows this process.
+    pub process_limits: ProcessLimits,
+}
+
+/// The features of the platform that a deployment uses. All are off by default.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Capabilities {
+    /// Whether endpoints crash if the requests that they hold exceed their memory.
+    pub limits_endpoint_memory: bool,
+    /// Whether operators move services to new versions of their software.
+    pub has_rollouts: bool,
+}
+
+/// What the platform allows this process. A process that exceeds its memory is killed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// Memory of the process; `None` if unknown.
+    pub memory: Option<Bytes>,
+    /// Open file descriptors, of which some are reserved for files; `None` if unknown.
+    pub descriptors: Option<u32>,
 }
 
 /// Limits on the answers of endpoints, which may send bytes without end when they are in trouble.
--- a/crates/yuccapassd/src/gateway.rs
+++ b/crates/yuccapassd/src/gateway.rs
@@ -14,9 +14,11 @@
 use snafu::Snafu;
 use yuccapass_decisions::gateway::{RetryLimits, SwapLimits};
 use yuccapass_decisions::platform_budget::FleetRates;
-use yuccapass_gateway::{AnswerLimits, BootClock, GatewayNode, GatewayOptions};
+use yuccapass_gateway::{AnswerLimits, BootClock, GatewayNode, GatewayOptions, ProcessLimits};
 use yuccapass_platform::PlatformClientConfig;
-use yuccapass_types::{Clock, Incarnation, NodeId, RegionId, RequestsPerSecond, SortedMap, ZoneId};
+use yuccapass_types::{
+    Bytes, Clock, Incarnation, NodeId, RegionId, RequestsPerSecond, SortedMap, ZoneId,
+};
 
 /// Maximum interval between probes of the platform during an outage, so that keys are confirmed
 /// again soon after it recovers.
@@ -155,6 +157,18 @@
     #[arg(long, env = "YUCCAPASS_MAX_CONNECTIONS", default_value_t = 3_000)]
     pub max_connections: usize,
 
+    /// Features of the platform that the deployment uses, separated by commas.
+    #[arg(long, env = "YUCCAPASS_CONTRACTS", value_delimiter = ',')]
+    pub contracts: Vec<SmolStr>,
+
+    /// Memory that the platform allows this process, in megabytes.
+    #[arg(long, env = "YUCCAPASS_MEMORY_MB")]
+    pub memory_mb: Option<u64>,
+
+    /// Open file descriptors that the platform allows this process.
+    #[arg(long, env = "YUCCAPASS_MAX_DESCRIPTORS")]
+    pub max_descriptors: Option<u32>,
+
     /// Least severe log level: off, error, warn, info, debug or trace.
     #[arg(long, env = "YUCCAPASS_LOG_LEVEL", default_value = "info")]
     pub log_level: LevelFilter,
@@ -262,6 +276,11 @@
                 buffered_bytes: self.max_buffered_answer_bytes,
             },
             max_connections: self.max_connections,
+            capabilities: yuccapass_entry::capabilities(&self.contracts),
+            process_limits: ProcessLimits {
+                memory: self.memory_mb.map(|mb| Bytes::new(mb << 20)),
+                descriptors: self.max_descriptors,
+            },
         }
     }
 }
