decisions: estimate how fast an endpoint is now

Cause: some endpoints report how long work takes on their machine; the gateway dropped the figure and took all endpoints as equally fast. Ruled out: taking the last report as a fact. The figure changes several times a second, so after half a second the average of the reports predicts it better. Change: newtype Slowdown; LoadReport::slowdown, decoded from the fourth number of the load header; EndpointSpeed averages the reports, with an error that grows with their age, and judges endpoints without reports by their answers; ServicePace learns the times of a service at the usual speed; EndpointTracker::slowdown and expected_wait_ms. Nothing uses them yet.

--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -1,6 +1,8 @@
 //! Load and failures of one endpoint, as seen by this node.
 
-use yuccapass_types::{Deadline, Instant, RequestRate, Tokens};
+use yuccapass_types::{Deadline, Instant, RequestRate, Slowdown, Tokens};
+
+use super::endpoint_speed::{EndpointSpeed, RequestWork, ServicePace, SlowdownEstimate};
 
 /// The load that an endpoint reports with an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -11,6 +13,8 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// How long work takes there now, if the endpoint reports it.
+    pub slowdown: Option<Slowdown>,
 }
 
 /// Settings of an [`EndpointTracker`].
@@ -67,6 +71,12 @@
     // When the next request may be sent if the endpoint is cold.
     next_cold_at: Option<Instant>,
     cold_period_ms: u64,
+    slots: Option<u32>,
+    speed: EndpointSpeed,
+    pace: ServicePace,
+    // Tokens of this node's requests that the endpoint had still to prefill at `backlog_at`.
+    backlog_tokens: f64,
+    backlog_at: Instant,
 }
 
 impl EndpointTracker {
@@ -86,9 +96,25 @@
             rejected_until: None,
             next_cold_at: None,
             cold_period_ms: 0,
+            slots: None,
+            speed: EndpointSpeed::default(),
+            pace: ServicePace::default(),
+            backlog_tokens: 0.0,
+            backlog_at: Instant::default(),
         }
     }
 
+    /// Sets the number of requests that the endpoint can run at once, until it reports it.
+    pub fn with_slots(mut self, slots: u32) -> Self {
+        self.slots = Some(slots);
+        self
+    }
+
+    /// Sets what this node has learnt about the endpoint's service.
+    pub fn set_pace(&mut self, pace: ServicePace) {
+        self.pace = pace;
+    }
+
     /// Records that a request with a prompt of `tokens` is sent.
     pub fn record_sent(&mut self, tokens: Tokens) {
         self.outstanding += 1;
@@ -96,6 +122,13 @@
         self.mean_tokens += MEAN_TOKENS_WEIGHT * (tokens.get() as f64 - self.mean_tokens);
     }
 
+    /// Records the work of a request that is sent. Prefill is estimated to go on at the endpoint's
+    /// expected speed.
+    pub fn record_work(&mut self, work: &RequestWork, now: Instant) {
+        self.backlog_tokens = self.remaining_backlog_tokens(now) + work.uncached.get() as f64;
+        self.backlog_at = now;
+    }
+
     /// Records that a request with a prompt of `tokens` has ended, successfully or not.
     pub fn record_ended(&mut self, tokens: Tokens) {
         self.outstanding = self.outstanding.saturating_sub(1);
@@ -107,6 +140,17 @@
         let total = report.running.saturating_add(report.waiting);
         self.other_load = f64::from(total.saturating_sub(self.outstanding));
         self.reported_at = Some(now);
+        self.slots = Some(report.slots);
+        if let Some(slowdown) = report.slowdown {
+            self.speed.record_report(slowdown, now);
+        }
+    }
+
+    /// Records that the answer to a request began `waited_ms` after it was sent. This shows the
+    /// speed of endpoints that do not report it.
+    pub fn record_begun_after(&mut self, waited_ms: u64, work: &RequestWork, now: Instant) {
+        let expected_ms = self.pace.begin_ms(work);
+        self.speed.record_answer(waited_ms, expected_ms, now);
     }
 
     /// Records that the endpoint has begun an answer.
@@ -177,6 +221,48 @@
         self.outstanding_tokens.get() as f64 + self.decayed_other_load(now) * self.mean_tokens
     }
 
+    /// Returns whether the endpoint reports its slowdown.
+    pub fn reports_slowdown(&self) -> bool {
+        self.speed.has_reported()
+    }
+
+    /// Returns the estimated slowdown; `None` before the first report or answer.
+    pub fn slowdown(&self, now: Instant) -> Option<SlowdownEstimate> {
+        self.speed.estimate(&self.pace, now)
+    }
+
+    /// Returns the expected time from sending a request to the beginning of its answer, in
+    /// milliseconds: the queue, the prefill of this node's other requests, and its own prefill, at
+    /// the endpoint's expected speed.
+    pub fn expected_wait_ms(&self, work: &RequestWork, now: Instant) -> f64 {
+        let prefill_ms = self.remaining_backlog_tokens(now) * self.pace.token_ms();
+        let usual_ms = self.queue_ms(now) + prefill_ms + self.pace.begin_ms(work);
+        usual_ms * self.factor(now)
+    }
+
+    /// Returns how long a request waits for a slot at the usual speed. All slots end their requests
+    /// evenly spread over the time that a request runs.
+    fn queue_ms(&self, now: Instant) -> f64 {
+        let Some(slots) = self.slots.filter(|slots| *slots > 0) else { return 0.0 };
+        let slots = f64::from(slots);
+        let excess = (self.load(now) + 1.0 - slots).max(0.0);
+        excess * self.pace.run_ms() / slots
+    }
+
+    fn remaining_backlog_tokens(&self, now: Instant) -> f64 {
+        let elapsed_ms = now.ms_since(self.backlog_at) as f64;
+        let token_ms = self.pace.token_ms() * self.factor(now);
+        match token_ms > 0.0 {
+            true => (self.backlog_tokens - elapsed_ms / token_ms).max(0.0),
+            false => 0.0,
+        }
+    }
+
+    /// Returns the expected time of work, as a multiple of the usual time.
+    fn factor(&self, now: Instant) -> f64 {
+        self.slowdown(now).map_or(1.0, |estimate| estimate.expected.factor())
+    }
+
     fn decayed_other_load(&self, now: Instant) -> f64 {
         let age_ms = self.reported_at.map_or(u64::MAX, |at| now.ms_since(at));
         let halvings = age_ms as f64 / self.settings.report_half_life_ms as f64;
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! * [`configuration`] and [`route`]: the operators' configuration.
 //! * [`directory`]: the registered endpoints.
 //! * [`endpoint_notices`]: what an endpoint says about itself, and which requests that allows.
+//! * [`endpoint_speed`]: how fast an endpoint is now, and how long requests take at the usual speed.
 //! * [`endpoint_tracker`]: load and failures of one endpoint.
 //! * [`fleet`]: how many nodes share the limits that apply to all of them together.
 //! * [`key_validity`]: how long a node may rely on the API keys that it has read.
@@ -28,6 +29,7 @@
 pub mod configuration;
 pub mod directory;
 pub mod endpoint_notices;
+pub mod endpoint_speed;
 pub mod endpoint_tracker;
 pub mod fleet;
 pub mod key_validity;
@@ -53,6 +55,7 @@
 };
 pub use directory::{Directory, EndpointRecord, EndpointState};
 pub use endpoint_notices::{EndpointNotice, EndpointNotices};
+pub use endpoint_speed::{EndpointSpeed, RequestWork, ServicePace, SlowdownEstimate};
 pub use endpoint_tracker::{EndpointTracker, EndpointTrackerSettings, LoadReport};
 pub use fleet::FleetSize;
 pub use key_validity::KeyValidity;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 //!   store VMs.
 //! * [`sharded`] and [`sorted_map`]: the collections that shared state is kept in.
 //! * [`shared`]: reference-counted values that several copies of a collection share.
+//! * [`slowdown`]: how long work takes at an endpoint, relative to the usual time.
 //! * [`result_code`]: the numbered codes that callers and operators see.
 
 pub mod block;
@@ -20,6 +21,7 @@
 pub mod result_code;
 pub mod sharded;
 pub mod shared;
+pub mod slowdown;
 pub mod sorted_map;
 pub mod time;
 pub mod units;
@@ -36,6 +38,7 @@
 pub use result_code::{ResultCode, RunState};
 pub use sharded::Sharded;
 pub use shared::Shared;
+pub use slowdown::{ParseSlowdownError, Slowdown};
 pub use sorted_map::SortedMap;
 pub use time::{Clock, Deadline, Instant, MonotonicClock};
 pub use units::{
--- a/crates/types/tests/types.rs
+++ b/crates/types/tests/types.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use yuccapass_types::{
     BLOCK_PROMPT_BYTES, Bytes, CacheSalt, Deadline, Instant, ModelId, OrganisationId,
-    ParseIdErrorKind, ResultCode, SortedMap, WeightVersion, block_hash_chain,
+    ParseIdErrorKind, ResultCode, Slowdown, SortedMap, WeightVersion, block_hash_chain,
 };
 
 fn salt(organisation: &str, model: &str, version: &str) -> CacheSalt {
@@ -145,3 +145,21 @@
         prop_assert!(map.iter().eq(expected.iter()));
     }
 }
+
+/// Guards against a slowdown of zero, which would make an endpoint seem infinitely fast, and against
+/// a text that does not survive a round trip.
+#[test]
+fn slowdown_accepts_only_positive_percent() {
+    // Arrange
+    let invalid = ["", "0", "-5", "1.5", "fast", "1000001", "99999999999"];
+
+    // Act
+    let parsed = |text: &str| text.parse::<Slowdown>().ok();
+
+    // Assert
+    assert!(invalid.iter().all(|text| parsed(text).is_none()));
+    assert_eq!(parsed("100"), Some(Slowdown::USUAL));
+    assert_eq!(parsed(" 250 % "), Slowdown::from_percent(250));
+    assert_eq!(parsed(&Slowdown::from_factor(2.5).to_string()), Some(Slowdown::from_factor(2.5)));
+    assert_eq!(Slowdown::from_factor(f64::NAN).percent(), 1);
+}
