waiting room: decisions on who starts, waits and leaves

Cause: an engine that gets more than its memory holds preempts requests until they fail at their deadlines, and nothing waits at the gateway. The caller's token counts are decoded. Nothing uses them yet.

--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -13,6 +13,19 @@
     pub slots: u32,
 }
 
+/// What a node knows of the load of an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct KnownLoad {
+    /// Requests that this node has there.
+    pub own_requests: u32,
+    /// Tokens of these requests, as they were recorded when they were sent.
+    pub own_tokens: Tokens,
+    /// Requests of other nodes there, by the last report and as far as that still counts.
+    pub reported_others: f64,
+    /// How far the last report still counts, from 0 (not at all, or there is none) to 1.
+    pub report_weight: f64,
+}
+
 /// Settings of an [`EndpointTracker`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EndpointTrackerSettings {
@@ -177,10 +190,24 @@
         self.outstanding_tokens.get() as f64 + self.decayed_other_load(now) * self.mean_tokens
     }
 
+    /// Returns the own requests at the endpoint and what is known of those of other nodes.
+    pub fn known_load(&self, now: Instant) -> KnownLoad {
+        KnownLoad {
+            own_requests: self.outstanding,
+            own_tokens: self.outstanding_tokens,
+            reported_others: self.decayed_other_load(now),
+            report_weight: self.report_weight(now),
+        }
+    }
+
     fn decayed_other_load(&self, now: Instant) -> f64 {
+        self.other_load * self.report_weight(now)
+    }
+
+    fn report_weight(&self, now: Instant) -> f64 {
         let age_ms = self.reported_at.map_or(u64::MAX, |at| now.ms_since(at));
         let halvings = age_ms as f64 / self.settings.report_half_life_ms as f64;
-        self.other_load * 0.5_f64.powf(halvings.min(64.0))
+        0.5_f64.powf(halvings.min(64.0))
     }
 
     /// Returns the moving average of failed answers, from 0 to 1.
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 //! * [`swap`]: which endpoint takes new weights next.
 //! * [`target_bounds`]: when the bound of target weights ends that a node may have read late.
 //! * [`transfers`]: which prompt parts an endpoint fetches and saves.
+//! * [`waiting_room`]: requests that wait until an engine can start them.
 //! * [`weight_targets`]: the target weights of a model, and until when older ones may be used.
 
 pub mod configuration;
@@ -45,6 +46,7 @@
 mod takeover;
 pub mod target_bounds;
 pub mod transfers;
+pub mod waiting_room;
 pub mod weight_targets;
 
 pub use configuration::{
@@ -53,7 +55,7 @@
 };
 pub use directory::{Directory, EndpointRecord, EndpointState};
 pub use endpoint_notices::{EndpointNotice, EndpointNotices};
-pub use endpoint_tracker::{EndpointTracker, EndpointTrackerSettings, LoadReport};
+pub use endpoint_tracker::{EndpointTracker, EndpointTrackerSettings, KnownLoad, LoadReport};
 pub use fleet::FleetSize;
 pub use key_validity::KeyValidity;
 pub use link_share::LinkShare;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -13,7 +13,7 @@
 use yuccapass_platform::{Key, Value};
 use yuccapass_types::{
     CacheNamespace, EndpointId, FencingNumber, Instant, KeyHash, ModelId, NodeId, OrganisationId,
-    PromptPartId, WeightRevision, ZoneId,
+    PromptPartId, Tokens, WeightRevision, ZoneId,
 };
 
 /// The contents of the head of a caller's request.
@@ -31,6 +31,12 @@
     pub parts: Vec<PromptPart>,
     /// Id of the event after which a stream is to continue.
     pub resume_after: Option<SmolStr>,
+    /// Length of the prompt.
+    pub prompt_tokens: Option<Tokens>,
+    /// Maximum length of the output.
+    pub max_output_tokens: Option<Tokens>,
+    /// The caller's estimate of the length of the output, which may be far off.
+    pub output_hint_tokens: Option<Tokens>,
 }
 
 /// The error for a caller's header with an invalid value.
