--- a/crates/decisions/src/gateway/endpoint_speed.rs
+++ b/crates/decisions/src/gateway/endpoint_speed.rs
@@ -19,6 +19,13 @@
     pub output: Tokens,
 }
 
+impl RequestWork {
+    /// Returns the memory of an engine that it occupies at its end.
+    pub fn memory(&self) -> Tokens {
+        self.prompt + self.output
+    }
+}
+
 /// An estimate of an endpoint's slowdown.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SlowdownEstimate {
