types, decisions: versions of software and shares of traffic

Cause: the version of an endpoint's software was read and dropped, so nothing could tell the endpoints of two versions apart. Change: SoftwareVersion, RolloutOrderId and TrafficShare; EndpointRecord::software.

--- a/crates/decisions/examples/measure_gateway_placement.rs
+++ b/crates/decisions/examples/measure_gateway_placement.rs
@@ -23,6 +23,7 @@
         service: "models".parse().expect("the id is valid"),
         address: ([10, 1, (number / 250) as u8, (number % 250) as u8], 8_080).into(),
         zone: "zone-1".parse().expect("the id is valid"),
+        software: None,
         slots: 16,
         state: EndpointState::Ready,
         cold_until: None,
--- a/crates/decisions/src/gateway/directory.rs
+++ b/crates/decisions/src/gateway/directory.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use yuccapass_types::{
-    Deadline, EndpointId, Instant, ModelId, RegionId, ServiceId, SortedMap, WeightRevision, ZoneId,
+    Deadline, EndpointId, Instant, ModelId, RegionId, ServiceId, SoftwareVersion, SortedMap,
+    WeightRevision, ZoneId,
 };
 
 use super::placement::Distance;
@@ -32,6 +33,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneId,
+    /// The version of its software, if it names one.
+    pub software: Option<SoftwareVersion>,
     /// Requests that it can run at once.
     pub slots: u32,
     /// Whether it accepts new requests.
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 //! * [`swap`]: which endpoint takes new weights next.
 //! * [`target_bounds`]: when the bound of target weights ends that a node may have read late.
 //! * [`transfers`]: which prompt parts an endpoint fetches and saves.
+//! * [`version_rollout`]: moves the requests of a service to a new version of its software.
 //! * [`weight_targets`]: the target weights of a model, and until when older ones may be used.
 
 pub mod configuration;
@@ -45,6 +46,7 @@
 mod takeover;
 pub mod target_bounds;
 pub mod transfers;
+pub mod version_rollout;
 pub mod weight_targets;
 
 pub use configuration::{
--- /dev/null
+++ b/crates/decisions/src/gateway/version_rollout/shares.rs
@@ -0,0 +1,342 @@
+//! To which versions a node may send a request.
+
+use yuccapass_types::{
+    Deadline, EndpointId, Incarnation, Instant, NodeId, RolloutOrderId, RouteId, SoftwareVersion,
+    TrafficShare,
+};
+
+use super::evidence::{AnswerKind, NodeEvidence, VersionRole, role_of};
+use super::exposure::ExposureCap;
+use super::limits::RolloutLimits;
+use super::order::RolloutOrder;
+use super::progress::{RolloutProgress, Stage};
+
+/// How a request chooses between the target of an order and the other versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Preference {
+    /// The target, else another version.
+    TargetFirst,
+    /// The target, or another version if no endpoint of the target is registered.
+    TargetOnly,
+    /// Another version only.
+    BaseOnly,
+}
+
+/// To which versions one request may go.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VersionFilter {
+    target: Option<(SoftwareVersion, Preference)>,
+    denied: Vec<SoftwareVersion>,
+}
+
+impl VersionFilter {
+    /// Returns whether a request may go to an endpoint of a version. Of the versions that are allowed,
+    /// those [preferred](Self::prefers) come first.
+    pub fn allows(&self, version: Option<&SoftwareVersion>) -> bool {
+        if version.is_some_and(|version| self.denied.contains(version)) {
+            return false;
+        }
+        match &self.target {
+            None | Some((_, Preference::TargetFirst)) => true,
+            Some((target, Preference::TargetOnly)) => version == Some(target),
+            Some((target, Preference::BaseOnly)) => version != Some(target),
+        }
+    }
+
+    /// Returns whether endpoints of a version come before others.
+    pub fn prefers(&self, version: Option<&SoftwareVersion>) -> bool {
+        match &self.target {
+            Some((target, Preference::TargetFirst)) => version == Some(target),
+            _ => true,
+        }
+    }
+
+    /// Returns whether requests may go to any version.
+    pub fn is_open(&self) -> bool {
+        self.target.is_none() && self.denied.is_empty()
+    }
+}
+
+/// A request that was counted as sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CountedAttempt {
+    order: RolloutOrderId,
+    version: VersionRole,
+}
+
+/// What a node knows about the versions of a service.
+#[derive(Debug, Clone)]
+pub struct VersionShares {
+    limits: RolloutLimits,
+    node: NodeId,
+    incarnation: Incarnation,
+    order: Option<RolloutOrder>,
+    // When the node learnt of the order.
+    ordered_at: Instant,
+    // With the instant from which the elapsed time counts on.
+    progress: Option<(RolloutProgress, Instant)>,
+    // Until when the progress is known to be the last one.
+    confirmed_until: Instant,
+    // Until when the operators' settings are known.
+    settings_known_until: Instant,
+    // Versions with the instant at which each was first seen.
+    versions: Vec<(SoftwareVersion, Instant)>,
+    evidence: Option<NodeEvidence>,
+    cap: Option<ExposureCap>,
+}
+
+impl VersionShares {
+    /// Creates the state of a process that knows no order and no endpoint.
+    pub fn new(limits: RolloutLimits, node: NodeId, incarnation: Incarnation) -> Self {
+        Self {
+            limits,
+            node,
+            incarnation,
+            order: None,
+            ordered_at: Instant::default(),
+            progress: None,
+            confirmed_until: Instant::default(),
+            settings_known_until: Instant::default(),
+            versions: Vec::new(),
+            evidence: None,
+            cap: None,
+        }
+    }
+
+    /// Sets the operators' order; `None` if it was deleted.
+    pub fn set_order(&mut self, order: Option<RolloutOrder>, now: Instant) {
+        let id = order.as_ref().map(|order| order.id);
+        if id != self.order.as_ref().map(|order| order.id) {
+            self.ordered_at = now;
+        }
+        self.order = order;
+        self.follow_order();
+    }
+
+    /// Sets the progress that a holder has written, unless a newer one is known.
+    pub fn set_progress(&mut self, progress: RolloutProgress, now: Instant) {
+        if self.progress.as_ref().is_none_or(|(known, _)| progress.is_newer_than(known)) {
+            self.progress = Some((progress, now));
+            self.follow_order();
+        }
+    }
+
+    /// Records that all writes of holders before `until` are known.
+    pub fn confirm_progress(&mut self, until: Instant) {
+        self.confirmed_until = self.confirmed_until.max(until);
+    }
+
+    /// Records that the operators' settings are known as of `until`.
+    pub fn confirm_settings(&mut self, until: Instant) {
+        self.settings_known_until = self.settings_known_until.max(until);
+    }
+
+    /// Records the versions of the registered endpoints. The versions of the first call count as old:
+    /// nothing is known about their order.
+    pub fn note_versions<'a>(
+        &mut self,
+        versions: impl IntoIterator<Item = &'a SoftwareVersion>,
+        now: Instant,
+    ) {
+        let seen_at = if self.versions.is_empty() { Instant::default() } else { now };
+        let mut present: Vec<(SoftwareVersion, Instant)> = Vec::new();
+        for version in versions {
+            if present.iter().any(|(known, _)| known == version) {
+                continue;
+            }
+            let known = self.versions.iter().find(|(known, _)| known == version);
+            present.push(known.cloned().unwrap_or_else(|| (version.clone(), seen_at)));
+        }
+        // A version that has left and comes back is new again. If all have left, nothing changes: the
+        // registrations may be missing after an outage of the key-value service.
+        if !present.is_empty() {
+            self.versions = present;
+        }
+    }
+
+    /// Returns the operators' order.
+    pub fn order(&self) -> Option<&RolloutOrder> {
+        self.order.as_ref()
+    }
+
+    /// Returns the last known progress.
+    pub fn progress(&self) -> Option<&RolloutProgress> {
+        self.progress.as_ref().map(|(progress, _)| progress)
+    }
+
+    /// Returns the time since the current order, as far as this node can tell.
+    pub fn elapsed_ms(&self, now: Instant) -> u64 {
+        let own_ms = match &self.order {
+            Some(order) if Some(order.id) >= self.progress().map(|known| known.order) => {
+                now.ms_since(self.ordered_at)
+            }
+            _ => 0,
+        };
+        match &self.progress {
+            Some((progress, read_at)) if Some(progress.order) == self.current_order() => {
+                own_ms.max(progress.elapsed_ms + now.ms_since(*read_at))
+            }
+            _ => own_ms,
+        }
+    }
+
+    /// Returns the evidence about the order that is under way, with the step that the node follows.
+    pub fn evidence(&self) -> Option<NodeEvidence> {
+        if !self.is_under_way() {
+            return None;
+        }
+        let mut evidence = self.evidence.clone()?;
+        let progress = self.progress().filter(|progress| progress.order == evidence.order);
+        evidence.step = progress.map(|progress| progress.step);
+        Some(evidence)
+    }
+
+    /// Stops sending to the target of the order, because the answers of this node show that it is bad.
+    pub fn stop_target(&mut self, order: RolloutOrderId) {
+        if let Some(evidence) = self.evidence.as_mut().filter(|evidence| evidence.order == order) {
+            evidence.has_alarm = true;
+        }
+    }
+
+    /// Returns to which versions a request may go. `random` is from 0 to 1, `nodes` the number of
+    /// nodes, `has_target` and `has_base` say whether endpoints of the target and of other versions
+    /// are registered for the request.
+    pub fn filter(
+        &self,
+        random: f64,
+        nodes: u32,
+        has_target: bool,
+        has_base: bool,
+        now: Instant,
+    ) -> VersionFilter {
+        let mut filter = VersionFilter { target: None, denied: self.unconfirmed_versions() };
+        let Some(target) = self.current_target().cloned() else { return filter };
+        if let Some(progress) = self.progress() {
+            filter.denied.extend(progress.barred.iter().filter(|barred| **barred != target).cloned());
+            let is_replaced = progress.stage == Stage::Completed || progress.target != target;
+            if has_target && is_replaced {
+                let replaced = progress.replaced.iter().filter(|replaced| **replaced != target);
+                filter.denied.extend(replaced.cloned());
+            }
+        }
+        let current = self.progress().filter(|known| Some(known.order) == self.current_order());
+        let preference = match current.map(|progress| progress.stage) {
+            // The versions that were replaced are denied; later ones may be used.
+            Some(Stage::Completed) => return filter,
+            Some(Stage::Full) if !self.has_alarm() && self.order.is_some() => {
+                if has_target {
+                    Preference::TargetOnly
+                } else {
+                    return filter;
+                }
+            }
+            Some(Stage::Observing | Stage::Raising(_)) => {
+                let share = self.share(now);
+                let is_drawn = share.includes(if has_base { random } else { 0.0 });
+                match is_drawn && self.may_expose(nodes, now) {
+                    true => Preference::TargetFirst,
+                    false => Preference::BaseOnly,
+                }
+            }
+            _ => Preference::BaseOnly,
+        };
+        filter.target = Some((target, preference));
+        filter
+    }
+
+    /// Counts a request that is sent to an endpoint of a version.
+    pub fn record_sent(&mut self, version: Option<&SoftwareVersion>) -> Option<CountedAttempt> {
+        let target = self.current_target()?.clone();
+        if !self.is_under_way() {
+            return None;
+        }
+        let evidence = self.evidence.as_mut()?;
+        let version = role_of(version, &target);
+        evidence.record_sent(version);
+        Some(CountedAttempt { order: evidence.order, version })
+    }
+
+    /// Counts the end of that request; `answer` is `None` if it says nothing about the version.
+    pub fn record_end(
+        &mut self,
+        attempt: CountedAttempt,
+        endpoint: &EndpointId,
+        answer: Option<(&RouteId, AnswerKind)>,
+    ) {
+        let current = self.evidence.as_mut().filter(|known| known.order == attempt.order);
+        if let Some(evidence) = current {
+            evidence.record_end(attempt.version, endpoint, answer);
+        }
+    }
+
+    /// Returns the versions that appeared after the operators' settings were last known.
+    fn unconfirmed_versions(&self) -> Vec<SoftwareVersion> {
+        let is_unconfirmed =
+            |&&(_, seen_at): &&(SoftwareVersion, Instant)| seen_at > self.settings_known_until;
+        let unconfirmed = self.versions.iter().filter(is_unconfirmed);
+        let unconfirmed: Vec<_> = unconfirmed.map(|(version, _)| version.clone()).collect();
+        // A version that has replaced all others at once is the only one that can answer.
+        let is_beside_others = unconfirmed.len() < self.versions.len();
+        if is_beside_others { unconfirmed } else { Vec::new() }
+    }
+
+    /// Returns the id of the last order, of operators or of holders.
+    fn current_order(&self) -> Option<RolloutOrderId> {
+        let ordered = self.order.as_ref().map(|order| order.id);
+        ordered.max(self.progress().map(|progress| progress.order))
+    }
+
+    fn current_target(&self) -> Option<&SoftwareVersion> {
+        let current = self.current_order();
+        let ordered = self.order.as_ref().filter(|order| Some(order.id) == current);
+        ordered.map(|order| &order.target).or(self.progress().map(|progress| &progress.target))
+    }
+
+    /// Returns whether the current order has not ended.
+    fn is_under_way(&self) -> bool {
+        let current = self.current_order();
+        let is_ended = |known: &RolloutProgress| {
+            Some(known.order) == current && known.stage.is_final()
+        };
+        current.is_some() && !self.progress().is_some_and(is_ended)
+    }
+
+    fn has_alarm(&self) -> bool {
+        self.evidence.as_ref().is_some_and(|evidence| evidence.has_alarm)
+    }
+
+    /// Returns the share of the target that the node may rely on now.
+    fn share(&self, now: Instant) -> TrafficShare {
+        let valid_until = Deadline::after_ms(self.confirmed_until, self.limits.step_valid_ms());
+        let is_valid = !valid_until.has_passed(now) && !self.has_alarm() && self.order.is_some();
+        match self.progress() {
+            Some(progress) if is_valid => progress.share,
+            _ => TrafficShare::NONE,
+        }
+    }
+
+    fn may_expose(&self, nodes: u32, now: Instant) -> bool {
+        let (Some(evidence), Some(cap), Some(progress)) =
+            (&self.evidence, &self.cap, self.progress())
+        else {
+            return false;
+        };
+        let projection = match progress.stage {
+            Stage::Raising(_) => {
+                progress.duration_ms as f64 / self.elapsed_ms(now).max(1) as f64
+            }
+            _ => 1.0,
+        };
+        cap.allows(evidence.sent, evidence.exposed, nodes, projection)
+    }
+
+    /// Begins to count for the current order, if that has changed.
+    fn follow_order(&mut self) {
+        let Some(current) = self.current_order() else { return };
+        if self.evidence.as_ref().is_some_and(|evidence| evidence.order == current) {
+            return;
+        }
+        self.evidence = Some(NodeEvidence::new(self.incarnation, current));
+        self.cap = Some(ExposureCap::new(self.limits, &self.node, current));
+    }
+}
--- a/crates/decisions/tests/gateway_fixtures/mod.rs
+++ b/crates/decisions/tests/gateway_fixtures/mod.rs
@@ -50,6 +50,7 @@
         service: id("models"),
         address: address(8_000),
         zone: id(zone),
+        software: Some(id("v1")),
         slots: 8,
         state: EndpointState::Ready,
         cold_until: None,
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -195,6 +195,10 @@
     /// Names a plain service: one that is not a model engine.
     ServiceId, MAX_ID_BYTES, is_name_char
 }
+text_id! {
+    /// Names a version of a service's software, in a form that its operators choose.
+    SoftwareVersion, MAX_ID_BYTES, is_printable_ascii
+}
 text_id! {
     /// Names a version of a model's weights.
     WeightVersion, MAX_ID_BYTES, is_name_char
@@ -249,6 +253,10 @@
     /// Orders the weights that were set for a model one after the other; larger is newer.
     WeightRevision
 }
+number_id! {
+    /// Orders the roll-outs that operators request for a service; larger is newer.
+    RolloutOrderId
+}
 number_id! {
     /// A fencing token: it grows with each holder of a lease, so that a receiver that checks it can
     /// reject an earlier holder.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,7 +4,8 @@
 //! pass on as a [`Clock`] trait object.
 //!
 //! * [`ids`]: checked newtypes for names and numbers that identify something.
-//! * [`units`] and [`request_rate`]: newtypes for sizes, token counts and rates.
+//! * [`units`], [`request_rate`] and [`traffic_share`]: newtypes for sizes, token counts, rates and
+//!   shares.
 //! * [`time`]: instants and deadlines on a process-local monotonic clock.
 //! * [`block`]: salted hash chains over prompt prefixes.
 //! * [`checksummed_block`]: KV cache blocks with a checksum, for transfers between endpoints and
@@ -22,6 +23,7 @@
 pub mod shared;
 pub mod sorted_map;
 pub mod time;
+pub mod traffic_share;
 pub mod units;
 
 pub use block::{BLOCK_PROMPT_BYTES, BlockHash, CacheSalt, ParseBlockHashError, block_hash_chain};
@@ -29,8 +31,8 @@
 pub use ids::{
     AdapterId, CacheNamespace, ClassId, CommandId, EndpointId, FencingNumber, IdempotencyKey,
     Incarnation, KeyHash, ModelId, NodeId, OrganisationId, ParseIdError, ParseIdErrorKind,
-    PromptPartId, RegionId, RequestId, Revision, RouteId, ServiceId, StoreId, WeightRevision,
-    WeightVersion, ZoneId,
+    PromptPartId, RegionId, RequestId, Revision, RolloutOrderId, RouteId, ServiceId,
+    SoftwareVersion, StoreId, WeightRevision, WeightVersion, ZoneId,
 };
 pub use request_rate::{ParseRequestRateError, RequestRate};
 pub use result_code::{ResultCode, RunState};
@@ -38,6 +40,7 @@
 pub use shared::Shared;
 pub use sorted_map::SortedMap;
 pub use time::{Clock, Deadline, Instant, MonotonicClock};
+pub use traffic_share::{ParseTrafficShareError, TrafficShare};
 pub use units::{
     Bytes, BytesPerSecond, ParseUnitError, RequestsPerSecond, Tokens, TokensPerSecond,
 };
