decisions: roll-outs of software versions

Ruled out: the driver in decisions::rollout, which drains and reloads replicas one by one under orders; here what moves is a share of requests. A fixed threshold on failures: on a route that usually fails in one of ten answers it needs hundreds, and a cumulative sum over all routes hides one route. Before the two sums and the periods of the limit, a version that fails 0.8 of the answers of a service with 8 requests a second was completed at 61 nodes.

--- a/crates/decisions/src/gateway/version_rollout/driver.rs
+++ b/crates/decisions/src/gateway/version_rollout/driver.rs
@@ -2,6 +2,7 @@
 
 use yuccapass_types::{SoftwareVersion, TrafficShare};
 
+use super::exposure::slack_holders;
 use super::judge::Verdict;
 use super::limits::RolloutLimits;
 use super::order::RolloutOrder;
@@ -44,6 +45,13 @@
 /// are counted.
 const SETTLE_MS: u64 = 500;
 
+/// Answers of the target without which it is completed only at the end of the order's time: a quiet
+/// service gives most of its answers when the target gets all requests, and can still be rolled back.
+const MIN_JUDGED_ANSWERS: u64 = 60;
+
+/// How long before the end of its time such an order is completed.
+const QUIET_RESERVE_MS: u64 = 1_500;
+
 /// How long the completion waits for nodes that do not report.
 const UNREPORTED_MS: u64 = 4_000;
 
@@ -62,6 +70,10 @@
     pub base_versions: &'a [SoftwareVersion],
     /// What the answers say.
     pub verdict: Verdict,
+    /// Number of answers of the target in that verdict.
+    pub target_answers: u64,
+    /// Number of nodes.
+    pub nodes: u32,
     /// Requests that all nodes have sent to the service since the order.
     pub sent: u64,
     /// Requests that have not ended at endpoints of other versions.
@@ -110,8 +122,7 @@
 ) -> Option<RolloutProgress> {
     if view.ready_targets == 0 {
         let has_ended = view.elapsed_ms >= progress.duration_ms;
-        return has_ended
-            .then(|| progress.roll_back(RollbackReason::NoEndpoints, view.elapsed_ms));
+        return has_ended.then(|| progress.roll_back(RollbackReason::NoEndpoints, view.elapsed_ms));
     }
     // Without another version there is nothing to compare with, and nothing else to use.
     if view.base_versions.is_empty() {
@@ -172,7 +183,9 @@
 fn complete(progress: &RolloutProgress, view: &FleetView<'_>) -> Option<RolloutProgress> {
     let full_ms = view.elapsed_ms.saturating_sub(progress.stage_from_ms);
     let is_reported = view.unreported_nodes == 0 || full_ms >= UNREPORTED_MS;
-    let is_settled = full_ms >= SETTLE_MS && is_reported && view.outstanding_base == 0;
+    let is_judged = view.target_answers >= MIN_JUDGED_ANSWERS
+        || view.elapsed_ms + QUIET_RESERVE_MS >= progress.duration_ms;
+    let is_settled = is_judged && full_ms >= SETTLE_MS && is_reported && view.outstanding_base == 0;
     (is_settled && view.verdict == Verdict::Sound && view.ready_targets > 0)
         .then(|| progress.complete(view.base_versions, view.elapsed_ms))
 }
@@ -185,7 +198,9 @@
 ) -> TrafficShare {
     let projection = progress.duration_ms as f64 / view.elapsed_ms.max(1) as f64;
     let requests = view.sent.max(1) as f64 * projection.max(1.0);
-    let of_slack = QUIET_SLACK * limits.expose_slack / requests;
+    // Nodes whose part of the slack is nothing send no such requests.
+    let of_slack =
+        QUIET_SLACK * limits.expose_slack / (requests * slack_holders(limits, view.nodes));
     let share = part(limits, OBSERVED_PART).fraction() + of_slack;
     TrafficShare::from_fraction(share.min(MAX_QUIET_SHARE))
 }
--- a/crates/decisions/src/gateway/version_rollout/evidence.rs
+++ b/crates/decisions/src/gateway/version_rollout/evidence.rs
@@ -203,7 +203,8 @@
         let Some((route, kind)) = answer else { return };
         self.counts_mut(route, version).record(kind);
         if version == VersionRole::Target {
-            let position = match self.endpoints.binary_search_by(|(known, ..)| known.cmp(endpoint)) {
+            let position = match self.endpoints.binary_search_by(|(known, ..)| known.cmp(endpoint))
+            {
                 Ok(position) => position,
                 Err(position) => {
                     self.endpoints.insert(position, (endpoint.clone(), 0, 0));
--- a/crates/decisions/src/gateway/version_rollout/exposure.rs
+++ b/crates/decisions/src/gateway/version_rollout/exposure.rs
@@ -10,12 +10,19 @@
 /// counted.
 const USABLE_SHARE: f64 = 0.9;
 
-/// The part of the slack that nodes use, so that nodes that count only half of the others keep it.
+/// The part of the slack that nodes use. The rest is for nodes that count only two thirds of the others,
+/// and for the random fractions of the parts.
 const USABLE_SLACK: f64 = 0.5;
 
 /// Maximum of the requests that are still to come, as a multiple of those that were sent.
 const MAX_PROJECTION: f64 = 2.0;
 
+/// Returns the fraction of the nodes that may use some of the slack.
+pub(super) fn slack_holders(limits: &RolloutLimits, nodes: u32) -> f64 {
+    let part = limits.expose_slack * USABLE_SLACK / f64::from(nodes.max(1));
+    part.clamp(f64::EPSILON, 1.0)
+}
+
 /// The cap of one node on its requests to the target of an order.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ExposureCap {
--- a/crates/decisions/src/gateway/version_rollout/judge.rs
+++ b/crates/decisions/src/gateway/version_rollout/judge.rs
@@ -8,11 +8,11 @@
 use super::evidence::{NodeEvidence, RouteCounts, VersionRole};
 use super::progress::RollbackReason;
 
-/// Probability with which a sound version may be found to be bad in an order of `MAX_ANSWERS`.
+/// Maximum probability with which a sound version is found to be bad in an order.
 const FALSE_ALARM: f64 = 0.001;
 
-/// Answers of the target for each sum for which that probability holds.
-const MAX_ANSWERS: f64 = 4_000.0;
+/// Answers of the target in the first period of a sum; each period has twice as many as all before it.
+const FIRST_PERIOD_ANSWERS: f64 = 64.0;
 
 /// Answers of the old version whose rates count as those of the same time.
 const BASE_MEMORY: f64 = 400.0;
@@ -20,8 +20,9 @@
 /// The prior of a rate: one event in this many answers.
 const PRIOR_ANSWERS: f64 = 20.0;
 
-/// Minimum increase of a rate that the sums look for.
-const MIN_INCREASE: f64 = 0.15;
+/// Increases of a rate that the sums look for, at least: a small one that shows in many answers, and a
+/// large one that shows in few.
+const MIN_INCREASES: [f64; 2] = [0.15, 0.5];
 
 /// Rates at which the sums are still sensitive.
 const RATE_RANGE: (f64, f64) = (0.01, 0.8);
@@ -32,6 +33,9 @@
 /// Minimum number of complete answers of the old version that tell what is slow.
 const MIN_TIMED_ANSWERS: f64 = 8.0;
 
+/// Part of its limit at which a sum raises a suspicion.
+const SUSPICIOUS_LEVEL: f64 = 0.5;
+
 /// Minimum number of failures of an endpoint that shows a fault of its version.
 const MIN_ENDPOINT_FAILURES: u64 = 2;
 
@@ -46,18 +50,35 @@
     Bad(RollbackReason),
 }
 
-/// A sum of log-likelihood ratios that is reset at 0.
+/// Sums of log-likelihood ratios that are reset at 0, one for each increase of the rate.
 #[derive(Debug, Clone, Copy, Default)]
-struct CumulativeSum(f64);
+struct CumulativeSum {
+    values: [f64; MIN_INCREASES.len()],
+    answers: f64,
+}
 
 impl CumulativeSum {
     /// Adds `events` among `answers`, whose rate is at most `rate` if the version is sound.
     fn add(&mut self, events: f64, answers: f64, rate: f64) {
         let usual = rate.clamp(RATE_RANGE.0, RATE_RANGE.1);
-        let increased = (usual + usual.max(MIN_INCREASE)).min(0.95);
-        let of_event = (increased / usual).ln();
-        let of_other = ((1.0 - increased) / (1.0 - usual)).ln();
-        self.0 = (self.0 + events * of_event + (answers - events) * of_other).max(0.0);
+        for (value, min_increase) in self.values.iter_mut().zip(MIN_INCREASES) {
+            let increased = (usual + usual.max(min_increase)).min(0.95);
+            let of_event = (increased / usual).ln();
+            let of_other = ((1.0 - increased) / (1.0 - usual)).ln();
+            *value = (*value + events * of_event + (answers - events) * of_other).max(0.0);
+        }
+        self.answers += answers;
+    }
+
+    /// Returns the larger sum as a multiple of its limit. `false_alarm` is the probability with which a
+    /// sum may reach the limit if the version is sound.
+    fn level(&self, false_alarm: f64) -> f64 {
+        let value = self.values.into_iter().fold(0.0, f64::max);
+        let period = (self.answers / FIRST_PERIOD_ANSWERS).max(1.0).log2().ceil();
+        let answers = FIRST_PERIOD_ANSWERS * period.exp2();
+        // The inverses of the weights of all periods have the sum 1.
+        let weight = if period == 0.0 { 2.0 } else { 2.0 * period * (period + 1.0) };
+        value / (answers * weight / false_alarm).ln()
     }
 }
 
@@ -188,8 +209,7 @@
                 Some(before) => route.counts.since(&before.counts),
                 None => route.counts.clone(),
             };
-            let state =
-                self.routes.get_or_insert_with(route.route.clone(), RouteState::default);
+            let state = self.routes.get_or_insert_with(route.route.clone(), RouteState::default);
             match route.version {
                 VersionRole::Base => state.batch_base.add(&added),
                 VersionRole::Target => state.batch_target.add(&added),
@@ -221,26 +241,27 @@
     }
 
     fn current(&self) -> Verdict {
+        let sums = 2 * (self.routes.len() + 1) * MIN_INCREASES.len();
+        let false_alarm = FALSE_ALARM / (sums as f64 * f64::from(self.population));
         let highest = |sum_of: fn(&RouteState) -> CumulativeSum, all: CumulativeSum| {
-            self.routes.values().map(|state| sum_of(state).0).fold(all.0, f64::max)
+            let levels = self.routes.values().map(|state| sum_of(state).level(false_alarm));
+            levels.fold(all.level(false_alarm), f64::max)
         };
         let failures = highest(|state| state.failures, self.all_failures);
         let slowness = highest(|state| state.slowness, self.all_slowness);
-        let limit = self.limit();
-        if failures >= limit && self.is_spread() {
+        if failures >= 1.0 && self.is_spread() {
             return Verdict::Bad(RollbackReason::Failures);
         }
-        if slowness >= limit {
+        if slowness >= 1.0 {
             return Verdict::Bad(RollbackReason::Slowness);
         }
-        if failures.max(slowness) >= limit / 2.0 { Verdict::Suspect } else { Verdict::Sound }
+        if failures.max(slowness) >= SUSPICIOUS_LEVEL { Verdict::Suspect } else { Verdict::Sound }
     }
 
-    /// Returns the limit of the sums. With it, the false alarms of all sums of all judges together
-    /// have at most the probability `FALSE_ALARM`.
-    fn limit(&self) -> f64 {
-        let sums = 2.0 * (self.routes.len() + 1) as f64;
-        (sums * MAX_ANSWERS * f64::from(self.population) / FALSE_ALARM).ln()
+    /// Returns the number of answers of the target that were recorded.
+    pub fn target_answers(&self) -> u64 {
+        let known = self.known.values().map(|evidence| evidence.target_answers().0);
+        known.chain(self.ended.values().map(|&(answers, _)| answers)).sum()
     }
 
     /// Returns whether the failures are not those of a single endpoint among several.
@@ -271,8 +292,8 @@
         return;
     }
     let recent = state.base.failures + state.base.complete();
-    let failure_rate = upper_bound(state.base.failures, recent)
-        .max(latest_rate(base.failures, base.answers()));
+    let failure_rate =
+        upper_bound(state.base.failures, recent).max(latest_rate(base.failures, base.answers()));
     state.failures.add(target.failures as f64, answers, failure_rate);
     failures.add(target.failures as f64, answers, failure_rate);
     let complete = target.complete() as f64;
--- a/crates/decisions/src/gateway/version_rollout/mod.rs
+++ b/crates/decisions/src/gateway/version_rollout/mod.rs
@@ -26,7 +26,8 @@
 
 pub use driver::{FleetView, next_progress};
 pub use evidence::{
-    AnswerKind, AnswerTime, FleetEvidence, NodeEvidence, ReportTimer, RouteCounts, RouteEvidence, VersionRole,
+    AnswerKind, AnswerTime, FleetEvidence, NodeEvidence, ReportTimer, RouteCounts, RouteEvidence,
+    VersionRole,
 };
 pub use exposure::ExposureCap;
 pub use holder::{HolderAction, RolloutHolder};
--- a/crates/decisions/src/gateway/version_rollout/shares.rs
+++ b/crates/decisions/src/gateway/version_rollout/shares.rs
@@ -1,5 +1,7 @@
 //! To which versions a node may send a request.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use yuccapass_types::{
     Deadline, EndpointId, Incarnation, Instant, NodeId, RolloutOrderId, RouteId, SoftwareVersion,
     TrafficShare,
@@ -11,6 +13,10 @@
 use super::order::RolloutOrder;
 use super::progress::{RolloutProgress, Stage};
 
+/// Minimum number of endpoints of a target that get its first requests: the failures of a single one say
+/// little about the version.
+const MIN_OBSERVED_ENDPOINTS: usize = 2;
+
 /// How a request chooses between the target of an order and the other versions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Preference {
@@ -27,6 +33,8 @@
 pub struct VersionFilter {
     target: Option<(SoftwareVersion, Preference)>,
     denied: Vec<SoftwareVersion>,
+    // The share of the target's endpoints that get its requests.
+    observed: Option<TrafficShare>,
 }
 
 impl VersionFilter {
@@ -51,6 +59,25 @@
         }
     }
 
+    /// Returns which of the registered endpoints of the target get its requests. They are as many as
+    /// the share of the requests stands for, so that each has its usual load, and the same at all nodes.
+    pub fn observed<'a>(
+        &self,
+        targets: impl IntoIterator<Item = &'a EndpointId>,
+    ) -> Vec<&'a EndpointId> {
+        let mut targets: Vec<&EndpointId> = targets.into_iter().collect();
+        let Some(share) = self.observed else { return targets };
+        let count = (targets.len() as f64 * share.fraction()).ceil() as usize;
+        let hash = |id: &EndpointId| {
+            let mut hasher = DefaultHasher::new();
+            id.as_str().hash(&mut hasher);
+            hasher.finish()
+        };
+        targets.sort_by_cached_key(|id| (hash(id), (*id).clone()));
+        targets.truncate(count.max(MIN_OBSERVED_ENDPOINTS));
+        targets
+    }
+
     /// Returns whether requests may go to any version.
     pub fn is_open(&self) -> bool {
         self.target.is_none() && self.denied.is_empty()
@@ -209,10 +236,17 @@
         has_base: bool,
         now: Instant,
     ) -> VersionFilter {
-        let mut filter = VersionFilter { target: None, denied: self.unconfirmed_versions() };
+        let denied = self.unconfirmed_versions();
+        let mut filter = VersionFilter { denied, ..VersionFilter::default() };
         let Some(target) = self.current_target().cloned() else { return filter };
         if let Some(progress) = self.progress() {
-            filter.denied.extend(progress.barred.iter().filter(|barred| **barred != target).cloned());
+            // A later order bars the target of one that was not completed.
+            if progress.target != target && progress.stage != Stage::Completed {
+                filter.denied.push(progress.target.clone());
+            }
+            filter
+                .denied
+                .extend(progress.barred.iter().filter(|barred| **barred != target).cloned());
             let is_replaced = progress.stage == Stage::Completed || progress.target != target;
             if has_target && is_replaced {
                 let replaced = progress.replaced.iter().filter(|replaced| **replaced != target);
@@ -233,11 +267,15 @@
             Some(Stage::Observing | Stage::Raising(_)) => {
                 let share = self.share(now);
                 let is_drawn = share.includes(if has_base { random } else { 0.0 });
+                filter.observed = Some(share);
                 match is_drawn && self.may_expose(nodes, now) {
                     true => Preference::TargetFirst,
                     false => Preference::BaseOnly,
                 }
             }
+            None | Some(Stage::Waiting) if !has_base && self.is_established(&target) => {
+                return filter;
+            }
             _ => Preference::BaseOnly,
         };
         filter.target = Some((target, preference));
@@ -280,6 +318,12 @@
         if is_beside_others { unconfirmed } else { Vec::new() }
     }
 
+    /// Returns whether endpoints of the target were there before its order.
+    fn is_established(&self, target: &SoftwareVersion) -> bool {
+        let known = self.versions.iter().find(|(version, _)| version == target);
+        known.is_some_and(|&(_, seen_at)| seen_at < self.ordered_at)
+    }
+
     /// Returns the id of the last order, of operators or of holders.
     fn current_order(&self) -> Option<RolloutOrderId> {
         let ordered = self.order.as_ref().map(|order| order.id);
@@ -295,9 +339,8 @@
     /// Returns whether the current order has not ended.
     fn is_under_way(&self) -> bool {
         let current = self.current_order();
-        let is_ended = |known: &RolloutProgress| {
-            Some(known.order) == current && known.stage.is_final()
-        };
+        let is_ended =
+            |known: &RolloutProgress| Some(known.order) == current && known.stage.is_final();
         current.is_some() && !self.progress().is_some_and(is_ended)
     }
 
@@ -322,9 +365,7 @@
             return false;
         };
         let projection = match progress.stage {
-            Stage::Raising(_) => {
-                progress.duration_ms as f64 / self.elapsed_ms(now).max(1) as f64
-            }
+            Stage::Raising(_) => progress.duration_ms as f64 / self.elapsed_ms(now).max(1) as f64,
             _ => 1.0,
         };
         cap.allows(evidence.sent, evidence.exposed, nodes, projection)
