--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 //! * [`swap`]: which endpoint takes new weights next.
 //! * [`target_bounds`]: when the bound of target weights ends that a node may have read late.
 //! * [`transfers`]: which prompt parts an endpoint fetches and saves.
+//! * [`version_rollout`]: moves the requests of a service to a new version of its software.
 //! * [`waiting_room`]: requests that wait until an engine can start them.
 //! * [`weight_targets`]: the target weights of a model, and until when older ones may be used.
 
@@ -48,6 +49,7 @@
 mod takeover;
 pub mod target_bounds;
 pub mod transfers;
+pub mod version_rollout;
 pub mod waiting_room;
 pub mod weight_targets;
 
