gateway: place requests by the expected time on endpoints that report their speed

Cause: all endpoints were taken as equally fast, and the bound of the prefix affinity, 80,000 tokens above twice the mean, is about the whole memory of an engine. Ruled out: the lateness of the last answer as a sign of a queue (it is over when it is known, and moves prompts out of their caches), and the mean time to the beginning of an answer as the usual time (it contains the queues). Change: ExpectedTime and ExpectedTimeAffinity replace LeastLoaded and PrefixAffinity for services whose endpoints report a slowdown, and call them otherwise. Shares follow lasting speeds; a slow endpoint is barred and tried at a bounded rate. The estimate shrinks differences between endpoints by what later reports confirm, so it lasts 10 s without news instead of 1 s: nodes of a large fleet hear of an endpoint that seldom. Requests without an answer count as a queue, and an engine's memory as a limit. Tests: the estimate's test of old reports holds its bound at 60 s instead of 10 s, and a new one at 5 s guards the other side, for the reason above.

--- a/crates/decisions/examples/measure_gateway_placement.rs
+++ b/crates/decisions/examples/measure_gateway_placement.rs
@@ -63,6 +63,7 @@
                 load_tokens: tracker.load_tokens(now),
                 slots: record.slots,
                 failure_rate: tracker.failure_rate(),
+                speed: None,
             })
         })
         .collect();
--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -150,6 +150,11 @@
         &self.limits
     }
 
+    /// Returns the services by id.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceId, &Service)> {
+        self.services.iter()
+    }
+
     /// Returns the settings of a service.
     pub fn service(&self, id: &ServiceId) -> Option<&Service> {
         self.services.get(id)
--- a/crates/decisions/src/gateway/endpoint_speed.rs
+++ b/crates/decisions/src/gateway/endpoint_speed.rs
@@ -8,6 +8,8 @@
 
 use yuccapass_types::{Instant, Slowdown, Tokens};
 
+use super::configuration::EngineSpec;
+
 /// What a request needs from an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RequestWork {
@@ -37,6 +39,9 @@
 /// several times a second.
 const DIFFERENCE_HALF_LIFE_MS: f64 = 150.0;
 
+/// Half-life of the lasting part of a difference, if nothing more is heard of the endpoint.
+const LASTING_HALF_LIFE_MS: f64 = 10_000.0;
+
 /// Weight of the service's average in the estimate for one endpoint, in samples.
 const PRIOR_WEIGHT: f64 = 0.5;
 
@@ -51,6 +56,9 @@
 /// Minimum difference of such samples, as a multiple of the usual time.
 const MIN_SHIFT: f64 = 0.5;
 
+/// An endpoint is slow if its average is this multiple of the average of its service.
+const SLOW_FACTOR: f64 = 2.5;
+
 /// A mean and a variance of samples whose weights halve with their age.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct AgedMean {
@@ -91,6 +99,11 @@
 }
 
 impl EndpointSpeed {
+    /// Returns the mean of the samples, if there are any.
+    pub fn mean(&self) -> Option<f64> {
+        self.last.map(|_| self.samples.mean)
+    }
+
     /// Records a slowdown that the endpoint reports.
     pub fn record_report(&mut self, slowdown: Slowdown, now: Instant) {
         if !self.has_reported {
@@ -140,16 +153,44 @@
     pub fn estimate(&self, pace: &ServicePace, now: Instant) -> Option<SlowdownEstimate> {
         let last = self.last?;
         let age_ms = now.ms_since(self.samples.sampled_at);
+        let (_, variance, _) = self.average(pace, now);
+        let lasting = self.lasting_factor(pace, now);
+        let persistence = halved(age_ms, DIFFERENCE_HALF_LIFE_MS);
+        let expected = lasting + (last - lasting) * persistence;
+        let error = (variance * (1.0 - persistence * persistence)).sqrt();
+        Some(SlowdownEstimate { expected: Slowdown::from_factor(expected), error, age_ms })
+    }
+
+    /// Returns the lasting part of the slowdown, as a multiple of the usual time: the average of the
+    /// service, and of the endpoint's difference from it what its next report will still show. That is
+    /// all of a difference that is too large for the usual changes of the service.
+    pub fn lasting_factor(&self, pace: &ServicePace, now: Instant) -> f64 {
+        let (prior, prior_variance) = pace.slowdown();
+        if self.last.is_none() {
+            return prior;
+        }
+        let difference = self.samples.mean - prior;
+        let is_outlier = difference.abs() > SHIFT_DEVIATIONS * prior_variance.sqrt();
+        let reliability = if is_outlier { 1.0 } else { pace.reliability() };
+        let age_ms = now.ms_since(self.samples.sampled_at);
+        prior + difference * reliability * halved(age_ms, LASTING_HALF_LIFE_MS)
+    }
+
+    /// Returns whether the endpoint is far slower than its service, also if the average of its
+    /// samples is too high by its standard error.
+    pub fn is_slow(&self, pace: &ServicePace, now: Instant) -> bool {
+        let (mean, variance, weight) = self.average(pace, now);
+        mean - (variance / weight).sqrt() > SLOW_FACTOR * pace.slowdown().0
+    }
+
+    /// Returns the mean and the variance of the samples and their weight, together with the average
+    /// of the service.
+    fn average(&self, pace: &ServicePace, now: Instant) -> (f64, f64, f64) {
         let weight = self.samples.weight_at(SAMPLE_HALF_LIFE_MS, now);
         let total = weight + PRIOR_WEIGHT;
         let mix = |own: f64, prior: f64| (weight * own + PRIOR_WEIGHT * prior) / total;
         let (prior, prior_variance) = pace.slowdown();
-        let mean = mix(self.samples.mean, prior);
-        let variance = mix(self.samples.variance, prior_variance);
-        let persistence = halved(age_ms, DIFFERENCE_HALF_LIFE_MS);
-        let expected = mean + (last - mean) * persistence;
-        let error = (variance * (1.0 - persistence * persistence)).sqrt();
-        Some(SlowdownEstimate { expected: Slowdown::from_factor(expected), error, age_ms })
+        (mix(self.samples.mean, prior), mix(self.samples.variance, prior_variance), total)
     }
 }
 
@@ -165,10 +206,24 @@
 /// Assumed time to prefill a token, until answers were measured.
 const ASSUMED_TOKEN_MS: f64 = 0.02;
 
+/// Assumed reliability of an endpoint's average, until reports were compared.
+const ASSUMED_RELIABILITY: f64 = 0.25;
+
+/// Weight of the assumed reliability, as a sum of squared differences.
+const ASSUMED_SQUARE: f64 = 0.25;
+
+/// Weight of an answer that took far longer to begin than expected, in the learnt times.
+const MIN_SAMPLE_WEIGHT: f64 = 0.05;
+
 /// How long the requests of a service take at the usual speed, as learnt by one node.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ServicePace {
+    engine: Option<EngineSpec>,
     slowdowns: AgedMean,
+    // Products and squares of the differences of earlier averages and of later reports from the mean
+    // of the service.
+    products: AgedMean,
+    squares: AgedMean,
     run_ms: AgedMean,
     // Sums for the regression of the time to the beginning of an answer on the prefilled tokens.
     begun: BegunSums,
@@ -185,8 +240,30 @@
 }
 
 impl ServicePace {
-    /// Records a slowdown that an endpoint of the service reports.
-    pub fn record_report(&mut self, slowdown: Slowdown, now: Instant) {
+    /// Sets the engines of the service; `None` if it serves no models.
+    pub fn set_engine(&mut self, engine: Option<EngineSpec>) {
+        self.engine = engine;
+    }
+
+    /// Returns the tokens that fit into the memory of an engine.
+    pub fn capacity(&self) -> Option<Tokens> {
+        self.engine.map(|engine| engine.capacity)
+    }
+
+    /// Returns whether endpoints of the service report their slowdown.
+    pub fn has_reports(&self) -> bool {
+        self.slowdowns.weight > 0.0
+    }
+
+    /// Records a slowdown that an endpoint of the service reports, and the average of its earlier
+    /// reports.
+    pub fn record_report(&mut self, slowdown: Slowdown, earlier: Option<f64>, now: Instant) {
+        if let Some(earlier) = earlier.filter(|_| self.has_reports()) {
+            let difference = earlier - self.slowdowns.mean;
+            let product = difference * (slowdown.factor() - self.slowdowns.mean);
+            self.products.add(product, PACE_HALF_LIFE_MS, now);
+            self.squares.add(difference * difference, PACE_HALF_LIFE_MS, now);
+        }
         self.slowdowns.add(slowdown.factor(), PACE_HALF_LIFE_MS, now);
     }
 
@@ -201,12 +278,14 @@
     ) {
         let decay = halved(now.ms_since(self.begun_at), PACE_HALF_LIFE_MS);
         let (tokens, ms) = (work.uncached.get() as f64, waited_ms as f64 / slowdown.factor());
+        // What exceeds the expected time is mostly a queue that no endpoint reports.
+        let weight = (self.begin_ms(work) / ms.max(1.0)).powi(2).clamp(MIN_SAMPLE_WEIGHT, 1.0);
         let sums = &mut self.begun;
-        sums.count = sums.count * decay + 1.0;
-        sums.tokens = sums.tokens * decay + tokens;
-        sums.ms = sums.ms * decay + ms;
-        sums.tokens_tokens = sums.tokens_tokens * decay + tokens * tokens;
-        sums.tokens_ms = sums.tokens_ms * decay + tokens * ms;
+        sums.count = sums.count * decay + weight;
+        sums.tokens = sums.tokens * decay + weight * tokens;
+        sums.ms = sums.ms * decay + weight * ms;
+        sums.tokens_tokens = sums.tokens_tokens * decay + weight * tokens * tokens;
+        sums.tokens_ms = sums.tokens_ms * decay + weight * tokens * ms;
         self.begun_at = now;
     }
 
@@ -218,12 +297,21 @@
     /// Returns the mean and the variance of the slowdowns that the endpoints report, as multiples of
     /// the usual time.
     pub fn slowdown(&self) -> (f64, f64) {
-        match self.slowdowns.weight > 0.0 {
+        match self.has_reports() {
             true => (self.slowdowns.mean, self.slowdowns.variance.max(UNKNOWN_VARIANCE / 10.0)),
             false => (1.0, UNKNOWN_VARIANCE),
         }
     }
 
+    /// Returns how much of the difference between an endpoint's average and that of its service is
+    /// still found in its next report, from 0 to 1: little if all endpoints change in the same way,
+    /// much if some are always slower.
+    pub fn reliability(&self) -> f64 {
+        let weight = self.squares.weight;
+        let products = self.products.mean * weight + ASSUMED_RELIABILITY * ASSUMED_SQUARE;
+        (products / (self.squares.mean * weight + ASSUMED_SQUARE)).clamp(0.0, 1.0)
+    }
+
     /// Returns the time to prefill a token, in milliseconds.
     pub fn token_ms(&self) -> f64 {
         let sums = &self.begun;
--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -3,6 +3,8 @@
 use yuccapass_types::{Deadline, Instant, RequestRate, Slowdown, Tokens};
 
 use super::endpoint_speed::{EndpointSpeed, RequestWork, ServicePace, SlowdownEstimate};
+use super::paced_turns::PacedTurns;
+use super::placement::CandidateSpeed;
 
 /// The load that an endpoint reports with an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -53,6 +55,10 @@
 /// Weight of a new sample in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
+/// Share of the capacity of a slow endpoint that all nodes together use to see whether it has
+/// recovered.
+const SLOW_SHARE: f64 = 0.25;
+
 /// Tracks the load and failures of an endpoint.
 #[derive(Debug, Clone)]
 pub struct EndpointTracker {
@@ -68,15 +74,17 @@
     failure_rate: f64,
     avoid_until: Option<Deadline>,
     rejected_until: Option<Deadline>,
-    // When the next request may be sent if the endpoint is cold.
-    next_cold_at: Option<Instant>,
-    cold_period_ms: u64,
+    cold_turns: PacedTurns,
+    slow_turns: PacedTurns,
+    is_slow: bool,
     slots: Option<u32>,
     speed: EndpointSpeed,
     pace: ServicePace,
     // Tokens of this node's requests that the endpoint had still to prefill at `backlog_at`.
     backlog_tokens: f64,
     backlog_at: Instant,
+    // When the requests were sent whose answers have not begun. Sorted.
+    pending: Vec<Instant>,
 }
 
 impl EndpointTracker {
@@ -94,13 +102,15 @@
             failure_rate: 0.0,
             avoid_until: None,
             rejected_until: None,
-            next_cold_at: None,
-            cold_period_ms: 0,
+            cold_turns: PacedTurns::default(),
+            slow_turns: PacedTurns::default(),
+            is_slow: false,
             slots: None,
             speed: EndpointSpeed::default(),
             pace: ServicePace::default(),
             backlog_tokens: 0.0,
             backlog_at: Instant::default(),
+            pending: Vec::new(),
         }
     }
 
@@ -127,6 +137,15 @@
     pub fn record_work(&mut self, work: &RequestWork, now: Instant) {
         self.backlog_tokens = self.remaining_backlog_tokens(now) + work.uncached.get() as f64;
         self.backlog_at = now;
+        self.pending.push(now);
+    }
+
+    /// Records that the answer to a request that was sent at `sent_at` has begun, or that it ended
+    /// without an answer.
+    pub fn record_not_pending(&mut self, sent_at: Instant) {
+        if let Ok(position) = self.pending.binary_search(&sent_at) {
+            self.pending.remove(position);
+        }
     }
 
     /// Records that a request with a prompt of `tokens` has ended, successfully or not.
@@ -143,13 +162,15 @@
         self.slots = Some(report.slots);
         if let Some(slowdown) = report.slowdown {
             self.speed.record_report(slowdown, now);
+            self.is_slow = self.speed.is_slow(&self.pace, now);
         }
     }
 
-    /// Records that the answer to a request began `waited_ms` after it was sent. This shows the
-    /// speed of endpoints that do not report it.
-    pub fn record_begun_after(&mut self, waited_ms: u64, work: &RequestWork, now: Instant) {
-        let expected_ms = self.pace.begin_ms(work);
+    /// Records that the answer to a request with this work that was sent at `sent_at` has begun. This
+    /// shows the speed of endpoints that do not report it, and the queues that none reports.
+    pub fn record_begun(&mut self, work: &RequestWork, sent_at: Instant, now: Instant) {
+        self.record_not_pending(sent_at);
+        let (waited_ms, expected_ms) = (now.ms_since(sent_at), self.pace.begin_ms(work));
         self.speed.record_answer(waited_ms, expected_ms, now);
     }
 
@@ -221,6 +242,12 @@
         self.outstanding_tokens.get() as f64 + self.decayed_other_load(now) * self.mean_tokens
     }
 
+    /// Returns the average of the slowdowns that were reported or observed, as a multiple of the usual
+    /// time.
+    pub fn mean_slowdown(&self) -> Option<f64> {
+        self.speed.mean()
+    }
+
     /// Returns whether the endpoint reports its slowdown.
     pub fn reports_slowdown(&self) -> bool {
         self.speed.has_reported()
@@ -232,12 +259,36 @@
     }
 
     /// Returns the expected time from sending a request to the beginning of its answer, in
-    /// milliseconds: the queue, the prefill of this node's other requests, and its own prefill, at
-    /// the endpoint's expected speed.
+    /// milliseconds: the queue for slots and memory, the prefill of this node's other requests, and its
+    /// own prefill, at the endpoint's expected speed.
     pub fn expected_wait_ms(&self, work: &RequestWork, now: Instant) -> f64 {
         let prefill_ms = self.remaining_backlog_tokens(now) * self.pace.token_ms();
-        let usual_ms = self.queue_ms(now) + prefill_ms + self.pace.begin_ms(work);
-        usual_ms * self.factor(now)
+        let queue_ms = self.queue_ms(now).max(self.memory_ms(work, now)) + prefill_ms;
+        let queue_ms = (queue_ms * self.factor(now)).max(self.overdue_ms(now));
+        queue_ms + self.pace.begin_ms(work) * self.factor(now)
+    }
+
+    /// Returns how long this node's oldest request without an answer has been waiting there beyond the
+    /// usual time. Engines do not report the prompts that they have to prefill, and an overloaded one
+    /// reports nothing until it begins an answer.
+    fn overdue_ms(&self, now: Instant) -> f64 {
+        let pending_ms = self.pending.first().map_or(0, |sent_at| now.ms_since(*sent_at));
+        let usual_ms = self.pace.base_ms() * self.factor(now);
+        (pending_ms as f64 - usual_ms).max(0.0)
+    }
+
+    /// Returns the expected time to prefill a token, in milliseconds.
+    pub fn token_ms(&self, now: Instant) -> f64 {
+        self.pace.token_ms() * self.factor(now)
+    }
+
+    /// Returns how long a request waits for memory at the usual speed: requests release the memory of
+    /// their prompts evenly over the time that a request runs.
+    fn memory_ms(&self, work: &RequestWork, now: Instant) -> f64 {
+        let Some(capacity) = self.pace.capacity() else { return 0.0 };
+        let capacity = capacity.get() as f64;
+        let needed = self.load_tokens(now) + (work.prompt + work.output).get() as f64;
+        (needed - capacity).max(0.0) * self.pace.run_ms() / capacity.max(1.0)
     }
 
     /// Returns how long a request waits for a slot at the usual speed. All slots end their requests
@@ -251,7 +302,7 @@
 
     fn remaining_backlog_tokens(&self, now: Instant) -> f64 {
         let elapsed_ms = now.ms_since(self.backlog_at) as f64;
-        let token_ms = self.pace.token_ms() * self.factor(now);
+        let token_ms = self.token_ms(now);
         match token_ms > 0.0 {
             true => (self.backlog_tokens - elapsed_ms / token_ms).max(0.0),
             false => 0.0,
@@ -259,7 +310,7 @@
     }
 
     /// Returns the expected time of work, as a multiple of the usual time.
-    fn factor(&self, now: Instant) -> f64 {
+    pub fn factor(&self, now: Instant) -> f64 {
         self.slowdown(now).map_or(1.0, |estimate| estimate.expected.factor())
     }
 
@@ -285,11 +336,7 @@
     }
 
     /// Returns whether this node may send a request to the endpoint while it is cold. `rate` is what
-    /// `nodes` nodes may send together.
-    ///
-    /// Unused capacity does not accumulate, and the first request is delayed by `random`, from 0 to
-    /// 1, times the period. Otherwise all nodes would send a request at the moment at which the
-    /// endpoint becomes cold.
+    /// `nodes` nodes may send together, and `random`, from 0 to 1, delays the first request.
     pub fn may_send_cold(
         &mut self,
         rate: RequestRate,
@@ -297,20 +344,52 @@
         random: f64,
         now: Instant,
     ) -> bool {
-        let Some(period_us) = rate.period_us(nodes) else { return false };
-        self.cold_period_ms = period_us / 1_000;
-        let is_unused =
-            self.next_cold_at.is_none_or(|from| now.ms_since(from) > self.cold_period_ms);
-        if is_unused {
-            let wait_ms = (random * self.cold_period_ms as f64) as u64;
-            self.next_cold_at = Some(Deadline::after_ms(now, wait_ms).instant());
-        }
-        self.next_cold_at.is_some_and(|from| from <= now)
+        self.cold_turns.is_due(rate, nodes, random, now)
     }
 
     /// Records that a request is sent to the endpoint while it is cold.
     pub fn record_sent_cold(&mut self, now: Instant) {
-        self.next_cold_at = Some(Deadline::after_ms(now, self.cold_period_ms).instant());
+        self.cold_turns.record_taken(now);
+    }
+
+    /// Returns whether the endpoint has reported to be far slower than its service, and not
+    /// recovered since.
+    pub fn is_slow(&self) -> bool {
+        self.is_slow
+    }
+
+    /// Returns whether this node may send a request to the endpoint while it is slow, to see whether
+    /// it has recovered. `nodes` nodes together use only a part of its capacity, and `random`, from 0
+    /// to 1, delays the first request.
+    pub fn may_send_slow(&mut self, nodes: u32, random: f64, now: Instant) -> bool {
+        let slots = f64::from(self.slots.unwrap_or(1).max(1));
+        let run_s = self.pace.run_ms().max(1.0) * self.factor(now) / 1_000.0;
+        let rate = RequestRate::from_per_s(SLOW_SHARE * slots / run_s).unwrap_or_default();
+        self.slow_turns.is_due(rate, nodes, random, now)
+    }
+
+    /// Returns how fast the endpoint is expected to run a request with this work, for its placement
+    /// by one of `nodes` nodes. `random` is from 0 to 1.
+    pub fn speed_for(
+        &mut self,
+        work: &RequestWork,
+        nodes: u32,
+        random: f64,
+        now: Instant,
+    ) -> CandidateSpeed {
+        CandidateSpeed {
+            factor: self.factor(now),
+            lasting_factor: self.speed.lasting_factor(&self.pace, now),
+            wait_ms: self.expected_wait_ms(work, now),
+            token_ms: self.token_ms(now),
+            run_ms: self.pace.run_ms(),
+            is_barred: self.is_slow && !self.may_send_slow(nodes, random, now),
+        }
+    }
+
+    /// Records that a request is sent to the endpoint while it is slow.
+    pub fn record_sent_slow(&mut self, now: Instant) {
+        self.slow_turns.record_taken(now);
     }
 }
 
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod key_validity;
 pub mod link_share;
 pub mod next_step;
+mod paced_turns;
 pub mod part_store;
 pub mod placement;
 pub mod rate_share;
@@ -63,7 +64,8 @@
 pub use next_step::{AttemptFailure, AttemptSummary, NextStep, Refusal};
 pub use part_store::{PartEvent, PartEvents, StoreContents, TransferTiming};
 pub use placement::{
-    Candidate, Distance, LeastLoaded, Placement, PlacementRequest, PrefixAffinity,
+    Candidate, CandidateSpeed, Distance, ExpectedTime, ExpectedTimeAffinity, LeastLoaded,
+    Placement, PlacementRequest, PrefixAffinity,
 };
 pub use rate_share::RateShare;
 pub use replaced_weights::ReplacedWeights;
--- a/crates/decisions/src/gateway/placement.rs
+++ b/crates/decisions/src/gateway/placement/mod.rs
@@ -1,11 +1,19 @@
 //! Chooses the endpoint that runs a request.
+//!
+//! [`LeastLoaded`] and [`PrefixAffinity`] take all endpoints as equally fast. [`expected_time`] has
+//! the strategies for services whose endpoints report how fast they are.
+
+pub mod expected_time;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use yuccapass_types::{EndpointId, Tokens};
 
+use super::endpoint_speed::RequestWork;
 use super::route::PromptPart;
 
+pub use expected_time::{CandidateSpeed, ExpectedTime, ExpectedTimeAffinity};
+
 /// How far an endpoint is from this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -32,6 +40,8 @@
     pub slots: u32,
     /// Moving average of its failed answers, from 0 to 1.
     pub failure_rate: f64,
+    /// How fast it is expected to be; `None` if the endpoints of its service do not report it.
+    pub speed: Option<CandidateSpeed>,
 }
 
 /// The properties of a request that its placement depends on.
@@ -58,6 +68,15 @@
     ) -> Option<usize> {
         None
     }
+
+    /// Returns the position of the candidate to which this node sends requests with the same shared
+    /// prefix as long as it is not busy. The default is the one that [`preferred`](Self::preferred)
+    /// returns.
+    fn home(&self, request: &PlacementRequest<'_>, candidates: &[Candidate<'_>]) -> Option<usize> {
+        let endpoints: Vec<&EndpointId> =
+            candidates.iter().map(|candidate| candidate.endpoint).collect();
+        self.preferred(request, &endpoints)
+    }
 }
 
 /// Chooses the endpoint with the smallest share of its slots in use, and weighs distance and
@@ -115,13 +134,33 @@
         self
     }
 
-    /// Returns the part by which a prompt is placed: the last shared part, which comes before the
-    /// request's own part.
+    /// Returns the part by which a prompt is placed: the last shared part.
     fn affinity_part(parts: &[PromptPart]) -> Option<&PromptPart> {
-        parts.len().checked_sub(2).map_or_else(|| parts.last(), |position| parts.get(position))
+        shared_parts(parts).last()
+    }
+}
+
+/// Returns the parts of a prompt that other requests may share: all but the last, which is the
+/// request's own, or the only one.
+fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    match parts {
+        [shared @ .., _] if !shared.is_empty() => shared,
+        _ => parts,
     }
 }
 
+/// Returns what a request needs at the endpoint that has most likely cached the shared parts of its
+/// prompt, and elsewhere. The output is not known here.
+pub fn prompt_work(parts: &[PromptPart], is_shared_cached: bool) -> RequestWork {
+    let tokens = |parts: &[PromptPart]| parts.iter().map(|part| part.tokens).sum::<Tokens>();
+    let prompt = tokens(parts);
+    let uncached = match is_shared_cached {
+        true => prompt.saturating_sub(tokens(shared_parts(parts))),
+        false => prompt,
+    };
+    RequestWork { prompt, uncached, output: Tokens::ZERO }
+}
+
 /// Returns the rank of an endpoint for a prompt prefix; all nodes compute the same value.
 fn rank(key: &PromptPart, endpoint: &EndpointId) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/decisions/tests/gateway_endpoint_speed.rs
+++ b/crates/decisions/tests/gateway_endpoint_speed.rs
@@ -1,7 +1,8 @@
 //! Tests of the estimates of how fast an endpoint is now.
 
 use yuccapass_decisions::gateway::{
-    EndpointSpeed, EndpointTracker, EndpointTrackerSettings, LoadReport, RequestWork, ServicePace,
+    EndpointSpeed, EndpointTracker, EndpointTrackerSettings, EngineSpec, LoadReport, RequestWork,
+    ServicePace,
 };
 use yuccapass_types::{Instant, Slowdown, Tokens};
 
@@ -18,13 +19,17 @@
     RequestWork { prompt: tokens, uncached: tokens, output: Tokens::new(30) }
 }
 
+fn cached(prompt: u64) -> RequestWork {
+    RequestWork { prompt: Tokens::new(prompt), uncached: Tokens::ZERO, output: Tokens::ZERO }
+}
+
 /// A pace that was learnt from requests of 20 ms and 0.02 ms for each token, running for 200 ms.
 fn learnt_pace() -> ServicePace {
     let mut pace = ServicePace::default();
     for tokens in [0, 1_000, 5_000, 10_000] {
         pace.record_begun(&prompt(tokens), 20 + tokens / 50, Slowdown::USUAL, at(0));
         pace.record_run(200, Slowdown::USUAL, at(0));
-        pace.record_report(Slowdown::USUAL, at(0));
+        pace.record_report(Slowdown::USUAL, None, at(0));
     }
     pace
 }
@@ -79,7 +84,8 @@
     assert!(estimate.expected.percent() > 350, "{estimate:?}");
 }
 
-/// Guards against an endpoint that was slow once and is taken for slow ever after.
+/// Guards against an endpoint that was slow once and is taken for slow ever after, and against one
+/// that is forgotten between two reports, which are seconds apart on a node of a large fleet.
 #[test]
 fn estimate_returns_to_the_average_of_the_service() {
     // Arrange
@@ -87,10 +93,78 @@
     speed.record_report(percent(500), at(0));
 
     // Act
-    let estimate = speed.estimate(&learnt_pace(), at(10_000)).expect("an estimate");
+    let estimate = |ms| speed.estimate(&learnt_pace(), at(ms)).expect("an estimate").expected;
+
+    // Assert
+    assert!(estimate(5_000).percent() > 300, "{}", estimate(5_000));
+    assert!(estimate(60_000).percent() < 110, "{}", estimate(60_000));
+}
+
+/// Returns a pace that has compared reports of endpoints with their earlier averages.
+fn pace_after(reports: &[(f64, u32)]) -> ServicePace {
+    let mut pace = ServicePace::default();
+    for _ in 0..10 {
+        for (earlier, next) in reports {
+            pace.record_report(percent(*next), Some(*earlier), at(0));
+        }
+    }
+    pace
+}
+
+/// Guards against changes that are the same everywhere and are taken for a difference between
+/// endpoints, and against lasting differences that are taken for chance.
+#[test]
+fn differences_count_as_far_as_later_reports_confirm_them() {
+    // Arrange
+    let lasting = pace_after(&[(2.0, 200), (1.0, 100)]);
+    let changing = pace_after(&[(2.0, 200), (1.0, 100), (2.0, 100), (1.0, 200)]);
+    let mut speed = EndpointSpeed::default();
+    speed.record_report(percent(200), at(0));
+
+    // Act
+    let factor = |pace| speed.lasting_factor(pace, at(0));
 
     // Assert
-    assert!(estimate.expected.percent() < 110, "{estimate:?}");
+    assert!(factor(&lasting) > 1.9, "{}", factor(&lasting));
+    assert!(factor(&changing) < 1.6, "{}", factor(&changing));
+}
+
+/// Guards against an overloaded endpoint that reports nothing, because none of its answers begins, and
+/// seems idle meanwhile.
+#[test]
+fn request_without_an_answer_shows_a_queue() {
+    // Arrange
+    let mut tracker = tracker(report(1, 0, 100), at(0));
+
+    // Act
+    tracker.record_work(&prompt(0), at(0));
+    let waiting_ms = tracker.expected_wait_ms(&prompt(0), at(1_020));
+    tracker.record_not_pending(at(0));
+    let ended_ms = tracker.expected_wait_ms(&prompt(0), at(1_020));
+
+    // Assert
+    assert!((1_000.0..1_050.0).contains(&waiting_ms), "{waiting_ms}");
+    assert!(ended_ms < 21.0, "{ended_ms}");
+}
+
+/// Guards against prompts that are sent to an engine without memory for them, where running requests
+/// are preempted.
+#[test]
+fn expected_wait_counts_the_memory_of_an_engine() {
+    // Arrange
+    let mut pace = learnt_pace();
+    pace.set_engine(Some(EngineSpec { slots: 10, capacity: Tokens::new(20_000) }));
+    let mut tracker = tracker(report(0, 0, 100), at(0));
+    tracker.set_pace(pace);
+    tracker.record_sent(Tokens::new(15_000));
+
+    // Act
+    let small_ms = tracker.expected_wait_ms(&cached(4_000), at(0));
+    let large_ms = tracker.expected_wait_ms(&cached(10_000), at(0));
+
+    // Assert: a quarter of the memory is released in a quarter of 200 ms.
+    assert!((19.0..21.0).contains(&small_ms), "{small_ms}");
+    assert!((69.0..71.0).contains(&large_ms), "{large_ms}");
 }
 
 /// Guards against endpoints without reports that are taken as equally fast.
@@ -101,7 +175,7 @@
     slow.set_pace(learnt_pace());
 
     // Act: 5,000 tokens are expected after 120 ms.
-    slow.record_begun_after(360, &prompt(5_000), at(1_000));
+    slow.record_begun(&prompt(5_000), at(640), at(1_000));
     let estimate = slow.slowdown(at(1_000)).expect("an estimate");
 
     // Assert
@@ -113,13 +187,13 @@
 #[test]
 fn reported_slowdown_takes_precedence_over_answers() {
     // Arrange
-    let mut tracker = tracker(report(1, 0, 120), at(0));
+    let mut tracker = tracker(report(1, 0, 120), at(5_000));
 
     // Act
-    tracker.record_begun_after(5_000, &prompt(100), at(0));
+    tracker.record_begun(&prompt(100), at(0), at(5_000));
 
     // Assert
-    let estimate = tracker.slowdown(at(0)).expect("an estimate");
+    let estimate = tracker.slowdown(at(5_000)).expect("an estimate");
     assert_eq!(estimate.expected, percent(120));
     assert!(tracker.reports_slowdown());
 }
@@ -151,10 +225,13 @@
 
     // Act
     tracker.record_work(&prompt(10_000), at(0));
-    let wait_ms = |ms| tracker.expected_wait_ms(&prompt(0), at(ms));
+    let sent_ms = tracker.expected_wait_ms(&prompt(0), at(0));
+    let prefilling_ms = tracker.expected_wait_ms(&prompt(0), at(100));
+    tracker.record_begun(&prompt(10_000), at(0), at(220));
+    let begun_ms = tracker.expected_wait_ms(&prompt(0), at(220));
 
     // Assert: 10,000 tokens take 200 ms.
-    assert!((215.0..225.0).contains(&wait_ms(0)), "{}", wait_ms(0));
-    assert!((115.0..125.0).contains(&wait_ms(100)), "{}", wait_ms(100));
-    assert!(wait_ms(300) < 21.0, "{}", wait_ms(300));
+    assert!((215.0..225.0).contains(&sent_ms), "{sent_ms}");
+    assert!((115.0..125.0).contains(&prefilling_ms), "{prefilling_ms}");
+    assert!(begun_ms < 21.0, "{begun_ms}");
 }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -7,7 +7,7 @@
 use yuccapass_decisions::gateway::{Configuration, KeyVerdict, Priority, Refusal, Route};
 use yuccapass_http::message::RequestHead;
 use yuccapass_types::{
-    Deadline, Instant, ModelId, OrganisationId, RegionId, ResultCode, ServiceId, Tokens,
+    Deadline, Instant, ModelId, OrganisationId, RegionId, ResultCode, ServiceId,
 };
 
 use crate::protocol::CallerRequest;
@@ -58,11 +58,6 @@
     pub(crate) fn is_blocked(&self, shared: &Shared) -> bool {
         is_blocked(shared, self.message, self.caller, self.organisation)
     }
-
-    /// Returns the length of the prompt.
-    pub(crate) fn prompt_tokens(&self) -> Tokens {
-        self.caller.parts.iter().map(|part| part.tokens).sum()
-    }
 }
 
 /// Checks a request and chooses its service.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use futures::AsyncWriteExt;
 use futures::future::{Either, select};
 use yuccapass_decisions::gateway::{
-    AttemptFailure, EndpointRecord, EndpointTracker, TransferRequest,
+    AttemptFailure, EndpointRecord, EndpointTracker, RequestWork, TransferRequest,
 };
 use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, ResponseHead};
 use yuccapass_http::{Expired, with_deadline};
@@ -15,6 +15,7 @@
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
+use crate::endpoints::BegunAnswer;
 use crate::events::EventSplitter;
 use crate::protocol::{EndpointAnswer, Forwarding};
 use crate::state::{AnswerReservation, Shared};
@@ -41,6 +42,8 @@
     pub(crate) record: EndpointRecord,
     /// Another endpoint that has most likely cached the prefix of the prompt.
     pub(crate) cache_peer: Option<SocketAddr>,
+    /// What the request needs there.
+    pub(crate) work: RequestWork,
 }
 
 /// A complete answer of an endpoint.
@@ -94,11 +97,14 @@
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
-    let _outstanding =
-        shared.endpoints.track_request(&target.id, &target.record, request.prompt_tokens());
+    let _outstanding = shared.endpoints.track_request(&target.id, &target.record, target.work);
     let sent_at = shared.now();
     let outcome = run(shared, request, target, limit, events, answer).await;
     record_outcome(shared, request, target, &outcome);
+    if matches!(outcome, AttemptOutcome::Answered(..)) {
+        let run_ms = shared.now().ms_since(sent_at);
+        shared.endpoints.record_run(&target.id, &target.record, run_ms);
+    }
     record_crash_evidence(shared, request, target, sent_at, &outcome);
     outcome
 }
@@ -200,8 +206,13 @@
         }
     };
     let now = shared.now();
-    let record_begun = |tracker: &mut EndpointTracker| tracker.record_answer_begun(now);
-    shared.endpoints.with_tracker(&target.id, &target.record, record_begun);
+    let begun = BegunAnswer {
+        work: target.work,
+        sent_at,
+        load: received.info.load,
+        is_run: !received.info.is_not_run,
+    };
+    shared.endpoints.record_begun(&target.id, &target.record, &begun);
     if let Some(weights) = received.info.weights {
         record_weights(shared, request, target, weights);
         if !received.info.is_not_run {
@@ -211,11 +222,6 @@
     if let Some(notice) = &received.info.notice {
         shared.notices.record((&target.id, &target.record), notice, sent_at, now);
     }
-    if let Some(load) = received.info.load {
-        shared
-            .endpoints
-            .with_tracker(&target.id, &target.record, |tracker| tracker.record_load(load, now));
-    }
     let is_stream = request.route.kind.is_streaming() && received.head.status == 200;
     if is_stream && received.info.is_signed {
         return forward_stream(shared, request, target, connection, received, events, answer).await;
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -4,11 +4,14 @@
 use std::sync::Arc;
 
 use yuccapass_decisions::gateway::{
-    Directory, EndpointRecord, EndpointTracker, EndpointTrackerSettings,
+    Configuration, Directory, EndpointRecord, EndpointTracker, EndpointTrackerSettings, LoadReport,
+    RequestWork, ServicePace,
 };
 use yuccapass_http::message::{Connection, ResponseHead};
 use yuccapass_http::with_deadline;
-use yuccapass_types::{Clock, Deadline, EndpointId, Sharded, SortedMap, Tokens};
+use yuccapass_types::{
+    Clock, Deadline, EndpointId, Instant, ServiceId, Sharded, Slowdown, SortedMap,
+};
 
 /// Timeout for opening a connection: a few round trips between regions. If the endpoint's accept
 /// queue is full, the SYN packet is dropped, and the retransmission would come only after seconds.
@@ -41,11 +44,22 @@
     clock: Arc<dyn Clock>,
     silence_ms: u64,
     shards: Sharded<SortedMap<EndpointId, EndpointEntry>>,
+    // Read before a lock of an endpoint is taken, never under one.
+    paces: Sharded<SortedMap<ServiceId, ServicePace>>,
+}
+
+/// An answer of an endpoint that has begun.
+pub(crate) struct BegunAnswer {
+    pub(crate) work: RequestWork,
+    pub(crate) sent_at: Instant,
+    pub(crate) load: Option<LoadReport>,
+    /// Whether the endpoint runs the request.
+    pub(crate) is_run: bool,
 }
 
 impl EndpointTable {
     pub(crate) fn new(clock: Arc<dyn Clock>, silence_ms: u64) -> Self {
-        Self { clock, silence_ms, shards: Sharded::default() }
+        Self { clock, silence_ms, shards: Sharded::default(), paces: Sharded::default() }
     }
 
     /// Drops the state of endpoints that are no longer in the directory, or were restarted as
@@ -68,7 +82,23 @@
         record: &EndpointRecord,
         action: impl FnOnce(&mut EndpointTracker) -> R,
     ) -> R {
-        self.with(id, record, |endpoint| action(&mut endpoint.tracker))
+        let pace = self.pace(&record.service);
+        self.with(id, record, |endpoint| {
+            endpoint.tracker.set_pace(pace);
+            action(&mut endpoint.tracker)
+        })
+    }
+
+    /// Returns what this node has learnt about a service.
+    pub(crate) fn pace(&self, service: &ServiceId) -> ServicePace {
+        self.with_pace(service, |pace| *pace)
+    }
+
+    /// Takes over the engines of the services.
+    pub(crate) fn set_engines(&self, configuration: &Configuration) {
+        for (id, service) in configuration.services() {
+            self.with_pace(id, |pace| pace.set_engine(service.engine));
+        }
     }
 
     /// Counts a request as sent to an endpoint until the guard is dropped.
@@ -76,10 +106,68 @@
         &self,
         id: &EndpointId,
         record: &EndpointRecord,
-        tokens: Tokens,
+        work: RequestWork,
     ) -> OutstandingRequest<'_> {
-        self.with_tracker(id, record, |tracker| tracker.record_sent(tokens));
-        OutstandingRequest { table: self, id: id.clone(), tokens }
+        let sent_at = self.clock.now();
+        self.with_tracker(id, record, |tracker| {
+            tracker.record_sent(work.prompt);
+            tracker.record_work(&work, sent_at);
+        });
+        OutstandingRequest { table: self, id: id.clone(), work, sent_at }
+    }
+
+    /// Records the beginning of an answer for the estimates of the endpoint and of its service.
+    pub(crate) fn record_begun(
+        &self,
+        id: &EndpointId,
+        record: &EndpointRecord,
+        answer: &BegunAnswer,
+    ) {
+        let now = self.clock.now();
+        let (was_slow, mean, expected) = self.with_tracker(id, record, |tracker| {
+            let expected = Slowdown::from_factor(tracker.factor(now));
+            (tracker.is_slow(), tracker.mean_slowdown(), expected)
+        });
+        let is_queued = answer.load.is_some_and(|load| load.waiting > 0);
+        self.with_pace(&record.service, |pace| {
+            if let Some(slowdown) = answer.load.and_then(|load| load.slowdown) {
+                pace.record_report(slowdown, mean, now);
+            }
+            if answer.is_run && !is_queued {
+                pace.record_begun(&answer.work, now.ms_since(answer.sent_at), expected, now);
+            }
+        });
+        let is_slow = self.with_tracker(id, record, |tracker| {
+            tracker.record_answer_begun(now);
+            if answer.is_run {
+                tracker.record_begun(&answer.work, answer.sent_at, now);
+            }
+            if let Some(load) = answer.load {
+                tracker.record_load(load, now);
+            }
+            tracker.is_slow()
+        });
+        if is_slow != was_slow {
+            log::info!(
+                endpoint:% = id, service:% = record.service, is_slow,
+                slowdown:? = answer.load.and_then(|load| load.slowdown);
+                "an endpoint has become far slower than its service, or has recovered"
+            );
+        }
+    }
+
+    /// Records that a request ran at an endpoint for `run_ms`.
+    pub(crate) fn record_run(&self, id: &EndpointId, record: &EndpointRecord, run_ms: u64) {
+        let now = self.clock.now();
+        let factor = self.with_tracker(id, record, |tracker| tracker.factor(now));
+        let slowdown = Slowdown::from_factor(factor);
+        self.with_pace(&record.service, |pace| pace.record_run(run_ms, slowdown, now));
+    }
+
+    fn with_pace<R>(&self, service: &ServiceId, action: impl FnOnce(&mut ServicePace) -> R) -> R {
+        self.paces.with(service, |paces| {
+            action(paces.get_or_insert_with(service.clone(), ServicePace::default))
+        })
     }
 
     /// Returns an idle connection, or opens a new one, and whether it was used before.
@@ -159,7 +247,8 @@
         EndpointEntry {
             address: record.address,
             started_unix_ms: record.started_unix_ms,
-            tracker: EndpointTracker::new(EndpointTrackerSettings::default()),
+            tracker: EndpointTracker::new(EndpointTrackerSettings::default())
+                .with_slots(record.slots),
             idle: Vec::new(),
         }
     }
@@ -186,14 +275,16 @@
 pub(crate) struct OutstandingRequest<'a> {
     table: &'a EndpointTable,
     id: EndpointId,
-    tokens: Tokens,
+    work: RequestWork,
+    sent_at: Instant,
 }
 
 impl Drop for OutstandingRequest<'_> {
     fn drop(&mut self) {
         self.table.shards.with(&self.id, |shard| {
             if let Some(endpoint) = shard.get_mut(&self.id) {
-                endpoint.tracker.record_ended(self.tokens);
+                endpoint.tracker.record_ended(self.work.prompt);
+                endpoint.tracker.record_not_pending(self.sent_at);
             }
         });
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use yuccapass_decisions::gateway::next_step::next_step;
-use yuccapass_decisions::gateway::placement::prefers_current;
+use yuccapass_decisions::gateway::placement::{prefers_current, prompt_work};
 use yuccapass_decisions::gateway::{
     AttemptFailure, AttemptSummary, Candidate, Directory, EndpointRecord, NextStep,
     PlacementRequest, Refusal,
@@ -160,6 +160,14 @@
 /// An endpoint of the directory.
 type DirectoryEntry<'a> = (&'a EndpointId, &'a EndpointRecord);
 
+/// The endpoint that was chosen from several.
+struct Placed<'a> {
+    endpoint: DirectoryEntry<'a>,
+    /// Whether requests with the same shared prefix go there as well. Known only if the endpoints
+    /// report their speeds.
+    is_home: bool,
+}
+
 /// Chooses an endpoint that was not tried yet and takes another request of this node: a warm one without recent failures, else any warm
 /// one, else a cold one within this node's share of its capacity.
 fn choose(shared: &Shared, request: &Admitted<'_>, tried: &[EndpointId]) -> Option<Target> {
@@ -189,13 +197,19 @@
     });
     let warm = place(shared, &directory, request, &healthy)
         .or_else(|| place(shared, &directory, request, &avoided));
-    let (id, record) = match warm {
+    let Placed { endpoint: (id, record), is_home } = match warm {
         Some(chosen) => chosen,
         None => choose_cold(shared, &directory, request, cold)?,
     };
+    shared.endpoints.with_tracker(id, record, |tracker| {
+        if tracker.is_slow() {
+            tracker.record_sent_slow(now);
+        }
+    });
     let cache_peer = cache_peer(shared, request, &eligible, record)
         .filter(|cache_peer| *cache_peer != record.address);
-    Some(Target { id: id.clone(), record: record.clone(), cache_peer })
+    let work = prompt_work(&request.caller.parts, is_home);
+    Some(Target { id: id.clone(), record: record.clone(), cache_peer, work })
 }
 
 /// Chooses a cold endpoint within this node's share of its capacity.
@@ -204,7 +218,7 @@
     directory: &Directory,
     request: &Admitted<'_>,
     cold: Vec<DirectoryEntry<'a>>,
-) -> Option<DirectoryEntry<'a>> {
+) -> Option<Placed<'a>> {
     let now = shared.now();
     let (rate, nodes) = (cold_rate(request), shared.nodes());
     let may_send = |(id, record): &DirectoryEntry<'_>| {
@@ -214,9 +228,10 @@
             .with_tracker(id, record, |tracker| tracker.may_send_cold(rate, nodes, random, now))
     };
     let allowed: Vec<_> = cold.into_iter().filter(may_send).collect();
-    let (id, record) = place(shared, directory, request, &allowed)?;
+    let placed = place(shared, directory, request, &allowed)?;
+    let (id, record) = placed.endpoint;
     shared.endpoints.with_tracker(id, record, |tracker| tracker.record_sent_cold(now));
-    Some((id, record))
+    Some(placed)
 }
 
 /// Returns the address of the endpoint that has most likely cached the prefix of the prompt with
@@ -255,13 +270,13 @@
     directory: &Directory,
     request: &Admitted<'_>,
     endpoints: &[DirectoryEntry<'a>],
-) -> Option<DirectoryEntry<'a>> {
+) -> Option<Placed<'a>> {
     let is_outdated =
         |record: &EndpointRecord| directory.outdated(record, request.model()).is_some();
     let (outdated, current): (Vec<_>, Vec<_>) =
         endpoints.iter().copied().partition(|(_, record)| is_outdated(record));
-    let mut candidates = candidates_of(shared, directory, &current);
-    let others = candidates_of(shared, directory, &outdated);
+    let mut candidates = candidates_of(shared, directory, request, &current);
+    let others = candidates_of(shared, directory, request, &outdated);
     if !prefers_current(&candidates, &others) {
         candidates.extend(others);
     }
@@ -272,17 +287,23 @@
         false => &shared.placements.services,
     };
     let position = placement.choose(&placement_request, &candidates)?;
+    let is_home = candidates[position].speed.is_some()
+        && placement.home(&placement_request, &candidates) == Some(position);
     // The candidates are the current endpoints, followed by the outdated ones if they were added.
-    current.iter().chain(&outdated).nth(position).copied()
+    let endpoint = current.iter().chain(&outdated).nth(position).copied()?;
+    Some(Placed { endpoint, is_home })
 }
 
-/// Combines the registrations of endpoints with their load and failures.
+/// Combines the registrations of endpoints with their load, speed and failures.
 fn candidates_of<'a>(
     shared: &Shared,
     directory: &Directory,
+    request: &Admitted<'_>,
     endpoints: &[DirectoryEntry<'a>],
 ) -> Vec<Candidate<'a>> {
-    let now = shared.now();
+    let (now, nodes) = (shared.now(), shared.nodes());
+    let reports_speeds = shared.endpoints.pace(request.service).has_reports();
+    let work = prompt_work(&request.caller.parts, true);
     let candidate = |&(id, record): &DirectoryEntry<'a>| {
         shared.endpoints.with_tracker(id, record, |tracker| Candidate {
             endpoint: id,
@@ -291,6 +312,7 @@
             load_tokens: tracker.load_tokens(now),
             slots: record.slots,
             failure_rate: tracker.failure_rate(),
+            speed: reports_speeds.then(|| tracker.speed_for(&work, nodes, rand::random(), now)),
         })
     };
     endpoints.iter().map(candidate).collect()
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,7 +8,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use snafu::{ResultExt, Snafu};
-use yuccapass_decisions::gateway::{LeastLoaded, PrefixAffinity};
+use yuccapass_decisions::gateway::{ExpectedTime, ExpectedTimeAffinity};
 use yuccapass_http::{sleep_until, stop_pair};
 use yuccapass_peers::{ListenerConfig, LocalNode, Sender, TcpTransport, TransportConfig};
 use yuccapass_platform::PlatformClient;
@@ -104,8 +104,8 @@
         };
         let metrics = Metrics::new().context(MetricsSnafu)?;
         let placements = Placements {
-            models: Box::new(PrefixAffinity::default()),
-            services: Box::new(LeastLoaded),
+            models: Box::new(ExpectedTimeAffinity::default()),
+            services: Box::new(ExpectedTime),
         };
         let protocol = Arc::clone(&adapter.protocol);
         let shared = Arc::new(Shared::new(options, protocol, clock, placements, metrics));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -106,8 +106,14 @@
 
     /// Replaces the configuration if this one is newer; returns whether it was replaced.
     pub(crate) fn offer_configuration(&self, configuration: Configuration) -> bool {
-        let mut holder = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
-        holder.offer(configuration)
+        let is_replaced = {
+            let mut holder = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
+            holder.offer(configuration)
+        };
+        if let Some(current) = self.configuration().filter(|_| is_replaced) {
+            self.endpoints.set_engines(&current);
+        }
+        is_replaced
     }
 
     pub(crate) fn directory(&self) -> Arc<Directory> {
