--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,7 +8,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
 use yuccapass_decisions::gateway::{Refusal, RouteKind};
-use yuccapass_types::Instant;
+use yuccapass_types::{Instant, ServiceId};
 
 use crate::admission::Admitted;
 use crate::forward::RequestOutcome;
@@ -37,6 +37,9 @@
     nodes: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
+    mean_slowdown: Gauge<f64>,
+    slowdown_spread: Gauge<f64>,
+    slow_endpoints: Gauge<u64>,
 }
 
 impl Metrics {
@@ -65,7 +68,23 @@
         let gauge = |name: &'static str, about: &'static str| {
             meter.u64_gauge(name).with_description(about).build()
         };
+        let ratio = |name: &'static str, about: &'static str| {
+            meter.f64_gauge(name).with_description(about).build()
+        };
         Ok(Self {
+            mean_slowdown: ratio(
+                "yuccapass_gateway_mean_slowdown",
+                "Mean of the slowdowns that the endpoints of a service report; 1 is the usual time.",
+            ),
+            slowdown_spread: ratio(
+                "yuccapass_gateway_slowdown_spread",
+                "Standard deviation of the slowdowns that the endpoints of a service report.",
+            ),
+            slow_endpoints: gauge(
+                "yuccapass_gateway_slow_endpoints",
+                "Endpoints of a service that this node avoids because they are far slower than the \
+                 others.",
+            ),
             first_event: seconds(
                 "yuccapass_gateway_first_event",
                 "Time from a request's arrival to the first event of its answer.",
@@ -134,6 +153,15 @@
         self.blocked_parts.record(blocked, &[]);
     }
 
+    /// Records the speeds of a service's endpoints: the mean and the standard deviation of their
+    /// slowdowns, and how many are avoided.
+    pub(crate) fn record_speeds(&self, service: &ServiceId, (mean, spread): (f64, f64), slow: u64) {
+        let label = [KeyValue::new("service", service.to_string())];
+        self.mean_slowdown.record(mean, &label);
+        self.slowdown_spread.record(spread, &label);
+        self.slow_endpoints.record(slow, &label);
+    }
+
     /// Records an error answer of this node.
     pub(crate) fn record_refusal(&self, refusal: Refusal) {
         self.refusals.add(1, &[KeyValue::new("code", refusal.code.to_string())]);
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -45,7 +45,10 @@
         };
         let is_metrics = head.path() == METRICS_PATH;
         let (status, body) = match is_metrics {
-            true => (200, shared.metrics.encode()),
+            true => {
+                shared.record_speeds();
+                (200, shared.metrics.encode())
+            }
             false if shared.is_ready() => (200, b"ready\n".to_vec()),
             false => (503, b"not ready\n".to_vec()),
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,11 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use yuccapass_decisions::gateway::{
-    Configuration, ConfigurationHolder, Directory, Distance, FleetSize, KeyValidity, Placement,
-    RetryShare,
+    Configuration, ConfigurationHolder, Directory, Distance, EndpointRecord, FleetSize,
+    KeyValidity, Placement, RetryShare,
 };
 use yuccapass_http::{StopController, StopSignal, sleep_until, stop_pair};
-use yuccapass_types::{Clock, Deadline, Instant, ServiceId, Sharded, SortedMap, ZoneId};
+use yuccapass_types::{
+    Clock, Deadline, EndpointId, Instant, ServiceId, Sharded, SortedMap, ZoneId,
+};
 
 use crate::crashes::CrashTracker;
 use crate::endpoints::EndpointTable;
@@ -130,6 +132,25 @@
         self.endpoints.retain_listed(&directory);
     }
 
+    /// Records the speeds of the endpoints of all services whose endpoints report them.
+    pub(crate) fn record_speeds(&self) {
+        let Some(configuration) = self.configuration() else { return };
+        let directory = self.directory();
+        for (service, _) in configuration.services() {
+            let pace = self.endpoints.pace(service);
+            if !pace.has_reports() {
+                continue;
+            }
+            let is_slow = |(id, record): &(&EndpointId, &EndpointRecord)| {
+                record.service == *service
+                    && self.endpoints.with_tracker(id, record, |tracker| tracker.is_slow())
+            };
+            let slow = directory.endpoints().filter(is_slow).count();
+            let (mean, variance) = pace.slowdown();
+            self.metrics.record_speeds(service, (mean, variance.sqrt()), slow as u64);
+        }
+    }
+
     pub(crate) fn key_validity(&self) -> MutexGuard<'_, KeyValidity> {
         self.key_validity.lock().unwrap_or_else(PoisonError::into_inner)
     }
