zone room: count what the nodes of a zone have outstanding

Cause: a node knows its own requests, and those of others as of the last report of an endpoint. Ruled out: the counts alone. Change: ZoneRoom merges stamped summaries of other nodes and weighs them by age; EndpointTracker combines them with the reports, and adds a random part as large as the requests that the zone sends between two counts.

--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -2,6 +2,8 @@
 
 use yuccapass_types::{Deadline, Instant, RequestRate, Tokens};
 
+use super::zone_room;
+
 /// The load that an endpoint reports with an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LoadReport {
@@ -13,6 +15,41 @@
     pub slots: u32,
 }
 
+/// The requests that the other nodes of the zone have outstanding at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ZoneLoad {
+    /// Their number.
+    pub requests: u32,
+    /// Tokens in their prompts.
+    pub tokens: Tokens,
+    /// A random part of the zone's [`load_spread`](zone_room::load_spread) in a period of the exchange.
+    pub spread: f64,
+    /// Share of the other nodes of the zone that are counted, from 0 to 1.
+    pub coverage: f64,
+    /// The counts are not older than this.
+    pub as_of: Instant,
+}
+
+impl ZoneLoad {
+    fn weight(&self, now: Instant) -> f64 {
+        self.coverage.clamp(0.0, 1.0) * zone_room::weight(now.ms_since(self.as_of))
+    }
+
+    /// Returns the requests that may have been sent since the counts or the last report.
+    fn unseen(&self, reported_at: Option<Instant>, now: Instant) -> f64 {
+        let seen_at = reported_at.map_or(self.as_of, |at| at.max(self.as_of));
+        self.spread * now.ms_since(seen_at) as f64 / zone_room::PERIOD_MS as f64
+    }
+
+    /// Returns the number of requests at an instant between these counts and later ones.
+    fn requests_at(&self, later: &Self, instant: Instant) -> f64 {
+        let (first, last) = (f64::from(self.requests), f64::from(later.requests));
+        let between_ms = later.as_of.ms_since(self.as_of).max(1) as f64;
+        let part = (instant.ms_since(self.as_of) as f64 / between_ms).min(1.0);
+        first + part * (last - first)
+    }
+}
+
 /// Settings of an [`EndpointTracker`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EndpointTrackerSettings {
@@ -58,6 +95,9 @@
     mean_tokens: f64,
     other_load: f64,
     reported_at: Option<Instant>,
+    zone_load: Option<ZoneLoad>,
+    // What the report says beyond the zone's counts at its time.
+    unknown_load: f64,
     // When the endpoint last began or completed an answer.
     answered_at: Option<Instant>,
     failures_in_a_row: u32,
@@ -79,6 +119,8 @@
             mean_tokens: 0.0,
             other_load: 0.0,
             reported_at: None,
+            zone_load: None,
+            unknown_load: 0.0,
             answered_at: None,
             failures_in_a_row: 0,
             failure_rate: 0.0,
@@ -106,9 +148,29 @@
     pub fn record_load(&mut self, report: LoadReport, now: Instant) {
         let total = report.running.saturating_add(report.waiting);
         self.other_load = f64::from(total.saturating_sub(self.outstanding));
+        let zone_requests = self.zone_load.map_or(0.0, |zone_load| zone_load.requests.into());
+        // It is negative if requests of the zone have ended since they were counted.
+        self.unknown_load = self.other_load - zone_requests;
         self.reported_at = Some(now);
     }
 
+    /// Records what the other nodes of the zone have outstanding at the endpoint.
+    pub fn record_zone_load(&mut self, zone_load: ZoneLoad) {
+        let last = self.zone_load.replace(zone_load);
+        let Some(reported_at) = self.reported_at else { return };
+        if last.is_some_and(|last| last.as_of >= reported_at) {
+            return;
+        }
+        // These are the first counts since the report, or still older than it.
+        self.unknown_load = match zone_load.as_of < reported_at {
+            true => self.other_load - f64::from(zone_load.requests),
+            false => {
+                let at_report = last.unwrap_or(zone_load).requests_at(&zone_load, reported_at);
+                (self.other_load - at_report).max(0.0)
+            }
+        };
+    }
+
     /// Records that the endpoint has begun an answer.
     pub fn record_answer_begun(&mut self, now: Instant) {
         self.answered_at = Some(now);
@@ -168,19 +230,40 @@
 
     /// Returns the estimated number of requests at the endpoint, from this node and others.
     pub fn load(&self, now: Instant) -> f64 {
-        f64::from(self.outstanding) + self.decayed_other_load(now)
+        f64::from(self.outstanding) + self.other_requests_and_tokens(now).0
     }
 
-    /// Returns the estimated tokens in the prompts at the endpoint. The prompts of other nodes are
-    /// assumed to be as long as the average of this node, since all nodes get the same mix.
+    /// Returns the estimated tokens in the prompts at the endpoint. The prompts of other nodes that are
+    /// known only from the endpoint's reports are assumed to be as long as the average of this node,
+    /// since all nodes get the same mix.
     pub fn load_tokens(&self, now: Instant) -> f64 {
-        self.outstanding_tokens.get() as f64 + self.decayed_other_load(now) * self.mean_tokens
+        self.outstanding_tokens.get() as f64 + self.other_requests_and_tokens(now).1
+    }
+
+    /// Returns the estimated requests of other nodes, and the tokens in their prompts.
+    ///
+    /// The counts of the zone say what its nodes have outstanding now, also what they have sent since
+    /// the last report; the part of the report that they do not include belongs to other zones. As the
+    /// counts grow old, the report alone decides.
+    fn other_requests_and_tokens(&self, now: Instant) -> (f64, f64) {
+        let decay = self.report_decay(now);
+        let reported = self.other_load * decay;
+        let Some(zone_load) = &self.zone_load else {
+            return (reported, reported * self.mean_tokens);
+        };
+        let weight = zone_load.weight(now);
+        let beyond_zone = weight * self.unknown_load * decay + (1.0 - weight) * reported;
+        let unseen = zone_load.unseen(self.reported_at, now);
+        let zone_requests = weight * (f64::from(zone_load.requests) + unseen);
+        let zone_tokens = weight * zone_load.tokens.get() as f64;
+        let tokens = zone_tokens + beyond_zone * self.mean_tokens;
+        ((zone_requests + beyond_zone).max(0.0), tokens.max(0.0))
     }
 
-    fn decayed_other_load(&self, now: Instant) -> f64 {
+    fn report_decay(&self, now: Instant) -> f64 {
         let age_ms = self.reported_at.map_or(u64::MAX, |at| now.ms_since(at));
         let halvings = age_ms as f64 / self.settings.report_half_life_ms as f64;
-        self.other_load * 0.5_f64.powf(halvings.min(64.0))
+        0.5_f64.powf(halvings.min(64.0))
     }
 
     /// Returns the moving average of failed answers, from 0 to 1.
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 //! * [`target_bounds`]: when the bound of target weights ends that a node may have read late.
 //! * [`transfers`]: which prompt parts an endpoint fetches and saves.
 //! * [`weight_targets`]: the target weights of a model, and until when older ones may be used.
+//! * [`zone_room`]: what the nodes of a zone have outstanding at each endpoint.
 
 pub mod configuration;
 pub mod directory;
@@ -46,6 +47,7 @@
 pub mod target_bounds;
 pub mod transfers;
 pub mod weight_targets;
+pub mod zone_room;
 
 pub use configuration::{
     CallerLimits, Configuration, ConfigurationHolder, EngineSpec, InvalidConfiguration, KeyVerdict,
@@ -53,7 +55,7 @@
 };
 pub use directory::{Directory, EndpointRecord, EndpointState};
 pub use endpoint_notices::{EndpointNotice, EndpointNotices};
-pub use endpoint_tracker::{EndpointTracker, EndpointTrackerSettings, LoadReport};
+pub use endpoint_tracker::{EndpointTracker, EndpointTrackerSettings, LoadReport, ZoneLoad};
 pub use fleet::FleetSize;
 pub use key_validity::KeyValidity;
 pub use link_share::LinkShare;
@@ -72,3 +74,4 @@
 pub use target_bounds::{TargetBounds, TargetDeadlines};
 pub use transfers::{PartTransfers, TransferRequest, plan_transfers};
 pub use weight_targets::{OutdatedWeights, TargetWeights};
+pub use zone_room::{OutstandingSum, ZoneRoom};
