zone room: exchange the counts through the relays of a zone

Cause: ZoneRoom had no source of summaries. Ruled out: endpoint ids in the messages. Change: a follower's request to its relay carries what it has outstanding, the reply the sum over the others, both as optional fields; the relays of a zone call each other. Only with limits_endpoint_memory, or after another node has sent a summary or enable() was called, and from 16 nodes a zone on. Metrics for summaries, their age and the others' requests.

--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -2,7 +2,7 @@
 
 use yuccapass_types::{Deadline, Instant, RequestRate, Tokens};
 
-use super::zone_room;
+use super::zone_room::{self, EndpointUse};
 
 /// The load that an endpoint reports with an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -92,6 +92,8 @@
     settings: EndpointTrackerSettings,
     outstanding: u32,
     outstanding_tokens: Tokens,
+    // Sent since `take_use` was last called.
+    sent: u32,
     mean_tokens: f64,
     other_load: f64,
     reported_at: Option<Instant>,
@@ -116,6 +118,7 @@
             settings,
             outstanding: 0,
             outstanding_tokens: Tokens::ZERO,
+            sent: 0,
             mean_tokens: 0.0,
             other_load: 0.0,
             reported_at: None,
@@ -134,6 +137,7 @@
     /// Records that a request with a prompt of `tokens` is sent.
     pub fn record_sent(&mut self, tokens: Tokens) {
         self.outstanding += 1;
+        self.sent = self.sent.saturating_add(1);
         self.outstanding_tokens = self.outstanding_tokens + tokens;
         self.mean_tokens += MEAN_TOKENS_WEIGHT * (tokens.get() as f64 - self.mean_tokens);
     }
@@ -144,6 +148,15 @@
         self.outstanding_tokens = self.outstanding_tokens.saturating_sub(tokens);
     }
 
+    /// Returns what this node has outstanding, and what it has sent since the last call.
+    pub fn take_use(&mut self) -> EndpointUse {
+        EndpointUse {
+            requests: self.outstanding,
+            tokens: self.outstanding_tokens,
+            sent: std::mem::take(&mut self.sent),
+        }
+    }
+
     /// Records a load report, which includes the requests of this node.
     pub fn record_load(&mut self, report: LoadReport, now: Instant) {
         let total = report.running.saturating_add(report.waiting);
--- a/crates/decisions/src/gateway/zone_room/mod.rs
+++ b/crates/decisions/src/gateway/zone_room/mod.rs
@@ -23,6 +23,6 @@
 pub use room::{Receipt, ZoneRoom};
 pub use spread::load_spread;
 pub use summary::{
-    EndpointUse, MIN_NODES, OtherLoad, OutstandingSum, OutstandingSummary, PERIOD_MS, RoomReply,
-    RoomStamp, SummaryScope, weight,
+    EndpointKey, EndpointUse, MAX_ENDPOINTS, MIN_NODES, OtherLoad, OutstandingSum,
+    OutstandingSummary, PERIOD_MS, RoomReply, RoomStamp, SummaryScope, weight,
 };
--- a/crates/decisions/src/gateway/zone_room/room.rs
+++ b/crates/decisions/src/gateway/zone_room/room.rs
@@ -3,8 +3,8 @@
 use yuccapass_types::{EndpointId, Incarnation, Instant, NodeId, SortedMap, Tokens};
 
 use super::summary::{
-    EndpointUse, OtherLoad, OutstandingSum, OutstandingSummary, RoomReply, RoomStamp, SummaryScope,
-    bounded, weight,
+    EndpointKey, EndpointUse, OtherLoad, OutstandingSum, OutstandingSummary, RoomReply, RoomStamp,
+    SummaryScope, bounded, weight,
 };
 use crate::gateway::relay::confirmed_at;
 
@@ -151,7 +151,7 @@
     /// Returns what the other nodes of the zone have outstanding at an endpoint.
     pub fn others(&self, endpoint: &EndpointId, now: Instant) -> OtherLoad {
         let sum = self.sum_of_others(now);
-        let used = sum.uses.get(endpoint).copied().unwrap_or_default();
+        let used = sum.uses.get(&EndpointKey::of(endpoint)).copied().unwrap_or_default();
         OtherLoad {
             requests: f64::from(used.requests),
             tokens: used.tokens.get() as f64,
@@ -167,7 +167,8 @@
         now: Instant,
     ) -> EndpointUse {
         let sum = self.sum_of_others(now);
-        let uses = endpoints.into_iter().filter_map(|endpoint| sum.uses.get(endpoint));
+        let keys = endpoints.into_iter().map(EndpointKey::of);
+        let uses = keys.filter_map(|key| sum.uses.get(&key));
         uses.fold(EndpointUse::default(), |total, used| EndpointUse {
             requests: total.requests.saturating_add(used.requests),
             tokens: total.tokens + used.tokens,
@@ -205,7 +206,7 @@
 #[derive(Default)]
 struct Merge {
     // Requests, tokens and requests sent.
-    uses: SortedMap<EndpointId, [f64; 3]>,
+    uses: SortedMap<EndpointKey, [f64; 3]>,
     nodes: f64,
     // Sums of weights, and of weights times ages.
     weight: f64,
@@ -228,8 +229,8 @@
         let share = weight * (sum.requests() + u64::from(sum.nodes)) as f64;
         self.weight += share;
         self.weighted_age_ms += share * age_ms as f64;
-        for (endpoint, used) in sum.uses.iter() {
-            let total = self.uses.get_or_insert_with(endpoint.clone(), Default::default);
+        for (&key, used) in sum.uses.iter() {
+            let total = self.uses.get_or_insert_with(key, Default::default);
             let counts = [used.requests.into(), used.tokens.get() as f64, used.sent.into()];
             total.iter_mut().zip(counts).for_each(|(total, count)| *total += weight * count);
         }
@@ -239,10 +240,10 @@
         if let Some(own) = own {
             self.add(own, 0);
         }
-        let rounded = |(endpoint, counts): (EndpointId, [f64; 3])| {
+        let rounded = |(key, counts): (EndpointKey, [f64; 3])| {
             let [requests, tokens, sent] = counts.map(f64::round);
             let tokens = Tokens::new(tokens as u64);
-            (endpoint, EndpointUse { requests: requests as u32, tokens, sent: sent as u32 })
+            (key, EndpointUse { requests: requests as u32, tokens, sent: sent as u32 })
         };
         let age_ms = self.weighted_age_ms / self.weight.max(f64::MIN_POSITIVE);
         OutstandingSum {
--- a/crates/decisions/src/gateway/zone_room/summary.rs
+++ b/crates/decisions/src/gateway/zone_room/summary.rs
@@ -1,6 +1,9 @@
 //! The summaries that nodes exchange.
 
 use std::cmp::Reverse;
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use yuccapass_types::{Bytes, EndpointId, Incarnation, Instant, SortedMap, Tokens};
 
@@ -19,8 +22,8 @@
 /// answer of another one takes 300 ms.
 const MAX_AGE_MS: u64 = 1_200;
 
-/// Maximum number of endpoints in a sum. With 30 bytes each they take half of a frame.
-const MAX_ENDPOINTS: usize = 1_024;
+/// Maximum number of endpoints in a sum. With 16 bytes each they take a quarter of a frame.
+pub const MAX_ENDPOINTS: usize = 1_024;
 
 /// Returns the weight of a summary from its age: from 1 for a recent one to 0 for one that says nothing
 /// about the present.
@@ -29,6 +32,47 @@
     (remaining_ms as f64 / (MAX_AGE_MS - FULL_WEIGHT_MS) as f64).min(1.0)
 }
 
+/// Parameters of the 32-bit FNV-1a hash. The hash of the standard library may change with its version.
+const FNV_OFFSET: u32 = 0x811c_9dc5;
+const FNV_PRIME: u32 = 0x0100_0193;
+
+/// A hash of an endpoint's id, the same on all nodes. Ids would take two thirds of the bytes of a summary.
+/// Two endpoints with the same key, which is rare, get the sum of their counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EndpointKey(u32);
+
+impl EndpointKey {
+    /// Returns the key of an endpoint.
+    pub fn of(endpoint: &EndpointId) -> Self {
+        let hash = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(FNV_PRIME);
+        Self(endpoint.as_str().bytes().fold(FNV_OFFSET, hash))
+    }
+
+    /// Wraps a key that was received.
+    pub const fn new(key: u32) -> Self {
+        Self(key)
+    }
+
+    /// Returns the key as a number.
+    pub const fn get(self) -> u32 {
+        self.0
+    }
+}
+
+impl fmt::Display for EndpointKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+impl FromStr for EndpointKey {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u32::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// The outstanding requests at an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct EndpointUse {
@@ -42,7 +86,8 @@
 }
 
 impl EndpointUse {
-    fn is_empty(self) -> bool {
+    /// Returns whether the endpoint is not used.
+    pub fn is_empty(self) -> bool {
         self.requests == 0 && self.sent == 0
     }
 }
@@ -55,21 +100,21 @@
     /// Number of nodes whose requests are counted.
     pub nodes: u32,
     /// The endpoints that are used.
-    pub uses: SortedMap<EndpointId, EndpointUse>,
+    pub uses: SortedMap<EndpointKey, EndpointUse>,
 }
 
 impl OutstandingSum {
     /// Returns the counts of one node at present. Endpoints that it does not use are left out.
-    pub fn of_node(uses: impl IntoIterator<Item = (EndpointId, EndpointUse)>) -> Self {
+    pub fn of_node(uses: impl IntoIterator<Item = (EndpointKey, EndpointUse)>) -> Self {
         Self { age_ms: 0, nodes: 1, uses: bounded(uses.into_iter().collect()) }
     }
 
     /// Returns about how many bytes the sum takes in a message.
     pub fn size(&self) -> Bytes {
-        // The lengths, numbers and tags of an entry take less than this.
-        const OTHER_BYTES: usize = 16;
-        let bytes: usize = self.uses.keys().map(|id| id.as_str().len() + OTHER_BYTES).sum();
-        Bytes::new((bytes + OTHER_BYTES) as u64)
+        // The numbers of an endpoint take less than this, and those of a sum.
+        const ENTRY_BYTES: usize = 16;
+        const OTHER_BYTES: usize = 64;
+        Bytes::new((self.uses.len() * ENTRY_BYTES + OTHER_BYTES) as u64)
     }
 
     /// Returns all requests together.
@@ -80,8 +125,8 @@
 
 /// Keeps the endpoints with the most requests if there are too many.
 pub(super) fn bounded(
-    mut uses: Vec<(EndpointId, EndpointUse)>,
-) -> SortedMap<EndpointId, EndpointUse> {
+    mut uses: Vec<(EndpointKey, EndpointUse)>,
+) -> SortedMap<EndpointKey, EndpointUse> {
     uses.retain(|(_, used)| !used.is_empty());
     if uses.len() > MAX_ENDPOINTS {
         uses.sort_by_key(|(_, used)| Reverse(used.requests));
--- a/crates/decisions/tests/zone_room.rs
+++ b/crates/decisions/tests/zone_room.rs
@@ -5,8 +5,8 @@
 
 use gateway_fixtures::{at, id};
 use yuccapass_decisions::gateway::zone_room::{
-    EndpointUse, OutstandingSum, OutstandingSummary, Receipt, RoomReply, RoomStamp, SummaryScope,
-    ZoneRoom, load_spread, weight,
+    EndpointKey, EndpointUse, OutstandingSum, OutstandingSummary, Receipt, RoomReply, RoomStamp,
+    SummaryScope, ZoneRoom, load_spread, weight,
 };
 use yuccapass_decisions::gateway::{
     EndpointTracker, EndpointTrackerSettings, LoadReport, ZoneLoad,
@@ -25,12 +25,16 @@
     id(name)
 }
 
+fn key(name: &str) -> EndpointKey {
+    EndpointKey::of(&endpoint(name))
+}
+
 fn used(requests: u32) -> EndpointUse {
     EndpointUse { requests, tokens: Tokens::new(u64::from(requests) * 100), sent: 0 }
 }
 
 fn sum(uses: &[(&str, u32)]) -> OutstandingSum {
-    OutstandingSum::of_node(uses.iter().map(|(name, requests)| (endpoint(name), used(*requests))))
+    OutstandingSum::of_node(uses.iter().map(|(name, requests)| (key(name), used(*requests))))
 }
 
 /// A relay of the zone, with the incarnation 1.
@@ -87,8 +91,9 @@
     // Assert
     assert_eq!(reply.stamp, RoomStamp { incarnation: run(1), at: at(1_100) });
     assert_eq!(reply.sum.nodes, 2);
-    let uses: Vec<_> = reply.sum.uses.iter().map(|(name, used)| (name.as_str(), *used)).collect();
-    assert_eq!(uses, [("e", used(13)), ("f", used(1))]);
+    assert_eq!(reply.sum.uses.len(), 2);
+    assert_eq!(reply.sum.uses.get(&key("e")), Some(&used(13)));
+    assert_eq!(reply.sum.uses.get(&key("f")), Some(&used(1)));
 }
 
 /// Guards against requests that are counted twice because relays pass on what they heard from each other.
@@ -106,8 +111,8 @@
     let for_follower = room.reply(&node("n-9"), SummaryScope::Node, &own, at(1_000));
 
     // Assert
-    assert_eq!(for_relay.sum.uses.get(&endpoint("e")), Some(&used(2)));
-    assert_eq!(for_follower.sum.uses.get(&endpoint("e")), Some(&used(9)));
+    assert_eq!(for_relay.sum.uses.get(&key("e")), Some(&used(2)));
+    assert_eq!(for_follower.sum.uses.get(&key("e")), Some(&used(9)));
     assert_eq!(requests_at(&room, "e", at(1_000)), 9.0);
 }
 
@@ -241,14 +246,14 @@
 
     // Assert: 500 ms and 100 ms.
     assert_eq!((sum.age_ms, sum.nodes), (300, 2));
-    assert_eq!(sum.uses.get(&endpoint("e")), Some(&used(6)));
+    assert_eq!(sum.uses.get(&key("e")), Some(&used(6)));
 }
 
 /// Guards against messages that exceed a frame because a node has requests at thousands of endpoints.
 #[test]
 fn the_size_of_a_sum_is_bounded() {
     // Arrange
-    let uses = (0..5_000_u32).map(|number| (endpoint(&format!("endpoint-{number}")), used(number)));
+    let uses = (0..5_000_u32).map(|number| (EndpointKey::new(number), used(number)));
 
     // Act
     let sum = OutstandingSum::of_node(uses);
@@ -256,7 +261,7 @@
     // Assert: the busiest ones are kept.
     assert_eq!(sum.uses.len(), 1_024);
     assert!(sum.uses.values().all(|used| used.requests >= 5_000 - 1_024));
-    assert!(sum.size().get() < 40_000);
+    assert!(sum.size().get() < 20_000);
 }
 
 /// Guards against totals that include the endpoints of other services.
@@ -394,3 +399,19 @@
     assert_eq!(at_report, [10.0, 2.0]);
     assert_eq!(later, [14.0, 0.0]);
 }
+
+/// Guards against keys that differ between nodes or versions, which would then count for other endpoints.
+#[test]
+fn the_key_of_an_endpoint_is_the_same_on_all_nodes() {
+    // Arrange: two of the published test vectors of the hash.
+    let vectors = [("a", "e40c292c"), ("foobar", "bf9cf968")];
+
+    for (name, text) in vectors {
+        // Act
+        let key = EndpointKey::of(&endpoint(name));
+
+        // Assert
+        assert_eq!(key.to_string(), text);
+        assert_eq!(text.parse(), Ok(key));
+    }
+}
--- a/crates/decisions/tests/zone_room_model/mod.rs
+++ b/crates/decisions/tests/zone_room_model/mod.rs
@@ -5,7 +5,8 @@
 use rand::{RngExt, SeedableRng};
 use yuccapass_decisions::gateway::relay::relay_count;
 use yuccapass_decisions::gateway::zone_room::{
-    EndpointUse, OutstandingSum, OutstandingSummary, RoomStamp, SummaryScope, ZoneRoom, load_spread,
+    EndpointKey, EndpointUse, OutstandingSum, OutstandingSummary, RoomStamp, SummaryScope,
+    ZoneRoom, load_spread,
 };
 use yuccapass_decisions::gateway::{
     Candidate, Distance, EndpointTracker, EndpointTrackerSettings, LeastLoaded, LoadReport,
@@ -269,7 +270,7 @@
         let counts = self.ids.iter().zip(&node.outstanding).zip(&node.sent[1]);
         OutstandingSum::of_node(counts.map(|((id, &requests), &sent)| {
             let tokens = Tokens::new(u64::from(requests) * TOKENS.get());
-            (id.clone(), EndpointUse { requests, tokens, sent })
+            (EndpointKey::of(id), EndpointUse { requests, tokens, sent })
         }))
     }
 
@@ -355,12 +356,13 @@
         let now = Instant::from_ms(now_ms);
         let as_of = Instant::from_ms(now_ms.saturating_sub(sum.age_ms));
         let arrivals: u32 = sum.uses.values().map(|used| used.sent).sum();
-        let is_used = |id: &EndpointId| sum.uses.get(id).is_some_and(|used| used.sent > 0);
+        let is_used =
+            |id: &EndpointId| sum.uses.get(&EndpointKey::of(id)).is_some_and(|used| used.sent > 0);
         let loads = self.ids.iter().zip(&node.trackers).filter(|(id, _)| is_used(id));
         let spread =
             load_spread(loads.map(|(_, tracker)| tracker.load(now)).collect(), arrivals.into());
         for (id, tracker) in self.ids.iter().zip(&mut node.trackers) {
-            let used = sum.uses.get(id).copied().unwrap_or_default();
+            let used = sum.uses.get(&EndpointKey::of(id)).copied().unwrap_or_default();
             tracker.record_zone_load(ZoneLoad {
                 requests: used.requests,
                 tokens: used.tokens,
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use yuccapass_decisions::gateway::zone_room::{EndpointKey, EndpointUse};
 use yuccapass_decisions::gateway::{
-    Directory, EndpointRecord, EndpointTracker, EndpointTrackerSettings,
+    Directory, EndpointRecord, EndpointTracker, EndpointTrackerSettings, ZoneLoad,
 };
 use yuccapass_http::message::{Connection, ResponseHead};
 use yuccapass_http::with_deadline;
@@ -71,6 +72,26 @@
         self.with(id, record, |endpoint| action(&mut endpoint.tracker))
     }
 
+    /// Returns what this node has outstanding at each endpoint, and what it has sent there since the last
+    /// call.
+    pub(crate) fn take_uses(&self) -> Vec<(EndpointKey, EndpointUse)> {
+        self.shards.fold(Vec::new(), |mut uses, shard| {
+            let taken =
+                shard.iter_mut().map(|(id, entry)| (EndpointKey::of(id), entry.tracker.take_use()));
+            uses.extend(taken.filter(|(_, used)| !used.is_empty()));
+            uses
+        })
+    }
+
+    /// Records what the other nodes of the zone have outstanding at each endpoint.
+    pub(crate) fn record_zone_loads(&self, zone_load: impl Fn(&EndpointId) -> ZoneLoad) {
+        self.shards.fold((), |(), shard| {
+            for (id, entry) in shard.iter_mut() {
+                entry.tracker.record_zone_load(zone_load(id));
+            }
+        });
+    }
+
     /// Counts a request as sent to an endpoint until the guard is dropped.
     pub(crate) fn track_request(
         &self,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,7 +7,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
-use yuccapass_decisions::gateway::{Refusal, RouteKind};
+use yuccapass_decisions::gateway::zone_room::Receipt;
+use yuccapass_decisions::gateway::{OutstandingSum, Refusal, RouteKind};
 use yuccapass_types::Instant;
 
 use crate::admission::Admitted;
@@ -37,6 +38,10 @@
     nodes: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
+    zone_summaries: Counter<u64>,
+    zone_requests: Gauge<u64>,
+    zone_nodes: Gauge<u64>,
+    zone_age: Gauge<f64>,
 }
 
 impl Metrics {
@@ -87,6 +92,23 @@
                 "yuccapass_gateway_blocked_parts",
                 "Parts of prompts whose requests are refused because they crash endpoints.",
             ),
+            zone_summaries: counter(
+                "yuccapass_gateway_zone_summaries",
+                "Counts of outstanding requests received from nodes of the zone, by what became of them.",
+            ),
+            zone_requests: gauge(
+                "yuccapass_gateway_zone_requests",
+                "Requests that the other nodes of the zone have outstanding, as far as known.",
+            ),
+            zone_nodes: gauge(
+                "yuccapass_gateway_zone_nodes_known",
+                "Other nodes of the zone whose outstanding requests are known.",
+            ),
+            zone_age: meter
+                .f64_gauge("yuccapass_gateway_zone_summary_age")
+                .with_unit("s")
+                .with_description("Mean age of what is known of the zone's other nodes.")
+                .build(),
             broken_off: counter("yuccapass_gateway_broken_off", "Answers that were broken off."),
             outdated_answers: counter(
                 "yuccapass_gateway_outdated_answers",
@@ -134,6 +156,23 @@
         self.blocked_parts.record(blocked, &[]);
     }
 
+    /// Records what became of the counts of another node.
+    pub(crate) fn record_summary(&self, receipt: Receipt) {
+        let receipt = match receipt {
+            Receipt::Merged => "merged",
+            Receipt::Unstamped => "unstamped",
+            Receipt::Outdated => "outdated",
+        };
+        self.zone_summaries.add(1, &[KeyValue::new("receipt", receipt)]);
+    }
+
+    /// Records what the other nodes of the zone have outstanding.
+    pub(crate) fn record_zone_load(&self, sum: &OutstandingSum) {
+        self.zone_requests.record(sum.requests(), &[]);
+        self.zone_nodes.record(u64::from(sum.nodes), &[]);
+        self.zone_age.record(sum.age_ms as f64 / 1_000.0, &[]);
+    }
+
     /// Records an error answer of this node.
     pub(crate) fn record_refusal(&self, refusal: Refusal) {
         self.refusals.add(1, &[KeyValue::new("code", refusal.code.to_string())]);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,6 +19,7 @@
 use crate::options::GatewayOptions;
 use crate::protocol::{EngineProtocol, EntryDecoder, PartStoreProtocol, Protocol};
 use crate::relay::client::follow;
+use crate::relay::room::exchange;
 use crate::relay::server::RelayHandler;
 use crate::state::{Placements, Shared};
 use crate::swap_leader::SwapLeader;
@@ -180,6 +181,7 @@
         let (_controller, stop) = stop_pair();
         yuccapass_peers::serve(listener, local_node, handler, config, stop).await;
     });
+    task::spawn(exchange(Arc::clone(&shared), transport.clone()));
     task::spawn(follow(shared, transport));
 }
 
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -8,6 +8,7 @@
 use yuccapass_peers::{PeerMessage, PeerTransport, RelayReply, RelayRequest};
 use yuccapass_types::{Deadline, Instant, NodeId};
 
+use super::room::SentSummary;
 use crate::state::Shared;
 
 /// Time after which a relay that does not reply is given up. It holds requests for at most 250 ms.
@@ -56,11 +57,23 @@
     let Some(address) = shared.relay.address(relay) else { return false };
     let requests = shared.relay.requests();
     let sent_at = shared.now();
-    let message = PeerMessage::RelayRequest(RelayRequest { topics: requests.clone() });
+    let outstanding = shared.zone_room.follower_summary(shared, relay);
+    let sent = outstanding.as_ref().map(|summary| SentSummary {
+        scope: summary.scope,
+        sequence: summary.sequence,
+        sent_at,
+    });
+    let request = RelayRequest { topics: requests.clone(), outstanding };
+    let message = PeerMessage::RelayRequest(request);
     let deadline = Deadline::after_ms(sent_at, CALL_TIMEOUT_MS);
     match transport.call(address, message, deadline).await {
         Ok(reply) => match reply.message {
-            PeerMessage::RelayReply(reply) => deliver(shared, requests, reply, sent_at),
+            PeerMessage::RelayReply(reply) => {
+                if let (Some(sent), Some(room)) = (sent, &reply.outstanding) {
+                    shared.zone_room.record_reply(shared, relay, (sent, reply.held_ms), room);
+                }
+                deliver(shared, requests, reply, sent_at)
+            }
             _ => false,
         },
         Err(error) => {
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -3,11 +3,13 @@
 //! A task that reads a topic from its origin, a watch or the poller of a store, [subscribes] to the
 //! topic and publishes what it reads. While this node follows a relay, the task waits for the
 //! relay's updates instead. [`server`] answers followers from what was published, and [`client`]
-//! asks a relay for all topics at once. See `yuccapass_decisions::gateway::relay`.
+//! asks a relay for all topics at once. See `yuccapass_decisions::gateway::relay`. The same messages
+//! carry what the nodes of the zone have outstanding, see [`room`].
 //!
 //! [subscribes]: RelayTable::subscribe
 
 pub(crate) mod client;
+pub(crate) mod room;
 pub(crate) mod server;
 
 use std::net::SocketAddr;
@@ -170,6 +172,18 @@
         u32::try_from(relay_count(lock(&self.nodes).len())).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of nodes in the zone of this node.
+    fn zone_nodes(&self) -> usize {
+        lock(&self.nodes).len()
+    }
+
+    /// Returns the relays of the zone that come after this node. Of two relays, the first one calls.
+    fn later_relays(&self, own: &NodeId) -> Vec<(NodeId, SocketAddr)> {
+        let nodes = lock(&self.nodes);
+        let relays = &nodes[..relay_count(nodes.len())];
+        relays.iter().filter(|(id, _)| id > own).cloned().collect()
+    }
+
     fn node_ids(&self) -> Vec<NodeId> {
         lock(&self.nodes).iter().map(|(id, _)| id.clone()).collect()
     }
@@ -228,9 +242,14 @@
         is_recent
     }
 
-    /// Answers a follower.
-    fn answer(&self, requests: &[TopicRequest], now: Instant) -> Vec<TopicUpdate> {
-        let mut budget = MAX_REPLY;
+    /// Answers a follower, with `other_bytes` of the reply taken by something else.
+    fn answer(
+        &self,
+        requests: &[TopicRequest],
+        other_bytes: Bytes,
+        now: Instant,
+    ) -> Vec<TopicUpdate> {
+        let mut budget = MAX_REPLY.saturating_sub(other_bytes);
         let read = lock(&self.read);
         requests.iter().filter_map(|request| read.answer(request, &mut budget, now)).collect()
     }
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -22,13 +22,13 @@
 impl PeerHandler for RelayHandler {
     async fn handle(
         &self,
-        _from: Sender,
+        from: Sender,
         message: PeerMessage,
         _deadline: Deadline,
     ) -> Option<PeerMessage> {
         match message {
             PeerMessage::RelayRequest(request) => {
-                Some(PeerMessage::RelayReply(self.reply(&request).await))
+                Some(PeerMessage::RelayReply(self.reply(&from, request).await))
             }
             // The gateway uses none of the other messages.
             _ => None,
@@ -37,15 +37,21 @@
 }
 
 impl RelayHandler {
-    async fn reply(&self, request: &RelayRequest) -> RelayReply {
+    async fn reply(&self, from: &Sender, request: RelayRequest) -> RelayReply {
         let received_at = self.shared.now();
+        let scope = request.outstanding.as_ref().map(|summary| summary.scope);
+        if let Some(summary) = request.outstanding {
+            self.shared.zone_room.record_summary(&self.shared, from, summary);
+        }
         if let Some(news) = self.shared.relay.wait_for_news(&request.topics) {
             let limit = Deadline::after_ms(received_at, HOLD_MS);
             // The receiver only ever closes; both outcomes end the wait.
             let _ = with_deadline(&*self.shared.clock, limit, news.recv()).await;
         }
         let now = self.shared.now();
-        let updates = self.shared.relay.answer(&request.topics, now);
-        RelayReply { held_ms: now.ms_since(received_at), updates }
+        let outstanding = scope.map(|scope| self.shared.zone_room.reply(&from.node, scope, now));
+        let other_bytes = outstanding.as_ref().map(|reply| reply.sum.size()).unwrap_or_default();
+        let updates = self.shared.relay.answer(&request.topics, other_bytes, now);
+        RelayReply { held_ms: now.ms_since(received_at), updates, outstanding }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use crate::part_crashes::PartCrashTracker;
 use crate::protocol::Protocol;
 use crate::relay::RelayTable;
+use crate::relay::room::RoomTable;
 use crate::stores::StoreTable;
 
 /// The strategies for choosing endpoints.
@@ -40,6 +41,7 @@
     pub(crate) crashes: CrashTracker,
     pub(crate) part_crashes: PartCrashTracker,
     pub(crate) relay: RelayTable,
+    pub(crate) zone_room: RoomTable,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
     configuration: RwLock<ConfigurationHolder>,
@@ -73,6 +75,11 @@
             notices: NoticeTable::default(),
             stores: StoreTable::default(),
             relay: RelayTable::default(),
+            zone_room: RoomTable::new(
+                options.node.clone(),
+                options.incarnation,
+                options.capabilities.limits_endpoint_memory,
+            ),
             crashes: CrashTracker::new(options.node.clone(), options.incarnation),
             part_crashes: PartCrashTracker::default(),
             metrics,
--- a/crates/peers/src/convert/mod.rs
+++ b/crates/peers/src/convert/mod.rs
@@ -7,6 +7,7 @@
 mod permits;
 mod relay;
 mod votes;
+mod zone_room;
 
 use std::str::FromStr;
 
--- a/crates/peers/src/convert/relay.rs
+++ b/crates/peers/src/convert/relay.rs
@@ -23,7 +23,7 @@
             epoch: topic.epoch,
             after: topic.after,
         });
-        Self { topics: topics.collect() }
+        Self { topics: topics.collect(), outstanding: request.outstanding.map(Into::into) }
     }
 }
 
@@ -37,14 +37,16 @@
             epoch: topic.epoch,
             after: topic.after,
         });
-        Ok(Self { topics: topics.collect() })
+        let outstanding = wire.outstanding.map(TryInto::try_into).transpose()?;
+        Ok(Self { topics: topics.collect(), outstanding })
     }
 }
 
 impl From<RelayReply> for WireRelayReply {
     fn from(reply: RelayReply) -> Self {
         let updates = reply.updates.into_iter().map(WireTopicUpdate::from).collect();
-        Self { held_ms: reply.held_ms, updates }
+        let outstanding = reply.outstanding.map(Into::into);
+        Self { held_ms: reply.held_ms, updates, outstanding }
     }
 }
 
@@ -55,7 +57,8 @@
         check_count("updates", wire.updates.len(), MAX_TOPICS)?;
         let updates: Result<Vec<TopicUpdate>, DecodeError> =
             wire.updates.into_iter().map(TopicUpdate::try_from).collect();
-        Ok(Self { held_ms: wire.held_ms, updates: updates? })
+        let outstanding = wire.outstanding.map(TryInto::try_into).transpose()?;
+        Ok(Self { held_ms: wire.held_ms, updates: updates?, outstanding })
     }
 }
 
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use prost::Message;
 use yuccapass_decisions::gateway::relay::{TopicRequest, TopicUpdate};
+use yuccapass_decisions::gateway::zone_room::{OutstandingSummary, RoomReply};
 use yuccapass_decisions::membership::Heartbeat;
 use yuccapass_decisions::permits::{PermitId, PermitReply};
 use yuccapass_decisions::quorum::{AttemptId, OutcomeState, VoteKey, VoteReply, VoteRequest};
@@ -66,6 +67,8 @@
 pub struct RelayRequest {
     /// What the follower knows of each topic.
     pub topics: Vec<TopicRequest>,
+    /// What the follower has outstanding, if the nodes exchange it. Earlier versions ignore it.
+    pub outstanding: Option<OutstandingSummary>,
 }
 
 /// The reply of a relay.
@@ -75,6 +78,8 @@
     pub held_ms: u64,
     /// The topics that the relay has read.
     pub updates: Vec<TopicUpdate>,
+    /// What the other nodes have outstanding, if the request has a summary. Earlier versions send none.
+    pub outstanding: Option<RoomReply>,
 }
 
 /// A message between nodes.
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -218,6 +218,56 @@
 pub(crate) struct WireRelayRequest {
     #[prost(message, repeated, tag = "1")]
     pub(crate) topics: Vec<WireTopicRequest>,
+    /// Absent if the sender does not exchange what it has outstanding.
+    #[prost(message, optional, tag = "2")]
+    pub(crate) outstanding: Option<WireOutstandingSummary>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireOutstandingSummary {
+    #[prost(bool, tag = "1")]
+    pub(crate) is_of_relay: bool,
+    #[prost(uint64, tag = "2")]
+    pub(crate) sequence: u64,
+    /// Absent before the first reply of the relay.
+    #[prost(message, optional, tag = "3")]
+    pub(crate) echo: Option<WireRoomStamp>,
+    #[prost(message, optional, tag = "4")]
+    pub(crate) sum: Option<WireOutstandingSum>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireRoomStamp {
+    #[prost(uint64, tag = "1")]
+    pub(crate) incarnation: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) at_ms: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireOutstandingSum {
+    #[prost(uint64, tag = "1")]
+    pub(crate) age_ms: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) nodes: u32,
+    /// The endpoints; the next lists have a number for each of them. A message for each would take half
+    /// as many bytes again.
+    #[prost(fixed32, repeated, tag = "3")]
+    pub(crate) endpoints: Vec<u32>,
+    #[prost(uint32, repeated, tag = "4")]
+    pub(crate) requests: Vec<u32>,
+    #[prost(uint64, repeated, tag = "5")]
+    pub(crate) tokens: Vec<u64>,
+    #[prost(uint32, repeated, tag = "6")]
+    pub(crate) sent: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireRoomReply {
+    #[prost(message, optional, tag = "1")]
+    pub(crate) stamp: Option<WireRoomStamp>,
+    #[prost(message, optional, tag = "2")]
+    pub(crate) sum: Option<WireOutstandingSum>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -236,6 +286,9 @@
     pub(crate) held_ms: u64,
     #[prost(message, repeated, tag = "2")]
     pub(crate) updates: Vec<WireTopicUpdate>,
+    /// Absent if the request has no summary.
+    #[prost(message, optional, tag = "3")]
+    pub(crate) outstanding: Option<WireRoomReply>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -6,6 +6,10 @@
 use proptest::test_runner::RngSeed;
 use yuccapass_decisions::gateway::PartEvent;
 use yuccapass_decisions::gateway::relay::{RelayItem, RelayedEntry, TopicRequest, TopicUpdate};
+use yuccapass_decisions::gateway::zone_room::{
+    EndpointKey, EndpointUse, OutstandingSum, OutstandingSummary, RoomReply, RoomStamp,
+    SummaryScope,
+};
 use yuccapass_decisions::membership::{
     CrashCount, Heartbeat, HeartbeatCounter, LoadSummary, OrganisationUsage, Row, RowState,
 };
@@ -18,7 +22,7 @@
     ConfigChunk, ConfigRequest, Frame, MAX_CHUNK_BYTES, PeerMessage, PermitAction, PermitRequest,
     RelayReply, RelayRequest, Sender,
 };
-use yuccapass_types::{Incarnation, Revision, Tokens, TokensPerSecond};
+use yuccapass_types::{Incarnation, Instant, Revision, Tokens, TokensPerSecond};
 
 fn attempt(number: u64) -> AttemptId {
     AttemptId { node: "node-1".parse().unwrap(), incarnation: Incarnation::new(number), number }
@@ -99,6 +103,7 @@
     let replies = [granted, PermitReply::Full, PermitReply::NotReady, PermitReply::NotOwner];
     messages.extend(replies.map(PeerMessage::PermitReply));
     messages.extend(relay_messages(number, body));
+    messages.extend(zone_room_messages(number));
     messages
 }
 
@@ -128,8 +133,31 @@
     let items = vec![entry(None), entry(Some(body.to_vec())), part];
     let updates = vec![update(None), update(Some(Vec::new())), update(Some(items))];
     [
-        PeerMessage::RelayRequest(RelayRequest { topics: vec![request] }),
-        PeerMessage::RelayReply(RelayReply { held_ms: number, updates }),
+        PeerMessage::RelayRequest(RelayRequest { topics: vec![request], outstanding: None }),
+        PeerMessage::RelayReply(RelayReply { held_ms: number, updates, outstanding: None }),
+    ]
+}
+
+/// Creates requests and a reply with what nodes have outstanding.
+fn zone_room_messages(number: u64) -> Vec<PeerMessage> {
+    let tokens = Tokens::new(number);
+    let used = EndpointUse { requests: number as u32, tokens, sent: number as u32 };
+    let sum = OutstandingSum {
+        age_ms: number,
+        nodes: number as u32,
+        uses: [(EndpointKey::new(number as u32), used)].into_iter().collect(),
+    };
+    let stamp = RoomStamp { incarnation: Incarnation::new(number), at: Instant::from_ms(number) };
+    let request = |scope, echo| {
+        let outstanding = Some(OutstandingSummary::new(scope, number, echo, sum.clone()));
+        PeerMessage::RelayRequest(RelayRequest { topics: Vec::new(), outstanding })
+    };
+    let outstanding = Some(RoomReply { stamp, sum: sum.clone() });
+    let reply = RelayReply { held_ms: number, updates: Vec::new(), outstanding };
+    vec![
+        request(SummaryScope::Node, None),
+        request(SummaryScope::Relay, Some(stamp)),
+        PeerMessage::RelayReply(reply),
     ]
 }
 
