--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 //! * [`version_rollout`]: moves the requests of a service to a new version of its software.
 //! * [`waiting_room`]: requests that wait until an engine can start them.
 //! * [`weight_targets`]: the target weights of a model, and until when older ones may be used.
+//! * [`zone_room`]: what the nodes of a zone have outstanding at each endpoint.
 
 pub mod configuration;
 pub mod directory;
@@ -53,6 +54,7 @@
 pub mod version_rollout;
 pub mod waiting_room;
 pub mod weight_targets;
+pub mod zone_room;
 
 pub use configuration::{
     CallerLimits, Configuration, ConfigurationHolder, EngineSpec, InvalidConfiguration, KeyVerdict,
@@ -61,7 +63,9 @@
 pub use directory::{Directory, EndpointRecord, EndpointState};
 pub use endpoint_notices::{EndpointNotice, EndpointNotices};
 pub use endpoint_speed::{EndpointSpeed, RequestWork, ServicePace, SlowdownEstimate};
-pub use endpoint_tracker::{EndpointTracker, EndpointTrackerSettings, KnownLoad, LoadReport};
+pub use endpoint_tracker::{
+    EndpointTracker, EndpointTrackerSettings, KnownLoad, LoadReport, ZoneLoad,
+};
 pub use fleet::FleetSize;
 pub use key_validity::KeyValidity;
 pub use link_share::LinkShare;
@@ -81,3 +85,4 @@
 pub use target_bounds::{TargetBounds, TargetDeadlines};
 pub use transfers::{PartTransfers, TransferRequest, plan_transfers};
 pub use weight_targets::{OutdatedWeights, TargetWeights};
+pub use zone_room::{OutstandingSum, ZoneRoom};
--- a/crates/decisions/src/gateway/waiting_room/endpoint_room.rs
+++ b/crates/decisions/src/gateway/waiting_room/endpoint_room.rs
@@ -57,7 +57,7 @@
     /// Estimates the room of an engine with this load. `others` is the mean number of requests that other
     /// nodes have at an engine, and `memory_per_request` the mean memory of a running request in tokens.
     pub fn new(engine: EngineSpec, load: KnownLoad, others: f64, memory_per_request: f64) -> Self {
-        let others = load.reported_others + (1.0 - load.report_weight) * others;
+        let others = load.others + (1.0 - load.report_weight) * others;
         let requests = f64::from(load.own_requests) + others;
         let memory_tokens = load.own_tokens.get() as f64 + others * memory_per_request;
         let capacity_tokens = engine.capacity.get() as f64;
