--- a/crates/decisions/src/gateway/waiting_room/endpoint_room.rs
+++ b/crates/decisions/src/gateway/waiting_room/endpoint_room.rs
@@ -6,10 +6,6 @@
 use super::super::endpoint_tracker::{KnownLoad, LoadReport};
 use super::work::RequestWork;
 
-/// Share of an engine's memory that is left to the most urgent requests. The engine would preempt a less
-/// urgent one to start them; a tenth holds the short prompts that arrive during the run of a long one.
-const URGENT_RESERVE: f64 = 0.1;
-
 /// Half-life of the mean load of other nodes, counted from the last report of any endpoint. Without it,
 /// a node that takes all endpoints for full would send nothing and never hear otherwise.
 const OTHERS_HALF_LIFE_MS: f64 = 1_000.0;
@@ -42,6 +38,17 @@
     }
 }
 
+/// What a node assumes about the engines of a service.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Assumptions {
+    /// Mean number of requests that other nodes have at an engine.
+    pub others: f64,
+    /// Mean memory of a running request, in tokens.
+    pub memory_per_request: f64,
+    /// Share of the memory that only the most urgent requests may use.
+    pub urgent_reserve: f64,
+}
+
 /// Free slots and memory of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EndpointRoom {
@@ -49,31 +56,46 @@
     pub slots: f64,
     /// Memory that is free, in tokens.
     pub memory_tokens: f64,
-    /// Its whole memory, in tokens.
+    /// Its whole memory, in tokens, and the share of it for the most urgent requests.
     capacity_tokens: f64,
+    urgent_reserve: f64,
+    /// Error of the number of requests of other nodes, and of their memory.
+    error_requests: f64,
+    error_tokens: f64,
 }
 
 impl EndpointRoom {
-    /// Estimates the room of an engine with this load. `others` is the mean number of requests that other
-    /// nodes have at an engine, and `memory_per_request` the mean memory of a running request in tokens.
-    pub fn new(engine: EngineSpec, load: KnownLoad, others: f64, memory_per_request: f64) -> Self {
-        let others = load.reported_others + (1.0 - load.report_weight) * others;
+    /// Estimates the room of an engine with this load.
+    pub fn new(engine: EngineSpec, load: KnownLoad, assumptions: &Assumptions) -> Self {
+        let Assumptions { memory_per_request, urgent_reserve, .. } = *assumptions;
+        let others = load.reported_others + (1.0 - load.report_weight) * assumptions.others;
         let requests = f64::from(load.own_requests) + others;
         let memory_tokens = load.own_tokens.get() as f64 + others * memory_per_request;
         let capacity_tokens = engine.capacity.get() as f64;
+        // Requests of many nodes arrive independently of each other.
+        let error_requests = others.sqrt();
         Self {
+            urgent_reserve,
+            error_requests,
+            error_tokens: error_requests * memory_per_request,
             slots: f64::from(engine.slots) - requests,
             memory_tokens: capacity_tokens - memory_tokens,
             capacity_tokens,
         }
     }
 
-    /// Returns whether the endpoint can start a request. Only one that `may_use_reserve` gets the memory
-    /// that is left to the most urgent ones.
-    pub fn fits(&self, work: &RequestWork, may_use_reserve: bool) -> bool {
-        let reserve = if may_use_reserve { 0.0 } else { URGENT_RESERVE * self.capacity_tokens };
+    /// Returns whether the endpoint can start a request.
+    ///
+    /// Only one that `is_urgent` gets the memory that is reserved for the most urgent ones. The error of the
+    /// estimate is allowed for in its favour, because the endpoint preempts others for it if need be.
+    pub fn fits(&self, work: &RequestWork, is_urgent: bool) -> bool {
+        let (slots, memory_tokens) = match is_urgent {
+            true => (self.slots + self.error_requests, self.memory_tokens + self.error_tokens),
+            false => (self.slots, self.memory_tokens - self.urgent_reserve * self.capacity_tokens),
+        };
         // One that is larger than the memory cannot run anywhere; an empty engine rejects it.
-        let needed = (work.memory().get() as f64).min(self.capacity_tokens - reserve);
-        self.slots >= 1.0 && self.memory_tokens - reserve >= needed
+        let usable_share = if is_urgent { 1.0 } else { 1.0 - self.urgent_reserve };
+        let needed = (work.memory().get() as f64).min(usable_share * self.capacity_tokens);
+        slots >= 1.0 && memory_tokens >= needed
     }
 }
--- a/crates/decisions/src/gateway/waiting_room/mod.rs
+++ b/crates/decisions/src/gateway/waiting_room/mod.rs
@@ -12,13 +12,15 @@
 mod room;
 mod run_time;
 mod running_mean;
+mod urgent_reserve;
 mod work;
 
-pub use endpoint_room::{EndpointRoom, OthersLoad};
+pub use endpoint_room::{Assumptions, EndpointRoom, OthersLoad};
 pub use room::{
     Arrival, Displaced, RefusalReason, RoomRefusal, Ticket, Turn, WaitingLimits, WaitingRequest,
     WaitingRoom,
 };
 pub use run_time::{ExpectedRun, ObservedRunTimes, RunTimeEstimate};
 pub use running_mean::RunningMean;
+pub use urgent_reserve::UrgentReserve;
 pub use work::{MemoryPerRequest, OutputBounds, OutputEstimate, RequestWork};
--- a/crates/decisions/src/gateway/waiting_room/run_time.rs
+++ b/crates/decisions/src/gateway/waiting_room/run_time.rs
@@ -1,6 +1,6 @@
 //! How long a request takes once it has started.
 
-use yuccapass_types::{RouteId, SortedMap};
+use yuccapass_types::{Deadline, Instant, RouteId, SortedMap};
 
 use super::running_mean::RunningMean;
 use super::work::RequestWork;
@@ -15,13 +15,48 @@
     pub answer_ms: u64,
 }
 
+/// How long callers wait for the first event of a stream: two seconds or four times the target latency,
+/// whichever is longer.
+const FIRST_EVENT_PATIENCE_MS: u64 = 2_000;
+const FIRST_EVENT_PATIENCE_TARGETS: u64 = 4;
+
+impl ExpectedRun {
+    /// Returns the latest start with which a request is expected to meet its target latency.
+    pub fn target_start(&self, arrived_at: Instant, target_ms: u64) -> Deadline {
+        Deadline::after_ms(arrived_at, target_ms.saturating_sub(self.first_event_ms))
+    }
+
+    /// Returns the latest start, or refusal, that is of use to a caller. A refused caller waits for up to
+    /// a third of the time that it has left before it sends the request again, and must be answered in
+    /// the rest.
+    pub fn latest_start(
+        &self,
+        arrived_at: Instant,
+        target_ms: u64,
+        is_stream: bool,
+        deadline: Deadline,
+    ) -> Deadline {
+        let with_return = |ms: u64| ms.saturating_add(ms / 2);
+        let deadline_ms = deadline.remaining_ms(arrived_at);
+        let by_deadline_ms = deadline_ms.saturating_sub(with_return(self.answer_ms));
+        let patience_ms = FIRST_EVENT_PATIENCE_MS
+            .max(target_ms.saturating_mul(FIRST_EVENT_PATIENCE_TARGETS))
+            .saturating_sub(with_return(self.first_event_ms));
+        let latest_ms = if is_stream { by_deadline_ms.min(patience_ms) } else { by_deadline_ms };
+        Deadline::after_ms(arrived_at, latest_ms)
+    }
+}
+
 /// Estimates run times.
 pub trait RunTimeEstimate: Send + Sync {
     /// Returns how long a request of a route is expected to take.
     fn expected(&self, route: &RouteId, work: &RequestWork) -> ExpectedRun;
 
-    /// Records how long a complete request took; `first_event_ms` is `None` if it was not a stream.
-    fn record(&mut self, route: &RouteId, first_event_ms: Option<u64>, answer_ms: u64);
+    /// Records the time from sending a request to the first event of its answer.
+    fn record_first_event(&mut self, route: &RouteId, first_event_ms: u64);
+
+    /// Records the time from sending a request to the end of its answer.
+    fn record_answer(&mut self, route: &RouteId, answer_ms: u64);
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -45,9 +80,13 @@
         })
     }
 
-    fn record(&mut self, route: &RouteId, first_event_ms: Option<u64>, answer_ms: u64) {
+    fn record_first_event(&mut self, route: &RouteId, first_event_ms: u64) {
+        let times = self.routes.get_or_insert_with(route.clone(), RouteTimes::default);
+        times.first_event.record(first_event_ms as f64);
+    }
+
+    fn record_answer(&mut self, route: &RouteId, answer_ms: u64) {
         let times = self.routes.get_or_insert_with(route.clone(), RouteTimes::default);
-        times.first_event.record(first_event_ms.unwrap_or(answer_ms) as f64);
         times.answer.record(answer_ms as f64);
     }
 }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -12,6 +12,7 @@
 
 use crate::protocol::CallerRequest;
 use crate::state::Shared;
+use crate::waiting::QueuedWork;
 
 /// Number of route priorities that are kept apart within an organisation priority. Three of them
 /// fit into the ten priorities that engines support.
@@ -43,6 +44,10 @@
     pub(crate) regions: [&'a [RegionId]; 2],
     /// Requests a second that a cold endpoint of the service can handle.
     pub(crate) cold_requests_per_s: f64,
+    /// Whether the endpoints of the service are model engines.
+    pub(crate) uses_engine: bool,
+    /// What it needs of an engine, if it may have to wait for one.
+    pub(crate) queued: Option<QueuedWork>,
     pub(crate) arrived_at: Instant,
     /// When the caller must have its complete answer.
     pub(crate) deadline: Deadline,
@@ -102,6 +107,8 @@
     let spec = configuration.service(service);
     Ok(Admitted {
         cold_requests_per_s: spec.map(|spec| spec.cold_requests_per_s).unwrap_or_default(),
+        uses_engine: spec.is_some_and(|spec| spec.engine.is_some()),
+        queued: shared.waiting.queued_work(service, spec, route, caller),
         message: request,
         caller,
         route,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,7 +11,7 @@
 };
 use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, ResponseHead};
 use yuccapass_http::{Expired, with_deadline};
-use yuccapass_types::{CacheNamespace, Deadline, EndpointId, Instant, WeightRevision};
+use yuccapass_types::{CacheNamespace, Deadline, EndpointId, Instant, Tokens, WeightRevision};
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
@@ -94,15 +94,25 @@
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
-    let _outstanding =
-        shared.endpoints.track_request(&target.id, &target.record, request.prompt_tokens());
+    let tokens = request.queued.map_or(request.prompt_tokens(), |queued| queued.work.memory());
+    // Dropped after `_outstanding`, because it wakes requests that look for the room of this one.
+    let _sent = shared.waiting.track(shared, request);
+    let _outstanding = shared.endpoints.track_request(&target.id, &target.record, tokens);
     let sent_at = shared.now();
     let outcome = run(shared, request, target, limit, events, answer).await;
     record_outcome(shared, request, target, &outcome);
     record_crash_evidence(shared, request, target, sent_at, &outcome);
+    if matches!(outcome, AttemptOutcome::Answered(200)) {
+        shared.waiting.record_answer(request, sent_at, output_tokens(events), shared.now());
+    }
     outcome
 }
 
+/// Returns the length of the output of a complete stream, whose events have their position as their id.
+fn output_tokens(events: &EventSplitter) -> Option<Tokens> {
+    events.last_id()?.parse().ok()
+}
+
 /// Records the outcome of an attempt for later choices of an endpoint.
 fn record_outcome(
     shared: &Shared,
@@ -212,9 +222,13 @@
         shared.notices.record((&target.id, &target.record), notice, sent_at, now);
     }
     if let Some(load) = received.info.load {
-        shared
-            .endpoints
-            .with_tracker(&target.id, &target.record, |tracker| tracker.record_load(load, now));
+        let own_requests = shared.endpoints.with_tracker(&target.id, &target.record, |tracker| {
+            tracker.record_load(load, now);
+            tracker.known_load(now).own_requests
+        });
+        if request.uses_engine {
+            shared.waiting.record_load(request.service, load, false, own_requests, now);
+        }
     }
     let is_stream = request.route.kind.is_streaming() && received.head.status == 200;
     if is_stream && received.info.is_signed {
@@ -376,6 +390,7 @@
     head: ResponseHead,
     info: EndpointAnswer,
     framing: Framing,
+    sent_at: Instant,
     /// Whether the whole request was written before the answer began. Otherwise the connection must
     /// not be reused, because the endpoint still expects the rest of the request.
     is_request_written: bool,
@@ -414,7 +429,7 @@
     connection: &mut Connection,
     is_reused: bool,
 ) -> Result<Received, MessageError> {
-    let limits = shared.options.answer_limits;
+    let (limits, sent_at) = (shared.options.answer_limits, shared.now());
     let (mut stray_answers, mut interim_answers) = (0, 0);
     loop {
         let head = connection.read_response_head(limits.head_bytes).await?;
@@ -435,7 +450,7 @@
         }
         let is_stray = info.request_id.as_ref().is_some_and(|id| *id != request.caller.id);
         if !is_stray {
-            return Ok(Received { head, info, framing, is_request_written: true });
+            return Ok(Received { head, info, framing, sent_at, is_request_written: true });
         }
         stray_answers += 1;
         if stray_answers > MAX_STRAY_ANSWERS || framing == Framing::UntilClose {
@@ -477,7 +492,7 @@
     received: Received,
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
-    let Received { head, info, framing, is_request_written } = received;
+    let Received { head, info, framing, is_request_written, .. } = received;
     let begun_at = shared.now();
     let reading = read_answer(shared, framing, &mut connection);
     let body = match with_deadline(&*shared.clock, request.deadline, reading).await {
@@ -532,7 +547,7 @@
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
-    let Received { head, framing, is_request_written, .. } = received;
+    let Received { head, framing, sent_at, is_request_written, .. } = received;
     let mut body = BodyReader::new(framing);
     let mut reservation = AnswerReservation::new(shared);
     events.drop_partial();
@@ -577,6 +592,7 @@
         has_begun = true;
         if !answer.has_begun() {
             shared.metrics.record_first_event(request, shared.now());
+            shared.waiting.record_first_event(request, sent_at, shared.now());
         }
         let writing = async {
             if !answer.has_begun() {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,6 +5,7 @@
 
 use yuccapass_decisions::gateway::next_step::next_step;
 use yuccapass_decisions::gateway::placement::prefers_current;
+use yuccapass_decisions::gateway::waiting_room::{Assumptions, EndpointRoom};
 use yuccapass_decisions::gateway::{
     AttemptFailure, AttemptSummary, Candidate, Directory, EndpointRecord, NextStep,
     PlacementRequest, Refusal,
@@ -16,6 +17,7 @@
 use crate::attempt::{AttemptOutcome, BufferedAnswer, FailedAttempt, Target, attempt};
 use crate::events::EventSplitter;
 use crate::state::Shared;
+use crate::waiting::{Entered, QueuedWork, enter};
 
 /// Timeout of an attempt that may be retried, as a multiple of the route's target latency. With a
 /// factor of 5, requests that waited behind slow transfers were retried and displaced others.
@@ -76,7 +78,10 @@
     shared.count_request(request.service);
     let mut attempts = Attempts::default();
     let mut events = EventSplitter::default();
-    let mut next_target = choose(shared, request, &attempts.tried);
+    let mut next_target = match enter(shared, request).await {
+        Entered::Target(target) => target,
+        Entered::Refused(refusal) => return refuse(shared, request, answer, refusal).await,
+    };
     loop {
         let Some(target) = take_turn(shared, request, next_target, &attempts.tried) else {
             return refuse(shared, request, answer, no_endpoint_refusal(&attempts)).await;
@@ -90,7 +95,7 @@
         };
         attempts.record(failed.failure);
         request.message.may_have_run.store(attempts.may_have_run, Ordering::Release);
-        next_target = choose(shared, request, &attempts.tried);
+        next_target = choose(shared, request, &attempts.tried, NeededRoom::Preferred);
         let step = decide(shared, request, &attempts, &failed, answer, next_target.is_some());
         log_attempt(shared, request, &target, &attempts, &failed, step);
         match step {
@@ -118,7 +123,7 @@
         if shared.notices.try_send(&target.id, &target.record, shared.nodes(), shared.now()) {
             return Some(target);
         }
-        chosen = choose(shared, request, tried);
+        chosen = choose(shared, request, tried, NeededRoom::Preferred);
     }
 }
 
@@ -160,9 +165,71 @@
 /// An endpoint of the directory.
 type DirectoryEntry<'a> = (&'a EndpointId, &'a EndpointRecord);
 
+/// Whether an endpoint must have room for a request that may wait for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NeededRoom {
+    /// Any endpoint is chosen.
+    None,
+    /// One with room is chosen if there is one.
+    Preferred,
+    /// One with room is chosen; the memory that is left to the most urgent requests counts if this is
+    /// `true`.
+    Required(bool),
+}
+
+/// Returns whether any endpoint may get a request of this node.
+pub(crate) fn has_endpoint(shared: &Shared, request: &Admitted<'_>) -> bool {
+    let (now, nodes) = (shared.now(), shared.nodes());
+    let directory = shared.directory();
+    let eligible = directory.eligible(request.service, &request.regions);
+    eligible.iter().any(|(id, record)| shared.notices.may_send(id, record, nodes, now))
+}
+
 /// Chooses an endpoint that was not tried yet and takes another request of this node: a warm one without recent failures, else any warm
 /// one, else a cold one within this node's share of its capacity.
-fn choose(shared: &Shared, request: &Admitted<'_>, tried: &[EndpointId]) -> Option<Target> {
+pub(crate) fn choose(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    tried: &[EndpointId],
+    needed_room: NeededRoom,
+) -> Option<Target> {
+    let with_room = |may_use_reserve| {
+        let queued = request.queued.as_ref()?;
+        let assumptions = shared.waiting.assumptions(request.service, shared.now());
+        let room = Room { queued, assumptions, may_use_reserve };
+        choose_with_room(shared, request, tried, Some(room))
+    };
+    match needed_room {
+        NeededRoom::None => choose_with_room(shared, request, tried, None),
+        NeededRoom::Required(may_use_reserve) => with_room(may_use_reserve),
+        NeededRoom::Preferred => {
+            with_room(true).or_else(|| choose_with_room(shared, request, tried, None))
+        }
+    }
+}
+
+/// The room that a request needs at an endpoint.
+struct Room<'a> {
+    queued: &'a QueuedWork,
+    assumptions: Assumptions,
+    may_use_reserve: bool,
+}
+
+impl Room<'_> {
+    fn is_at(&self, shared: &Shared, (id, record): &DirectoryEntry<'_>) -> bool {
+        let now = shared.now();
+        let load = shared.endpoints.with_tracker(id, record, |tracker| tracker.known_load(now));
+        EndpointRoom::new(self.queued.engine, load, &self.assumptions)
+            .fits(&self.queued.work, self.may_use_reserve)
+    }
+}
+
+fn choose_with_room(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    tried: &[EndpointId],
+    room: Option<Room<'_>>,
+) -> Option<Target> {
     let (now, nodes) = (shared.now(), shared.nodes());
     let directory = shared.directory();
     let reserve_ms =
@@ -184,9 +251,20 @@
         |record: &EndpointRecord| record.cold_until.is_some_and(|until| !until.has_passed(now));
     let (cold, warm): (Vec<_>, Vec<_>) =
         untried.into_iter().partition(|(_, record)| is_cold(record));
-    let (avoided, healthy): (Vec<_>, Vec<_>) = warm.into_iter().partition(|(id, record)| {
-        shared.endpoints.with_tracker(id, record, |tracker| tracker.is_avoided(now))
-    });
+    let (mut avoided, mut healthy): (Vec<_>, Vec<_>) =
+        warm.into_iter().partition(|(id, record)| {
+            shared.endpoints.with_tracker(id, record, |tracker| tracker.is_avoided(now))
+        });
+    let mut cold = cold;
+    if let Some(room) = &room {
+        // A request rather waits for a sound endpoint than goes to one that fails or is full.
+        if !healthy.is_empty() {
+            avoided.clear();
+        }
+        [&mut healthy, &mut avoided, &mut cold]
+            .into_iter()
+            .for_each(|endpoints| endpoints.retain(|entry| room.is_at(shared, entry)));
+    }
     let warm = place(shared, &directory, request, &healthy)
         .or_else(|| place(shared, &directory, request, &avoided));
     let (id, record) = match warm {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,8 @@
 //! up to date; `registration` maintains this node's entry in the key-value service, and `membership`
 //! reads those of the other nodes; `relay` passes changes on within a zone; `swap_leader` orders
 //! endpoints to take new weights; `crashes` finds requests that crash endpoints, `part_crashes` finds
-//! parts of prompts that do, and `crash_evidence` shares what is known about both.
+//! parts of prompts that do, and `crash_evidence` shares what is known about both. `waiting` keeps
+//! requests until an engine can start them.
 
 mod admission;
 mod answer;
@@ -45,11 +46,12 @@
 mod state;
 mod stores;
 mod swap_leader;
+mod waiting;
 mod watch;
 
 pub use clock::BootClock;
 pub use node::{GatewayError, GatewayNode};
-pub use options::{AnswerLimits, Capabilities, GatewayOptions, ProcessLimits};
+pub use options::{AnswerLimits, Capabilities, GatewayOptions, ProcessLimits, RequestQueue};
 pub use protocol::{
     CallerRequest, DecodeError, EndpointAnswer, EngineProtocol, EntryChange, EntryDecoder,
     Forwarding, InvalidRequest, OrderOutcome, PartStoreProtocol, Protocol, WeightOrder,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
+use yuccapass_decisions::gateway::waiting_room::RefusalReason;
 use yuccapass_decisions::gateway::{Refusal, RouteKind};
 use yuccapass_types::Instant;
 
@@ -37,6 +38,9 @@
     nodes: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
+    waiting: Gauge<u64>,
+    waited: Histogram<f64>,
+    room_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -87,6 +91,18 @@
                 "yuccapass_gateway_blocked_parts",
                 "Parts of prompts whose requests are refused because they crash endpoints.",
             ),
+            waiting: gauge(
+                "yuccapass_gateway_waiting",
+                "Requests that wait for an engine, by service.",
+            ),
+            waited: seconds(
+                "yuccapass_gateway_waited",
+                "Time that requests waited for an engine, until they started or left.",
+            ),
+            room_refusals: counter(
+                "yuccapass_gateway_waiting_refusals",
+                "Requests refused because no engine can start them in time, by reason.",
+            ),
             broken_off: counter("yuccapass_gateway_broken_off", "Answers that were broken off."),
             outdated_answers: counter(
                 "yuccapass_gateway_outdated_answers",
@@ -134,6 +150,25 @@
         self.blocked_parts.record(blocked, &[]);
     }
 
+    /// Records a request that has waited, and how many still wait for its service.
+    pub(crate) fn record_wait(
+        &self,
+        request: &Admitted<'_>,
+        entered_at: Instant,
+        now: Instant,
+        waiting: usize,
+    ) {
+        let seconds = now.ms_since(entered_at) as f64 / 1_000.0;
+        self.waited.record(seconds, &self.labels(request));
+        let service = KeyValue::new("service", request.service.to_string());
+        self.waiting.record(waiting as u64, &[service]);
+    }
+
+    /// Records a refusal by a waiting room.
+    pub(crate) fn record_room_refusal(&self, reason: RefusalReason) {
+        self.room_refusals.add(1, &[KeyValue::new("reason", reason.to_string())]);
+    }
+
     /// Records an error answer of this node.
     pub(crate) fn record_refusal(&self, refusal: Refusal) {
         self.refusals.add(1, &[KeyValue::new("code", refusal.code.to_string())]);
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -1,7 +1,10 @@
 //! The settings of a gateway.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
+use snafu::Snafu;
 use yuccapass_decisions::gateway::{RetryLimits, SwapLimits};
 use yuccapass_types::{Bytes, Incarnation, NodeId, RegionId, SortedMap, ZoneId};
 
@@ -42,6 +45,49 @@
     pub capabilities: Capabilities,
     /// What the platform allows this process.
     pub process_limits: ProcessLimits,
+    /// For which services requests wait at this node until an engine can start them.
+    pub request_queue: RequestQueue,
+}
+
+/// For which services requests wait at a node until an engine can start them. Services without engines
+/// never use a queue.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RequestQueue {
+    /// For services whose endpoints report how fast they are or crash if they run out of memory.
+    #[default]
+    Auto,
+    /// For all services of engines.
+    On,
+    /// For none.
+    Off,
+}
+
+/// Reports a text that is none of the values of a [`RequestQueue`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("the request queue must be auto, on or off"))]
+pub struct ParseRequestQueueError;
+
+impl fmt::Display for RequestQueue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Auto => "auto",
+            Self::On => "on",
+            Self::Off => "off",
+        })
+    }
+}
+
+impl FromStr for RequestQueue {
+    type Err = ParseRequestQueueError;
+
+    fn from_str(text: &str) -> Result<Self, ParseRequestQueueError> {
+        match text {
+            "auto" => Ok(Self::Auto),
+            "on" => Ok(Self::On),
+            "off" => Ok(Self::Off),
+            _ => Err(ParseRequestQueueError),
+        }
+    }
 }
 
 /// The features of the platform that a deployment uses. All are off by default.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use crate::protocol::Protocol;
 use crate::relay::RelayTable;
 use crate::stores::StoreTable;
+use crate::waiting::WaitingTable;
 
 /// The strategies for choosing endpoints.
 pub(crate) struct Placements {
@@ -40,6 +41,7 @@
     pub(crate) crashes: CrashTracker,
     pub(crate) part_crashes: PartCrashTracker,
     pub(crate) relay: RelayTable,
+    pub(crate) waiting: WaitingTable,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
     configuration: RwLock<ConfigurationHolder>,
@@ -73,6 +75,10 @@
             notices: NoticeTable::default(),
             stores: StoreTable::default(),
             relay: RelayTable::default(),
+            waiting: WaitingTable::new(
+                options.request_queue,
+                options.capabilities.limits_endpoint_memory,
+            ),
             crashes: CrashTracker::new(options.node.clone(), options.incarnation),
             part_crashes: PartCrashTracker::default(),
             metrics,
--- a/crates/yuccapassd/src/gateway.rs
+++ b/crates/yuccapassd/src/gateway.rs
@@ -14,7 +14,9 @@
 use snafu::Snafu;
 use yuccapass_decisions::gateway::{RetryLimits, SwapLimits};
 use yuccapass_decisions::platform_budget::FleetRates;
-use yuccapass_gateway::{AnswerLimits, BootClock, GatewayNode, GatewayOptions, ProcessLimits};
+use yuccapass_gateway::{
+    AnswerLimits, BootClock, GatewayNode, GatewayOptions, ProcessLimits, RequestQueue,
+};
 use yuccapass_platform::PlatformClientConfig;
 use yuccapass_types::{
     Bytes, Clock, Incarnation, NodeId, RegionId, RequestsPerSecond, SortedMap, ZoneId,
@@ -169,6 +171,12 @@
     #[arg(long, env = "YUCCAPASS_MAX_DESCRIPTORS")]
     pub max_descriptors: Option<u32>,
 
+    /// For which services requests wait here until an engine can start them: auto (those whose endpoints
+    /// report how fast they are or crash if they run out of memory), on (all services of engines) or
+    /// off.
+    #[arg(long, env = "YUCCAPASS_REQUEST_QUEUE", default_value_t = RequestQueue::Auto)]
+    pub request_queue: RequestQueue,
+
     /// Least severe log level: off, error, warn, info, debug or trace.
     #[arg(long, env = "YUCCAPASS_LOG_LEVEL", default_value = "info")]
     pub log_level: LevelFilter,
@@ -281,6 +289,7 @@
                 memory: self.memory_mb.map(|mb| Bytes::new(mb << 20)),
                 descriptors: self.max_descriptors,
             },
+            request_queue: self.request_queue,
         }
     }
 }
