waiting room: some turns go to the requests that had none for longest; log what was assumed

Cause: eight large requests without room used up all turns of a round, and smaller ones behind them waited until they expired. Change: the last two turns of a round go to the requests that had none for longest.

--- a/crates/decisions/src/gateway/waiting_room/room.rs
+++ b/crates/decisions/src/gateway/waiting_room/room.rs
@@ -15,6 +15,10 @@
 /// endpoints, and a small node has a tenth of a core.
 const MAX_TURNS: u32 = 8;
 
+/// How many of these turns go to the requests that have had none for longest. Otherwise, requests that
+/// rank behind some large ones without room would never be tried.
+const LAST_TURNS: u32 = 2;
+
 /// Time over which the rate of starts is measured: some tens of requests of a small node.
 const RATE_WINDOW_MS: f64 = 2_000.0;
 
@@ -96,6 +100,8 @@
     pub(super) is_returning: bool,
     /// Whether it was found that no endpoint has room for it, since the room at endpoints last changed.
     pub(super) was_tried: bool,
+    // The round in which it last had a turn.
+    last_round: u64,
     passed_over: u32,
 }
 
@@ -198,6 +204,7 @@
     next_ticket: u64,
     turn: Option<Ticket>,
     turns_left: u32,
+    round: u64,
     usage: OrganisationUsage,
     started: RecentWork,
     refused: Vec<(u64, RouteId, Deadline)>,
@@ -212,6 +219,7 @@
             next_ticket: 0,
             turn: None,
             turns_left: 0,
+            round: 0,
             usage: OrganisationUsage::default(),
             started: RecentWork::new(RATE_WINDOW_MS, now),
             refused: Vec::new(),
@@ -246,6 +254,7 @@
             entered_at: now,
             is_returning,
             was_tried: !has_room,
+            last_round: self.round,
             passed_over: 0,
         });
         let newest = self.entries.len() - 1;
@@ -288,6 +297,7 @@
     pub fn room_changed(&mut self) {
         self.entries.iter_mut().for_each(|entry| entry.was_tried = false);
         self.turns_left = MAX_TURNS;
+        self.round += 1;
     }
 
     /// Returns the next turn of the round, unless another request holds one.
@@ -301,7 +311,14 @@
             let entry = &self.entries[position];
             !entry.was_tried && held_back.is_none_or(|from| entry.request.priority < from)
         });
-        let entry = &self.entries[*ranking.first()?];
+        let position = match self.turns_left > LAST_TURNS {
+            true => *ranking.first()?,
+            false => {
+                ranking.into_iter().min_by_key(|&position| self.entries[position].last_round)?
+            }
+        };
+        let entry = &mut self.entries[position];
+        entry.last_round = self.round;
         let turn = Turn { ticket: entry.ticket, may_use_reserve: entry.is_overdue() };
         self.turn = Some(turn.ticket);
         self.turns_left -= 1;
--- a/crates/decisions/tests/gateway_waiting_room.rs
+++ b/crates/decisions/tests/gateway_waiting_room.rs
@@ -289,6 +289,29 @@
     assert!(room.next_turn(NOW).is_some_and(|second| second.ticket != first.ticket));
 }
 
+#[test]
+fn requests_behind_many_without_room_get_a_turn() {
+    // A round has fewer turns than there are large requests before the small one.
+    let mut room = room();
+    (0..20).for_each(|_| {
+        wait(&mut room, request("a", 1, 70_000));
+    });
+    let small = wait(&mut room, request("b", 2, 100));
+
+    let mut rounds = 0..20;
+    let had_turn = rounds.any(|_| {
+        room.room_changed();
+        let turns = std::iter::from_fn(|| {
+            let turn = room.next_turn(NOW)?;
+            room.no_room(turn.ticket);
+            Some(turn.ticket)
+        });
+        turns.collect::<Vec<_>>().contains(&small)
+    });
+
+    assert!(had_turn);
+}
+
 #[test]
 fn the_turn_of_a_caller_that_has_gone_passes_on() {
     // A turn that is never returned would keep all others waiting until they expire.
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -479,9 +479,12 @@
     };
     let waiting = shared.waiting.with(request.service, now, |queue| queue.room.len());
     shared.metrics.record_wait(request, entered_at, now, waiting);
+    let assumptions = shared.waiting.assumptions(request.service, now);
     log::info!(
         request_id = request.caller.id.as_str(), route = request.route.id.as_str(),
         priority = request.priority.get(), memory_tokens = queued.work.memory().get(), rank,
+        assumed_others = assumptions.others, memory_per_request = assumptions.memory_per_request,
+        urgent_reserve = assumptions.urgent_reserve,
         expected_wait_ms, waited_ms = now.ms_since(entered_at),
         remaining_ms = request.deadline.remaining_ms(now), waiting, is_refused, endpoint;
         "a request has left the waiting room"
