--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -11,7 +11,7 @@
 use yuccapass_http::message::{Connection, ResponseHead};
 use yuccapass_http::with_deadline;
 use yuccapass_types::{
-    Clock, Deadline, EndpointId, Instant, ServiceId, Sharded, Slowdown, SortedMap,
+    Clock, Deadline, EndpointId, Instant, ServiceId, Sharded, Slowdown, SortedMap, Tokens,
 };
 
 /// Timeout for opening a connection: a few round trips between regions. If the endpoint's accept
@@ -122,19 +122,20 @@
         });
     }
 
-    /// Counts a request as sent to an endpoint until the guard is dropped.
+    /// Counts a request that takes `memory` there as sent to an endpoint until the guard is dropped.
     pub(crate) fn track_request(
         &self,
         id: &EndpointId,
         record: &EndpointRecord,
         work: RequestWork,
+        memory: Tokens,
     ) -> OutstandingRequest<'_> {
         let sent_at = self.clock.now();
         self.with_tracker(id, record, |tracker| {
-            tracker.record_sent(work.prompt);
+            tracker.record_sent(memory);
             tracker.record_work(&work, sent_at);
         });
-        OutstandingRequest { table: self, id: id.clone(), work, sent_at }
+        OutstandingRequest { table: self, id: id.clone(), memory, sent_at }
     }
 
     /// Records the beginning of an answer for the estimates of the endpoint and of its service.
@@ -296,7 +297,7 @@
 pub(crate) struct OutstandingRequest<'a> {
     table: &'a EndpointTable,
     id: EndpointId,
-    work: RequestWork,
+    memory: Tokens,
     sent_at: Instant,
 }
 
@@ -304,7 +305,7 @@
     fn drop(&mut self) {
         self.table.shards.with(&self.id, |shard| {
             if let Some(endpoint) = shard.get_mut(&self.id) {
-                endpoint.tracker.record_ended(self.work.prompt);
+                endpoint.tracker.record_ended(self.memory);
                 endpoint.tracker.record_not_pending(self.sent_at);
             }
         });
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
+use yuccapass_decisions::gateway::waiting_room::RefusalReason;
 use yuccapass_decisions::gateway::zone_room::Receipt;
 use yuccapass_decisions::gateway::{OutstandingSum, Refusal, RouteKind};
 use yuccapass_types::{Instant, ServiceId};
@@ -45,6 +46,9 @@
     zone_requests: Gauge<u64>,
     zone_nodes: Gauge<u64>,
     zone_age: Gauge<f64>,
+    waiting: Gauge<u64>,
+    waited: Histogram<f64>,
+    room_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -128,6 +132,18 @@
                 .with_unit("s")
                 .with_description("Mean age of what is known of the zone's other nodes.")
                 .build(),
+            waiting: gauge(
+                "yuccapass_gateway_waiting",
+                "Requests that wait for an engine, by service.",
+            ),
+            waited: seconds(
+                "yuccapass_gateway_waited",
+                "Time that requests waited for an engine, until they started or left.",
+            ),
+            room_refusals: counter(
+                "yuccapass_gateway_waiting_refusals",
+                "Requests refused because no engine can start them in time, by reason.",
+            ),
             broken_off: counter("yuccapass_gateway_broken_off", "Answers that were broken off."),
             outdated_answers: counter(
                 "yuccapass_gateway_outdated_answers",
@@ -201,6 +217,25 @@
         self.zone_age.record(sum.age_ms as f64 / 1_000.0, &[]);
     }
 
+    /// Records a request that has waited, and how many still wait for its service.
+    pub(crate) fn record_wait(
+        &self,
+        request: &Admitted<'_>,
+        entered_at: Instant,
+        now: Instant,
+        waiting: usize,
+    ) {
+        let seconds = now.ms_since(entered_at) as f64 / 1_000.0;
+        self.waited.record(seconds, &self.labels(request));
+        let service = KeyValue::new("service", request.service.to_string());
+        self.waiting.record(waiting as u64, &[service]);
+    }
+
+    /// Records a refusal by a waiting room.
+    pub(crate) fn record_room_refusal(&self, reason: RefusalReason) {
+        self.room_refusals.add(1, &[KeyValue::new("reason", reason.to_string())]);
+    }
+
     /// Records an error answer of this node.
     pub(crate) fn record_refusal(&self, refusal: Refusal) {
         self.refusals.add(1, &[KeyValue::new("code", refusal.code.to_string())]);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::relay::RelayTable;
 use crate::relay::room::RoomTable;
 use crate::stores::StoreTable;
+use crate::waiting::WaitingTable;
 
 /// The strategies for choosing endpoints.
 pub(crate) struct Placements {
@@ -44,6 +45,7 @@
     pub(crate) part_crashes: PartCrashTracker,
     pub(crate) relay: RelayTable,
     pub(crate) zone_room: RoomTable,
+    pub(crate) waiting: WaitingTable,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
     configuration: RwLock<ConfigurationHolder>,
@@ -82,6 +84,10 @@
                 options.incarnation,
                 options.capabilities.limits_endpoint_memory,
             ),
+            waiting: WaitingTable::new(
+                options.request_queue,
+                options.capabilities.limits_endpoint_memory,
+            ),
             crashes: CrashTracker::new(options.node.clone(), options.incarnation),
             part_crashes: PartCrashTracker::default(),
             metrics,
