gateway: differences of speed count only once later reports confirm them

Change: the reliability of a difference begins at zero instead of a quarter; to leave the first endpoint costs three prefills of the shared parts, since what is evicted has to be prefilled again as well.

--- a/crates/decisions/src/gateway/endpoint_speed.rs
+++ b/crates/decisions/src/gateway/endpoint_speed.rs
@@ -206,11 +206,8 @@
 /// Assumed time to prefill a token, until answers were measured.
 const ASSUMED_TOKEN_MS: f64 = 0.02;
 
-/// Assumed reliability of an endpoint's average, until reports were compared.
-const ASSUMED_RELIABILITY: f64 = 0.25;
-
-/// Weight of the assumed reliability, as a sum of squared differences.
-const ASSUMED_SQUARE: f64 = 0.25;
+/// Sum of squared differences that must have been confirmed before differences count in half.
+const UNCONFIRMED_SQUARES: f64 = 0.25;
 
 /// Weight of an answer that took far longer to begin than expected, in the learnt times.
 const MIN_SAMPLE_WEIGHT: f64 = 0.05;
@@ -308,8 +305,8 @@
     /// much if some are always slower.
     pub fn reliability(&self) -> f64 {
         let weight = self.squares.weight;
-        let products = self.products.mean * weight + ASSUMED_RELIABILITY * ASSUMED_SQUARE;
-        (products / (self.squares.mean * weight + ASSUMED_SQUARE)).clamp(0.0, 1.0)
+        let (products, squares) = (self.products.mean * weight, self.squares.mean * weight);
+        (products / (squares + UNCONFIRMED_SQUARES)).clamp(0.0, 1.0)
     }
 
     /// Returns the time to prefill a token, in milliseconds.
--- a/crates/decisions/src/gateway/placement/expected_time.rs
+++ b/crates/decisions/src/gateway/placement/expected_time.rs
@@ -114,8 +114,8 @@
 }
 
 /// Cost of prefilling the shared parts again, as a multiple of the time that it takes: the request
-/// waits for it, and so do those that come after it.
-const PREFILL_COST: f64 = 2.0;
+/// waits for it, so do those that come after it, and what is evicted has to be prefilled again.
+const PREFILL_COST: f64 = 3.0;
 
 /// Returns the two endpoints to which a prefix goes first. By weighted rendezvous hashing, an endpoint
 /// gets a share of the prefixes in proportion to its lasting speed, and a change of one speed moves
