gateway: check endpoints that are silent beyond the target latency

Cause: a request at an endpoint whose host is gone was given up only when the kernel gave up the silent connection, after three seconds, although the route's target is half a second. Ruled out: a shorter timeout alone. It also ends requests that wait in a queue, and their second attempts displace others. Change: a node that has heard nothing of an endpoint for the target latency opens a connection to it; if that fails, all requests that were sent there before are given up. Only requests that may run again wait for this, and only on deployments whose endpoints report their speed or have limited memory.

--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -19,6 +19,17 @@
     pub slowdown: Option<Slowdown>,
 }
 
+/// What to do about a request whose answer has not begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilenceStep {
+    /// Wait until this time at least.
+    Wait(Deadline),
+    /// Check whether the endpoint is reachable.
+    Check,
+    /// Give the attempt up: the endpoint is not reachable.
+    GiveUp,
+}
+
 /// Settings of an [`EndpointTracker`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EndpointTrackerSettings {
@@ -77,6 +88,9 @@
     cold_turns: PacedTurns,
     slow_turns: PacedTurns,
     is_slow: bool,
+    // When it was last checked whether the endpoint is reachable, and when it was not.
+    checked_at: Option<Instant>,
+    unreachable_at: Option<Instant>,
     slots: Option<u32>,
     speed: EndpointSpeed,
     pace: ServicePace,
@@ -105,6 +119,8 @@
             cold_turns: PacedTurns::default(),
             slow_turns: PacedTurns::default(),
             is_slow: false,
+            checked_at: None,
+            unreachable_at: None,
             slots: None,
             speed: EndpointSpeed::default(),
             pace: ServicePace::default(),
@@ -174,9 +190,36 @@
         self.speed.record_answer(waited_ms, expected_ms, now);
     }
 
+    /// Decides what to do about a request that was sent at `sent_at` and whose answer has not begun.
+    /// An endpoint of which nothing was heard for `patience_ms` is checked, by one request at a time.
+    pub fn silence_step(
+        &mut self,
+        sent_at: Instant,
+        patience_ms: u64,
+        now: Instant,
+    ) -> SilenceStep {
+        if self.unreachable_at.is_some_and(|at| at >= sent_at) {
+            return SilenceStep::GiveUp;
+        }
+        let last =
+            [self.answered_at, self.checked_at].into_iter().flatten().fold(sent_at, Ord::max);
+        let check_at = Deadline::after_ms(last, patience_ms);
+        if !check_at.has_passed(now) {
+            return SilenceStep::Wait(check_at);
+        }
+        self.checked_at = Some(now);
+        SilenceStep::Check
+    }
+
+    /// Records whether the endpoint was reachable when it was checked.
+    pub fn record_check(&mut self, is_reachable: bool, now: Instant) {
+        self.unreachable_at = (!is_reachable).then_some(now);
+    }
+
     /// Records that the endpoint has begun an answer.
     pub fn record_answer_begun(&mut self, now: Instant) {
         self.answered_at = Some(now);
+        self.unreachable_at = None;
     }
 
     /// Records a complete answer that does not report a failure.
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -57,7 +57,7 @@
 pub use directory::{Directory, EndpointRecord, EndpointState};
 pub use endpoint_notices::{EndpointNotice, EndpointNotices};
 pub use endpoint_speed::{EndpointSpeed, RequestWork, ServicePace, SlowdownEstimate};
-pub use endpoint_tracker::{EndpointTracker, EndpointTrackerSettings, LoadReport};
+pub use endpoint_tracker::{EndpointTracker, EndpointTrackerSettings, LoadReport, SilenceStep};
 pub use fleet::FleetSize;
 pub use key_validity::KeyValidity;
 pub use link_share::LinkShare;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use futures::AsyncWriteExt;
 use futures::future::{Either, select};
 use yuccapass_decisions::gateway::{
-    AttemptFailure, EndpointRecord, EndpointTracker, RequestWork, TransferRequest,
+    AttemptFailure, EndpointRecord, EndpointTracker, RequestWork, SilenceStep, TransferRequest,
 };
 use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, ResponseHead};
 use yuccapass_http::{Expired, with_deadline};
@@ -88,12 +88,21 @@
     Failed(FailedAttempt),
 }
 
+/// How long an attempt waits for the beginning of the answer.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AttemptLimit {
+    pub(crate) deadline: Deadline,
+    /// How long an endpoint may be silent until it is checked whether it is reachable; `None` if the
+    /// request cannot be sent to another endpoint, or the deployment does not use this.
+    pub(crate) patience_ms: Option<u64>,
+}
+
 /// Makes one attempt and forwards the answer.
 pub(crate) async fn attempt(
     shared: &Shared,
     request: &Admitted<'_>,
     target: &Target,
-    limit: Deadline,
+    limit: AttemptLimit,
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
@@ -179,7 +188,7 @@
     shared: &Shared,
     request: &Admitted<'_>,
     target: &Target,
-    limit: Deadline,
+    limit: AttemptLimit,
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
@@ -194,12 +203,18 @@
     request.message.may_have_run.store(true, Ordering::Release);
     let sent_at = shared.now();
     let exchange = exchange(shared, request, &mut connection, is_reused, &message);
-    let received = match within_weights_bound(shared, request, target, limit, exchange).await {
+    let received = match until_begun(shared, request, target, limit, exchange).await {
         Ok(Ok(received)) => received,
         Ok(Err(error)) => return AttemptOutcome::Failed(FailedAttempt::broken(error)),
         Err(WaitEnd::Expired(expired)) => {
             return AttemptOutcome::Failed(FailedAttempt::silent(expired, sent_at));
         }
+        Err(WaitEnd::Unreachable) => {
+            let detail = "the endpoint is not reachable";
+            let failed = FailedAttempt::new(AttemptFailure::Silent, detail);
+            let silent_since = Some(sent_at);
+            return AttemptOutcome::Failed(FailedAttempt { silent_since, ..failed });
+        }
         Err(WaitEnd::Outdated) => {
             let detail = "the bound on the endpoint's outdated weights ends";
             return AttemptOutcome::Failed(FailedAttempt::new(AttemptFailure::Outdated, detail));
@@ -233,18 +248,21 @@
 enum WaitEnd {
     Expired(Expired),
     Outdated,
+    Unreachable,
 }
 
-/// Waits for the beginning of an answer until `limit`, or until the bound on outdated weights of the
-/// endpoint is about to end: a request that is still in its queue could begin on them later. Newer
-/// weights may also be named while the request waits.
-async fn within_weights_bound<F: Future>(
+/// Waits for the beginning of an answer until `limit`, until the endpoint is not reachable, or until the
+/// bound on outdated weights of the endpoint is about to end: a request that is still in its queue could
+/// begin on them later. Newer weights may also be named while the request waits.
+async fn until_begun<F: Future>(
     shared: &Shared,
     request: &Admitted<'_>,
     target: &Target,
-    limit: Deadline,
+    limit: AttemptLimit,
     exchange: F,
 ) -> Result<F::Output, WaitEnd> {
+    let AttemptLimit { deadline: limit, patience_ms } = limit;
+    let sent_at = shared.now();
     let mut exchange = std::pin::pin!(exchange);
     loop {
         let bound_end = {
@@ -259,7 +277,24 @@
         if wait_ms == 0 {
             return Err(WaitEnd::Outdated);
         }
-        let check_at = Deadline::after_ms(now, wait_ms);
+        let mut check_at = Deadline::after_ms(now, wait_ms);
+        let silence_step = patience_ms.map(|patience_ms| {
+            let step =
+                |tracker: &mut EndpointTracker| tracker.silence_step(sent_at, patience_ms, now);
+            shared.endpoints.with_tracker(&target.id, &target.record, step)
+        });
+        match silence_step {
+            Some(SilenceStep::GiveUp) => return Err(WaitEnd::Unreachable),
+            Some(SilenceStep::Check) => {
+                let checking = std::pin::pin!(shared.endpoints.check(&target.id, &target.record));
+                match select(exchange.as_mut(), checking).await {
+                    Either::Left((output, _)) => return Ok(output),
+                    Either::Right(_) => continue,
+                }
+            }
+            Some(SilenceStep::Wait(at)) => check_at = check_at.earlier(at),
+            None => {}
+        }
         let waiting = with_deadline(&*shared.clock, limit.earlier(check_at), exchange.as_mut());
         match waiting.await {
             Ok(output) => return Ok(output),
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -197,6 +197,29 @@
         Ok((connection, false))
     }
 
+    /// Checks whether an endpoint accepts a connection, which is kept for another request.
+    ///
+    /// The kernel notices a silent peer only after seconds, and only whole ones.
+    pub(crate) async fn check(&self, id: &EndpointId, record: &EndpointRecord) {
+        let limit = Deadline::after_ms(self.clock.now(), CONNECT_TIMEOUT_MS);
+        let opening = with_deadline(&*self.clock, limit, Connection::open(record.address));
+        let opened = opening.await.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()));
+        let is_reachable = match opened {
+            Ok(connection) => {
+                let expiry = Deadline::after_ms(self.clock.now(), DEFAULT_IDLE_MS);
+                self.keep_idle(id, record, IdleConnection { connection, expiry });
+                true
+            }
+            // The host has answered. If the process had ended, it would have closed the connection.
+            Err(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        };
+        if !is_reachable {
+            log::info!(endpoint:% = id; "an endpoint does not answer and is not reachable");
+        }
+        let now = self.clock.now();
+        self.with_tracker(id, record, |tracker| tracker.record_check(is_reachable, now));
+    }
+
     /// Keeps an idle connection for another request, if the endpoint keeps it open after this
     /// answer.
     pub(crate) fn put_idle(
@@ -208,9 +231,13 @@
     ) {
         let Some(idle_ms) = idle_ms(head) else { return };
         let expiry = Deadline::after_ms(self.clock.now(), idle_ms);
+        self.keep_idle(id, record, IdleConnection { connection, expiry });
+    }
+
+    fn keep_idle(&self, id: &EndpointId, record: &EndpointRecord, idle: IdleConnection) {
         self.with(id, record, |endpoint| {
             if endpoint.idle.len() < MAX_IDLE_CONNECTIONS {
-                endpoint.idle.push(IdleConnection { connection, expiry });
+                endpoint.idle.push(idle);
             }
         });
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,7 +13,9 @@
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
-use crate::attempt::{AttemptOutcome, BufferedAnswer, FailedAttempt, Target, attempt};
+use crate::attempt::{
+    AttemptLimit, AttemptOutcome, BufferedAnswer, FailedAttempt, Target, attempt,
+};
 use crate::events::EventSplitter;
 use crate::state::Shared;
 
@@ -21,6 +23,10 @@
 /// factor of 5, requests that waited behind slow transfers were retried and displaced others.
 const ATTEMPT_TIMEOUT_FACTOR: u64 = 12;
 
+/// Minimum time for which an endpoint may be silent until it is checked: longer than a lost packet takes
+/// to be sent again.
+const MIN_PATIENCE_MS: u64 = 300;
+
 /// Share of the bound for new weights, in tenths, before the end of which an endpoint with older
 /// weights gets no more requests. A request that has to wait there could otherwise not begin in time.
 const RESERVE_TENTHS: u64 = 2;
@@ -145,16 +151,20 @@
     next_step(&summary, || shared.take_retry(request.service), shared.now())
 }
 
-/// Returns the deadline for the head of an endpoint's answer. It is earlier than that of the
-/// request if the request can be retried, so that it does not wait for an endpoint that hangs.
-fn attempt_limit(shared: &Shared, request: &Admitted<'_>, attempts: &Attempts) -> Deadline {
+/// Returns how long an attempt waits for the beginning of the answer. The deadline is earlier than that
+/// of the request if the request can be retried, so that it does not wait for an endpoint that hangs.
+fn attempt_limit(shared: &Shared, request: &Admitted<'_>, attempts: &Attempts) -> AttemptLimit {
     let route = request.route;
     let has_another = route.kind.may_run_again() && attempts.run + 1 < route.max_attempts;
     if !has_another {
-        return request.deadline;
+        return AttemptLimit { deadline: request.deadline, patience_ms: None };
     }
     let timeout_ms = route.target_latency_ms.saturating_mul(ATTEMPT_TIMEOUT_FACTOR);
-    Deadline::after_ms(shared.now(), timeout_ms).earlier(request.deadline)
+    let deadline = Deadline::after_ms(shared.now(), timeout_ms).earlier(request.deadline);
+    let is_checked = shared.options.capabilities.limits_endpoint_memory
+        || shared.endpoints.pace(request.service).has_reports();
+    let patience_ms = route.target_latency_ms.max(MIN_PATIENCE_MS);
+    AttemptLimit { deadline, patience_ms: is_checked.then_some(patience_ms) }
 }
 
 /// An endpoint of the directory.
