--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -64,7 +64,7 @@
 pub use endpoint_notices::{EndpointNotice, EndpointNotices};
 pub use endpoint_speed::{EndpointSpeed, RequestWork, ServicePace, SlowdownEstimate};
 pub use endpoint_tracker::{
-    EndpointTracker, EndpointTrackerSettings, KnownLoad, LoadReport, ZoneLoad,
+    EndpointTracker, EndpointTrackerSettings, KnownLoad, LoadReport, SilenceStep, ZoneLoad,
 };
 pub use fleet::FleetSize;
 pub use key_validity::KeyValidity;
