gateway: roll-outs of software versions

Cause: op/rollout was not read, so a new version got its full part of the traffic as soon as its endpoints registered, bad or not. Change: the rollouts module counts and judges answers by version, follows the steps of the holder and reports evidence; the node that holds the lock for weight swaps takes orders through their stages and writes the status with each step in one transaction. forward asks for the versions of each choice; platform/ decodes orders and encodes the status; expose_share, expose_slack and rollback_ms are settings. Deployments without roll-outs in their contracts start none of it. Found by the tests: a transaction under the lock's condition was refused for ever by a service that gives each write a revision of its own, because the lock knew only the last one; it now learns its own from the entries of the refusal. A good version was rolled back at a service whose answers all fail; the judge no longer draws conclusions there.

--- a/crates/decisions/src/gateway/fleet.rs
+++ b/crates/decisions/src/gateway/fleet.rs
@@ -50,6 +50,12 @@
         self.lists_with_own >= LISTS_UNTIL_KNOWN
     }
 
+    /// Returns the nodes that are registered now.
+    pub fn registered(&self) -> Vec<NodeId> {
+        let registered = self.nodes.iter().filter(|(_, until)| **until == Deadline::NEVER);
+        registered.map(|(node, _)| node.clone()).collect()
+    }
+
     /// Returns how many of the nodes come before this one in an order that is the same on all nodes
     /// and spreads the nodes of a zone.
     pub fn rank(&self, now: Instant) -> usize {
--- a/crates/decisions/src/gateway/version_rollout/judge.rs
+++ b/crates/decisions/src/gateway/version_rollout/judge.rs
@@ -24,7 +24,7 @@
 /// large one that shows in few.
 const MIN_INCREASES: [f64; 2] = [0.15, 0.5];
 
-/// Rates at which the sums are still sensitive.
+/// Rates between which the sums are sensitive.
 const RATE_RANGE: (f64, f64) = (0.01, 0.8);
 
 /// Share of the old version's answers that are slow.
@@ -60,7 +60,11 @@
 impl CumulativeSum {
     /// Adds `events` among `answers`, whose rate is at most `rate` if the version is sound.
     fn add(&mut self, events: f64, answers: f64, rate: f64) {
-        let usual = rate.clamp(RATE_RANGE.0, RATE_RANGE.1);
+        // If nearly all answers of the old version are such events, those of the target say nothing.
+        if rate > RATE_RANGE.1 {
+            return;
+        }
+        let usual = rate.max(RATE_RANGE.0);
         for (value, min_increase) in self.values.iter_mut().zip(MIN_INCREASES) {
             let increased = (usual + usual.max(min_increase)).min(0.95);
             let of_event = (increased / usual).ln();
--- a/crates/decisions/src/gateway/version_rollout/shares.rs
+++ b/crates/decisions/src/gateway/version_rollout/shares.rs
@@ -186,6 +186,13 @@
         self.order.as_ref()
     }
 
+    /// Returns whether the operators' order is known as of the last progress. Otherwise a node that reads
+    /// the progress first could take the order for deleted.
+    pub fn is_order_known(&self) -> bool {
+        let read_at = self.progress.as_ref().map(|&(_, read_at)| read_at);
+        self.order.is_some() || read_at.is_none_or(|read_at| self.settings_known_until >= read_at)
+    }
+
     /// Returns the last known progress.
     pub fn progress(&self) -> Option<&RolloutProgress> {
         self.progress.as_ref().map(|(progress, _)| progress)
@@ -238,7 +245,7 @@
     ) -> VersionFilter {
         let denied = self.unconfirmed_versions();
         let mut filter = VersionFilter { denied, ..VersionFilter::default() };
-        let Some(target) = self.current_target().cloned() else { return filter };
+        let Some(target) = self.target().cloned() else { return filter };
         if let Some(progress) = self.progress() {
             // A later order bars the target of one that was not completed.
             if progress.target != target && progress.stage != Stage::Completed {
@@ -284,7 +291,7 @@
 
     /// Counts a request that is sent to an endpoint of a version.
     pub fn record_sent(&mut self, version: Option<&SoftwareVersion>) -> Option<CountedAttempt> {
-        let target = self.current_target()?.clone();
+        let target = self.target()?.clone();
         if !self.is_under_way() {
             return None;
         }
@@ -330,14 +337,15 @@
         ordered.max(self.progress().map(|progress| progress.order))
     }
 
-    fn current_target(&self) -> Option<&SoftwareVersion> {
+    /// Returns the target of the last order.
+    pub fn target(&self) -> Option<&SoftwareVersion> {
         let current = self.current_order();
         let ordered = self.order.as_ref().filter(|order| Some(order.id) == current);
         ordered.map(|order| &order.target).or(self.progress().map(|progress| &progress.target))
     }
 
-    /// Returns whether the current order has not ended.
-    fn is_under_way(&self) -> bool {
+    /// Returns whether the last order has not ended.
+    pub fn is_under_way(&self) -> bool {
         let current = self.current_order();
         let is_ended =
             |known: &RolloutProgress| Some(known.order) == current && known.stage.is_final();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -96,8 +96,17 @@
 ) -> AttemptOutcome {
     let _outstanding =
         shared.endpoints.track_request(&target.id, &target.record, request.prompt_tokens());
+    let mut rollout_attempt = shared.rollouts.track(&target.id, &target.record);
     let sent_at = shared.now();
+    let earlier_bytes = events.event_bytes();
     let outcome = run(shared, request, target, limit, events, answer).await;
+    rollout_attempt.record_outcome(
+        &request.route.id,
+        &outcome,
+        shared.now().ms_since(sent_at),
+        events.event_bytes() - earlier_bytes,
+        target.record.cold_until.is_some_and(|until| !until.has_passed(sent_at)),
+    );
     record_outcome(shared, request, target, &outcome);
     record_crash_evidence(shared, request, target, sent_at, &outcome);
     outcome
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -21,6 +21,8 @@
     last_id: Option<SmolStr>,
     // Bytes of empty lines and comments since the last event.
     filler_bytes: usize,
+    // Bytes of all complete events.
+    event_bytes: u64,
 }
 
 impl EventSplitter {
@@ -72,6 +74,11 @@
         self.partial.len()
     }
 
+    /// Returns the bytes of all complete events so far.
+    pub(crate) fn event_bytes(&self) -> u64 {
+        self.event_bytes
+    }
+
     /// Returns the id of the last complete event that has one.
     pub(crate) fn last_id(&self) -> Option<&SmolStr> {
         self.last_id.as_ref()
@@ -88,6 +95,7 @@
         if self.filler_bytes > MAX_FILLER_BYTES {
             return Err(MessageError::BodyTooLarge { limit_bytes: MAX_FILLER_BYTES });
         }
+        self.event_bytes += events.len() as u64;
         self.record_last_id(events);
         Ok(())
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -160,8 +160,8 @@
 /// An endpoint of the directory.
 type DirectoryEntry<'a> = (&'a EndpointId, &'a EndpointRecord);
 
-/// Chooses an endpoint that was not tried yet and takes another request of this node: a warm one without recent failures, else any warm
-/// one, else a cold one within this node's share of its capacity.
+/// Chooses an endpoint that was not tried yet, takes another request of this node, and has a version to
+/// which the request may go.
 fn choose(shared: &Shared, request: &Admitted<'_>, tried: &[EndpointId]) -> Option<Target> {
     let (now, nodes) = (shared.now(), shared.nodes());
     let directory = shared.directory();
@@ -173,29 +173,43 @@
             .is_some_and(|outdated| outdated.deadlines.bound_end.remaining_ms(now) <= reserve_ms)
     };
     let eligible = directory.eligible(request.service, &request.regions);
+    let versions = shared.rollouts.choice(request.service, &eligible, nodes, now);
     let untried: Vec<DirectoryEntry<'_>> = eligible
         .iter()
         .copied()
+        .filter(|(id, record)| versions.allows(id, record))
         .filter(|(id, _)| !tried.contains(id))
         .filter(|(_, record)| !is_overdue(record))
         .filter(|(id, record)| shared.notices.may_send(id, record, nodes, now))
         .collect();
+    let (preferred, others): (Vec<_>, Vec<_>) =
+        untried.into_iter().partition(|(_, record)| versions.prefers(record));
+    let (id, record) = choose_among(shared, &directory, request, preferred)
+        .or_else(|| choose_among(shared, &directory, request, others))?;
+    let cache_peer = cache_peer(shared, request, &eligible, record)
+        .filter(|cache_peer| *cache_peer != record.address);
+    Some(Target { id: id.clone(), record: record.clone(), cache_peer })
+}
+
+/// Chooses one of these endpoints: a warm one without recent failures, else any warm one, else a cold one
+/// within this node's share of its capacity.
+fn choose_among<'a>(
+    shared: &Shared,
+    directory: &Directory,
+    request: &Admitted<'_>,
+    endpoints: Vec<DirectoryEntry<'a>>,
+) -> Option<DirectoryEntry<'a>> {
+    let now = shared.now();
     let is_cold =
         |record: &EndpointRecord| record.cold_until.is_some_and(|until| !until.has_passed(now));
     let (cold, warm): (Vec<_>, Vec<_>) =
-        untried.into_iter().partition(|(_, record)| is_cold(record));
+        endpoints.into_iter().partition(|(_, record)| is_cold(record));
     let (avoided, healthy): (Vec<_>, Vec<_>) = warm.into_iter().partition(|(id, record)| {
         shared.endpoints.with_tracker(id, record, |tracker| tracker.is_avoided(now))
     });
-    let warm = place(shared, &directory, request, &healthy)
-        .or_else(|| place(shared, &directory, request, &avoided));
-    let (id, record) = match warm {
-        Some(chosen) => chosen,
-        None => choose_cold(shared, &directory, request, cold)?,
-    };
-    let cache_peer = cache_peer(shared, request, &eligible, record)
-        .filter(|cache_peer| *cache_peer != record.address);
-    Some(Target { id: id.clone(), record: record.clone(), cache_peer })
+    place(shared, directory, request, &healthy)
+        .or_else(|| place(shared, directory, request, &avoided))
+        .or_else(|| choose_cold(shared, directory, request, cold))
 }
 
 /// Chooses a cold endpoint within this node's share of its capacity.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,7 @@
 //! this node's own requests to endpoints and stores; `watch` keeps the configuration and the directory
 //! up to date; `registration` maintains this node's entry in the key-value service, and `membership`
 //! reads those of the other nodes; `relay` passes changes on within a zone; `swap_leader` orders
-//! endpoints to take new weights; `crashes` finds requests that crash endpoints, `part_crashes` finds
+//! endpoints to take new weights; `rollouts` moves services to new versions of their software; `crashes` finds requests that crash endpoints, `part_crashes` finds
 //! parts of prompts that do, and `crash_evidence` shares what is known about both.
 
 mod admission;
@@ -42,6 +42,7 @@
 mod readiness;
 mod registration;
 mod relay;
+mod rollouts;
 mod state;
 mod stores;
 mod swap_leader;
@@ -52,5 +53,6 @@
 pub use options::{AnswerLimits, Capabilities, GatewayOptions, ProcessLimits};
 pub use protocol::{
     CallerRequest, DecodeError, EndpointAnswer, EngineProtocol, EntryChange, EntryDecoder,
-    Forwarding, InvalidRequest, OrderOutcome, PartStoreProtocol, Protocol, WeightOrder,
+    Forwarding, InvalidRequest, OrderOutcome, PartStoreProtocol, Protocol, RolloutRequest,
+    RolloutState, RolloutStatus, StatusEncoder, WeightOrder,
 };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,8 +7,9 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
+use yuccapass_decisions::gateway::version_rollout::{RolloutProgress, Stage};
 use yuccapass_decisions::gateway::{Refusal, RouteKind};
-use yuccapass_types::Instant;
+use yuccapass_types::{Instant, ServiceId};
 
 use crate::admission::Admitted;
 use crate::forward::RequestOutcome;
@@ -37,6 +38,8 @@
     nodes: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
+    rollout_share: Gauge<f64>,
+    rollout_steps: Counter<u64>,
 }
 
 impl Metrics {
@@ -87,6 +90,14 @@
                 "yuccapass_gateway_blocked_parts",
                 "Parts of prompts whose requests are refused because they crash endpoints.",
             ),
+            rollout_share: meter
+                .f64_gauge("yuccapass_gateway_rollout_share")
+                .with_description("Share of the target of a service's last roll-out.")
+                .build(),
+            rollout_steps: counter(
+                "yuccapass_gateway_rollout_steps",
+                "Steps of roll-outs that this node has followed, by service and stage.",
+            ),
             broken_off: counter("yuccapass_gateway_broken_off", "Answers that were broken off."),
             outdated_answers: counter(
                 "yuccapass_gateway_outdated_answers",
@@ -134,6 +145,21 @@
         self.blocked_parts.record(blocked, &[]);
     }
 
+    /// Records a step of a roll-out that this node follows.
+    pub(crate) fn record_rollout_step(&self, service: &ServiceId, progress: &RolloutProgress) {
+        let service = KeyValue::new("service", service.to_string());
+        self.rollout_share.record(progress.share.fraction(), std::slice::from_ref(&service));
+        let stage = match progress.stage {
+            Stage::Waiting => "waiting",
+            Stage::Observing => "observing",
+            Stage::Raising(_) => "raising",
+            Stage::Full => "full",
+            Stage::Completed => "completed",
+            Stage::RolledBack(_) => "rolled_back",
+        };
+        self.rollout_steps.add(1, &[service, KeyValue::new("stage", stage)]);
+    }
+
     /// Records an error answer of this node.
     pub(crate) fn record_refusal(&self, refusal: Refusal) {
         self.refusals.add(1, &[KeyValue::new("code", refusal.code.to_string())]);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,12 +17,14 @@
 use crate::caller::serve_connection;
 use crate::metrics::Metrics;
 use crate::options::GatewayOptions;
-use crate::protocol::{EngineProtocol, EntryDecoder, PartStoreProtocol, Protocol};
+use crate::protocol::{EngineProtocol, EntryDecoder, PartStoreProtocol, Protocol, StatusEncoder};
 use crate::relay::client::follow;
 use crate::relay::server::RelayHandler;
 use crate::state::{Placements, Shared};
 use crate::swap_leader::SwapLeader;
-use crate::{crash_evidence, crashes, membership, part_crashes, readiness, stores, watch};
+use crate::{
+    crash_evidence, crashes, membership, part_crashes, readiness, rollouts, stores, watch,
+};
 
 /// How long new requests are served after a stop signal: the load balancer sends some until it has
 /// removed the node, and a stream that starts later may not end in time.
@@ -71,6 +73,8 @@
     pub protocol: Arc<dyn Protocol>,
     /// Decodes the entries of the key-value service.
     pub entry_decoder: Arc<dyn EntryDecoder>,
+    /// Encodes what operators are told in the key-value service.
+    pub status_encoder: Arc<dyn StatusEncoder>,
     /// Encodes orders to engines and decodes their reports.
     pub engine_protocol: Arc<dyn EngineProtocol>,
     /// Encodes and decodes the calls to stores of prompt parts.
@@ -117,6 +121,7 @@
         watch::start(&shared, &adapter.key_value, &adapter.entry_decoder, &swap_leader);
         membership::start(&shared, &adapter.key_value, &swap_leader);
         crash_evidence::start(&shared, &adapter.key_value);
+        rollouts::start(&shared, &adapter.key_value, &adapter.status_encoder, &swap_leader);
         task::spawn(stores::poll_stores(
             Arc::clone(&shared),
             adapter.part_store_protocol,
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use yuccapass_decisions::gateway::version_rollout::RolloutLimits;
 use yuccapass_decisions::gateway::{RetryLimits, SwapLimits};
 use yuccapass_types::{Bytes, Incarnation, NodeId, RegionId, SortedMap, ZoneId};
 
@@ -40,6 +41,8 @@
     pub max_connections: usize,
     /// The features of the platform that the deployment uses.
     pub capabilities: Capabilities,
+    /// Limits of roll-outs of software versions, if the deployment has them.
+    pub rollout_limits: RolloutLimits,
     /// What the platform allows this process.
     pub process_limits: ProcessLimits,
 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -13,7 +13,7 @@
 use yuccapass_platform::{Key, Value};
 use yuccapass_types::{
     CacheNamespace, EndpointId, FencingNumber, Instant, KeyHash, ModelId, NodeId, OrganisationId,
-    PromptPartId, WeightRevision, ZoneId,
+    PromptPartId, ServiceId, SoftwareVersion, WeightRevision, ZoneId,
 };
 
 /// The contents of the head of a caller's request.
@@ -108,6 +108,49 @@
     fn write_refusal_headers(&self, request: &CallerRequest, out: &mut Vec<u8>);
 }
 
+/// An order of operators to move a service to another version of its software.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutRequest {
+    /// The version.
+    pub target: SoftwareVersion,
+    /// The time within which the order is to be completed.
+    pub duration_ms: u64,
+}
+
+/// What operators are told about an order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutStatus {
+    /// The state of the order.
+    pub state: RolloutState,
+    /// The version that it moves to.
+    pub target: SoftwareVersion,
+}
+
+/// The state of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RolloutState {
+    /// The order is under way.
+    Running,
+    /// The old endpoints get nothing more and have no requests left.
+    Completed,
+    /// The new endpoints get nothing more.
+    RolledBack,
+}
+
+/// Encodes what operators are told in the platform's key-value service.
+pub trait StatusEncoder: Send + Sync {
+    /// Encodes the status of a service's roll-out as an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the key or the value would be too long.
+    fn rollout_status(
+        &self,
+        service: &ServiceId,
+        status: &RolloutStatus,
+    ) -> Result<(Key, Value), DecodeError>;
+}
+
 /// A decoded entry of the platform's key-value service, or its removal.
 #[derive(Debug, Clone)]
 pub enum EntryChange {
@@ -127,6 +170,13 @@
         /// The target weights.
         weights: WeightRevision,
     },
+    /// Operators have ordered a roll-out, or have deleted the order.
+    Rollout {
+        /// The service.
+        service: ServiceId,
+        /// The order; `None` if it was deleted.
+        request: Option<RolloutRequest>,
+    },
     /// An endpoint has changed its registration, or has left.
     Endpoint {
         /// The endpoint.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use crate::part_crashes::PartCrashTracker;
 use crate::protocol::Protocol;
 use crate::relay::RelayTable;
+use crate::rollouts::RolloutTable;
 use crate::stores::StoreTable;
 
 /// The strategies for choosing endpoints.
@@ -40,6 +41,7 @@
     pub(crate) crashes: CrashTracker,
     pub(crate) part_crashes: PartCrashTracker,
     pub(crate) relay: RelayTable,
+    pub(crate) rollouts: RolloutTable,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
     configuration: RwLock<ConfigurationHolder>,
@@ -73,6 +75,7 @@
             notices: NoticeTable::default(),
             stores: StoreTable::default(),
             relay: RelayTable::default(),
+            rollouts: RolloutTable::new(&options),
             crashes: CrashTracker::new(options.node.clone(), options.incarnation),
             part_crashes: PartCrashTracker::default(),
             metrics,
--- a/crates/gateway/src/swap_leader.rs
+++ b/crates/gateway/src/swap_leader.rs
@@ -23,7 +23,8 @@
 use yuccapass_http::message::{Connection, MessageError};
 use yuccapass_http::{sleep_until, with_deadline};
 use yuccapass_platform::{
-    Key, KeyValue, KeyValueClient, LeaseLock, LockStatus, PlatformClient, Transaction, Value, Write,
+    Compare, Entry, Key, KeyValue, KeyValueClient, LeaseLock, LockStatus, PlatformClient,
+    Transaction, Value, Write,
 };
 use yuccapass_types::{Deadline, EndpointId, FencingNumber, Instant, ModelId, WeightRevision};
 
@@ -147,6 +148,17 @@
         })
     }
 
+    /// Returns the fencing number and a condition for transactions while this node holds the lock.
+    pub(crate) fn held(&self) -> Option<(FencingNumber, Compare)> {
+        let permit = self.lock.permit().filter(|_| !self.is_releasing.load(Ordering::Acquire))?;
+        Some((permit.fencing, self.lock.held_condition()?))
+    }
+
+    /// Learns about the lock from the entries of a transaction with that condition that failed.
+    pub(crate) fn record_entries(&self, entries: &[Entry]) {
+        self.lock.record_entries(entries);
+    }
+
     /// Wakes the task, because there may be something to do.
     pub(crate) fn wake(&self) {
         // If the channel is full, a wake-up is already pending.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -15,7 +15,9 @@
     Change, ChangeKind, Entry, Key, KeyRange, KeyValue, KeyValueClient, KeyValueRevision,
     PlatformClient, PlatformError, RangeRequest, Value, WatchOutcome, WatchRequest,
 };
-use yuccapass_types::{Deadline, EndpointId, Instant, ModelId, SortedMap, WeightRevision, ZoneId};
+use yuccapass_types::{
+    Deadline, EndpointId, Instant, ModelId, RolloutOrderId, SortedMap, WeightRevision, ZoneId,
+};
 
 use crate::protocol::{DecodeError, EntryChange, EntryDecoder};
 use crate::relay::{NextRead, RelayedChanges, Subscription, keys_topic};
@@ -99,6 +101,11 @@
     /// without changes returns all changes up to the end of the wait.
     fn record_known_until(&self, _at: Instant) {}
 
+    /// Returns the longest time for which a watch call may wait now, if it is shorter than the usual one.
+    fn max_watch_ms(&self) -> Option<u64> {
+        None
+    }
+
     /// Handles a failure of the service to answer.
     fn lost(&self) {}
 
@@ -223,6 +230,7 @@
             (false, Some(relay_watch_ms)) if is_relay => relay_watch_ms,
             _ => self.settings.watch_ms,
         };
+        let watch_ms = self.handler.max_watch_ms().map_or(watch_ms, |max_ms| watch_ms.min(max_ms));
         let deadline = Deadline::after_ms(sent_at, watch_ms);
         let outcome = self.watcher.watch(&request, deadline).await?;
         let now = self.shared.now();
@@ -530,7 +538,7 @@
 }
 
 impl OperatorHandler {
-    fn apply(&self, change: EntryChange) {
+    fn apply(&self, change: EntryChange, revision: KeyValueRevision) {
         match change {
             EntryChange::Configuration(configuration) => {
                 let revision = configuration.revision();
@@ -555,6 +563,11 @@
                 });
                 self.swap_leader.wake();
             }
+            EntryChange::Rollout { service, request } => {
+                let order = RolloutOrderId::new(revision.get());
+                let request = request.map(|request| (order, request));
+                self.shared.rollouts.set_order(&service, request, self.shared.now());
+            }
             EntryChange::Endpoint { .. } | EntryChange::Ignored => {}
         }
     }
@@ -589,22 +602,27 @@
     fn replace(&self, entries: &[Entry]) {
         let now = self.shared.now();
         let mut evacuated: Vec<ZoneId> = Vec::new();
+        let mut orders = Vec::new();
         for entry in entries {
             match decode(&*self.entry_decoder, (&entry.key, Some(&entry.value)), now) {
                 Ok(EntryChange::Evacuation { zone, .. }) => evacuated.push(zone),
-                Ok(change) => self.apply(change),
+                Ok(EntryChange::Rollout { service, request: Some(request) }) => {
+                    orders.push((service, RolloutOrderId::new(entry.mod_revision.get()), request));
+                }
+                Ok(change) => self.apply(change, entry.mod_revision),
                 Err(_) => {}
             }
         }
+        self.shared.rollouts.replace_orders(&orders, now);
         self.shared.change_directory(|directory| directory.replace_evacuated(evacuated));
     }
 
     fn change(&self, changes: &[Change]) {
         for change in changes {
-            if let Ok(change) =
+            if let Ok(decoded) =
                 decode(&*self.entry_decoder, changed_entry(change), self.shared.now())
             {
-                self.apply(change);
+                self.apply(decoded, change.revision);
             }
         }
     }
@@ -615,6 +633,7 @@
 
     fn record_known_until(&self, at: Instant) {
         self.target_bounds().confirm(at);
+        self.shared.rollouts.confirm_settings(at);
     }
 }
 
@@ -661,6 +680,7 @@
         self.shared.change_directory(|directory| {
             directory.replace(records, now);
         });
+        self.shared.rollouts.note_directory(&self.shared.directory(), now);
         self.swap_leader.wake();
     }
 
@@ -678,6 +698,7 @@
                 }
             }
         });
+        self.shared.rollouts.note_directory(&self.shared.directory(), now);
         self.swap_leader.wake();
     }
 
--- a/crates/platform/src/lease_lock.rs
+++ b/crates/platform/src/lease_lock.rs
@@ -94,6 +94,19 @@
         Some(Compare::ModRevision(self.holder_key.clone(), revision))
     }
 
+    /// Learns the revision of the holder key from the entries of a transaction that failed.
+    ///
+    /// A service may give each write of a transaction a revision of its own and return only the last
+    /// one. The lease shows that the entry is the one that this node has written.
+    pub fn record_entries(&self, entries: &[Entry]) {
+        let Some(entry) = entries.iter().find(|entry| entry.key == self.holder_key) else { return };
+        if let Some((lease, revision)) = &mut self.lock().lease
+            && entry.lease == Some(*lease)
+        {
+            *revision = entry.mod_revision;
+        }
+    }
+
     /// Acquires or renews the lock if that is due.
     ///
     /// # Errors
--- a/crates/yuccapassd/src/gateway.rs
+++ b/crates/yuccapassd/src/gateway.rs
@@ -12,12 +12,13 @@
 use log::LevelFilter;
 use smol_str::SmolStr;
 use snafu::Snafu;
+use yuccapass_decisions::gateway::version_rollout::RolloutLimits;
 use yuccapass_decisions::gateway::{RetryLimits, SwapLimits};
 use yuccapass_decisions::platform_budget::FleetRates;
 use yuccapass_gateway::{AnswerLimits, BootClock, GatewayNode, GatewayOptions, ProcessLimits};
 use yuccapass_platform::PlatformClientConfig;
 use yuccapass_types::{
-    Bytes, Clock, Incarnation, NodeId, RegionId, RequestsPerSecond, SortedMap, ZoneId,
+    Bytes, Clock, Incarnation, NodeId, RegionId, RequestsPerSecond, SortedMap, TrafficShare, ZoneId,
 };
 
 /// Maximum interval between probes of the platform during an outage, so that keys are confirmed
@@ -54,6 +55,27 @@
     }
 }
 
+/// A setting that deployments without the feature leave empty.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OrDefault<T>(Option<T>);
+
+impl<T> OrDefault<T> {
+    fn or(self, default: T) -> T {
+        self.0.unwrap_or(default)
+    }
+}
+
+impl<T: FromStr> FromStr for OrDefault<T> {
+    type Err = T::Err;
+
+    fn from_str(text: &str) -> Result<Self, T::Err> {
+        match text.trim() {
+            "" => Ok(Self(None)),
+            text => text.parse().map(|value| Self(Some(value))),
+        }
+    }
+}
+
 /// Settings of the gateway. Each flag can also be given as an environment variable.
 #[derive(Debug, Clone, Args)]
 pub struct GatewaySettings {
@@ -161,6 +183,19 @@
     #[arg(long, env = "YUCCAPASS_CONTRACTS", value_delimiter = ',')]
     pub contracts: Vec<SmolStr>,
 
+    /// Share of the requests of a roll-out's time that a bad version may get; 0.1 if it is empty.
+    #[arg(long, env = "YUCCAPASS_EXPOSE_SHARE", default_value = "")]
+    pub expose_share: OrDefault<TrafficShare>,
+
+    /// Requests that a bad version may get in addition; 50 if it is empty.
+    #[arg(long, env = "YUCCAPASS_EXPOSE_SLACK", default_value = "")]
+    pub expose_slack: OrDefault<f64>,
+
+    /// Time after its 50th bad answer from which a bad version must get nothing more, in milliseconds;
+    /// 5000 if it is empty.
+    #[arg(long, env = "YUCCAPASS_ROLLBACK_MS", default_value = "")]
+    pub rollback_ms: OrDefault<f64>,
+
     /// Memory that the platform allows this process, in megabytes.
     #[arg(long, env = "YUCCAPASS_MEMORY_MB")]
     pub memory_mb: Option<u64>,
@@ -239,12 +274,28 @@
             let bound = "at least --max-answer-bytes";
             return fail("max-buffered-answer-bytes", &self.max_buffered_answer_bytes, bound);
         }
+        let limits = self.rollout_limits();
+        if !(0.0..=1e6).contains(&limits.expose_slack) {
+            return fail("expose-slack", &limits.expose_slack, "from 0 to 1000000");
+        }
+        if !(1_000..=3_600_000).contains(&limits.rollback_ms) {
+            return fail("rollback-ms", &limits.rollback_ms, "from 1000 to 3600000");
+        }
         if self.max_connections == 0 {
             return fail("max-connections", &0, "at least 1");
         }
         Ok(())
     }
 
+    fn rollout_limits(&self) -> RolloutLimits {
+        let default = RolloutLimits::default();
+        RolloutLimits {
+            expose_share: self.expose_share.or(default.expose_share),
+            expose_slack: self.expose_slack.or(default.expose_slack),
+            rollback_ms: self.rollback_ms.or(default.rollback_ms as f64) as u64,
+        }
+    }
+
     fn options(&self) -> GatewayOptions {
         let zones: SortedMap<ZoneId, RegionId> =
             self.zones.iter().map(|known| (known.zone.clone(), known.region.clone())).collect();
@@ -277,6 +328,7 @@
             },
             max_connections: self.max_connections,
             capabilities: yuccapass_entry::capabilities(&self.contracts),
+            rollout_limits: self.rollout_limits(),
             process_limits: ProcessLimits {
                 memory: self.memory_mb.map(|mb| Bytes::new(mb << 20)),
                 descriptors: self.max_descriptors,
