--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -203,8 +203,8 @@
     eligible.iter().any(|(id, record)| shared.notices.may_send(id, record, nodes, now))
 }
 
-/// Chooses an endpoint that was not tried yet and takes another request of this node: a warm one without recent failures, else any warm
-/// one, else a cold one within this node's share of its capacity.
+/// Chooses an endpoint that was not tried yet, takes another request of this node, and has a version to
+/// which the request may go.
 pub(crate) fn choose(
     shared: &Shared,
     request: &Admitted<'_>,
@@ -258,23 +258,50 @@
             .is_some_and(|outdated| outdated.deadlines.bound_end.remaining_ms(now) <= reserve_ms)
     };
     let eligible = directory.eligible(request.service, &request.regions);
+    let versions = shared.rollouts.choice(request.service, &eligible, nodes, now);
     let untried: Vec<DirectoryEntry<'_>> = eligible
         .iter()
         .copied()
+        .filter(|(id, record)| versions.allows(id, record))
         .filter(|(id, _)| !tried.contains(id))
         .filter(|(_, record)| !is_overdue(record))
         .filter(|(id, record)| shared.notices.may_send(id, record, nodes, now))
         .collect();
+    let (preferred, others): (Vec<_>, Vec<_>) =
+        untried.into_iter().partition(|(_, record)| versions.prefers(record));
+    let Placed { endpoint: (id, record), is_home } =
+        choose_among(shared, &directory, request, preferred, room.as_ref())
+            .or_else(|| choose_among(shared, &directory, request, others, room.as_ref()))?;
+    shared.endpoints.with_tracker(id, record, |tracker| {
+        if tracker.is_slow() {
+            tracker.record_sent_slow(now);
+        }
+    });
+    let cache_peer = cache_peer(shared, request, &eligible, record)
+        .filter(|cache_peer| *cache_peer != record.address);
+    let work = prompt_work(&request.caller.parts, is_home);
+    Some(Target { id: id.clone(), record: record.clone(), cache_peer, work })
+}
+
+/// Chooses one of these endpoints: a warm one without recent failures, else any warm one, else a cold one
+/// within this node's share of its capacity. With `room`, only one that has room is chosen.
+fn choose_among<'a>(
+    shared: &Shared,
+    directory: &Directory,
+    request: &Admitted<'_>,
+    endpoints: Vec<DirectoryEntry<'a>>,
+    room: Option<&Room<'_>>,
+) -> Option<Placed<'a>> {
+    let now = shared.now();
     let is_cold =
         |record: &EndpointRecord| record.cold_until.is_some_and(|until| !until.has_passed(now));
-    let (cold, warm): (Vec<_>, Vec<_>) =
-        untried.into_iter().partition(|(_, record)| is_cold(record));
+    let (mut cold, warm): (Vec<_>, Vec<_>) =
+        endpoints.into_iter().partition(|(_, record)| is_cold(record));
     let (mut avoided, mut healthy): (Vec<_>, Vec<_>) =
         warm.into_iter().partition(|(id, record)| {
             shared.endpoints.with_tracker(id, record, |tracker| tracker.is_avoided(now))
         });
-    let mut cold = cold;
-    if let Some(room) = &room {
+    if let Some(room) = room {
         // A request rather waits for a sound endpoint than goes to one that fails or is full.
         if !healthy.is_empty() {
             avoided.clear();
@@ -283,21 +310,9 @@
             .into_iter()
             .for_each(|endpoints| endpoints.retain(|entry| room.is_at(shared, entry)));
     }
-    let warm = place(shared, &directory, request, &healthy)
-        .or_else(|| place(shared, &directory, request, &avoided));
-    let Placed { endpoint: (id, record), is_home } = match warm {
-        Some(chosen) => chosen,
-        None => choose_cold(shared, &directory, request, cold)?,
-    };
-    shared.endpoints.with_tracker(id, record, |tracker| {
-        if tracker.is_slow() {
-            tracker.record_sent_slow(now);
-        }
-    });
-    let cache_peer = cache_peer(shared, request, &eligible, record)
-        .filter(|cache_peer| *cache_peer != record.address);
-    let work = prompt_work(&request.caller.parts, is_home);
-    Some(Target { id: id.clone(), record: record.clone(), cache_peer, work })
+    place(shared, directory, request, &healthy)
+        .or_else(|| place(shared, directory, request, &avoided))
+        .or_else(|| choose_cold(shared, directory, request, cold))
 }
 
 /// Chooses a cold endpoint within this node's share of its capacity.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
+use yuccapass_decisions::gateway::version_rollout::{RolloutProgress, Stage};
 use yuccapass_decisions::gateway::waiting_room::RefusalReason;
 use yuccapass_decisions::gateway::zone_room::Receipt;
 use yuccapass_decisions::gateway::{OutstandingSum, Refusal, RouteKind};
@@ -49,6 +50,8 @@
     waiting: Gauge<u64>,
     waited: Histogram<f64>,
     room_refusals: Counter<u64>,
+    rollout_share: Gauge<f64>,
+    rollout_steps: Counter<u64>,
 }
 
 impl Metrics {
@@ -144,6 +147,14 @@
                 "yuccapass_gateway_waiting_refusals",
                 "Requests refused because no engine can start them in time, by reason.",
             ),
+            rollout_share: meter
+                .f64_gauge("yuccapass_gateway_rollout_share")
+                .with_description("Share of the target of a service's last roll-out.")
+                .build(),
+            rollout_steps: counter(
+                "yuccapass_gateway_rollout_steps",
+                "Steps of roll-outs that this node has followed, by service and stage.",
+            ),
             broken_off: counter("yuccapass_gateway_broken_off", "Answers that were broken off."),
             outdated_answers: counter(
                 "yuccapass_gateway_outdated_answers",
@@ -236,6 +247,21 @@
         self.room_refusals.add(1, &[KeyValue::new("reason", reason.to_string())]);
     }
 
+    /// Records a step of a roll-out that this node follows.
+    pub(crate) fn record_rollout_step(&self, service: &ServiceId, progress: &RolloutProgress) {
+        let service = KeyValue::new("service", service.to_string());
+        self.rollout_share.record(progress.share.fraction(), std::slice::from_ref(&service));
+        let stage = match progress.stage {
+            Stage::Waiting => "waiting",
+            Stage::Observing => "observing",
+            Stage::Raising(_) => "raising",
+            Stage::Full => "full",
+            Stage::Completed => "completed",
+            Stage::RolledBack(_) => "rolled_back",
+        };
+        self.rollout_steps.add(1, &[service, KeyValue::new("stage", stage)]);
+    }
+
     /// Records an error answer of this node.
     pub(crate) fn record_refusal(&self, refusal: Refusal) {
         self.refusals.add(1, &[KeyValue::new("code", refusal.code.to_string())]);
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 
 use snafu::Snafu;
+use yuccapass_decisions::gateway::version_rollout::RolloutLimits;
 use yuccapass_decisions::gateway::{RetryLimits, SwapLimits};
 use yuccapass_types::{Bytes, Incarnation, NodeId, RegionId, SortedMap, ZoneId};
 
@@ -43,6 +44,8 @@
     pub max_connections: usize,
     /// The features of the platform that the deployment uses.
     pub capabilities: Capabilities,
+    /// Limits of roll-outs of software versions, if the deployment has them.
+    pub rollout_limits: RolloutLimits,
     /// What the platform allows this process.
     pub process_limits: ProcessLimits,
     /// For which services requests wait at this node until an engine can start them.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use crate::protocol::Protocol;
 use crate::relay::RelayTable;
 use crate::relay::room::RoomTable;
+use crate::rollouts::RolloutTable;
 use crate::stores::StoreTable;
 use crate::waiting::WaitingTable;
 
@@ -46,6 +47,7 @@
     pub(crate) relay: RelayTable,
     pub(crate) zone_room: RoomTable,
     pub(crate) waiting: WaitingTable,
+    pub(crate) rollouts: RolloutTable,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
     configuration: RwLock<ConfigurationHolder>,
@@ -88,6 +90,7 @@
                 options.request_queue,
                 options.capabilities.limits_endpoint_memory,
             ),
+            rollouts: RolloutTable::new(&options),
             crashes: CrashTracker::new(options.node.clone(), options.incarnation),
             part_crashes: PartCrashTracker::default(),
             metrics,
