platform budget: reports do not probe the platform, and their failures are no outage

Cause: the gate lets one call through while the platform does not answer, and evidence about crashes had the rank of leases. Change: rank `Report` after all others. Its calls wait until another call has found the platform up, and their failures do not close the gate. Tests: reports_are_not_probes, a_failed_report_is_no_outage.

--- a/crates/decisions/src/platform_budget/budget.rs
+++ b/crates/decisions/src/platform_budget/budget.rs
@@ -66,6 +66,17 @@
     Watch,
     /// Reading again what may have changed.
     Refresh,
+    /// Exchanging evidence and reports, without which requests are still served as configured.
+    Report,
+}
+
+impl CallRank {
+    /// Returns whether calls of this rank show whether the platform is down. Reports are large, and a
+    /// link that is busy with them delays connections to the platform: if their failures counted, they
+    /// would close the gate for keys and configuration.
+    pub fn shows_outage(self) -> bool {
+        self != Self::Report
+    }
 }
 
 /// Identifies a waiting call.
--- a/crates/decisions/src/platform_budget/outage_gate.rs
+++ b/crates/decisions/src/platform_budget/outage_gate.rs
@@ -18,6 +18,10 @@
 /// after an outage is active everywhere within 14 s, also on nodes that read it themselves.
 const RETURN_MS_PER_NODE: u64 = 10;
 
+/// Time after which a call that may not probe the platform asks the gate again, if the next probe is
+/// due but no other call has made it yet.
+const REPORT_WAIT_MS: u64 = 100;
+
 /// Whether the gate lets a call through.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OutageDecision {
@@ -38,7 +42,8 @@
 /// nodes over a window that grows with the fleet and with the length of the outage.
 ///
 /// Commands always pass, since they are few and an operator waits for the answer. Lease calls pass
-/// as soon as a probe succeeds.
+/// as soon as a probe succeeds. Reports are never probes: those are left to the calls that other nodes
+/// and callers depend on.
 #[derive(Debug, Clone)]
 pub struct OutageGate {
     fleet_nodes: u32,
@@ -77,6 +82,10 @@
         let probe_limit_ms = self.probe_limit_ms();
         match &mut self.state {
             State::Up => OutageDecision::Proceed,
+            State::Down { next_probe, .. } if !rank.shows_outage() => {
+                let earliest = Deadline::after_ms(now, REPORT_WAIT_MS).instant();
+                OutageDecision::WaitUntil(earliest.max(*next_probe))
+            }
             State::Down { next_probe, .. } if now >= *next_probe => {
                 // No other call passes until the result of the probe is recorded or this delay is
                 // over. Without jitter, nodes whose probes time out together would probe together
--- a/crates/decisions/tests/platform_budget.rs
+++ b/crates/decisions/tests/platform_budget.rs
@@ -279,6 +279,24 @@
     assert_eq!(gate.admit(CallRank::Refresh, at(1_100), &mut random), OutageDecision::Proceed);
 }
 
+/// Guards against reports that take the probes of keys and configuration: while the platform is down they
+/// wait, also when a probe is due.
+#[test]
+fn reports_are_not_probes() {
+    // Arrange
+    let mut random = random();
+    let mut gate = OutageGate::new(127);
+    gate.record_failure(at(1_000), &mut random);
+
+    // Act
+    let report = gate.admit(CallRank::Report, at(9_000), &mut random);
+    let watch = gate.admit(CallRank::Watch, at(9_000), &mut random);
+
+    // Assert
+    assert!(matches!(report, OutageDecision::WaitUntil(until) if until > at(9_000)), "{report:?}");
+    assert_eq!(watch, OutageDecision::Proceed);
+}
+
 /// Guards against a holder that acts after a pause in which its lease expired.
 #[test]
 fn holder_loses_the_lease_in_a_long_pause() {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -206,7 +206,10 @@
     }
 
     /// Reports the result of a call to the outage gate.
-    fn record_result<T>(&self, result: &Result<T, PlatformError>) {
+    fn record_result<T>(&self, rank: CallRank, result: &Result<T, PlatformError>) {
+        if !rank.shows_outage() {
+            return;
+        }
         let now = self.clock.now();
         let mut guard = self.lock();
         let State { gate, random, .. } = &mut *guard;
@@ -303,7 +306,7 @@
             let at_call = client.revision_at_call();
             let result = call(client.attempt_deadline(attempt_ms, deadline)).await;
             attempt_ms = attempt_ms.saturating_mul(2).min(client.max_attempt_ms());
-            client.record_result(&result);
+            client.record_result(self.rank, &result);
             let error = match result {
                 Ok(answer) => {
                     if let Some(revision) = revision_of(&answer) {
@@ -334,7 +337,7 @@
         self.client.wait_for_turn(CallKind::Write, self.rank, deadline).await?;
         let client = &*self.client;
         let result = call(client.attempt_deadline(client.attempt_timeout_ms, deadline)).await;
-        client.record_result(&result);
+        client.record_result(self.rank, &result);
         result
     }
 }
@@ -403,7 +406,7 @@
         }
         let _guard = WatchGuard(client);
         let result = client.inner.watch(request, deadline).await;
-        client.record_result(&result);
+        client.record_result(self.rank, &result);
         if let Ok(WatchOutcome::Restored { revision }) = &result {
             let at_call = client.revision_at_call();
             // The outcome already tells the caller, so the error is not needed.
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -85,6 +85,23 @@
     assert!(setup.client.is_down());
 }
 
+/// Guards against a failed report after which the node does not read its configuration for a while: a
+/// report may fail because the link is busy with reports.
+#[test]
+fn a_failed_report_is_no_outage() {
+    // Arrange
+    let setup = setup(&[Fault::NotSent]);
+    let report = Transaction { compares: Vec::new(), writes: Vec::new() };
+
+    // Act
+    let key_value = setup.key_value(CallRank::Report);
+    let answer = block_on(key_value.compare_and_swap(&report, setup.limit()));
+
+    // Assert
+    assert_eq!(answer.unwrap_err().kind(), PlatformErrorKind::Unavailable);
+    assert!(!setup.client.is_down());
+}
+
 /// Guards against a transaction that takes effect twice, or whose outcome is reported wrongly,
 /// after a lost response.
 #[test]
