relays: topics have classes, and evidence gets what room the others leave

Cause: all topics of a reply share 56 KB, in the order of the requests, and one that does not fit sends its followers to the origin. Evidence of a hundred nodes takes more than that. Change: a topic is urgent, regular or in the background. More important ones get room first. A background topic gets at most 8 KB of a reply; what is left follows with the next ones, and of each key only the newest value is sent. Tests: the_configuration_gets_room_before_evidence, background_changes_are_complete_in_several_parts.

--- a/crates/decisions/src/gateway/relay/log.rs
+++ b/crates/decisions/src/gateway/relay/log.rs
@@ -46,7 +46,15 @@
 
     /// Returns the changes after a position, or `None` if some of them are no longer in the log.
     pub fn since(&self, position: u64) -> Option<impl Iterator<Item = &T>> {
+        Some(self.positions_since(position)?.map(|(_, item)| item))
+    }
+
+    /// Returns the changes after a position with their own positions, or `None` as [`since`](Self::since).
+    pub fn positions_since(
+        &self,
+        position: u64,
+    ) -> Option<impl DoubleEndedIterator<Item = &(u64, T)>> {
         let first = self.items.partition_point(|(known, _)| *known <= position);
-        (self.start <= position).then(|| self.items.range(first..).map(|(_, item)| item))
+        (self.start <= position).then(|| self.items.range(first..))
     }
 }
--- a/crates/decisions/src/gateway/relay/mod.rs
+++ b/crates/decisions/src/gateway/relay/mod.rs
@@ -28,7 +28,7 @@
 pub use log::ChangeLog;
 pub use outage_ends::OutageEnds;
 pub use sources::{ChangeSource, RelaySources, is_relayed, relay_count, relays};
-pub use topics::{OriginRead, RelayTopics, TopicRequest, TopicUpdate};
+pub use topics::{OriginRead, RelayTopics, TopicClass, TopicRequest, TopicUpdate};
 
 use super::part_store::PartEvent;
 
--- a/crates/decisions/src/gateway/relay/topics.rs
+++ b/crates/decisions/src/gateway/relay/topics.rs
@@ -6,10 +6,28 @@
 use super::log::ChangeLog;
 use super::{RelayItem, confirmed_at};
 
+/// Maximum size of the items of all background topics in a reply. A relay with 20 followers, each of
+/// which asks about three times a second, sends about 0.5 MB of them a second, less than half of what a
+/// link of 10 Mbit/s carries.
+const MAX_BACKGROUND: Bytes = Bytes::new(8 << 10);
+
 /// How long the end of an outage is passed on: longer than followers take to hear of it, also if
 /// they first have to find another relay.
 const OUTAGE_MEMORY_MS: u64 = 10_000;
 
+/// How important the changes of a topic are; earlier variants get room in a reply first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TopicClass {
+    /// Nodes must learn of changes in time: keys, configuration, endpoints. Followers get them at once,
+    /// and do not follow a relay that does not know them.
+    Urgent,
+    /// Changes that followers get with the next reply.
+    Regular,
+    /// Evidence and reports. They get what room the others leave, up to a limit; a follower that is
+    /// behind gets a part of its changes with each reply, and only the newest of each key.
+    Background,
+}
+
 /// The position up to which a follower knows a topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TopicRequest {
@@ -84,13 +102,70 @@
     clock: Option<(u64, Instant)>,
 }
 
+impl Topic {
+    /// Returns the position that a follower knows. Those of another run mean nothing in this one, so
+    /// everything is sent.
+    fn known_position(&self, request: &TopicRequest) -> u64 {
+        if self.epoch == request.epoch { request.after } else { 0 }
+    }
+
+    fn update(
+        &self,
+        request: &TopicRequest,
+        end: u64,
+        items: Option<Vec<RelayItem>>,
+        now: Instant,
+    ) -> TopicUpdate {
+        let outage_age_ms = self.outage_ended_at.map(|at| now.ms_since(at));
+        TopicUpdate {
+            topic: request.topic.clone(),
+            epoch: self.epoch,
+            after: request.after,
+            end,
+            age_ms: now.ms_since(self.confirmed_at),
+            outage_age_ms: outage_age_ms.filter(|&age_ms| age_ms <= OUTAGE_MEMORY_MS),
+            clock_ms: self.clock.map(|(clock_ms, at)| clock_ms + now.ms_since(at)),
+            items,
+        }
+    }
+}
+
+/// Returns the changes without those of keys that have changed again later.
+fn newest_of_keys<'a>(
+    changes: impl DoubleEndedIterator<Item = &'a (u64, RelayItem)>,
+) -> Vec<(u64, &'a RelayItem)> {
+    let mut keys: SortedMap<SmolStr, ()> = SortedMap::new();
+    let mut is_newest = |item: &RelayItem| match item {
+        RelayItem::Entry(entry) => keys.insert(entry.key.clone(), ()).is_none(),
+        RelayItem::Part(_) => true,
+    };
+    let mut newest: Vec<(u64, &RelayItem)> = changes
+        .rev()
+        .filter(|(_, item)| is_newest(item))
+        .map(|(position, item)| (*position, item))
+        .collect();
+    newest.reverse();
+    newest
+}
+
 /// The topics that this node reads from their origins.
 #[derive(Debug, Clone, Default)]
 pub struct RelayTopics {
     topics: SortedMap<SmolStr, Topic>,
+    classes: SortedMap<SmolStr, TopicClass>,
 }
 
 impl RelayTopics {
+    /// Sets the class of a topic; without one it is regular.
+    pub fn set_class(&mut self, name: SmolStr, class: TopicClass) {
+        self.classes.insert(name, class);
+    }
+
+    /// Returns the class of a topic.
+    pub fn class(&self, name: &SmolStr) -> TopicClass {
+        self.classes.get(name).copied().unwrap_or(TopicClass::Regular)
+    }
+
     /// Records an answer of an origin.
     pub fn record_read(&mut self, name: &SmolStr, read: OriginRead, now: Instant) {
         let OriginRead { epoch, from, to, items, sent_at, clock_ms } = read;
@@ -131,6 +206,29 @@
     /// Removes a topic.
     pub fn remove(&mut self, name: &SmolStr) {
         self.topics.remove(name);
+        self.classes.remove(name);
+    }
+
+    /// Answers all requests of a follower. Topics of a more important class get room first, whatever the
+    /// order of the requests.
+    pub fn answer_all(
+        &self,
+        requests: &[TopicRequest],
+        mut budget: Bytes,
+        now: Instant,
+    ) -> Vec<TopicUpdate> {
+        let mut by_class: Vec<(TopicClass, &TopicRequest)> =
+            requests.iter().map(|request| (self.class(&request.topic), request)).collect();
+        by_class.sort_by_key(|(class, _)| *class);
+        let mut background = None;
+        let answer = |(class, request): (TopicClass, &TopicRequest)| {
+            if class != TopicClass::Background {
+                return self.answer(request, &mut budget, now);
+            }
+            let budget = background.get_or_insert(budget.min(MAX_BACKGROUND));
+            self.answer_in_parts(request, budget, now)
+        };
+        by_class.into_iter().filter_map(answer).collect()
     }
 
     /// Answers a follower; returns `None` if this node has not read the topic, or the origin does not answer.
@@ -144,8 +242,7 @@
         now: Instant,
     ) -> Option<TopicUpdate> {
         let topic = self.topics.get(&request.topic).filter(|topic| !topic.is_lost)?;
-        // The positions of another run mean nothing in this one, so everything is sent.
-        let after = if topic.epoch == request.epoch { request.after } else { 0 };
+        let after = topic.known_position(request);
         let items: Option<Vec<RelayItem>> =
             topic.log.since(after).map(|items| items.cloned().collect());
         let size: Bytes = items.iter().flatten().map(RelayItem::size).sum();
@@ -153,17 +250,36 @@
         if items.is_some() {
             *budget = budget.saturating_sub(size);
         }
-        let outage_age_ms = topic.outage_ended_at.map(|at| now.ms_since(at));
-        Some(TopicUpdate {
-            topic: request.topic.clone(),
-            epoch: topic.epoch,
-            after: request.after,
-            end: topic.log.end().max(after),
-            age_ms: now.ms_since(topic.confirmed_at),
-            outage_age_ms: outage_age_ms.filter(|&age_ms| age_ms <= OUTAGE_MEMORY_MS),
-            clock_ms: topic.clock.map(|(clock_ms, at)| clock_ms + now.ms_since(at)),
-            items,
-        })
+        Some(topic.update(request, topic.log.end().max(after), items, now))
+    }
+
+    /// Answers a follower with as many of the oldest changes as there is room for, at least one; returns
+    /// `None` as [`answer`](Self::answer). A change of a key that has changed again is left out.
+    fn answer_in_parts(
+        &self,
+        request: &TopicRequest,
+        budget: &mut Bytes,
+        now: Instant,
+    ) -> Option<TopicUpdate> {
+        let topic = self.topics.get(&request.topic).filter(|topic| !topic.is_lost)?;
+        let after = topic.known_position(request);
+        let Some(changes) = topic.log.positions_since(after) else {
+            return Some(topic.update(request, topic.log.end().max(after), None, now));
+        };
+        let newest = newest_of_keys(changes);
+        let mut items: Vec<RelayItem> = Vec::new();
+        let mut end = after;
+        // Changes with the same position are sent together.
+        for changes in newest.chunk_by(|one, next| one.0 == next.0) {
+            let size: Bytes = changes.iter().map(|(_, item)| item.size()).sum();
+            if size > *budget && !items.is_empty() {
+                return Some(topic.update(request, end, Some(items), now));
+            }
+            *budget = budget.saturating_sub(size);
+            items.extend(changes.iter().map(|(_, item)| (*item).clone()));
+            end = changes[0].0;
+        }
+        Some(topic.update(request, topic.log.end().max(after), Some(items), now))
     }
 
     /// Returns whether there are changes after the position of a request, or the origin does not answer.
--- a/crates/decisions/tests/gateway_relay.rs
+++ b/crates/decisions/tests/gateway_relay.rs
@@ -7,7 +7,7 @@
 use relay_model::{Guard, Model};
 use yuccapass_decisions::gateway::relay::{
     ChangeLog, ChangeSource, OriginRead, OutageEnds, RelayItem, RelaySources, RelayTopics,
-    RelayedEntry, TopicRequest, confirmed_at, relay_count, relays,
+    RelayedEntry, TopicClass, TopicRequest, confirmed_at, relay_count, relays,
 };
 use yuccapass_types::{Bytes, Instant, NodeId};
 
@@ -308,3 +308,75 @@
     // Zones of 50 nodes have three relays instead of two.
     assert!(many * 20 <= few * 39, "{few} calls with 60 nodes, {many} with 300");
 }
+
+/// Topics of which the one that is asked for first is in the background: changes of 20 keys, and then a
+/// configuration.
+fn topics_with_background() -> (RelayTopics, [TopicRequest; 2]) {
+    let mut topics = RelayTopics::default();
+    topics.set_class("keys:a/".into(), TopicClass::Background);
+    topics.set_class("keys:op/".into(), TopicClass::Urgent);
+    let evidence = |revision| {
+        let key = smol_str::format_smolstr!("a/{}", revision % 20);
+        let entry = RelayedEntry { key, value: Some(vec![0; 3_000]), revision };
+        (revision, RelayItem::Entry(entry))
+    };
+    topics.record_read(
+        &"keys:a/".into(),
+        read(0, 40, (1..=40).map(evidence).collect(), at(1_000)),
+        at(1_100),
+    );
+    topics.record_read(
+        &"keys:op/".into(),
+        read(0, 41, vec![entry(41, 40_000)], at(1_000)),
+        at(1_100),
+    );
+    let request = |topic: &str| TopicRequest { topic: topic.into(), epoch: 1, after: 0 };
+    (topics, [request("keys:a/"), request("keys:op/")])
+}
+
+/// Guards against evidence that takes the room of the configuration in a reply.
+#[test]
+fn the_configuration_gets_room_before_evidence() {
+    let (topics, requests) = topics_with_background();
+
+    let updates = topics.answer_all(&requests, Bytes::new(56 << 10), at(1_200));
+
+    let items = |topic: &str| {
+        let update = updates.iter().find(|update| update.topic == topic).expect("it was read");
+        update.items.clone().expect("there is room")
+    };
+    assert_eq!(items("keys:op/").len(), 1);
+    let evidence: Bytes = items("keys:a/").iter().map(RelayItem::size).sum();
+    assert!(evidence <= Bytes::new(8 << 10), "{evidence}");
+}
+
+/// Guards against a follower that misses evidence because it gets it in parts, and against values that
+/// are sent although newer ones have replaced them.
+#[test]
+fn background_changes_are_complete_in_several_parts() {
+    // Arrange
+    let (topics, [mut request, _]) = topics_with_background();
+    let (mut keys, mut replies) = (Vec::new(), 0);
+
+    // Act
+    loop {
+        let updates =
+            topics.answer_all(std::slice::from_ref(&request), Bytes::new(56 << 10), at(1_200));
+        let items = updates[0].items.clone().expect("the log has them");
+        if items.is_empty() {
+            break;
+        }
+        replies += 1;
+        request.after = updates[0].end;
+        keys.extend(items.into_iter().filter_map(|item| match item {
+            RelayItem::Entry(entry) => Some((entry.revision, entry.key)),
+            RelayItem::Part(_) => None,
+        }));
+    }
+
+    // Assert: the newest value of each key, in their order.
+    let expected: Vec<u64> = (21..=40).collect();
+    assert_eq!(keys.iter().map(|(revision, _)| *revision).collect::<Vec<_>>(), expected);
+    assert!(replies > 5, "{replies} replies");
+    assert_eq!(request.after, 40);
+}
