crash evidence: less of it, later, and in the background

Cause: each stream that a crash breaks is evidence since then. Each node's report repeated what all nodes had reported to be cleared, so that the evidence of all nodes grew with the square of their number, and each part that an answer cleared had all nodes write theirs again: 20 to 70 reports a second for 15 s, with up to 1,500 lists of cleared parts a second. Relays send them to 20 followers each over links of 10 Mbit/s, which then had no room for connections to the platform and the stores. Change: a node reports only what it has cleared itself. Reports are spread over a time that grows with the fleet, and their pauses double while the news continue (`ReportPacing`). They have the rank `Report`, and their topic is in the background. After the platform has dropped its history, evidence is listed 1 to 2 s after the rest. Statuses are updated where they change instead of copied with each merged report. As reports arrive later, the guard corrects the times of their crashes by a crash that it knows itself (crashes of one moment looked like several groups, and sound parts were blocked), settles crashes of large fleets later, and counts a group of crashes for a part only if the part was at a third of them.

--- a/crates/decisions/src/part_guard/mod.rs
+++ b/crates/decisions/src/part_guard/mod.rs
@@ -7,6 +7,8 @@
 //! the crashes that it is about, so that it can be merged in any order and needs no common clock.
 
 pub mod evidence;
+mod pacing;
+mod suspects;
 pub mod suspicion;
 
 use std::cmp::Reverse;
@@ -14,7 +16,9 @@
 use yuccapass_types::{Deadline, Instant, PromptPartId, SortedMap};
 
 pub use evidence::{ClearedParts, CrashObservation, CrashedProcess, Evidence};
-use suspicion::{CrashView, crash_groups, parts_to_block};
+pub use pacing::ReportPacing;
+use suspects::Suspects;
+use suspicion::{CrashView, MIN_GROUPS, parts_to_block, repeated_parts, settle_ms};
 
 /// Settings of a [`PartGuard`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,6 +88,9 @@
     // Parts that this node or another one has reported.
     reported: Vec<PromptPartId>,
     reported_cleared: Vec<PromptPartId>,
+    // Those that this node has reported to be cleared. If each node repeated what others have reported,
+    // the evidence of all nodes would grow with the square of their number.
+    own_reported_cleared: Vec<PromptPartId>,
 }
 
 impl Crash {
@@ -92,10 +99,11 @@
     }
 
     /// Clears a part, also of prompts that become known later.
-    fn clear(&mut self, part: &PromptPartId) {
+    fn clear(&mut self, part: &PromptPartId, suspects: &mut Suspects) {
         insert(&mut self.cleared, part);
         if let Ok(position) = self.suspected.binary_search(part) {
             self.suspected.remove(position);
+            suspects.remove(part);
         }
     }
 
@@ -121,15 +129,29 @@
         self.own_uncleared(blocked).iter().flatten().any(is_new)
     }
 
-    fn add_prompts<'a>(&mut self, prompts: impl IntoIterator<Item = &'a Vec<PromptPartId>>) {
+    fn has_unreported_cleared(&self) -> bool {
+        self.cleared.iter().any(|part| self.is_unreported_cleared(part))
+    }
+
+    /// Returns whether the clearing of a part that was reported is not.
+    fn is_unreported_cleared(&self, part: &PromptPartId) -> bool {
+        self.reported.binary_search(part).is_ok()
+            && self.reported_cleared.binary_search(part).is_err()
+    }
+
+    fn add_prompts<'a>(
+        &mut self,
+        prompts: impl IntoIterator<Item = &'a Vec<PromptPartId>>,
+        suspects: &mut Suspects,
+    ) {
         for prompt in prompts {
             if self.prompts.len() >= MAX_PROMPTS {
                 return;
             }
             insert(&mut self.prompts, prompt);
             for part in prompt {
-                if self.cleared.binary_search(part).is_err() {
-                    insert(&mut self.suspected, part);
+                if self.cleared.binary_search(part).is_err() && insert(&mut self.suspected, part) {
+                    suspects.add(part);
                 }
             }
         }
@@ -140,8 +162,12 @@
 #[derive(Debug, Clone, Default)]
 pub struct PartGuard {
     settings: PartGuardSettings,
+    fleet_nodes: u32,
     crashes: SortedMap<CrashedProcess, Crash>,
     blocked: SortedMap<PromptPartId, Deadline>,
+    // The parts that the crashes implicate. Crashes of engines full of streams implicate thousands, so
+    // they are not collected from all crashes each time.
+    suspects: Suspects,
 }
 
 impl PartGuard {
@@ -150,27 +176,24 @@
         Self { settings, ..Self::default() }
     }
 
+    /// Sets the number of nodes that exchange evidence.
+    pub fn set_fleet_nodes(&mut self, fleet_nodes: u32) {
+        self.fleet_nodes = fleet_nodes;
+    }
+
     /// Returns the status of a part.
     pub fn status(&self, part: &PromptPartId, now: Instant) -> PartStatus {
         match self.blocked.get(part) {
             Some(&until) if !until.has_passed(now) => PartStatus::Blocked(until),
-            _ if self.crashes.values().any(|crash| crash.implicates(part)) => PartStatus::Suspect,
+            _ if self.suspects.contains(part) => PartStatus::Suspect,
             _ => PartStatus::Clear,
         }
     }
 
-    /// Returns all suspected and blocked parts with their status.
-    pub fn statuses(&self, now: Instant) -> Vec<(PromptPartId, PartStatus)> {
-        let suspected = self.crashes.values().flat_map(|crash| &crash.suspected);
-        let mut parts: Vec<&PromptPartId> = suspected.chain(self.blocked.keys()).collect();
-        parts.sort();
-        parts.dedup();
-        // A blocked part whose time is over is judged by the next decision.
-        let status = |part: &PromptPartId| match self.blocked.get(part) {
-            Some(&until) if !until.has_passed(now) => PartStatus::Blocked(until),
-            _ => PartStatus::Suspect,
-        };
-        parts.into_iter().map(|part| (part.clone(), status(part))).collect()
+    /// Returns the parts whose status may have changed since the last call, with their status.
+    pub fn take_changed(&mut self, now: Instant) -> Vec<(PromptPartId, PartStatus)> {
+        let changed = self.suspects.take_changed();
+        changed.into_iter().map(|part| (part.clone(), self.status(&part, now))).collect()
     }
 
     /// Records a crash that this node has seen. Each prompt is the list of the parts of a request
@@ -183,13 +206,13 @@
     ) {
         let prompts: Vec<Vec<PromptPartId>> =
             prompts.iter().map(|prompt| prompt[..prompt.len().min(MAX_PARTS)].to_vec()).collect();
-        let crash = self.entry(process, now);
+        let (crash, suspects) = self.entry(process, now);
         for prompt in &prompts {
             if crash.own_prompts.len() < MAX_PROMPTS {
                 insert(&mut crash.own_prompts, prompt);
             }
         }
-        crash.add_prompts(&prompts);
+        crash.add_prompts(&prompts, suspects);
     }
 
     /// Records that an answer on these parts has ended whole, and returns which of them it cleared.
@@ -199,12 +222,13 @@
     ) -> Vec<PromptPartId> {
         let mut cleared = Vec::new();
         for part in parts {
-            for crash in self.crashes.values_mut() {
-                if crash.implicates(part) {
-                    crash.clear(part);
-                    insert(&mut cleared, part);
-                }
+            if !self.suspects.contains(part) {
+                continue;
             }
+            for crash in self.crashes.values_mut().filter(|crash| crash.implicates(part)) {
+                crash.clear(part, &mut self.suspects);
+            }
+            insert(&mut cleared, part);
         }
         cleared
     }
@@ -212,28 +236,31 @@
     /// Blocks a part, as another node has decided. A block that is known is not extended.
     pub fn block(&mut self, part: PromptPartId, now: Instant) {
         if self.blocked.get(&part).is_none_or(|until| until.has_passed(now)) {
+            self.suspects.record_changed(&part);
             self.blocked.insert(part, Deadline::after_ms(now, self.settings.block_ms));
         }
     }
 
     /// Merges the evidence of another node, in any order and any number of times.
     pub fn merge(&mut self, evidence: &Evidence, now: Instant) {
+        let delay_ms = self.delay_ms(evidence, now);
         for observation in &evidence.observations {
             if observation.age_ms >= self.settings.remember_ms {
                 continue;
             }
-            let crashed_at = Instant::from_ms(now.as_ms().saturating_sub(observation.age_ms));
-            let crash = self.entry(&observation.process, crashed_at);
-            crash.add_prompts(&observation.prompts);
+            let age_ms = observation.age_ms.saturating_add(delay_ms);
+            let crashed_at = Instant::from_ms(now.as_ms().saturating_sub(age_ms));
+            let (crash, suspects) = self.entry(&observation.process, crashed_at);
+            crash.add_prompts(&observation.prompts, suspects);
             for part in observation.prompts.iter().flatten() {
                 insert(&mut crash.reported, part);
             }
         }
         for cleared in &evidence.cleared {
             // The crash may become known later.
-            let crash = self.entry(&cleared.process, now);
+            let (crash, suspects) = self.entry(&cleared.process, now);
             for part in &cleared.parts {
-                crash.clear(part);
+                crash.clear(part, suspects);
                 insert(&mut crash.reported_cleared, part);
             }
         }
@@ -242,19 +269,21 @@
     /// Blocks the parts that the evidence shows to crash endpoints, and returns those that were not
     /// blocked before.
     pub fn decide(&mut self, now: Instant) -> Vec<BlockDecision> {
-        let is_passed = |until: &Deadline| until.has_passed(now);
-        self.blocked.retain(|_, until| !is_passed(until));
-        let remember_ms = self.settings.remember_ms;
-        self.crashes.retain(|_, crash| now.ms_since(crash.crashed_at) < remember_ms);
+        self.forget(now);
+        if self.suspects.max_crashes() < MIN_GROUPS {
+            return Vec::new();
+        }
         let blocked: Vec<&PromptPartId> = self.blocked.keys().collect();
         let known = self.crashes.iter().filter(|(_, crash)| !crash.prompts.is_empty());
+        let settle_ms = settle_ms(self.fleet_nodes);
         let views = known.map(|(process, crash)| CrashView {
             process,
             crashed_at: crash.crashed_at,
             prompts: &crash.prompts,
             suspected: &crash.suspected,
+            is_settled: now.ms_since(crash.crashed_at) >= settle_ms,
         });
-        let found = parts_to_block(views.collect(), &blocked, now);
+        let found = parts_to_block(views.collect(), &blocked);
         let decisions: Vec<BlockDecision> = found
             .into_iter()
             .map(|(part, crashes)| BlockDecision {
@@ -269,31 +298,44 @@
         decisions
     }
 
+    /// Returns whether this node has news for the other nodes.
+    pub fn has_news(&self, now: Instant) -> bool {
+        let blocked: Vec<PromptPartId> = self.blocked.keys().cloned().collect();
+        let is_due =
+            |crash: &Crash| now.ms_since(crash.crashed_at) >= self.settings.report_delay_ms;
+        if self.crashes.values().any(|crash| is_due(crash) && crash.has_unreported(&blocked)) {
+            return true;
+        }
+        // Usually nothing was cleared, and the reported parts need not be collected.
+        if !self.crashes.values().any(Crash::has_unreported_cleared) {
+            return false;
+        }
+        let repeated = self.repeatedly_reported();
+        self.crashes.values().any(|crash| unreported_cleared(crash, &repeated).next().is_some())
+    }
+
     /// Returns the evidence of this node for the other nodes if it has news for them.
     ///
     /// A cleared part is reported only if crashes of several groups implicated it at some node: the
     /// others cannot be blocked soon.
     pub fn report(&mut self, now: Instant) -> Option<Evidence> {
+        if !self.has_news(now) {
+            return None;
+        }
         let repeated = self.repeatedly_reported();
         let blocked: Vec<PromptPartId> = self.blocked.keys().cloned().collect();
         let report_delay_ms = self.settings.report_delay_ms;
         let is_due = |crash: &Crash| now.ms_since(crash.crashed_at) >= report_delay_ms;
-        let news = |crash: &Crash| {
-            (is_due(crash) && crash.has_unreported(&blocked))
-                || unreported_cleared(crash, &repeated).next().is_some()
-        };
-        if !self.crashes.values().any(news) {
-            return None;
-        }
         let mut evidence = Evidence::default();
         for (process, crash) in self.crashes.entries_mut() {
             let parts: Vec<PromptPartId> = unreported_cleared(crash, &repeated).cloned().collect();
             for part in &parts {
                 insert(&mut crash.reported_cleared, part);
+                insert(&mut crash.own_reported_cleared, part);
             }
             let is_known = |part: &&PromptPartId| crash.reported.binary_search(part).is_ok();
             let parts: Vec<PromptPartId> =
-                crash.reported_cleared.iter().filter(is_known).cloned().collect();
+                crash.own_reported_cleared.iter().filter(is_known).cloned().collect();
             if !parts.is_empty() {
                 evidence.cleared.push(ClearedParts { process: process.clone(), parts });
             }
@@ -317,13 +359,26 @@
     /// Returns when [`decide`](Self::decide) and [`report`](Self::report) should be called next if
     /// nothing else happens until then.
     pub fn next_check(&self, now: Instant) -> Option<Deadline> {
-        let delays = [self.settings.report_delay_ms, suspicion::SETTLE_MS];
+        let delays = [self.settings.report_delay_ms, settle_ms(self.fleet_nodes)];
         let checks = self.crashes.values().flat_map(|crash| {
             delays.map(|delay_ms| Deadline::after_ms(crash.crashed_at, delay_ms))
         });
         checks.filter(|check| !check.has_passed(now)).min()
     }
 
+    /// Returns for how long at least evidence was on its way: by that much, its crashes seem to be later
+    /// than this node knows them to be. Without this correction, crashes of one moment that are reported
+    /// after different times would look like several groups.
+    fn delay_ms(&self, evidence: &Evidence, now: Instant) -> u64 {
+        let delay_ms = |observation: &CrashObservation| {
+            // Without the start of the process, an earlier crash of the endpoint may be meant.
+            observation.process.started_unix_ms?;
+            let known = self.crashes.get(&observation.process)?;
+            Some(now.ms_since(known.crashed_at).saturating_sub(observation.age_ms))
+        };
+        evidence.observations.iter().filter_map(delay_ms).max().unwrap_or_default()
+    }
+
     fn is_own(&self, process: &CrashedProcess, part: &PromptPartId) -> bool {
         self.crashes
             .get(process)
@@ -332,29 +387,46 @@
 
     /// Returns the parts that reports of several groups of crashes implicate, in their order.
     fn repeatedly_reported(&self) -> Vec<PromptPartId> {
-        let mut times: SortedMap<PromptPartId, Vec<Instant>> = SortedMap::new();
-        for crash in self.crashes.values() {
-            for part in &crash.reported {
-                times.get_or_insert_with(part.clone(), Vec::new).push(crash.crashed_at);
+        let crashes = self.crashes.values();
+        repeated_parts(crashes.map(|crash| (crash.crashed_at, &*crash.reported)))
+    }
+
+    /// Forgets crashes and blocks whose time is over.
+    fn forget(&mut self, now: Instant) {
+        let Self { settings, crashes, blocked, suspects, .. } = self;
+        blocked.retain(|part, until| {
+            let is_passed = until.has_passed(now);
+            if is_passed {
+                suspects.record_changed(part);
             }
-        }
-        let is_repeated = |times: Vec<Instant>| crash_groups(times) >= 2;
-        let entries = times.into_entries();
-        entries.filter_map(|(part, times)| is_repeated(times).then_some(part)).collect()
+            !is_passed
+        });
+        crashes.retain(|_, crash| {
+            let is_remembered = now.ms_since(crash.crashed_at) < settings.remember_ms;
+            if !is_remembered {
+                crash.suspected.iter().for_each(|part| suspects.remove(part));
+            }
+            is_remembered
+        });
     }
 
     /// Returns the entry of a crash that happened at or before `crashed_at`.
-    fn entry(&mut self, process: &CrashedProcess, crashed_at: Instant) -> &mut Crash {
+    fn entry(
+        &mut self,
+        process: &CrashedProcess,
+        crashed_at: Instant,
+    ) -> (&mut Crash, &mut Suspects) {
         if !self.crashes.contains_key(process) && self.crashes.len() >= self.settings.max_crashes {
             let oldest = self.crashes.iter().max_by_key(|(_, crash)| Reverse(crash.crashed_at));
             if let Some(oldest) = oldest.map(|(process, _)| process.clone()) {
-                self.crashes.remove(&oldest);
+                let crash = self.crashes.remove(&oldest).unwrap_or_default();
+                crash.suspected.iter().for_each(|part| self.suspects.remove(part));
             }
         }
         let new = || Crash { crashed_at, ..Crash::default() };
         let crash = self.crashes.get_or_insert_with(process.clone(), new);
         crash.crashed_at = crash.crashed_at.min(crashed_at);
-        crash
+        (crash, &mut self.suspects)
     }
 }
 
@@ -363,11 +435,10 @@
     crash: &'a Crash,
     repeated: &'a [PromptPartId],
 ) -> impl Iterator<Item = &'a PromptPartId> {
-    crash.cleared.iter().filter(|part| {
-        repeated.binary_search(part).is_ok()
-            && crash.reported.binary_search(part).is_ok()
-            && crash.reported_cleared.binary_search(part).is_err()
-    })
+    crash
+        .cleared
+        .iter()
+        .filter(|part| crash.is_unreported_cleared(part) && repeated.binary_search(part).is_ok())
 }
 
 /// Keeps the newest crashes within the limit of a report.
@@ -382,9 +453,11 @@
     });
 }
 
-/// Inserts a value into a sorted list unless it is there.
-fn insert<T: Ord + Clone>(sorted: &mut Vec<T>, value: &T) {
-    if let Err(position) = sorted.binary_search(value) {
+/// Inserts a value into a sorted list unless it is there; returns whether it was inserted.
+fn insert<T: Ord + Clone>(sorted: &mut Vec<T>, value: &T) -> bool {
+    let position = sorted.binary_search(value);
+    if let Err(position) = position {
         sorted.insert(position, value.clone());
     }
+    position.is_err()
 }
--- a/crates/decisions/tests/part_guard.rs
+++ b/crates/decisions/tests/part_guard.rs
@@ -224,6 +224,46 @@
     assert!(blocked(&mut guard, at(9_000)).is_empty());
 }
 
+/// Guards against crashes of one moment that count as several groups because their reports arrive after
+/// different times: the delay shows in a crash that the receiver knows itself.
+#[test]
+fn crashes_of_one_moment_count_once_however_late_they_are_reported() {
+    // Arrange: three nodes with the part at three crashes of one moment; all know of a fourth one.
+    let mut receiver = PartGuard::new(PartGuardSettings::default());
+    receiver.record_crash(&process(9), &prompts(&["c"]), at(1_000));
+    let reports: Vec<Evidence> = (1..=3)
+        .map(|number| {
+            let mut reporter = PartGuard::new(PartGuardSettings::default());
+            reporter.record_crash(&process(9), &prompts(&["d"]), at(1_000));
+            reporter.record_crash(&process(number), &prompts(&["a"]), at(1_010));
+            reporter.report(at(1_600)).expect("there are news")
+        })
+        .collect();
+
+    // Act
+    for (report, arrives_ms) in reports.iter().zip([1_700, 2_400, 3_300]) {
+        receiver.merge(report, at(arrives_ms));
+    }
+
+    // Assert
+    assert!(blocked(&mut receiver, at(9_000)).is_empty());
+}
+
+/// Guards against a sound part that is blocked after several outages, because each time many engines
+/// crashed and it was at one of them.
+#[test]
+fn groups_of_which_a_part_was_at_few_crashes_do_not_count() {
+    let mut guard = PartGuard::new(PartGuardSettings::default());
+    for number in 0..30 {
+        let part = if number % 10 < 2 { "a" } else { "b" };
+        let prompt = vec![vec![self::part(&format!("{part}{}", number % 10 / 2))]];
+        let moment_ms = 1_000 + number / 10 * 3_000;
+        guard.record_crash(&process(number), &prompt, at(moment_ms));
+    }
+
+    assert!(blocked(&mut guard, at(12_000)).is_empty());
+}
+
 /// Guards against a part that stays blocked longer each time its block is read again.
 #[test]
 fn a_block_that_is_read_again_is_not_extended() {
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -12,7 +12,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use yuccapass_decisions::crash_guard::Fingerprint;
-use yuccapass_decisions::part_guard::{BlockDecision, CrashedProcess, Evidence};
+use yuccapass_decisions::gateway::relay::TopicClass;
+use yuccapass_decisions::part_guard::{BlockDecision, CrashedProcess, Evidence, ReportPacing};
 use yuccapass_decisions::platform_budget::CallRank;
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{
@@ -20,7 +21,7 @@
     LeaseTtl, PlatformClient, PlatformError, PlatformErrorKind, Transaction, TransactionOutcome,
     Value, Write,
 };
-use yuccapass_types::{Deadline, Incarnation, NodeId, PromptPartId};
+use yuccapass_types::{Deadline, Incarnation, Instant, NodeId, PromptPartId};
 
 use crate::crashes::{BLOCK_MS, CrashEntry};
 use crate::state::Shared;
@@ -95,12 +96,15 @@
         watch_ms: WATCH_MS,
         relay_watch_ms: Some(WATCH_MS),
         pause_ms: WATCH_PAUSE_MS,
+        class: TopicClass::Background,
     };
     let handler = Arc::new(EvidenceHandler { shared: Arc::clone(shared) });
     task::spawn(watch_prefix(Arc::clone(shared), Arc::clone(platform), settings, handler));
     let publisher = EvidencePublisher {
         shared: Arc::clone(shared),
-        key_value: platform.key_value(CallRank::Lease),
+        key_value: platform.key_value(CallRank::Report),
+        pacing: ReportPacing::default(),
+        report_due: None,
         lease: None,
         evidence: None,
         decisions: Vec::new(),
@@ -116,28 +120,31 @@
 }
 
 impl EvidenceHandler {
-    fn apply(&self, entry: &Entry) {
+    /// Applies entries. Their evidence is merged at once, because a list has that of all nodes.
+    fn apply<'a>(&self, entries: impl Iterator<Item = &'a Entry>) {
+        let evidence: Vec<Evidence> = entries.filter_map(|entry| self.apply_entry(entry)).collect();
+        self.shared.part_crashes.merge(&evidence, self.shared.now());
+    }
+
+    /// Applies an entry, except for the evidence of another node, which is returned.
+    fn apply_entry(&self, entry: &Entry) -> Option<Evidence> {
         let key = entry.key.as_str();
         if let Some(part) = key.strip_prefix(BLOCKED_KEYS) {
             if let Ok(part) = part.parse::<PromptPartId>() {
                 log::info!(part = part.as_str(); "a part of prompts is blocked by a node");
                 self.shared.part_crashes.block(part, self.shared.now());
             }
-            return;
-        }
-        if let Some(fingerprint) = key.strip_prefix(BLOCKED_REQUEST_KEYS) {
+        } else if let Some(fingerprint) = key.strip_prefix(BLOCKED_REQUEST_KEYS) {
             if let Ok(bits) = u64::from_str_radix(fingerprint, 16) {
                 log::info!(fingerprint = bits; "a request is blocked by a node");
                 self.shared.crashes.block(Fingerprint::from_bits(bits), self.shared.now());
             }
-            return;
-        }
-        if let Some(node) = key.strip_prefix(COUNT_KEYS) {
-            return self.merge_counts(node, entry);
-        }
-        if let Some(node) = key.strip_prefix(EVIDENCE_KEYS) {
-            self.merge_evidence(node, entry);
+        } else if let Some(node) = key.strip_prefix(COUNT_KEYS) {
+            self.merge_counts(node, entry);
+        } else if let Some(node) = key.strip_prefix(EVIDENCE_KEYS) {
+            return self.evidence_of(node, entry);
         }
+        None
     }
 
     fn merge_counts(&self, node: &str, entry: &Entry) {
@@ -149,13 +156,12 @@
         }
     }
 
-    fn merge_evidence(&self, node: &str, entry: &Entry) {
-        let Some(known) = decoded::<EvidenceEntry>(node, entry) else { return };
+    /// Decodes the evidence of another node.
+    fn evidence_of(&self, node: &str, entry: &Entry) -> Option<Evidence> {
+        let known = decoded::<EvidenceEntry>(node, entry)?;
         let options = &self.shared.options;
         let is_own = node == options.node.as_str() && known.incarnation == options.incarnation;
-        if !is_own {
-            self.shared.part_crashes.merge(&known.evidence, self.shared.now());
-        }
+        (!is_own).then_some(known.evidence)
     }
 }
 
@@ -171,16 +177,15 @@
 
 impl WatchHandler for EvidenceHandler {
     fn replace(&self, entries: &[Entry]) {
-        entries.iter().for_each(|entry| self.apply(entry));
+        self.apply(entries.iter());
     }
 
     // A key that ends changes nothing: what it said is remembered for its own time.
     fn change(&self, changes: &[Change]) {
-        for change in changes {
-            if let ChangeKind::Put(entry) = &change.kind {
-                self.apply(entry);
-            }
-        }
+        self.apply(changes.iter().filter_map(|change| match &change.kind {
+            ChangeKind::Put(entry) => Some(entry),
+            ChangeKind::Deleted(_) => None,
+        }));
     }
 }
 
@@ -188,6 +193,9 @@
 struct EvidencePublisher {
     shared: Arc<Shared>,
     key_value: KeyValueClient,
+    pacing: ReportPacing,
+    // When news of this node may be published, if there are any.
+    report_due: Option<Deadline>,
     // With the instant at which it is replaced.
     lease: Option<(LeaseId, Deadline)>,
     // What could not be published yet.
@@ -202,50 +210,71 @@
         loop {
             self.wait().await;
             let now = self.shared.now();
-            let tracker = &self.shared.part_crashes;
-            for decision in tracker.decide(now) {
+            if self.shared.fleet().is_known() {
+                let fleet_nodes = self.shared.nodes();
+                self.pacing.set_fleet_nodes(fleet_nodes);
+                self.shared.part_crashes.set_fleet_nodes(fleet_nodes);
+            }
+            for decision in self.shared.part_crashes.decide(now) {
                 log_decision(&decision);
                 // Only nodes whose requests were there write the key, so that few do.
                 if decision.is_own {
                     self.decisions.push(decision);
                 }
             }
-            self.evidence = tracker.report(now).or(self.evidence.take());
             self.blocked_requests.extend(self.shared.crashes.take_announcements(now));
-            self.counts = self.shared.crashes.take_reports(now).or(self.counts.take());
-            let (suspected, blocked) = tracker.counts();
+            let is_report_due = self.take_reports(now);
+            let (suspected, blocked) = self.shared.part_crashes.counts();
             self.shared.metrics.record_crash_parts(suspected, blocked);
-            if let Err(error) = self.publish().await {
+            if let Err(error) = self.publish(is_report_due).await {
                 log::info!(error:%; "evidence about crashes could not be published");
             }
         }
     }
 
-    /// Waits until the evidence may have changed.
+    /// Takes the news of this node if they may be published now; returns whether they may.
+    fn take_reports(&mut self, now: Instant) -> bool {
+        let (part_crashes, crashes) = (&self.shared.part_crashes, &self.shared.crashes);
+        let is_unpublished = self.evidence.is_some() || self.counts.is_some();
+        if !is_unpublished && !crashes.has_news() && !part_crashes.has_news(now) {
+            self.pacing.rest(now);
+            self.report_due = None;
+            return false;
+        }
+        let due = self.pacing.due(now, &mut rand::rng());
+        if !due.has_passed(now) {
+            self.report_due = Some(due);
+            return false;
+        }
+        self.evidence = part_crashes.report(now).or(self.evidence.take());
+        self.counts = crashes.take_reports(now).or(self.counts.take());
+        self.pacing.record_report(now, &mut rand::rng());
+        self.report_due = Some(self.pacing.due(now, &mut rand::rng()));
+        true
+    }
+
+    /// Waits until the evidence may have changed, or news of this node may be published.
     async fn wait(&self) {
         let now = self.shared.now();
         let pause_ms = PAUSE_MS + rand::random_range(0..PAUSE_RANDOM_MS);
-        let pause = Deadline::after_ms(now, pause_ms);
-        let is_pending = self.evidence.is_some()
-            || self.counts.is_some()
-            || !self.decisions.is_empty()
-            || !self.blocked_requests.is_empty();
+        let report_due = self.report_due.unwrap_or(Deadline::NEVER);
+        let is_pending = !self.decisions.is_empty() || !self.blocked_requests.is_empty();
         if !is_pending {
             let next_check = self.shared.part_crashes.next_check(now).unwrap_or(Deadline::NEVER);
-            let sleeping = Box::pin(sleep_until(&*self.shared.clock, next_check));
+            let next = next_check.earlier(report_due);
+            let sleeping = Box::pin(sleep_until(&*self.shared.clock, next));
             let changing = select(
                 Box::pin(self.shared.part_crashes.changed()),
                 Box::pin(self.shared.crashes.changed()),
             );
             select(sleeping, changing).await;
-            let pause = Deadline::after_ms(self.shared.now(), pause_ms);
-            return sleep_until(&*self.shared.clock, pause).await;
         }
-        sleep_until(&*self.shared.clock, pause).await;
+        let pause = Deadline::after_ms(self.shared.now(), pause_ms);
+        sleep_until(&*self.shared.clock, pause.earlier(report_due)).await;
     }
 
     /// Publishes what is blocked first: other nodes refuse it at once, and evidence may be large.
-    async fn publish(&mut self) -> Result<(), PlatformError> {
+    async fn publish(&mut self, is_report_due: bool) -> Result<(), PlatformError> {
         while let Some(fingerprint) = self.blocked_requests.first() {
             let key = key(BLOCKED_REQUEST_KEYS, &format!("{:016x}", fingerprint.to_bits()))?;
             let entry = BlockedRequestEntry { node: self.shared.options.node.clone() };
@@ -261,6 +290,9 @@
             self.write(key, &entry, lease, true).await?;
             self.decisions.remove(0);
         }
+        if !is_report_due {
+            return Ok(());
+        }
         if let Some(counts) = &self.counts {
             let options = &self.shared.options;
             let key = key(COUNT_KEYS, options.node.as_str())?;
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns whether the crashes counted by this node have changed since they were taken.
+    pub(crate) fn has_news(&self) -> bool {
+        self.has_news.load(Ordering::Acquire)
+    }
+
     /// Returns the crashes counted by this node if they have changed since the last call.
     pub(crate) fn take_reports(&self, now: Instant) -> Option<Vec<CrashEntry>> {
         if !self.has_news.swap(false, Ordering::AcqRel) {
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use async_std::task;
+use yuccapass_decisions::gateway::relay::TopicClass;
 use yuccapass_decisions::platform_budget::CallRank;
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{Change, ChangeKind, Entry, Key, PlatformClient};
@@ -40,6 +41,7 @@
         watch_ms: SWAP_LOCK_WATCH_MS,
         relay_watch_ms: Some(SWAP_LOCK_WATCH_MS),
         pause_ms: 0,
+        class: TopicClass::Urgent,
     };
     let handler = Arc::new(SwapLockHandler { swap_leader: Arc::clone(swap_leader) });
     task::spawn(watch_prefix(
--- a/crates/gateway/src/part_crashes.rs
+++ b/crates/gateway/src/part_crashes.rs
@@ -104,13 +104,7 @@
             return;
         }
         let ids = shared(parts).iter().map(|part| &part.id);
-        let mut guard = lock(&self.guard);
-        let cleared = guard.record_answer(ids);
-        for part in cleared {
-            let status = guard.status(&part, now);
-            self.set_status(part, status);
-        }
-        drop(guard);
+        self.change(now, |guard| guard.record_answer(ids));
         self.wake();
     }
 
@@ -119,9 +113,12 @@
         self.change(now, |guard| guard.block(part, now));
     }
 
-    /// Merges the evidence of another node.
-    pub(crate) fn merge(&self, evidence: &Evidence, now: Instant) {
-        self.change(now, |guard| guard.merge(evidence, now));
+    /// Merges the evidence of other nodes.
+    pub(crate) fn merge(&self, evidence: &[Evidence], now: Instant) {
+        if evidence.is_empty() {
+            return;
+        }
+        self.change(now, |guard| evidence.iter().for_each(|known| guard.merge(known, now)));
         self.wake();
     }
 
@@ -130,6 +127,16 @@
         self.change(now, |guard| guard.decide(now))
     }
 
+    /// Sets the number of nodes that exchange evidence.
+    pub(crate) fn set_fleet_nodes(&self, fleet_nodes: u32) {
+        lock(&self.guard).set_fleet_nodes(fleet_nodes);
+    }
+
+    /// Returns whether this node has news for the others.
+    pub(crate) fn has_news(&self, now: Instant) -> bool {
+        lock(&self.guard).has_news(now)
+    }
+
     /// Returns the evidence of this node if it has news for the others.
     pub(crate) fn report(&self, now: Instant) -> Option<Evidence> {
         lock(&self.guard).report(now)
@@ -160,31 +167,28 @@
         let _ = self.changed.0.try_send(());
     }
 
-    /// Changes the guard, and copies the statuses of the parts from it.
+    /// Changes the guard, and copies the statuses that have changed from it.
     fn change<R>(&self, now: Instant, action: impl FnOnce(&mut PartGuard) -> R) -> R {
         let mut guard = lock(&self.guard);
         let result = action(&mut guard);
-        let statuses: SortedMap<PromptPartId, PartStatus> =
-            guard.statuses(now).into_iter().collect();
-        self.statuses.fold((), |(), shard| shard.retain(|part, _| statuses.contains_key(part)));
-        for (part, &status) in statuses.iter() {
-            self.statuses.with(part, |shard| shard.insert(part.clone(), status));
+        for (part, status) in guard.take_changed(now) {
+            self.set_status(part, status);
         }
-        self.status_count.store(statuses.len(), Ordering::Release);
         result
     }
 
     fn set_status(&self, part: PromptPartId, status: PartStatus) {
-        let is_removed = self.statuses.with(&part.clone(), |shard| match status {
-            PartStatus::Clear => shard.remove(&part).is_some(),
-            status => {
-                shard.insert(part, status);
-                false
-            }
+        self.statuses.with(&part.clone(), |shard| {
+            let previous = match status {
+                PartStatus::Clear => shard.remove(&part),
+                status => shard.insert(part, status),
+            };
+            match (previous.is_some(), status != PartStatus::Clear) {
+                (false, true) => self.status_count.fetch_add(1, Ordering::AcqRel),
+                (true, false) => self.status_count.fetch_sub(1, Ordering::AcqRel),
+                _ => 0,
+            };
         });
-        if is_removed {
-            self.status_count.fetch_sub(1, Ordering::AcqRel);
-        }
     }
 
     fn any_status(&self, parts: &[PromptPart], has: impl Fn(PartStatus) -> bool) -> bool {
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use yuccapass_decisions::gateway::relay::{ChangeSource, RelaySources, TopicRequest};
+use yuccapass_decisions::gateway::relay::{ChangeSource, RelaySources, TopicClass, TopicRequest};
 use yuccapass_peers::{PeerMessage, PeerTransport, RelayReply, RelayRequest};
 use yuccapass_types::{Deadline, Instant, NodeId};
 
@@ -56,7 +56,8 @@
     let Some(address) = shared.relay.address(relay) else { return false };
     let requests = shared.relay.requests();
     let sent_at = shared.now();
-    let message = PeerMessage::RelayRequest(RelayRequest { topics: requests.clone() });
+    let topics = requests.iter().map(|(request, _)| request.clone()).collect();
+    let message = PeerMessage::RelayRequest(RelayRequest { topics });
     let deadline = Deadline::after_ms(sent_at, CALL_TIMEOUT_MS);
     match transport.call(address, message, deadline).await {
         Ok(reply) => match reply.message {
@@ -72,20 +73,20 @@
 
 /// Passes the updates on to the tasks of their topics; returns whether the relay may be followed.
 ///
-/// It may not if it has not read one of the topics of the key-value service recently. Stores may be
-/// down, so their topics do not count.
+/// It may not if it has not read one of the urgent topics recently. Stores may be down, so their topics
+/// do not count.
 fn deliver(
     shared: &Shared,
-    requests: Vec<TopicRequest>,
+    requests: Vec<(TopicRequest, TopicClass)>,
     reply: RelayReply,
     sent_at: Instant,
 ) -> bool {
     let now = shared.now();
     let mut updates = reply.updates;
     let mut is_followable = true;
-    for request in requests {
+    for (request, class) in requests {
         let position = updates.iter().position(|update| update.topic == request.topic);
-        let is_urgent = request.topic.starts_with(super::URGENT_TOPICS);
+        let is_urgent = class == TopicClass::Urgent;
         let is_recent = position.is_some_and(|position| {
             let update = updates.swap_remove(position);
             shared.relay.deliver(request, update, (sent_at, reply.held_ms), now)
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -18,7 +18,8 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use smol_str::SmolStr;
 use yuccapass_decisions::gateway::relay::{
-    OriginRead, RelayItem, RelayTopics, TopicRequest, TopicUpdate, is_relayed, relay_count, relays,
+    OriginRead, RelayItem, RelayTopics, TopicClass, TopicRequest, TopicUpdate, is_relayed,
+    relay_count, relays,
 };
 use yuccapass_types::{Bytes, Instant, NodeId, SortedMap};
 
@@ -29,8 +30,8 @@
 /// Maximum size of the items in a reply; a frame between nodes carries 68 KB.
 const MAX_REPLY: Bytes = Bytes::new(56 << 10);
 
-/// Prefix of the names of topics whose news are sent to followers at once.
-const URGENT_TOPICS: &str = "keys:";
+/// Prefix of the names of topics of keys.
+const KEYS_TOPICS: &str = "keys:";
 
 /// An update that was received from a relay, with times of this node's clock.
 #[derive(Debug, Clone)]
@@ -58,11 +59,13 @@
 /// The topic of a task, and the updates for it.
 pub(crate) struct Subscription {
     topic: SmolStr,
+    class: TopicClass,
     updates: Receiver<Option<(TopicRequest, RelayedChanges)>>,
 }
 
 struct Follower {
     position: TopicRequest,
+    class: TopicClass,
     max_age_ms: u64,
     updates: Sender<Option<(TopicRequest, RelayedChanges)>>,
 }
@@ -81,11 +84,18 @@
 
 impl RelayTable {
     /// Subscribes to a topic. Updates older than `max_age_ms` are not used.
-    pub(crate) fn subscribe(&self, topic: SmolStr, max_age_ms: u64) -> Subscription {
+    pub(crate) fn subscribe(
+        &self,
+        topic: SmolStr,
+        class: TopicClass,
+        max_age_ms: u64,
+    ) -> Subscription {
         let (updates, receiver) = bounded(1);
         let position = TopicRequest { topic: topic.clone(), epoch: 0, after: 0 };
-        lock(&self.followers).insert(topic.clone(), Follower { position, max_age_ms, updates });
-        Subscription { topic, updates: receiver }
+        let follower = Follower { position, class, max_age_ms, updates };
+        lock(&self.followers).insert(topic.clone(), follower);
+        lock(&self.read).set_class(topic.clone(), class);
+        Subscription { topic, class, updates: receiver }
     }
 
     /// Ends a subscription.
@@ -103,17 +113,11 @@
     }
 
     /// Publishes what was read from the origin, and sets the position of the topic.
-    pub(crate) fn publish(
-        &self,
-        subscription: &Subscription,
-        read: OriginRead,
-        is_urgent: bool,
-        now: Instant,
-    ) {
+    pub(crate) fn publish(&self, subscription: &Subscription, read: OriginRead, now: Instant) {
         self.set_position(subscription, read.epoch, read.to);
         let has_news = !read.items.is_empty();
         lock(&self.read).record_read(&subscription.topic, read, now);
-        if is_urgent && has_news {
+        if subscription.class == TopicClass::Urgent && has_news {
             // Dropping the senders wakes the receivers.
             lock(&self.held_requests).clear();
         }
@@ -122,6 +126,9 @@
     /// Publishes that the origin of a topic does not answer this node.
     pub(crate) fn publish_lost(&self, subscription: &Subscription) {
         lock(&self.read).record_lost(&subscription.topic);
+        if subscription.class == TopicClass::Background {
+            return;
+        }
         // Followers must hear of it at once: what this node misses meanwhile, they have to read elsewhere.
         lock(&self.held_requests).clear();
     }
@@ -180,9 +187,10 @@
         Some(nodes[position].1)
     }
 
-    /// Returns the positions of all topics.
-    fn requests(&self) -> Vec<TopicRequest> {
-        lock(&self.followers).values().map(|follower| follower.position.clone()).collect()
+    /// Returns the positions of all topics, with their classes.
+    fn requests(&self) -> Vec<(TopicRequest, TopicClass)> {
+        let followers = lock(&self.followers);
+        followers.values().map(|follower| (follower.position.clone(), follower.class)).collect()
     }
 
     /// Sets whether this node follows a relay. When it ceases to, all tasks read from their origins
@@ -230,9 +238,7 @@
 
     /// Answers a follower.
     fn answer(&self, requests: &[TopicRequest], now: Instant) -> Vec<TopicUpdate> {
-        let mut budget = MAX_REPLY;
-        let read = lock(&self.read);
-        requests.iter().filter_map(|request| read.answer(request, &mut budget, now)).collect()
+        lock(&self.read).answer_all(requests, MAX_REPLY, now)
     }
 
     /// Returns a receiver that is closed when an urgent topic gets news, or `None` if one of the
@@ -245,7 +251,7 @@
             held_requests.push(sender);
         }
         let read = lock(&self.read);
-        let is_urgent = |request: &TopicRequest| request.topic.starts_with(URGENT_TOPICS);
+        let is_urgent = |request: &TopicRequest| read.class(&request.topic) == TopicClass::Urgent;
         let has_news = |request: &&TopicRequest| is_urgent(request) && read.has_news(request);
         requests.iter().find(has_news).is_none().then_some(receiver)
     }
@@ -253,7 +259,7 @@
 
 /// Returns the topic of the keys with a prefix.
 pub(crate) fn keys_topic(prefix: &str) -> SmolStr {
-    smol_str::format_smolstr!("{URGENT_TOPICS}{prefix}")
+    smol_str::format_smolstr!("{KEYS_TOPICS}{prefix}")
 }
 
 /// Returns the topic of a store.
--- a/crates/gateway/src/stores.rs
+++ b/crates/gateway/src/stores.rs
@@ -6,7 +6,7 @@
 
 use async_std::task;
 use bytes::Bytes;
-use yuccapass_decisions::gateway::relay::{OriginRead, RelayItem};
+use yuccapass_decisions::gateway::relay::{OriginRead, RelayItem, TopicClass};
 use yuccapass_decisions::gateway::{
     Directory, PartEvents, PartStore, PartTransfers, StoreContents, StorePollSettings,
     TransferRequest, TransferTiming, plan_transfers,
@@ -119,7 +119,8 @@
                 configuration.stores().map(|(id, store)| (id.clone(), store.clone())).collect();
             for (id, address) in shared.stores.update_stores(&configured) {
                 let topic = store_topic(id.as_str());
-                let subscription = shared.relay.subscribe(topic, MAX_RELAYED_AGE_MS);
+                let subscription =
+                    shared.relay.subscribe(topic, TopicClass::Regular, MAX_RELAYED_AGE_MS);
                 let poller = StorePoller {
                     subscription,
                     shared: Arc::clone(&shared),
@@ -250,7 +251,7 @@
         };
         let is_restarted = self.apply(answer, since, sent_at) && since != 0;
         if !is_restarted {
-            self.shared.relay.publish(&self.subscription, read, false, now);
+            self.shared.relay.publish(&self.subscription, read, now);
         }
         Ok(outcome)
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -7,7 +7,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_std::task;
-use yuccapass_decisions::gateway::relay::{OriginRead, OutageEnds, RelayItem, RelayedEntry};
+use yuccapass_decisions::gateway::relay::{
+    OriginRead, OutageEnds, RelayItem, RelayedEntry, TopicClass,
+};
 use yuccapass_decisions::gateway::{EndpointRecord, EndpointState, TargetBounds};
 use yuccapass_decisions::platform_budget::{Backoff, CallRank};
 use yuccapass_http::sleep_until;
@@ -59,6 +61,10 @@
 const RETRY_BASE_MS: u64 = 150;
 const RETRY_LIMIT_MS: u64 = 600;
 
+/// Base of the pause before a background topic is listed again after the service has dropped its
+/// history. The lists of the other topics, and the link that they share, go first.
+const BACKGROUND_LIST_PAUSE_MS: u64 = 1_000;
+
 /// How long the first watch call waits after this node has followed a relay, or after a failed call.
 /// What the node knows may already be old; with a call of the usual length, the keys could not be
 /// confirmed in time. The end of an outage would be noticed only with the next change, and an
@@ -118,6 +124,18 @@
     pub(crate) relay_watch_ms: Option<u64>,
     /// Pause after a watch call that returned changes.
     pub(crate) pause_ms: u64,
+    /// How important the changes are. Keys of a background topic are read after all others.
+    pub(crate) class: TopicClass,
+}
+
+impl WatchSettings {
+    /// Returns the ranks of the lists and of the watch calls.
+    fn ranks(&self) -> (CallRank, CallRank) {
+        match self.class {
+            TopicClass::Urgent | TopicClass::Regular => (CallRank::Refresh, CallRank::Watch),
+            TopicClass::Background => (CallRank::Report, CallRank::Report),
+        }
+    }
 }
 
 /// Watches keys until the process ends.
@@ -131,11 +149,13 @@
         // What a relay knows is confirmed as of the start of a call, and next at the end of another
         // one.
         let max_age_ms = 2 * watch_ms + RELAY_DELAY_MS;
-        shared.relay.subscribe(keys_topic(settings.prefix.as_str()), max_age_ms)
+        let topic = keys_topic(settings.prefix.as_str());
+        shared.relay.subscribe(topic, settings.class, max_age_ms)
     });
+    let (list_rank, watch_rank) = settings.ranks();
     let watcher = PrefixWatcher {
-        reader: platform.key_value(CallRank::Refresh),
-        watcher: platform.key_value(CallRank::Watch),
+        reader: platform.key_value(list_rank),
+        watcher: platform.key_value(watch_rank),
         shared,
         settings,
         handler,
@@ -270,7 +290,11 @@
     /// Pauses before the keys are listed again: a service that drops its history does so for all
     /// nodes, and may do so again soon.
     async fn pause_before_list(&self) {
-        let pause_ms = RETRY_BASE_MS + rand::random_range(0..RETRY_BASE_MS);
+        let base_ms = match self.settings.class {
+            TopicClass::Urgent | TopicClass::Regular => RETRY_BASE_MS,
+            TopicClass::Background => BACKGROUND_LIST_PAUSE_MS,
+        };
+        let pause_ms = base_ms + rand::random_range(0..base_ms);
         let pause = Deadline::after_ms(self.shared.now(), pause_ms);
         sleep_until(&*self.shared.clock, pause).await;
     }
@@ -315,7 +339,7 @@
             clock_ms: None,
         };
         if let Some(subscription) = &self.subscription {
-            self.shared.relay.publish(subscription, read, true, self.shared.now());
+            self.shared.relay.publish(subscription, read, self.shared.now());
         }
     }
 
@@ -469,12 +493,14 @@
         relay_watch_ms: (shared.options.revoke_bound_ms >= MIN_RELAYED_REVOKE_BOUND_MS)
             .then_some(RELAY_OPERATOR_WATCH_MS),
         pause_ms: OPERATOR_PAUSE_MS,
+        class: TopicClass::Urgent,
     };
     let endpoint_settings = WatchSettings {
         prefix: entry_decoder.endpoint_prefix().clone(),
         watch_ms: ENDPOINTS_WATCH_MS,
         relay_watch_ms: Some(RELAY_ENDPOINTS_WATCH_MS),
         pause_ms: ENDPOINTS_PAUSE_MS,
+        class: TopicClass::Urgent,
     };
     spawn(operator_settings, Arc::new(operator_handler));
     spawn(endpoint_settings, Arc::new(endpoint_handler));
