--- a/crates/gateway/src/rollouts/steps.rs
+++ b/crates/gateway/src/rollouts/steps.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use async_std::task;
+use yuccapass_decisions::gateway::relay::TopicClass;
 use yuccapass_decisions::gateway::version_rollout::RolloutProgress;
 use yuccapass_platform::{Change, ChangeKind, Entry, PlatformClient};
 use yuccapass_types::{Instant, ServiceId};
@@ -29,6 +30,7 @@
         watch_ms: IDLE_WATCH_MS,
         relay_watch_ms: Some(IDLE_WATCH_MS),
         pause_ms: 0,
+        class: TopicClass::Urgent,
     };
     let handler = Arc::new(StepHandler { shared: Arc::clone(shared) });
     task::spawn(watch_prefix(Arc::clone(shared), Arc::clone(platform), settings, handler));
