gateway: count requests at the old version that were sent before the order

Cause: a completion waited only for requests that were counted since the order, but streams may last as long as an order, and the old endpoints stop without draining. Change: each node counts the requests that have not ended by version at all times where roll-outs are on; the evidence has the sum over all versions but the target.

--- a/crates/decisions/src/gateway/version_rollout/evidence.rs
+++ b/crates/decisions/src/gateway/version_rollout/evidence.rs
@@ -183,10 +183,7 @@
     /// Counts a request that is sent.
     pub fn record_sent(&mut self, version: VersionRole) {
         self.sent += 1;
-        match version {
-            VersionRole::Base => self.outstanding_base += 1,
-            VersionRole::Target => self.exposed += 1,
-        }
+        self.exposed += u64::from(version == VersionRole::Target);
     }
 
     /// Counts the end of a request that was sent; `answer` is `None` if it says nothing about the
@@ -197,9 +194,6 @@
         endpoint: &EndpointId,
         answer: Option<(&RouteId, AnswerKind)>,
     ) {
-        if version == VersionRole::Base {
-            self.outstanding_base = self.outstanding_base.saturating_sub(1);
-        }
         let Some((route, kind)) = answer else { return };
         self.counts_mut(route, version).record(kind);
         if version == VersionRole::Target {
--- a/crates/decisions/src/gateway/version_rollout/shares.rs
+++ b/crates/decisions/src/gateway/version_rollout/shares.rs
@@ -85,10 +85,11 @@
 }
 
 /// A request that was counted as sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CountedAttempt {
-    order: RolloutOrderId,
-    version: VersionRole,
+    software: Option<SoftwareVersion>,
+    // The order that was under way, and which of its versions it was sent to.
+    order: Option<(RolloutOrderId, VersionRole)>,
 }
 
 /// What a node knows about the versions of a service.
@@ -110,6 +111,9 @@
     versions: Vec<(SoftwareVersion, Instant)>,
     evidence: Option<NodeEvidence>,
     cap: Option<ExposureCap>,
+    // Requests that have not ended, by the version that they were sent to. Some may have been sent
+    // before the order.
+    outstanding: Vec<(Option<SoftwareVersion>, u64)>,
 }
 
 impl VersionShares {
@@ -127,6 +131,7 @@
             versions: Vec::new(),
             evidence: None,
             cap: None,
+            outstanding: Vec::new(),
         }
     }
 
@@ -222,6 +227,9 @@
         let mut evidence = self.evidence.clone()?;
         let progress = self.progress().filter(|progress| progress.order == evidence.order);
         evidence.step = progress.map(|progress| progress.step);
+        let target = self.target();
+        let of_base = self.outstanding.iter().filter(|(software, _)| software.as_ref() != target);
+        evidence.outstanding_base = of_base.map(|&(_, count)| count).sum();
         Some(evidence)
     }
 
@@ -290,15 +298,26 @@
     }
 
     /// Counts a request that is sent to an endpoint of a version.
-    pub fn record_sent(&mut self, version: Option<&SoftwareVersion>) -> Option<CountedAttempt> {
-        let target = self.target()?.clone();
+    pub fn record_sent(&mut self, software: Option<&SoftwareVersion>) -> CountedAttempt {
+        match self.outstanding.iter_mut().find(|(known, _)| known.as_ref() == software) {
+            Some((_, count)) => *count += 1,
+            None => self.outstanding.push((software.cloned(), 1)),
+        }
+        let order = self.count_for_order(software);
+        CountedAttempt { software: software.cloned(), order }
+    }
+
+    fn count_for_order(
+        &mut self,
+        software: Option<&SoftwareVersion>,
+    ) -> Option<(RolloutOrderId, VersionRole)> {
         if !self.is_under_way() {
             return None;
         }
+        let version = role_of(software, self.target()?);
         let evidence = self.evidence.as_mut()?;
-        let version = role_of(version, &target);
         evidence.record_sent(version);
-        Some(CountedAttempt { order: evidence.order, version })
+        Some((evidence.order, version))
     }
 
     /// Counts the end of that request; `answer` is `None` if it says nothing about the version.
@@ -308,9 +327,13 @@
         endpoint: &EndpointId,
         answer: Option<(&RouteId, AnswerKind)>,
     ) {
-        let current = self.evidence.as_mut().filter(|known| known.order == attempt.order);
-        if let Some(evidence) = current {
-            evidence.record_end(attempt.version, endpoint, answer);
+        for (software, count) in &mut self.outstanding {
+            *count -= u64::from(*software == attempt.software && *count > 0);
+        }
+        self.outstanding.retain(|&(_, count)| count > 0);
+        let Some((order, version)) = attempt.order else { return };
+        if let Some(evidence) = self.evidence.as_mut().filter(|known| known.order == order) {
+            evidence.record_end(version, endpoint, answer);
         }
     }
 
--- a/crates/decisions/tests/rollout_fleet/mod.rs
+++ b/crates/decisions/tests/rollout_fleet/mod.rs
@@ -113,7 +113,7 @@
     node: usize,
     endpoint: usize,
     is_target: bool,
-    attempt: Option<CountedAttempt>,
+    attempt: CountedAttempt,
     route: usize,
     kind: AnswerKind,
     is_bad: bool,
@@ -265,11 +265,9 @@
             let (base, target) = &mut self.running[answer.endpoint];
             let running = if answer.is_target { target } else { base };
             *running -= 1;
-            if let Some(attempt) = answer.attempt {
-                let route: RouteId = id(ROUTES[answer.route]);
-                let shares = &mut self.nodes[answer.node].shares;
-                shares.record_end(attempt, &endpoint, Some((&route, answer.kind)));
-            }
+            let route: RouteId = id(ROUTES[answer.route]);
+            let shares = &mut self.nodes[answer.node].shares;
+            shares.record_end(answer.attempt.clone(), &endpoint, Some((&route, answer.kind)));
             outcome.bad_answers += u64::from(answer.is_bad);
             if outcome.bad_answers == COUNTED_BAD_ANSWER && answer.is_bad {
                 *counted_at = Some(now_ms);
--- a/crates/decisions/tests/version_shares.rs
+++ b/crates/decisions/tests/version_shares.rs
@@ -345,7 +345,7 @@
     let mut shares = shares_in(Stage::Observing, 0.06);
     let endpoint: EndpointId = id("e1");
     let time = AnswerTime::of_answer(60);
-    let first = shares.record_sent(Some(&v(1))).expect("an order is under way");
+    let first = shares.record_sent(Some(&v(1)));
     let outstanding = shares.evidence().map(|evidence| evidence.outstanding_base);
 
     // Act
@@ -360,6 +360,24 @@
     assert!(evidence.routes.is_empty());
 }
 
+/// Guards against a completion while requests run at the old version that were sent before the order.
+#[test]
+fn requests_from_before_the_order_count_as_outstanding() {
+    // Arrange
+    let mut shares = shares();
+    let earlier = shares.record_sent(Some(&v(1)));
+    shares.set_order(Some(order(5, "v2", 12_000)), at(1_000));
+    let outstanding =
+        |shares: &VersionShares| shares.evidence().map(|evidence| evidence.outstanding_base);
+    let before = outstanding(&shares);
+
+    // Act
+    shares.record_end(earlier, &id("e1"), None);
+
+    // Assert
+    assert_eq!((before, outstanding(&shares)), (Some(1), Some(0)));
+}
+
 /// Guards against first requests that are spread over so many endpoints that none has its usual load.
 #[test]
 fn a_share_goes_to_as_many_endpoints_as_it_stands_for() {
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -210,13 +210,12 @@
         endpoint: &EndpointId,
         record: &EndpointRecord,
     ) -> RolloutAttempt<'_> {
-        let counted = match self.is_enabled {
-            false => None,
-            true => self.services.with(&record.service, |shard| {
-                shard.get_mut(&record.service)?.shares.record_sent(record.software.as_ref())
-            }),
-        };
-        let ids = counted.map(|counted| (counted, record.service.clone(), endpoint.clone()));
+        let ids = self.is_enabled.then(|| {
+            let counted = self.with_service(&record.service, |entry| {
+                entry.shares.record_sent(record.software.as_ref())
+            });
+            (counted, record.service.clone(), endpoint.clone())
+        });
         RolloutAttempt { table: self, ids, answer: None }
     }
 
--- a/crates/yuccapassd/tests/documentation.rs
+++ b/crates/yuccapassd/tests/documentation.rs
@@ -135,6 +135,7 @@
         ("--zones", "other=r", "--zone is z, but it must be one of --zones"),
         ("--retry-ratio", "1.5", "--retry-ratio is 1.5, but it must be from 0 to 1"),
         ("--silence-ms", "99", "--silence-ms is 99, but it must be from 100 to 60000"),
+        ("--rollback-ms", "999", "--rollback-ms is 999, but it must be from 1000 to 3600000"),
         ("--endpoints-per-swap", "0", "--endpoints-per-swap is 0, but it must be at least 1"),
     ];
     for (flag, value, expected) in cases {
