gateway: a request is no longer pending once its answer has begun

Cause: the beginning of an answer was recorded with a later time than the request had been sent with, so the request counted as unanswered until its stream ended, its endpoint seemed overdue, and prompts left their first endpoints. Requests of two threads could also be recorded out of order and stay pending. Change: the guard of an outstanding request records the beginning itself, with the time that it was counted with; pending requests are kept in order. A connection from a check gets the same timeouts as others.

--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -153,7 +153,9 @@
     pub fn record_work(&mut self, work: &RequestWork, now: Instant) {
         self.backlog_tokens = self.remaining_backlog_tokens(now) + work.uncached.get() as f64;
         self.backlog_at = now;
-        self.pending.push(now);
+        // Requests of several threads may be recorded in another order than they were sent.
+        let position = self.pending.partition_point(|sent_at| *sent_at <= now);
+        self.pending.insert(position, now);
     }
 
     /// Records that the answer to a request that was sent at `sent_at` has begun, or that it ended
--- a/crates/decisions/tests/gateway_endpoint_speed.rs
+++ b/crates/decisions/tests/gateway_endpoint_speed.rs
@@ -148,6 +148,29 @@
     assert!(ended_ms < 21.0, "{ended_ms}");
 }
 
+/// Guards against a request that counts as unanswered for ever because the requests of two threads were
+/// recorded in another order than they were sent.
+#[test]
+fn requests_may_be_recorded_out_of_order() {
+    // Arrange
+    let mut tracker = tracker(report(1, 0, 100), at(0));
+    for sent_ms in [30, 10, 20, 10] {
+        tracker.record_work(&prompt(0), at(sent_ms));
+    }
+
+    // Act
+    for sent_ms in [10, 20, 30] {
+        tracker.record_not_pending(at(sent_ms));
+    }
+    let one_left_ms = tracker.expected_wait_ms(&prompt(0), at(1_030));
+    tracker.record_not_pending(at(10));
+    let none_left_ms = tracker.expected_wait_ms(&prompt(0), at(1_030));
+
+    // Assert
+    assert!(one_left_ms > 1_000.0, "{one_left_ms}");
+    assert!(none_left_ms < 21.0, "{none_left_ms}");
+}
+
 /// Guards against prompts that are sent to an engine without memory for them, where running requests
 /// are preempted.
 #[test]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
-use crate::endpoints::BegunAnswer;
+use crate::endpoints::OutstandingRequest;
 use crate::events::EventSplitter;
 use crate::protocol::{EndpointAnswer, Forwarding};
 use crate::state::{AnswerReservation, Shared};
@@ -106,13 +106,12 @@
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
-    let _outstanding = shared.endpoints.track_request(&target.id, &target.record, target.work);
+    let outstanding = shared.endpoints.track_request(&target.id, &target.record, target.work);
     let sent_at = shared.now();
-    let outcome = run(shared, request, target, limit, events, answer).await;
+    let outcome = run(shared, request, target, &outstanding, limit, events, answer).await;
     record_outcome(shared, request, target, &outcome);
     if matches!(outcome, AttemptOutcome::Answered(..)) {
-        let run_ms = shared.now().ms_since(sent_at);
-        shared.endpoints.record_run(&target.id, &target.record, run_ms);
+        outstanding.record_run();
     }
     record_crash_evidence(shared, request, target, sent_at, &outcome);
     outcome
@@ -188,6 +187,7 @@
     shared: &Shared,
     request: &Admitted<'_>,
     target: &Target,
+    outstanding: &OutstandingRequest<'_>,
     limit: AttemptLimit,
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
@@ -221,13 +221,7 @@
         }
     };
     let now = shared.now();
-    let begun = BegunAnswer {
-        work: target.work,
-        sent_at,
-        load: received.info.load,
-        is_run: !received.info.is_not_run,
-    };
-    shared.endpoints.record_begun(&target.id, &target.record, &begun);
+    outstanding.record_begun(received.info.load, !received.info.is_not_run);
     if let Some(weights) = received.info.weights {
         record_weights(shared, request, target, weights);
         if !received.info.is_not_run {
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -48,15 +48,6 @@
     paces: Sharded<SortedMap<ServiceId, ServicePace>>,
 }
 
-/// An answer of an endpoint that has begun.
-pub(crate) struct BegunAnswer {
-    pub(crate) work: RequestWork,
-    pub(crate) sent_at: Instant,
-    pub(crate) load: Option<LoadReport>,
-    /// Whether the endpoint runs the request.
-    pub(crate) is_run: bool,
-}
-
 impl EndpointTable {
     pub(crate) fn new(clock: Arc<dyn Clock>, silence_ms: u64) -> Self {
         Self { clock, silence_ms, shards: Sharded::default(), paces: Sharded::default() }
@@ -113,55 +104,7 @@
             tracker.record_sent(work.prompt);
             tracker.record_work(&work, sent_at);
         });
-        OutstandingRequest { table: self, id: id.clone(), work, sent_at }
-    }
-
-    /// Records the beginning of an answer for the estimates of the endpoint and of its service.
-    pub(crate) fn record_begun(
-        &self,
-        id: &EndpointId,
-        record: &EndpointRecord,
-        answer: &BegunAnswer,
-    ) {
-        let now = self.clock.now();
-        let (was_slow, mean, expected) = self.with_tracker(id, record, |tracker| {
-            let expected = Slowdown::from_factor(tracker.factor(now));
-            (tracker.is_slow(), tracker.mean_slowdown(), expected)
-        });
-        let is_queued = answer.load.is_some_and(|load| load.waiting > 0);
-        self.with_pace(&record.service, |pace| {
-            if let Some(slowdown) = answer.load.and_then(|load| load.slowdown) {
-                pace.record_report(slowdown, mean, now);
-            }
-            if answer.is_run && !is_queued {
-                pace.record_begun(&answer.work, now.ms_since(answer.sent_at), expected, now);
-            }
-        });
-        let is_slow = self.with_tracker(id, record, |tracker| {
-            tracker.record_answer_begun(now);
-            if answer.is_run {
-                tracker.record_begun(&answer.work, answer.sent_at, now);
-            }
-            if let Some(load) = answer.load {
-                tracker.record_load(load, now);
-            }
-            tracker.is_slow()
-        });
-        if is_slow != was_slow {
-            log::info!(
-                endpoint:% = id, service:% = record.service, is_slow,
-                slowdown:? = answer.load.and_then(|load| load.slowdown);
-                "an endpoint has become far slower than its service, or has recovered"
-            );
-        }
-    }
-
-    /// Records that a request ran at an endpoint for `run_ms`.
-    pub(crate) fn record_run(&self, id: &EndpointId, record: &EndpointRecord, run_ms: u64) {
-        let now = self.clock.now();
-        let factor = self.with_tracker(id, record, |tracker| tracker.factor(now));
-        let slowdown = Slowdown::from_factor(factor);
-        self.with_pace(&record.service, |pace| pace.record_run(run_ms, slowdown, now));
+        OutstandingRequest { table: self, id: id.clone(), record: record.clone(), work, sent_at }
     }
 
     fn with_pace<R>(&self, service: &ServiceId, action: impl FnOnce(&mut ServicePace) -> R) -> R {
@@ -184,6 +127,15 @@
         if let Some(connection) = self.take_idle(id, record) {
             return Ok((connection, true));
         }
+        Ok((self.open(id, record, deadline).await?, false))
+    }
+
+    async fn open(
+        &self,
+        id: &EndpointId,
+        record: &EndpointRecord,
+        deadline: Deadline,
+    ) -> std::io::Result<Connection> {
         let limit = Deadline::after_ms(self.clock.now(), CONNECT_TIMEOUT_MS).earlier(deadline);
         let connection = with_deadline(&*self.clock, limit, Connection::open(record.address))
             .await
@@ -194,17 +146,14 @@
                 "the dead-peer timeout of a connection could not be set"
             );
         }
-        Ok((connection, false))
+        Ok(connection)
     }
 
     /// Checks whether an endpoint accepts a connection, which is kept for another request.
     ///
     /// The kernel notices a silent peer only after seconds, and only whole ones.
     pub(crate) async fn check(&self, id: &EndpointId, record: &EndpointRecord) {
-        let limit = Deadline::after_ms(self.clock.now(), CONNECT_TIMEOUT_MS);
-        let opening = with_deadline(&*self.clock, limit, Connection::open(record.address));
-        let opened = opening.await.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()));
-        let is_reachable = match opened {
+        let is_reachable = match self.open(id, record, Deadline::NEVER).await {
             Ok(connection) => {
                 let expiry = Deadline::after_ms(self.clock.now(), DEFAULT_IDLE_MS);
                 self.keep_idle(id, record, IdleConnection { connection, expiry });
@@ -302,10 +251,60 @@
 pub(crate) struct OutstandingRequest<'a> {
     table: &'a EndpointTable,
     id: EndpointId,
+    record: EndpointRecord,
     work: RequestWork,
     sent_at: Instant,
 }
 
+impl OutstandingRequest<'_> {
+    /// Records the beginning of the answer, with the endpoint's load, for the estimates of the endpoint
+    /// and of its service. `is_run` tells whether the endpoint runs the request.
+    pub(crate) fn record_begun(&self, load: Option<LoadReport>, is_run: bool) {
+        let Self { table, id, record, work, sent_at } = self;
+        let now = table.clock.now();
+        let (was_slow, mean, expected) = table.with_tracker(id, record, |tracker| {
+            let expected = Slowdown::from_factor(tracker.factor(now));
+            (tracker.is_slow(), tracker.mean_slowdown(), expected)
+        });
+        let is_queued = load.is_some_and(|load| load.waiting > 0);
+        table.with_pace(&record.service, |pace| {
+            if let Some(slowdown) = load.and_then(|load| load.slowdown) {
+                pace.record_report(slowdown, mean, now);
+            }
+            if is_run && !is_queued {
+                pace.record_begun(work, now.ms_since(*sent_at), expected, now);
+            }
+        });
+        let is_slow = table.with_tracker(id, record, |tracker| {
+            tracker.record_answer_begun(now);
+            if is_run {
+                tracker.record_begun(work, *sent_at, now);
+            }
+            if let Some(load) = load {
+                tracker.record_load(load, now);
+            }
+            tracker.is_slow()
+        });
+        if is_slow != was_slow {
+            log::info!(
+                endpoint:% = id, service:% = record.service, is_slow,
+                slowdown:? = load.and_then(|load| load.slowdown);
+                "an endpoint has become far slower than its service, or has recovered"
+            );
+        }
+    }
+
+    /// Records that the whole answer has come.
+    pub(crate) fn record_run(&self) {
+        let Self { table, id, record, sent_at, .. } = self;
+        let now = table.clock.now();
+        let factor = table.with_tracker(id, record, |tracker| tracker.factor(now));
+        table.with_pace(&record.service, |pace| {
+            pace.record_run(now.ms_since(*sent_at), Slowdown::from_factor(factor), now);
+        });
+    }
+}
+
 impl Drop for OutstandingRequest<'_> {
     fn drop(&mut self) {
         self.table.shards.with(&self.id, |shard| {
