waiting room: requests within a slot's share of memory wait for slots only

Prompts of 1,000 to 3,000 tokens waited for memory that the estimate did not show, and behind larger ones that had not had their turn. Change: a request that needs no more than capacity / slots waits for slots only, with the error of what is assumed in its favour; one that has room waits only behind smaller ones that have not had their turn.

--- a/crates/decisions/src/gateway/waiting_room/endpoint_room.rs
+++ b/crates/decisions/src/gateway/waiting_room/endpoint_room.rs
@@ -52,50 +52,48 @@
 /// Free slots and memory of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EndpointRoom {
-    /// Requests that it can start.
-    pub slots: f64,
-    /// Memory that is free, in tokens.
-    pub memory_tokens: f64,
-    /// Its whole memory, in tokens, and the share of it for the most urgent requests.
+    free_slots: f64,
+    /// Error of the number of requests that is assumed without a report. It counts in favour of a request,
+    /// because an endpoint queues what it cannot start.
+    error_slots: f64,
+    free_tokens: f64,
+    slots: f64,
     capacity_tokens: f64,
     urgent_reserve: f64,
-    /// Error of the number of requests of other nodes, and of their memory.
-    error_requests: f64,
-    error_tokens: f64,
 }
 
 impl EndpointRoom {
     /// Estimates the room of an engine with this load.
     pub fn new(engine: EngineSpec, load: KnownLoad, assumptions: &Assumptions) -> Self {
-        let Assumptions { memory_per_request, urgent_reserve, .. } = *assumptions;
-        let others = load.reported_others + (1.0 - load.report_weight) * assumptions.others;
-        let requests = f64::from(load.own_requests) + others;
-        let memory_tokens = load.own_tokens.get() as f64 + others * memory_per_request;
-        let capacity_tokens = engine.capacity.get() as f64;
-        // Requests of many nodes arrive independently of each other.
-        let error_requests = others.sqrt();
+        let assumed_others = (1.0 - load.report_weight) * assumptions.others;
+        let others = load.reported_others + assumed_others;
+        let (slots, capacity_tokens) =
+            (f64::from(engine.slots.max(1)), engine.capacity.get() as f64);
+        let tokens = load.own_tokens.get() as f64 + others * assumptions.memory_per_request;
         Self {
-            urgent_reserve,
-            error_requests,
-            error_tokens: error_requests * memory_per_request,
-            slots: f64::from(engine.slots) - requests,
-            memory_tokens: capacity_tokens - memory_tokens,
+            free_slots: slots - f64::from(load.own_requests) - others,
+            // Requests of many nodes arrive independently of each other.
+            error_slots: assumed_others.sqrt(),
+            free_tokens: capacity_tokens - tokens,
+            slots,
             capacity_tokens,
+            urgent_reserve: assumptions.urgent_reserve,
         }
     }
 
     /// Returns whether the endpoint can start a request.
     ///
-    /// Only one that `is_urgent` gets the memory that is reserved for the most urgent ones. The error of the
-    /// estimate is allowed for in its favour, because the endpoint preempts others for it if need be.
+    /// One that needs no more memory than its share of a slot finds it if a slot is free; it would be delayed
+    /// for nothing by the error of the estimate. Others find memory if it is left beside the requests that
+    /// are there, and beside what is reserved for the most urgent ones unless it `is_urgent`.
     pub fn fits(&self, work: &RequestWork, is_urgent: bool) -> bool {
-        let (slots, memory_tokens) = match is_urgent {
-            true => (self.slots + self.error_requests, self.memory_tokens + self.error_tokens),
-            false => (self.slots, self.memory_tokens - self.urgent_reserve * self.capacity_tokens),
-        };
+        if self.free_slots + self.error_slots < 1.0 {
+            return false;
+        }
+        let needed = work.memory().get() as f64;
+        let reserve = if is_urgent { 0.0 } else { self.urgent_reserve * self.capacity_tokens };
         // One that is larger than the memory cannot run anywhere; an empty engine rejects it.
-        let usable_share = if is_urgent { 1.0 } else { 1.0 - self.urgent_reserve };
-        let needed = (work.memory().get() as f64).min(usable_share * self.capacity_tokens);
-        slots >= 1.0 && memory_tokens >= needed
+        needed <= self.capacity_tokens / self.slots
+            || self.free_tokens - reserve >= needed.min(self.capacity_tokens - reserve)
     }
 }
--- a/crates/decisions/src/gateway/waiting_room/order.rs
+++ b/crates/decisions/src/gateway/waiting_room/order.rs
@@ -91,7 +91,9 @@
 pub(super) fn is_blocked<'a>(newcomer: &Entry, mut ahead: impl Iterator<Item = &'a Entry>) -> bool {
     ahead.any(|entry| {
         let holds_back = entry.is_overdue() && entry.request.priority <= newcomer.request.priority;
-        !entry.was_tried || holds_back
+        // A larger one that has not had its turn yet hardly needs the room that a small one takes.
+        let is_smaller = entry.request.work.memory() <= newcomer.request.work.memory();
+        holds_back || (!entry.was_tried && is_smaller)
     })
 }
 
