waiting room: no early refusal of a caller that cannot come back in time

Those that came back after a refusal had less than one and a half run times left, so they were refused again at once, although they could still be answered. Change: a request that arrives too late for a useful refusal may start as long as it can be answered.

--- a/crates/decisions/src/gateway/waiting_room/run_time.rs
+++ b/crates/decisions/src/gateway/waiting_room/run_time.rs
@@ -28,7 +28,8 @@
 
     /// Returns the latest start, or refusal, that is of use to a caller. A refused caller waits for up to
     /// a third of the time that it has left before it sends the request again, and must be answered in
-    /// the rest.
+    /// the rest. If it arrives too late for that, a refusal is of no use, and it may start as long as it can
+    /// be answered.
     pub fn latest_start(
         &self,
         arrived_at: Instant,
@@ -36,13 +37,20 @@
         is_stream: bool,
         deadline: Deadline,
     ) -> Deadline {
-        let with_return = |ms: u64| ms.saturating_add(ms / 2);
-        let deadline_ms = deadline.remaining_ms(arrived_at);
-        let by_deadline_ms = deadline_ms.saturating_sub(with_return(self.answer_ms));
-        let patience_ms = FIRST_EVENT_PATIENCE_MS
-            .max(target_ms.saturating_mul(FIRST_EVENT_PATIENCE_TARGETS))
-            .saturating_sub(with_return(self.first_event_ms));
-        let latest_ms = if is_stream { by_deadline_ms.min(patience_ms) } else { by_deadline_ms };
+        let latest_ms = |limit_ms: u64, run_ms: u64| {
+            let with_return_ms = run_ms.saturating_add(run_ms / 2);
+            match limit_ms > with_return_ms {
+                true => limit_ms - with_return_ms,
+                false => limit_ms.saturating_sub(run_ms),
+            }
+        };
+        let by_deadline_ms = latest_ms(deadline.remaining_ms(arrived_at), self.answer_ms);
+        let patience_ms =
+            FIRST_EVENT_PATIENCE_MS.max(target_ms.saturating_mul(FIRST_EVENT_PATIENCE_TARGETS));
+        let latest_ms = match is_stream {
+            true => by_deadline_ms.min(latest_ms(patience_ms, self.first_event_ms)),
+            false => by_deadline_ms,
+        };
         Deadline::after_ms(arrived_at, latest_ms)
     }
 }
--- a/crates/decisions/tests/gateway_waiting_room.rs
+++ b/crates/decisions/tests/gateway_waiting_room.rs
@@ -444,6 +444,16 @@
     assert_eq!(latest, after_ms(1_800));
 }
 
+#[test]
+fn a_caller_that_comes_back_late_is_not_refused_while_it_can_be_answered() {
+    // It cannot come back once more, so an early refusal would only lose the rest of its time.
+    let run = ExpectedRun { first_event_ms: 200, answer_ms: 800 };
+
+    let latest = run.latest_start(NOW, 500, false, after_ms(1_000));
+
+    assert_eq!(latest, after_ms(200));
+}
+
 #[test]
 fn a_stream_does_not_wait_until_its_caller_abandons_it() {
     let run = ExpectedRun { first_event_ms: 200, answer_ms: 800 };
