http: ask before the buffer of a connection grows

Cause: a caller makes the read buffer grow with its head or with requests that it sends ahead, and nothing counts that. Change: heads are read, and a peer's end is awaited, within a limit that the owner of the connection gives; buffers that have grown are released when they are empty; the receive buffers of a listener's connections can be limited. Conclusion: without the new calls nothing changes.

--- a/crates/http/src/message/body.rs
+++ b/crates/http/src/message/body.rs
@@ -61,6 +61,11 @@
         Self { state, body_bytes: 0, overhead_bytes: 0, parts: 0 }
     }
 
+    /// Returns whether the whole body was read.
+    pub fn has_ended(&self) -> bool {
+        self.state == State::Ended
+    }
+
     /// Returns the next bytes of the body, or `None` at its end.
     ///
     /// # Errors
--- a/crates/http/src/message/connection.rs
+++ b/crates/http/src/message/connection.rs
@@ -3,7 +3,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
-use async_std::net::TcpStream;
+use async_std::net::{TcpListener, TcpStream};
 use bytes::BytesMut;
 use futures::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use socket2::{SockRef, TcpKeepalive};
@@ -15,6 +15,18 @@
 /// events.
 const READ_BYTES: usize = 8 << 10;
 
+/// Size up to which the buffer of a connection grows in usual use: a head that came in two reads.
+const USUAL_BUFFER_BYTES: usize = 2 * READ_BYTES;
+
+/// Limits the bytes that the kernel holds for each connection that a listener accepts later.
+///
+/// # Errors
+///
+/// Fails if the socket option cannot be set.
+pub fn limit_receive_buffers(listener: &TcpListener, bytes: usize) -> std::io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(bytes)
+}
+
 /// A TCP connection with a buffer of the bytes that were read but not consumed.
 #[derive(Debug)]
 pub struct Connection {
@@ -87,6 +99,20 @@
     pub async fn read_request_head(
         &mut self,
         limit_bytes: usize,
+    ) -> Result<Option<RequestHead>, MessageError> {
+        self.read_request_head_within(limit_bytes, |_| true).await
+    }
+
+    /// Reads the head of a request as [`Connection::read_request_head`] does. `may_grow` is asked before
+    /// the buffer grows by some bytes beyond its usual size.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Connection::read_request_head`] does, or if the buffer may not grow.
+    pub async fn read_request_head_within(
+        &mut self,
+        limit_bytes: usize,
+        mut may_grow: impl FnMut(usize) -> bool,
     ) -> Result<Option<RequestHead>, MessageError> {
         loop {
             self.skip_empty_lines();
@@ -96,6 +122,9 @@
             if self.buffer.len() > limit_bytes {
                 return Err(MessageError::HeadTooLarge { limit_bytes });
             }
+            if !self.may_fill(&mut may_grow) {
+                return Err(MessageError::NoRoom);
+            }
             match self.fill().await.map_err(|source| MessageError::Io { source })? {
                 true if self.buffer.is_empty() => return Ok(None),
                 true => return Err(MessageError::Truncated),
@@ -149,7 +178,17 @@
     /// Waits until the peer closes the connection; bytes that arrive meanwhile are buffered, up to
     /// about `limit_bytes`.
     pub async fn closed_by_peer(&mut self, limit_bytes: usize) {
-        while self.buffer.len() < limit_bytes {
+        self.closed_by_peer_within(limit_bytes, |_| true).await;
+    }
+
+    /// Waits as [`Connection::closed_by_peer`] does. `may_grow` is asked before the buffer grows by some
+    /// bytes beyond its usual size; if it may not, no more bytes are read.
+    pub async fn closed_by_peer_within(
+        &mut self,
+        limit_bytes: usize,
+        mut may_grow: impl FnMut(usize) -> bool,
+    ) {
+        while self.buffer.len() < limit_bytes && self.may_fill(&mut may_grow) {
             if self.fill().await.unwrap_or(true) {
                 return;
             }
@@ -185,6 +224,29 @@
         }
     }
 
+    /// Returns by how much the buffer exceeds its usual size.
+    pub fn excess_bytes(&self) -> usize {
+        self.buffer.capacity().saturating_sub(USUAL_BUFFER_BYTES)
+    }
+
+    /// Releases a buffer that has grown beyond its usual size, if it is empty.
+    pub fn shrink(&mut self) {
+        if self.buffer.is_empty() && self.buffer.capacity() > READ_BYTES {
+            self.buffer = BytesMut::new();
+        }
+    }
+
+    /// Asks whether the buffer may grow as much as the next read makes it grow.
+    fn may_fill(&self, may_grow: &mut impl FnMut(usize) -> bool) -> bool {
+        let capacity = self.buffer.capacity();
+        let needed = self.buffer.len() + READ_BYTES;
+        if needed <= capacity.max(USUAL_BUFFER_BYTES) {
+            return true;
+        }
+        // The buffer at least doubles when it grows.
+        may_grow(needed.max(2 * capacity) - capacity)
+    }
+
     /// Skips empty lines before a request, which a server should ignore (RFC 9112, section 2.2).
     fn skip_empty_lines(&mut self) {
         while self.buffer.starts_with(b"\r\n") {
--- a/crates/http/src/message/mod.rs
+++ b/crates/http/src/message/mod.rs
@@ -15,7 +15,7 @@
 pub mod head;
 
 pub use body::BodyReader;
-pub use connection::Connection;
+pub use connection::{Connection, limit_receive_buffers};
 pub use framing::{Framing, FramingError};
 pub use head::{HeaderList, RequestHead, ResponseHead};
 
@@ -47,6 +47,9 @@
         /// The limit.
         limit_bytes: usize,
     },
+    /// There is no room for more bytes of the message.
+    #[snafu(display("there is no room for more bytes of the message"))]
+    NoRoom,
     /// The bytes are not HTTP/1.1.
     #[snafu(display("the message is not valid HTTP/1.1: {detail}"))]
     Malformed {
