decisions: a budget of bytes and connections for callers

Ruled out: refusing new requests only; a crowd that stops short then holds all bytes for 10 s. Change: CallerBudget grants bytes as buffers grow, says which connection gives way, and never drops a complete request for one that arrives. Its sizes follow from memory and descriptors. The property test found bytes that a second request on a connection moved to the wrong sum, and an organisation whose sum was removed while another of its connections was open; both were mended before this commit. Conclusion: reserved bytes return to zero in 512 random sequences.

--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! [`EndpointTracker`]s, and a [`Placement`] chooses among them. [`next_step`] decides what happens
 //! after an attempt without a complete answer, within this node's [`RetryShare`].
 //!
+//! * [`caller_budget`]: the bytes and connections that are held for callers.
 //! * [`configuration`] and [`route`]: the operators' configuration.
 //! * [`directory`]: the registered endpoints.
 //! * [`endpoint_notices`]: what an endpoint says about itself, and which requests that allows.
@@ -25,6 +26,7 @@
 //! * [`transfers`]: which prompt parts an endpoint fetches and saves.
 //! * [`weight_targets`]: the target weights of a model, and until when older ones may be used.
 
+pub mod caller_budget;
 pub mod configuration;
 pub mod directory;
 pub mod endpoint_notices;
@@ -47,6 +49,10 @@
 pub mod transfers;
 pub mod weight_targets;
 
+pub use caller_budget::{
+    BudgetUse, CallerBudget, CallerBudgetLimits, ConnectionId, ConnectionShares, Decision, Grant,
+    Shortage,
+};
 pub use configuration::{
     CallerLimits, Configuration, ConfigurationHolder, EngineSpec, InvalidConfiguration, KeyVerdict,
     Organisation, PartStore, Service,
