gateway: bound what is held for callers

Change: bodies, large heads, requests sent ahead and answers take their bytes from one CallerBudget before buffers grow; connections that give way are shut down; an answer of which nothing is read for 15 s loses its connection. One log line a second at most; metrics of use and shortages. Large answers to callers that pipeline are held a little longer than before, within the bound.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -10,6 +10,7 @@
     Deadline, Instant, ModelId, OrganisationId, RegionId, ResultCode, ServiceId, Tokens,
 };
 
+use crate::caller_memory::CallerClaim;
 use crate::protocol::CallerRequest;
 use crate::state::Shared;
 
@@ -26,6 +27,8 @@
     pub(crate) head: RequestHead,
     pub(crate) body: Bytes,
     pub(crate) arrived_at: Instant,
+    /// What its connection holds.
+    pub(crate) claim: CallerClaim,
     /// Whether an endpoint may have run it. Known also when the work on the request is given up.
     pub(crate) may_have_run: AtomicBool,
 }
@@ -139,6 +142,6 @@
     )
 }
 
-fn without_port(host: &str) -> &str {
+pub(crate) fn without_port(host: &str) -> &str {
     host.rsplit_once(':').map_or(host, |(name, _)| name).trim()
 }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -2,12 +2,21 @@
 
 use async_std::net::TcpStream;
 use bytes::{BufMut, Bytes, BytesMut};
-use futures::AsyncWriteExt;
+use futures::{AsyncWriteExt, FutureExt};
 use yuccapass_decisions::gateway::Refusal;
 use yuccapass_http::message::ResponseHead;
+use yuccapass_http::with_deadline;
+use yuccapass_types::Deadline;
 
+use crate::caller_memory::CallerClaim;
 use crate::protocol::{CallerRequest, Protocol};
 
+/// Maximum time in which a caller reads nothing of an answer that waits for it.
+const UNREAD_TIMEOUT_MS: u64 = 15_000;
+
+/// Bodies of at least this size are written by themselves, so that they are not copied.
+const MIN_SEPARATE_BODY_BYTES: usize = 16 << 10;
+
 /// How much of an answer was written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Progress {
@@ -19,6 +28,7 @@
 /// Writes an answer to a caller's connection.
 pub(crate) struct AnswerWriter {
     stream: TcpStream,
+    claim: CallerClaim,
     // A caller that speaks HTTP/1.0 does not know chunks; its streams end with the connection.
     is_http_11: bool,
     keeps_connection: bool,
@@ -26,8 +36,13 @@
 }
 
 impl AnswerWriter {
-    pub(crate) fn new(stream: TcpStream, is_http_11: bool, keeps_connection: bool) -> Self {
-        Self { stream, is_http_11, keeps_connection, progress: Progress::Nothing }
+    pub(crate) fn new(
+        stream: TcpStream,
+        claim: CallerClaim,
+        is_http_11: bool,
+        keeps_connection: bool,
+    ) -> Self {
+        Self { stream, claim, is_http_11, keeps_connection, progress: Progress::Nothing }
     }
 
     /// Announces in the answer that the connection will be closed after it.
@@ -58,13 +73,19 @@
         head: &ResponseHead,
         body: &[u8],
     ) -> std::io::Result<()> {
-        let mut out = BytesMut::with_capacity(512 + body.len());
+        let is_separate = body.len() >= MIN_SEPARATE_BODY_BYTES;
+        let mut out = BytesMut::with_capacity(512 + if is_separate { 0 } else { body.len() });
         self.put_head(&mut out, head);
         // These statuses have no body and no length (RFC 9110, section 8.6).
         if !matches!(head.status, 204 | 304) {
             out.put_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
         }
         out.put_slice(b"\r\n");
+        if is_separate {
+            self.progress = Progress::Streaming;
+            self.write(&out).await?;
+            return self.finish(body).await;
+        }
         out.put_slice(body);
         self.finish(&out).await
     }
@@ -117,7 +138,7 @@
         out.put_slice(b"\r\n");
         self.put_events(&mut out, events);
         self.progress = Progress::Streaming;
-        self.stream.write_all(&out).await
+        self.write(&out).await
     }
 
     /// Writes events of a stream, and the end of the stream if `is_last`.
@@ -125,7 +146,7 @@
         let mut out = BytesMut::with_capacity(16 + events.len());
         self.put_events(&mut out, events);
         if !is_last {
-            return self.stream.write_all(&out).await;
+            return self.write(&out).await;
         }
         if self.is_http_11 {
             out.put_slice(b"0\r\n\r\n");
@@ -136,11 +157,34 @@
     async fn finish(&mut self, out: &[u8]) -> std::io::Result<()> {
         // Set before the write, so that no other answer is written after a failed one.
         self.progress = Progress::Streaming;
-        self.stream.write_all(out).await?;
+        self.write(out).await?;
         self.progress = Progress::Complete;
         Ok(())
     }
 
+    /// Writes all bytes. A caller that reads nothing for too long loses its connection.
+    async fn write(&mut self, mut rest: &[u8]) -> std::io::Result<()> {
+        while !rest.is_empty() {
+            let written = match self.stream.write(rest).now_or_never() {
+                Some(written) => written?,
+                None => self.write_when_read(rest).await?,
+            };
+            if written == 0 {
+                return Err(std::io::ErrorKind::WriteZero.into());
+            }
+            rest = &rest[written..];
+        }
+        Ok(())
+    }
+
+    async fn write_when_read(&mut self, rest: &[u8]) -> std::io::Result<usize> {
+        self.claim.block_answer();
+        let limit = Deadline::after_ms(self.claim.now(), UNREAD_TIMEOUT_MS);
+        let written = with_deadline(self.claim.clock(), limit, self.stream.write(rest)).await;
+        self.claim.unblock_answer();
+        written.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+    }
+
     fn put_events(&self, out: &mut BytesMut, events: &[u8]) {
         match self.is_http_11 {
             true => put_chunk(out, events),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{BufMut, Bytes};
 use futures::AsyncWriteExt;
 use futures::future::{Either, select};
 use yuccapass_decisions::gateway::{
@@ -15,9 +15,10 @@
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
+use crate::caller_memory::{AnswerReservation, BodyBuffer};
 use crate::events::EventSplitter;
 use crate::protocol::{EndpointAnswer, Forwarding};
-use crate::state::{AnswerReservation, Shared};
+use crate::state::Shared;
 use crate::stores::cache_namespace_prefix;
 
 /// Maximum number of interim answers (status 1xx) before an answer. If they came without end and
@@ -35,6 +36,9 @@
 /// Maximum number of answers to earlier requests that are skipped on a connection.
 const MAX_STRAY_ANSWERS: usize = 2;
 
+/// Bodies of at least this size are written by themselves.
+const MIN_SEPARATE_BODY_BYTES: usize = 16 << 10;
+
 /// An endpoint that was chosen for an attempt.
 pub(crate) struct Target {
     pub(crate) id: EndpointId,
@@ -47,6 +51,8 @@
 pub(crate) struct BufferedAnswer {
     pub(crate) head: ResponseHead,
     pub(crate) body: Bytes,
+    // The answer counts until it is written or dropped.
+    _reservation: AnswerReservation,
 }
 
 /// A failed attempt.
@@ -185,9 +191,14 @@
             }
         };
     let message = request_message(shared, request, target, events);
+    let separate_body = match is_separate(&request.message.body) {
+        true => &request.message.body[..],
+        false => &[],
+    };
     request.message.may_have_run.store(true, Ordering::Release);
     let sent_at = shared.now();
-    let exchange = exchange(shared, request, &mut connection, is_reused, &message);
+    let parts = [&message[..], separate_body];
+    let exchange = exchange(shared, request, &mut connection, is_reused, parts);
     let received = match within_weights_bound(shared, request, target, limit, exchange).await {
         Ok(Ok(received)) => received,
         Ok(Err(error)) => return AttemptOutcome::Failed(FailedAttempt::broken(error)),
@@ -304,7 +315,13 @@
     }
 }
 
-/// Encodes the request for the endpoint.
+/// Returns whether a body is written by itself, so that it is not copied. A small one is sent in the
+/// same packet as the head.
+fn is_separate(body: &[u8]) -> bool {
+    body.len() >= MIN_SEPARATE_BODY_BYTES
+}
+
+/// Encodes the request for the endpoint, without a body that is written by itself.
 fn request_message(
     shared: &Shared,
     request: &Admitted<'_>,
@@ -338,7 +355,9 @@
         resume_after: resume_after.map(|id| id.as_str()),
     };
     let head = &request.message.head;
-    let mut message = Vec::with_capacity(1_024 + request.message.body.len());
+    let body = &request.message.body;
+    let attached_body = if is_separate(body) { &[] } else { &body[..] };
+    let mut message = Vec::with_capacity(1_024 + attached_body.len());
     message.put_slice(head.method.as_bytes());
     message.put_slice(b" ");
     message.put_slice(head.target.as_bytes());
@@ -350,7 +369,7 @@
         message.put_slice(format!("content-length: {}\r\n", request.message.body.len()).as_bytes());
     }
     message.put_slice(b"\r\n");
-    message.put_slice(&request.message.body);
+    message.put_slice(attached_body);
     message
 }
 
@@ -388,10 +407,15 @@
     request: &Admitted<'_>,
     connection: &mut Connection,
     is_reused: bool,
-    message: &[u8],
+    parts: [&[u8]; 2],
 ) -> Result<Received, MessageError> {
     let mut writer = connection.writer();
-    let writing = Box::pin(async move { writer.write_all(message).await });
+    let writing = Box::pin(async move {
+        for part in parts.into_iter().filter(|part| !part.is_empty()) {
+            writer.write_all(part).await?;
+        }
+        Ok::<(), std::io::Error>(())
+    });
     let reading = Box::pin(read_own_head(shared, request, connection, is_reused));
     match select(writing, reading).await {
         Either::Left((Ok(()), reading)) => reading.await,
@@ -442,30 +466,42 @@
             let detail = "the answer belongs to another request".to_owned();
             return Err(MessageError::Malformed { detail });
         }
-        read_answer(shared, framing, connection).await?;
+        read_answer(shared, request, framing, connection).await?;
     }
 }
 
 /// Reads the body of an answer within the limits.
 async fn read_answer(
     shared: &Shared,
+    request: &Admitted<'_>,
     framing: Framing,
     connection: &mut Connection,
-) -> Result<Bytes, MessageError> {
+) -> Result<(Bytes, AnswerReservation), MessageError> {
     let limits = shared.options.answer_limits;
-    let mut reservation = AnswerReservation::new(shared);
+    let mut reservation = AnswerReservation::new(&request.message.claim);
     let mut reader = BodyReader::new(framing);
-    let mut body = BytesMut::new();
+    let limit_bytes = match framing {
+        Framing::Length(length) => length.min(limits.body_bytes as u64),
+        Framing::Chunked | Framing::UntilClose => limits.body_bytes as u64,
+    };
+    let mut body = BodyBuffer::new(limit_bytes);
     while let Some(bytes) = reader.next(connection).await? {
-        if body.len() + bytes.len() > limits.body_bytes {
+        if body.exceeds_limit(&bytes) {
             return Err(MessageError::BodyTooLarge { limit_bytes: limits.body_bytes });
         }
-        if !reservation.grow(bytes.len()) {
-            return Err(MessageError::BodyTooLarge { limit_bytes: limits.buffered_bytes });
+        if body.len() == 0 && reader.has_ended() {
+            return match reservation.grow(bytes.len() as u64).await {
+                true => Ok((bytes, reservation)),
+                false => Err(MessageError::NoRoom),
+            };
+        }
+        let growth = body.growth(&bytes);
+        if growth > 0 && !reservation.grow(growth).await {
+            return Err(MessageError::NoRoom);
         }
-        body.extend_from_slice(&bytes);
+        body.append(&bytes);
     }
-    Ok(body.freeze())
+    Ok((body.freeze(), reservation))
 }
 
 /// Buffers an answer and forwards it to the caller unless the attempt counts as failed.
@@ -479,11 +515,11 @@
 ) -> AttemptOutcome {
     let Received { head, info, framing, is_request_written } = received;
     let begun_at = shared.now();
-    let reading = read_answer(shared, framing, &mut connection);
-    let body = match with_deadline(&*shared.clock, request.deadline, reading).await {
-        Ok(Ok(body)) => body,
+    let reading = read_answer(shared, request, framing, &mut connection);
+    let (body, reservation) = match with_deadline(&*shared.clock, request.deadline, reading).await {
+        Ok(Ok(read)) => read,
         // If the request did not run, the body does not matter.
-        _ if info.is_not_run => Bytes::new(),
+        _ if info.is_not_run => (Bytes::new(), AnswerReservation::new(&request.message.claim)),
         Ok(Err(error)) => return AttemptOutcome::Failed(FailedAttempt::broken(error)),
         Err(expired) => return AttemptOutcome::Failed(FailedAttempt::silent(expired, begun_at)),
     };
@@ -502,7 +538,7 @@
     }
     if head.status >= 500 {
         let detail = format!("status {}", head.status);
-        let buffered = Some(BufferedAnswer { head, body });
+        let buffered = Some(BufferedAnswer { head, body, _reservation: reservation });
         let failure = AttemptFailure::Failed;
         let failed = FailedAttempt { answer: buffered, ..FailedAttempt::new(failure, detail) };
         return AttemptOutcome::Failed(failed);
@@ -534,7 +570,7 @@
 ) -> AttemptOutcome {
     let Received { head, framing, is_request_written, .. } = received;
     let mut body = BodyReader::new(framing);
-    let mut reservation = AnswerReservation::new(shared);
+    let mut reservation = AnswerReservation::new(&request.message.claim);
     events.drop_partial();
     let mut heard_at = shared.now();
     let mut has_begun = false;
@@ -564,9 +600,8 @@
                 None => return broken_stream("the stream ended inside an event"),
             },
         };
-        if !reservation.resize(events.partial_bytes()) {
-            let limit_bytes = shared.options.answer_limits.buffered_bytes;
-            return broken_stream(MessageError::BodyTooLarge { limit_bytes });
+        if !reservation.resize(events.partial_bytes()).await {
+            return broken_stream(MessageError::NoRoom);
         }
         // What comes before the first event carries nothing. Until then, the answer may still come from
         // another endpoint.
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -7,13 +7,14 @@
 use async_std::net::TcpStream;
 use bytes::Bytes;
 use futures::future::{Either, select};
-use yuccapass_decisions::gateway::{CallerLimits, Refusal};
+use yuccapass_decisions::gateway::{CallerLimits, KeyVerdict, Refusal, Shortage};
 use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, RequestHead};
 use yuccapass_http::with_deadline;
-use yuccapass_types::{Deadline, ResultCode};
+use yuccapass_types::{Bytes as Size, Deadline, ResultCode};
 
-use crate::admission::{ReadRequest, admit};
+use crate::admission::{ReadRequest, admit, without_port};
 use crate::answer::AnswerWriter;
+use crate::caller_memory::{BodyBuffer, CallerClaim, OpenConnection};
 use crate::forward::{RequestOutcome, forward};
 use crate::protocol::CallerRequest;
 use crate::state::Shared;
@@ -29,6 +30,13 @@
 /// read completely.
 const DISCARD_BYTES: usize = 256 << 10;
 
+/// Received bytes of a body after which its progress is recorded.
+const PROGRESS_BYTES: usize = 32 << 10;
+
+/// Size from which a body is charged to its organisation. Smaller ones are bounded by the number of
+/// connections, and looking up the key before the body has arrived would cost them time.
+const MIN_CHARGED_BYTES: u64 = 64 << 10;
+
 /// One in this many answered requests is logged at the info level.
 const ANSWER_LOG_SAMPLE: u64 = 16;
 
@@ -65,7 +73,8 @@
 }
 
 /// Serves requests until the connection is closed.
-pub(crate) async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
+pub(crate) async fn serve_connection(shared: Arc<Shared>, stream: TcpStream, open: OpenConnection) {
+    let claim = open.claim();
     let mut connection = Connection::new(stream);
     let mut is_new = true;
     loop {
@@ -75,15 +84,22 @@
         }
         // A stop waits for requests whose first byte has arrived.
         let _open = shared.open_request();
-        let request = match read_request_before_stop(&shared, &mut connection, &limits).await {
+        claim.begin_request();
+        let reading = read_request_before_stop(&shared, &mut connection, &limits, claim);
+        let request = match reading.await {
             Ok(request) => request,
             Err(ReadFailure::Closed) => return,
             Err(ReadFailure::Refused(refusal, detail)) => {
-                return reject(&shared, &mut connection, refusal, &detail).await;
+                return reject(&shared, &mut connection, claim, refusal, &detail).await;
             }
         };
+        claim.complete();
         match serve_request(&shared, &mut connection, &request).await {
-            NextUse::Keep => {}
+            NextUse::Keep => {
+                drop(request);
+                connection.shrink();
+                claim.finish();
+            }
             NextUse::Close => return connection.close(),
             NextUse::Reset => return connection.reset(),
         }
@@ -96,8 +112,9 @@
     shared: &Shared,
     connection: &mut Connection,
     limits: &CallerLimits,
+    claim: &CallerClaim,
 ) -> Result<ReadRequest, ReadFailure> {
-    let reading = Box::pin(read_request(shared, connection, limits));
+    let reading = Box::pin(read_request(shared, connection, limits, claim));
     let ending = Box::pin(shared.answers_ended());
     match select(reading, ending).await {
         Either::Left((result, _)) => result,
@@ -113,11 +130,18 @@
     shared: &Shared,
     connection: &mut Connection,
     limits: &CallerLimits,
+    claim: &CallerClaim,
 ) -> Result<ReadRequest, ReadFailure> {
-    let head = read_head(shared, connection, limits).await?;
+    // Bytes that arrived during the last request were counted until its end.
+    let excess_bytes = connection.excess_bytes();
+    if excess_bytes > 0 && !claim.try_grow_request(excess_bytes) {
+        return Err(no_room(shared, Shortage::Memory));
+    }
+    let head = read_head(shared, connection, limits, claim).await?;
     let arrived_at = shared.now();
-    let body = read_body(shared, connection, &head, limits).await?;
-    Ok(ReadRequest { head, body, arrived_at, may_have_run: AtomicBool::new(false) })
+    let body = read_body(shared, connection, &head, limits, claim).await?;
+    let claim = claim.clone();
+    Ok(ReadRequest { head, body, arrived_at, claim, may_have_run: AtomicBool::new(false) })
 }
 
 /// Waits for the first byte of a request.
@@ -150,10 +174,12 @@
     shared: &Shared,
     connection: &mut Connection,
     limits: &CallerLimits,
+    claim: &CallerClaim,
 ) -> Result<RequestHead, ReadFailure> {
     let limit = Deadline::after_ms(shared.now(), limits.header_timeout_ms);
     let max_bytes = limits.max_header_bytes.get() as usize;
-    let reading = connection.read_request_head(max_bytes);
+    let reading =
+        connection.read_request_head_within(max_bytes, |bytes| claim.try_grow_request(bytes));
     match with_deadline(&*shared.clock, limit, reading).await {
         Ok(Ok(Some(head))) => Ok(head),
         Ok(Ok(None)) => Err(ReadFailure::Closed),
@@ -167,6 +193,7 @@
     connection: &mut Connection,
     head: &RequestHead,
     limits: &CallerLimits,
+    claim: &CallerClaim,
 ) -> Result<Bytes, ReadFailure> {
     let framing = Framing::of_request(head)
         .map_err(|error| refused(400, ResultCode::InvalidRequest, error))?;
@@ -184,16 +211,84 @@
         return Err(ReadFailure::Closed);
     }
     let limit = Deadline::after_ms(shared.now(), BODY_TIMEOUT_MS);
-    let reading = BodyReader::new(framing).read_all(connection, max_bytes as usize);
+    let reading = collect_body(shared, connection, head, framing, max_bytes, claim);
     match with_deadline(&*shared.clock, limit, reading).await {
-        Ok(body) => body.map_err(|error| read_failure(&error)),
+        Ok(body) => body,
         Err(expired) => Err(refused(408, ResultCode::RequestTimeout, expired)),
     }
 }
 
+/// Reads a body of at most `max_bytes`. Its bytes are taken from the budget as they arrive.
+async fn collect_body(
+    shared: &Shared,
+    connection: &mut Connection,
+    head: &RequestHead,
+    framing: Framing,
+    max_bytes: u64,
+    claim: &CallerClaim,
+) -> Result<Bytes, ReadFailure> {
+    let limit_bytes = match framing {
+        Framing::Length(length) => length.min(max_bytes),
+        Framing::Chunked | Framing::UntilClose => max_bytes,
+    };
+    let mut reader = BodyReader::new(framing);
+    let mut body = BodyBuffer::new(limit_bytes);
+    let mut next_progress_bytes = PROGRESS_BYTES;
+    let mut is_charged = false;
+    while let Some(part) = reader.next(connection).await.map_err(|error| read_failure(&error))? {
+        if body.exceeds_limit(&part) {
+            return Err(refused(413, ResultCode::BodyTooLarge, max_bytes));
+        }
+        if body.len() == 0 {
+            if reader.has_ended() {
+                return Ok(part);
+            }
+            claim.begin_body(Size::new(limit_bytes));
+        }
+        let growth = body.growth(&part);
+        if growth > 0 {
+            if !is_charged && body.len() as u64 + growth >= MIN_CHARGED_BYTES {
+                charge_organisation(shared, head, claim);
+                is_charged = true;
+            }
+            claim.grow_request(Size::new(growth)).await.map_err(|short| no_room(shared, short))?;
+        }
+        body.append(&part);
+        if body.len() >= next_progress_bytes {
+            next_progress_bytes = body.len() + PROGRESS_BYTES;
+            claim.record_received(Size::new(body.len() as u64));
+        }
+    }
+    Ok(body.freeze())
+}
+
+/// Charges the bytes of a request to the organisation whose key it has.
+fn charge_organisation(shared: &Shared, head: &RequestHead, claim: &CallerClaim) {
+    let Some(configuration) = shared.configuration() else { return };
+    let Ok(caller) = shared.protocol.caller_request(head) else { return };
+    let host = head.headers.get_str("host").map(without_port).unwrap_or_default();
+    let Some(route) = configuration.route(host, head.path()) else { return };
+    if let KeyVerdict::Known(id, _) = configuration.verify_key(route, caller.key) {
+        claim.set_organisation(id);
+    }
+}
+
+/// Returns the failure of a request whose bytes there is no room for. It has not run.
+fn no_room(shared: &Shared, shortage: Shortage) -> ReadFailure {
+    shared.metrics.record_caller_shortage(shortage);
+    match shortage {
+        Shortage::Evicted => ReadFailure::Closed,
+        _ => ReadFailure::Refused(Refusal::not_run(ResultCode::QueueFull), shortage.to_string()),
+    }
+}
+
 fn read_failure(error: &MessageError) -> ReadFailure {
     match error {
         MessageError::Io { .. } | MessageError::Truncated => ReadFailure::Closed,
+        MessageError::NoRoom => ReadFailure::Refused(
+            Refusal::not_run(ResultCode::QueueFull),
+            Shortage::Memory.to_string(),
+        ),
         MessageError::HeadTooLarge { .. } => refused(431, ResultCode::HeadTooLarge, error),
         MessageError::BodyTooLarge { .. } => refused(413, ResultCode::BodyTooLarge, error),
         _ => refused(400, ResultCode::InvalidRequest, error),
@@ -205,12 +300,21 @@
 }
 
 /// Answers a request that was not read completely and closes the connection.
-async fn reject(shared: &Shared, connection: &mut Connection, refusal: Refusal, detail: &str) {
-    log::info!(
-        status = refusal.status, code:% = refusal.code, detail;
-        "a request could not be read"
-    );
-    let mut answer = AnswerWriter::new(connection.writer(), true, false);
+async fn reject(
+    shared: &Shared,
+    connection: &mut Connection,
+    claim: &CallerClaim,
+    refusal: Refusal,
+    detail: &str,
+) {
+    shared.metrics.record_refusal(refusal);
+    if let Some(omitted) = shared.caller_memory.may_log() {
+        log::info!(
+            status = refusal.status, code:% = refusal.code, detail, omitted;
+            "a request could not be read"
+        );
+    }
+    let mut answer = AnswerWriter::new(connection.writer(), claim.clone(), true, false);
     let caller = CallerRequest::default();
     let limit = Deadline::after_ms(shared.now(), DISCARD_TIMEOUT_MS);
     let closing = async {
@@ -233,9 +337,11 @@
     let keep_alive = is_http_11
         && !request.head.headers.has_token("connection", "close")
         && !shared.is_stopping();
-    let mut answer = AnswerWriter::new(connection.writer(), is_http_11, keep_alive);
+    let mut answer =
+        AnswerWriter::new(connection.writer(), request.claim.clone(), is_http_11, keep_alive);
     let serving = Box::pin(answer_request(shared, request, &mut answer));
-    let leaving = Box::pin(connection.closed_by_peer(READ_AHEAD_BYTES));
+    let may_grow = |bytes| request.claim.try_grow_request(bytes);
+    let leaving = Box::pin(connection.closed_by_peer_within(READ_AHEAD_BYTES, may_grow));
     // If the caller leaves, the serving future is dropped. This closes the connection to the
     // endpoint, which then stops working on the request.
     let ending = Box::pin(shared.answers_ended());
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -334,11 +334,11 @@
     answer: &mut AnswerWriter,
     buffered: Option<BufferedAnswer>,
 ) -> RequestOutcome {
-    let Some(BufferedAnswer { head, body }) = buffered else {
+    let Some(BufferedAnswer { head, body, .. }) = &buffered else {
         let refusal = Refusal::without_retry(502, ResultCode::EndpointFailed);
         return refuse(shared, request, answer, refusal).await;
     };
-    match answer.write_answer(&head, &body).await {
+    match answer.write_answer(head, body).await {
         Ok(()) => RequestOutcome::Answered(head.status),
         Err(_) => RequestOutcome::CallerGone,
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod answer;
 mod attempt;
 mod caller;
+mod caller_memory;
 pub mod clock;
 mod crash_evidence;
 mod crashes;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,7 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
-use yuccapass_decisions::gateway::{Refusal, RouteKind};
+use yuccapass_decisions::gateway::{BudgetUse, Refusal, RouteKind, Shortage};
 use yuccapass_types::Instant;
 
 use crate::admission::Admitted;
@@ -34,6 +34,10 @@
     refusals: Counter<u64>,
     broken_off: Counter<u64>,
     outdated_answers: Counter<u64>,
+    caller_shortages: Counter<u64>,
+    caller_bytes: Gauge<u64>,
+    caller_connections: Gauge<u64>,
+    caller_evictions: Gauge<u64>,
     nodes: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
@@ -92,6 +96,22 @@
                 "yuccapass_gateway_outdated_answers",
                 "Answers that began on weights older than the target weights.",
             ),
+            caller_shortages: counter(
+                "yuccapass_gateway_caller_shortages",
+                "Requests and connections of callers that got no room, by what was short.",
+            ),
+            caller_bytes: gauge(
+                "yuccapass_gateway_caller_bytes",
+                "Bytes that are held for callers, by kind.",
+            ),
+            caller_connections: gauge(
+                "yuccapass_gateway_caller_connections",
+                "Open connections of callers, and those whose request is not complete.",
+            ),
+            caller_evictions: gauge(
+                "yuccapass_gateway_caller_evictions",
+                "Connections that were closed for the sake of others since the start.",
+            ),
             registry,
             _provider: provider,
             organisations: Mutex::default(),
@@ -139,6 +159,24 @@
         self.refusals.add(1, &[KeyValue::new("code", refusal.code.to_string())]);
     }
 
+    /// Records that a caller got no room.
+    pub(crate) fn record_caller_shortage(&self, shortage: Shortage) {
+        self.caller_shortages.add(1, &[KeyValue::new("short", shortage.to_string())]);
+    }
+
+    /// Records what is held for callers, and how many connections were closed for it.
+    pub(crate) fn record_caller_use(&self, in_use: BudgetUse, evictions: u64) {
+        let record = |gauge: &Gauge<u64>, kind: &'static str, value: u64| {
+            gauge.record(value, &[KeyValue::new("kind", kind)]);
+        };
+        record(&self.caller_bytes, "incomplete", in_use.incomplete.get());
+        record(&self.caller_bytes, "complete", in_use.complete.get());
+        record(&self.caller_bytes, "answers", in_use.answers.get());
+        record(&self.caller_connections, "open", in_use.connections as u64);
+        record(&self.caller_connections, "incomplete", in_use.incomplete_connections as u64);
+        self.caller_evictions.record(evictions, &[]);
+    }
+
     /// Records an answer that began on outdated weights; `is_late` if their bound had passed.
     pub(crate) fn record_outdated_answer(&self, is_late: bool) {
         self.outdated_answers.add(1, &[KeyValue::new("is_late", is_late)]);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use async_std::net::TcpListener;
 use async_std::task;
 use snafu::{ResultExt, Snafu};
-use yuccapass_decisions::gateway::{LeastLoaded, PrefixAffinity};
+use yuccapass_decisions::gateway::{LeastLoaded, PrefixAffinity, Shortage};
+use yuccapass_http::message::limit_receive_buffers;
 use yuccapass_http::{sleep_until, stop_pair};
 use yuccapass_peers::{ListenerConfig, LocalNode, Sender, TcpTransport, TransportConfig};
 use yuccapass_platform::PlatformClient;
@@ -42,6 +42,10 @@
 /// How long before its end a process begins to release the lock for weight swaps, if requests are still open.
 const RELEASE_MS: u64 = 1_200;
 
+/// Receive buffer of a caller's connection if the memory of the process is limited. The kernel would
+/// otherwise let it grow to some megabytes.
+const RECEIVE_BUFFER_BYTES: usize = 128 << 10;
+
 /// Period of checking for open requests during a stop, and pause after a failed accept.
 const STOP_PERIOD_MS: u64 = 50;
 
@@ -97,6 +101,12 @@
         clock: Arc<dyn Clock>,
     ) -> Result<Self, GatewayError> {
         let callers = listen(options.caller_address).await?;
+        if options.process_limits.memory.is_some() {
+            // What was received and not read counts toward the memory of the process.
+            if let Err(error) = limit_receive_buffers(&callers, RECEIVE_BUFFER_BYTES) {
+                log::warn!(error:%; "the receive buffers of callers cannot be limited");
+            }
+        }
         let admin_listener = listen(options.readiness_address).await?;
         let peer_listener = match options.peer_address {
             Some(address) => Some(listen(address).await?),
@@ -173,7 +183,7 @@
     let transport =
         Arc::new(TcpTransport::new(Arc::clone(&local_node), TransportConfig::default()));
     let handler = Arc::new(RelayHandler { shared: Arc::clone(shared) });
-    let config = ListenerConfig::default();
+    let config = ListenerConfig::default().max_connections(shared.connection_shares().peers);
     let shared = Arc::clone(shared);
     task::spawn(async move {
         // Followers are answered until the process ends, so the signal is never given.
@@ -189,26 +199,28 @@
 
 /// Accepts connections of callers until the process ends.
 async fn accept(shared: Arc<Shared>, listener: TcpListener) {
-    let open = Arc::new(AtomicUsize::new(0));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                log::warn!(error:%; "a caller's connection could not be accepted");
+                if let Some(omitted) = shared.caller_memory.may_log() {
+                    log::warn!(error:%, omitted; "a caller's connection could not be accepted");
+                }
                 task::sleep(Duration::from_millis(STOP_PERIOD_MS)).await;
                 continue;
             }
         };
-        if open.fetch_add(1, Ordering::AcqRel) >= shared.options.max_connections {
+        let Some(open) = shared.caller_memory.open(&stream) else {
             // Nothing that the caller sent was read, so it can safely retry at another node.
-            open.fetch_sub(1, Ordering::AcqRel);
-            log::warn!("a caller's connection was closed: the limit max_connections is reached");
+            shared.metrics.record_caller_shortage(Shortage::Connections);
+            if let Some(omitted) = shared.caller_memory.may_log() {
+                log::warn!(
+                    omitted;
+                    "a caller's connection was closed: the limit max_connections is reached"
+                );
+            }
             continue;
-        }
-        let (shared, open) = (Arc::clone(&shared), Arc::clone(&open));
-        task::spawn(async move {
-            serve_connection(shared, stream).await;
-            open.fetch_sub(1, Ordering::AcqRel);
-        });
+        };
+        task::spawn(serve_connection(Arc::clone(&shared), stream, open));
     }
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -5,10 +5,12 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use bytes::BufMut;
+use yuccapass_decisions::gateway::CallerBudgetLimits;
 use yuccapass_http::message::Connection;
 use yuccapass_http::with_deadline;
-use yuccapass_types::Deadline;
+use yuccapass_types::{Bytes, Deadline};
 
+use crate::caller_memory::{CallerMemory, OpenConnection};
 use crate::state::Shared;
 
 /// Maximum size of the head of a request.
@@ -22,10 +24,16 @@
 
 /// Serves connections until the process ends.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    // Newer connections displace those that send nothing, so that strangers cannot keep out the load
+    // balancer.
+    let operators = shared.connection_shares().operators;
+    let limits = CallerBudgetLimits::new(None, operators, Bytes::ZERO);
+    let connections = CallerMemory::new(Arc::clone(&shared.clock), limits);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                task::spawn(serve_connection(Arc::clone(&shared), stream));
+                let Some(open) = connections.open(&stream) else { continue };
+                task::spawn(serve_connection(Arc::clone(&shared), stream, open));
             }
             Err(error) => {
                 log::warn!(error:%; "an admin connection could not be accepted");
@@ -35,7 +43,7 @@
     }
 }
 
-async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
+async fn serve_connection(shared: Arc<Shared>, stream: TcpStream, open: OpenConnection) {
     let mut connection = Connection::new(stream);
     loop {
         let limit = Deadline::after_ms(shared.now(), IDLE_TIMEOUT_MS);
@@ -43,9 +51,10 @@
         let Ok(Ok(Some(head))) = with_deadline(&*shared.clock, limit, reading).await else {
             return;
         };
+        open.claim().complete();
         let is_metrics = head.path() == METRICS_PATH;
         let (status, body) = match is_metrics {
-            true => (200, shared.metrics.encode()),
+            true => (200, encode_metrics(&shared)),
             false if shared.is_ready() => (200, b"ready\n".to_vec()),
             false => (503, b"not ready\n".to_vec()),
         };
@@ -55,8 +64,15 @@
         )
         .into_bytes();
         out.put_slice(&body);
-        if connection.write_all(&out).await.is_err() {
-            return;
-        }
+        let limit = Deadline::after_ms(shared.now(), IDLE_TIMEOUT_MS);
+        let writing = connection.write_all(&out);
+        let Ok(Ok(())) = with_deadline(&*shared.clock, limit, writing).await else { return };
+        open.claim().finish();
     }
 }
+
+fn encode_metrics(shared: &Shared) -> Vec<u8> {
+    let memory = &shared.caller_memory;
+    shared.metrics.record_caller_use(memory.in_use(), memory.evictions());
+    shared.metrics.encode()
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use yuccapass_decisions::gateway::{
-    Configuration, ConfigurationHolder, Directory, Distance, FleetSize, KeyValidity, Placement,
-    RetryShare,
+    CallerBudgetLimits, Configuration, ConfigurationHolder, ConnectionShares, Directory, Distance,
+    FleetSize, KeyValidity, Placement, RetryShare,
 };
 use yuccapass_http::{StopController, StopSignal, sleep_until, stop_pair};
-use yuccapass_types::{Clock, Deadline, Instant, ServiceId, Sharded, SortedMap, ZoneId};
+use yuccapass_types::{Bytes, Clock, Deadline, Instant, ServiceId, Sharded, SortedMap, ZoneId};
 
+use crate::caller_memory::CallerMemory;
 use crate::crashes::CrashTracker;
 use crate::endpoints::EndpointTable;
 use crate::metrics::Metrics;
@@ -39,6 +40,7 @@
     pub(crate) stores: StoreTable,
     pub(crate) crashes: CrashTracker,
     pub(crate) part_crashes: PartCrashTracker,
+    pub(crate) caller_memory: Arc<CallerMemory>,
     pub(crate) relay: RelayTable,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
@@ -54,7 +56,6 @@
     // Until when requests may be answered during a stop.
     answers_until: Mutex<Option<Deadline>>,
     open_requests: AtomicUsize,
-    buffered_answer_bytes: AtomicUsize,
 }
 
 impl Shared {
@@ -69,9 +70,10 @@
         Self {
             protocol,
             endpoints: EndpointTable::new(Arc::clone(&clock), options.silence_ms),
-            clock,
             notices: NoticeTable::default(),
             stores: StoreTable::default(),
+            caller_memory: CallerMemory::new(Arc::clone(&clock), caller_limits(&options)),
+            clock,
             relay: RelayTable::default(),
             crashes: CrashTracker::new(options.node.clone(), options.incarnation),
             part_crashes: PartCrashTracker::default(),
@@ -90,7 +92,6 @@
             refuses_from: Mutex::default(),
             answers_until: Mutex::default(),
             open_requests: AtomicUsize::new(0),
-            buffered_answer_bytes: AtomicUsize::new(0),
             options,
         }
     }
@@ -209,6 +210,11 @@
         self.stop_controller.lock().unwrap_or_else(PoisonError::into_inner).take();
     }
 
+    /// Returns how many connections operators and other nodes may open.
+    pub(crate) fn connection_shares(&self) -> ConnectionShares {
+        ConnectionShares::new(self.options.process_limits.descriptors)
+    }
+
     pub(crate) fn open_requests(&self) -> usize {
         self.open_requests.load(Ordering::Acquire)
     }
@@ -220,44 +226,6 @@
     }
 }
 
-/// The part of the limit on buffered answers that one answer takes, until it is dropped.
-pub(crate) struct AnswerReservation<'a> {
-    shared: &'a Shared,
-    bytes: usize,
-}
-
-impl<'a> AnswerReservation<'a> {
-    pub(crate) fn new(shared: &'a Shared) -> Self {
-        Self { shared, bytes: 0 }
-    }
-
-    /// Takes this part of the limit instead of what was taken; returns `false` if the limit is exceeded.
-    pub(crate) fn resize(&mut self, bytes: usize) -> bool {
-        match bytes.checked_sub(self.bytes) {
-            Some(more) => self.grow(more),
-            None => {
-                let less = self.bytes - bytes;
-                self.shared.buffered_answer_bytes.fetch_sub(less, Ordering::AcqRel);
-                self.bytes = bytes;
-                true
-            }
-        }
-    }
-
-    /// Takes more of the limit; returns `false` if that is exceeded.
-    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
-        let others = self.shared.buffered_answer_bytes.fetch_add(bytes, Ordering::AcqRel);
-        self.bytes += bytes;
-        others + bytes <= self.shared.options.answer_limits.buffered_bytes
-    }
-}
-
-impl Drop for AnswerReservation<'_> {
-    fn drop(&mut self) {
-        self.shared.buffered_answer_bytes.fetch_sub(self.bytes, Ordering::AcqRel);
-    }
-}
-
 /// Counts a request that was read and not yet answered.
 pub(crate) struct OpenRequest<'a> {
     shared: &'a Shared,
@@ -268,3 +236,9 @@
         self.shared.open_requests.fetch_sub(1, Ordering::AcqRel);
     }
 }
+
+/// Returns the limits of what is held for callers.
+fn caller_limits(options: &GatewayOptions) -> CallerBudgetLimits {
+    let answers = Bytes::new(options.answer_limits.buffered_bytes as u64);
+    CallerBudgetLimits::new(options.process_limits.memory, options.max_connections, answers)
+}
--- a/crates/yuccapassd/src/gateway.rs
+++ b/crates/yuccapassd/src/gateway.rs
@@ -12,7 +12,7 @@
 use log::LevelFilter;
 use smol_str::SmolStr;
 use snafu::Snafu;
-use yuccapass_decisions::gateway::{RetryLimits, SwapLimits};
+use yuccapass_decisions::gateway::{ConnectionShares, RetryLimits, SwapLimits};
 use yuccapass_decisions::platform_budget::FleetRates;
 use yuccapass_gateway::{AnswerLimits, BootClock, GatewayNode, GatewayOptions, ProcessLimits};
 use yuccapass_platform::PlatformClientConfig;
@@ -153,9 +153,10 @@
     #[arg(long, env = "YUCCAPASS_MAX_BUFFERED_ANSWER_BYTES", default_value_t = 33_554_432)]
     pub max_buffered_answer_bytes: usize,
 
-    /// Most open connections from callers.
-    #[arg(long, env = "YUCCAPASS_MAX_CONNECTIONS", default_value_t = 3_000)]
-    pub max_connections: usize,
+    /// Most open connections from callers; by default 5 in 8 of the descriptors for sockets, or 3000 if
+    /// --max-descriptors is not given.
+    #[arg(long, env = "YUCCAPASS_MAX_CONNECTIONS")]
+    pub max_connections: Option<usize>,
 
     /// Features of the platform that the deployment uses, separated by commas.
     #[arg(long, env = "YUCCAPASS_CONTRACTS", value_delimiter = ',')]
@@ -239,7 +240,7 @@
             let bound = "at least --max-answer-bytes";
             return fail("max-buffered-answer-bytes", &self.max_buffered_answer_bytes, bound);
         }
-        if self.max_connections == 0 {
+        if self.max_connections == Some(0) {
             return fail("max-connections", &0, "at least 1");
         }
         Ok(())
@@ -275,7 +276,9 @@
                 body_bytes: self.max_answer_bytes,
                 buffered_bytes: self.max_buffered_answer_bytes,
             },
-            max_connections: self.max_connections,
+            max_connections: self
+                .max_connections
+                .unwrap_or_else(|| ConnectionShares::new(self.max_descriptors).callers),
             capabilities: yuccapass_entry::capabilities(&self.contracts),
             process_limits: ProcessLimits {
                 memory: self.memory_mb.map(|mb| Bytes::new(mb << 20)),
