--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! [`EndpointTracker`]s, and a [`Placement`] chooses among them. [`next_step`] decides what happens
 //! after an attempt without a complete answer, within this node's [`RetryShare`].
 //!
+//! * [`caller_budget`]: the bytes and connections that are held for callers.
 //! * [`configuration`] and [`route`]: the operators' configuration.
 //! * [`directory`]: the registered endpoints.
 //! * [`endpoint_notices`]: what an endpoint says about itself, and which requests that allows.
@@ -29,6 +30,7 @@
 //! * [`weight_targets`]: the target weights of a model, and until when older ones may be used.
 //! * [`zone_room`]: what the nodes of a zone have outstanding at each endpoint.
 
+pub mod caller_budget;
 pub mod configuration;
 pub mod directory;
 pub mod endpoint_notices;
@@ -56,6 +58,10 @@
 pub mod weight_targets;
 pub mod zone_room;
 
+pub use caller_budget::{
+    BudgetUse, CallerBudget, CallerBudgetLimits, ConnectionId, ConnectionShares, Decision, Grant,
+    Shortage,
+};
 pub use configuration::{
     CallerLimits, Configuration, ConfigurationHolder, EngineSpec, InvalidConfiguration, KeyVerdict,
     Organisation, PartStore, Service,
