endpoint limits: share a limit by the demand of the zone's nodes

Change: DemandShare draws lots for what the turns leave, from what the nodes of the zone wanted and sent in the last 4 s, and gives up turns when they have sent too much. EndpointNotices takes limits from other nodes, for 10 s.

--- a/crates/decisions/src/gateway/endpoint_notices.rs
+++ b/crates/decisions/src/gateway/endpoint_notices.rs
@@ -2,11 +2,16 @@
 
 use yuccapass_types::{Deadline, Instant, RequestRate};
 
+use super::demand_share::{DemandShare, LimitUse};
 use super::rate_share::RateShare;
 
 /// The longest pause for which an endpoint can ask.
 const MAX_PAUSE_MS: u64 = 600_000;
 
+/// How long a limit that only other nodes were told holds without being named again to one of them. An
+/// endpoint in need names it in each answer.
+const HEARSAY_MS: u64 = 10_000;
+
 /// What an answer says about its endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct EndpointNotice {
@@ -29,15 +34,44 @@
 #[derive(Debug, Clone, Copy)]
 struct NamedLimit {
     rate: RequestRate,
-    // When it was last named.
+    // When it was last named, to this node or another one.
     named_at: Instant,
+    is_hearsay: bool,
     share: RateShare,
+    demand: DemandShare,
+    // Whether it was this node's turn when that was last asked.
+    has_turn: bool,
+}
+
+impl NamedLimit {
+    fn new(rate: RequestRate, named_at: Instant, is_hearsay: bool) -> Self {
+        let (share, demand) = (RateShare::default(), DemandShare::default());
+        Self { rate, named_at, is_hearsay, share, demand, has_turn: false }
+    }
+
+    /// Returns whether this node may send a request now: in its turn, or by lot while the demand of the
+    /// other nodes is known.
+    fn may_send(&mut self, nodes: u32, random: f64, now: Instant) -> bool {
+        self.has_turn = self.share.may_send(self.rate, nodes, random, now)
+            && !self.demand.is_exceeded(self.rate, nodes, now);
+        let is_drawn = self.demand.may_send(self.rate, nodes, random, now);
+        self.has_turn || is_drawn
+    }
+
+    fn record_sent(&mut self, now: Instant) {
+        if self.has_turn {
+            self.share.record_sent();
+        }
+        self.demand.record_sent(self.has_turn, now);
+    }
 }
 
 /// What this node has learned from the answers of one process of an endpoint.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EndpointNotices {
     limit: Option<NamedLimit>,
+    // Limits named before this have ended.
+    unlimited_at: Option<Instant>,
     // A process that leaves does not come back.
     is_leaving: bool,
     pause_end: Option<Deadline>,
@@ -52,16 +86,45 @@
         // Answers may overtake each other, so a shorter pause does not end a longer one.
         self.pause_end = self.pause_end.max(pause_end);
         match (notice.limit, &mut self.limit) {
-            (Some(rate), Some(known)) => (known.rate, known.named_at) = (rate, now),
-            (Some(rate), None) => {
-                self.limit = Some(NamedLimit { rate, named_at: now, share: RateShare::default() });
+            (Some(rate), Some(known)) => {
+                (known.rate, known.named_at, known.is_hearsay) = (rate, now, false);
             }
+            (Some(rate), None) => self.limit = Some(NamedLimit::new(rate, now, false)),
             // An answer that was on its way when the limit was named does not end it.
-            (None, Some(known)) if sent_at > known.named_at => self.limit = None,
+            (None, Some(known)) if sent_at > known.named_at => {
+                self.limit = None;
+                self.unlimited_at = Some(sent_at);
+            }
             (None, _) => {}
         }
     }
 
+    /// Records what `nodes` other nodes of the zone know of the endpoint's limit, as of an instant.
+    pub fn record_zone_use(&mut self, used: &LimitUse, nodes: u32, as_of: Instant) {
+        let named_at = Instant::from_ms(as_of.as_ms().saturating_sub(used.named_age_ms));
+        if self.unlimited_at.is_some_and(|ended_at| named_at <= ended_at) {
+            return;
+        }
+        let limit = self.limit.get_or_insert_with(|| NamedLimit::new(used.rate, named_at, true));
+        if named_at > limit.named_at {
+            (limit.rate, limit.named_at) = (used.rate, named_at);
+        }
+        limit.demand.record_others(used, nodes, as_of);
+    }
+
+    /// Returns what this node tells the others of the endpoint's limit, if it knows one.
+    pub fn zone_use(&mut self, now: Instant) -> Option<LimitUse> {
+        self.drop_old_hearsay(now);
+        let limit = self.limit.as_mut()?;
+        Some(limit.demand.own_use(limit.rate, limit.named_at, now))
+    }
+
+    fn drop_old_hearsay(&mut self, now: Instant) {
+        let is_old =
+            |limit: &NamedLimit| limit.is_hearsay && now.ms_since(limit.named_at) > HEARSAY_MS;
+        self.limit = self.limit.filter(|limit| !is_old(limit));
+    }
+
     /// Returns whether nothing binds this node.
     pub fn is_empty(&self) -> bool {
         self.limit.is_none() && !self.is_leaving && self.pause_end.is_none()
@@ -70,8 +133,8 @@
     /// Returns whether this node may send a request to the endpoint now. `nodes` is the number of nodes
     /// that share its limit, and `random`, from 0 to 1, spreads their first requests.
     pub fn may_send(&mut self, nodes: u32, random: f64, now: Instant) -> bool {
-        let has_turn =
-            |limit: &mut NamedLimit| limit.share.may_send(limit.rate, nodes, random, now);
+        self.drop_old_hearsay(now);
+        let has_turn = |limit: &mut NamedLimit| limit.may_send(nodes, random, now);
         let is_paused = self.pause_end.is_some_and(|end| !end.has_passed(now));
         !self.is_leaving && !is_paused && self.limit.as_mut().is_none_or(has_turn)
     }
@@ -81,7 +144,7 @@
     pub fn try_send(&mut self, nodes: u32, random: f64, now: Instant) -> bool {
         let may_send = self.may_send(nodes, random, now);
         if let Some(limit) = self.limit.as_mut().filter(|_| may_send) {
-            limit.share.record_sent();
+            limit.record_sent(now);
         }
         may_send
     }
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! after an attempt without a complete answer, within this node's [`RetryShare`].
 //!
 //! * [`configuration`] and [`route`]: the operators' configuration.
+//! * [`demand_share`]: this node's part in a request rate, by the demand of the nodes of its zone.
 //! * [`directory`]: the registered endpoints.
 //! * [`endpoint_notices`]: what an endpoint says about itself, and which requests that allows.
 //! * [`endpoint_tracker`]: load and failures of one endpoint.
@@ -27,6 +28,7 @@
 //! * [`zone_room`]: what the nodes of a zone have outstanding at each endpoint.
 
 pub mod configuration;
+pub mod demand_share;
 pub mod directory;
 pub mod endpoint_notices;
 pub mod endpoint_tracker;
@@ -53,6 +55,7 @@
     CallerLimits, Configuration, ConfigurationHolder, EngineSpec, InvalidConfiguration, KeyVerdict,
     Organisation, PartStore, Service,
 };
+pub use demand_share::{DemandShare, LimitUse};
 pub use directory::{Directory, EndpointRecord, EndpointState};
 pub use endpoint_notices::{EndpointNotice, EndpointNotices};
 pub use endpoint_tracker::{EndpointTracker, EndpointTrackerSettings, LoadReport, ZoneLoad};
