--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! * [`caller_budget`]: the bytes and connections that are held for callers.
 //! * [`configuration`] and [`route`]: the operators' configuration.
+//! * [`demand_share`]: this node's part in a request rate, by the demand of the nodes of its zone.
 //! * [`directory`]: the registered endpoints.
 //! * [`endpoint_notices`]: what an endpoint says about itself, and which requests that allows.
 //! * [`endpoint_speed`]: how fast an endpoint is now, and how long requests take at the usual speed.
@@ -32,6 +33,7 @@
 
 pub mod caller_budget;
 pub mod configuration;
+pub mod demand_share;
 pub mod directory;
 pub mod endpoint_notices;
 pub mod endpoint_speed;
@@ -66,6 +68,7 @@
     CallerLimits, Configuration, ConfigurationHolder, EngineSpec, InvalidConfiguration, KeyVerdict,
     Organisation, PartStore, Service,
 };
+pub use demand_share::{DemandShare, LimitUse};
 pub use directory::{Directory, EndpointRecord, EndpointState};
 pub use endpoint_notices::{EndpointNotice, EndpointNotices};
 pub use endpoint_speed::{EndpointSpeed, RequestWork, ServicePace, SlowdownEstimate};
