decisions: count answers of cold endpoints without their time

Cause: answers of cold endpoints were left out because their times say nothing, but their failures were counted, so the usual failures of a route looked like those of a bad version. A new version begins with cold endpoints. Change: such answers count as complete without a time.

--- a/crates/decisions/src/gateway/version_rollout/evidence.rs
+++ b/crates/decisions/src/gateway/version_rollout/evidence.rs
@@ -52,6 +52,8 @@
 pub enum AnswerKind {
     /// A complete answer in this time.
     Complete(AnswerTime),
+    /// A complete answer whose time says nothing, because the endpoint was cold.
+    Untimed,
     /// An error answer, or one that was broken off or did not come in time.
     Failed,
 }
@@ -71,22 +73,24 @@
 pub struct RouteCounts {
     /// Failures.
     pub failures: u64,
-    /// Complete answers by the bucket of their time; buckets without answers are absent.
+    /// Complete answers whose time says nothing.
+    pub untimed: u64,
+    /// Other complete answers by the bucket of their time; buckets without answers are absent.
     pub times: Vec<(u8, u64)>,
 }
 
 impl RouteCounts {
     /// Returns the number of answers.
     pub fn answers(&self) -> u64 {
-        self.failures + self.complete()
+        self.failures + self.untimed + self.timed()
     }
 
-    /// Returns the number of complete answers.
-    pub fn complete(&self) -> u64 {
+    /// Returns the number of complete answers whose time counts.
+    pub fn timed(&self) -> u64 {
         self.times.iter().map(|&(_, count)| count).sum()
     }
 
-    /// Returns the number of complete answers beyond a bucket.
+    /// Returns the number of these answers beyond a bucket.
     pub fn slower_than(&self, bucket: u8) -> u64 {
         self.times.iter().filter(|&&(at, _)| at > bucket).map(|&(_, count)| count).sum()
     }
@@ -95,6 +99,7 @@
     pub fn record(&mut self, kind: AnswerKind) {
         match kind {
             AnswerKind::Failed => self.failures += 1,
+            AnswerKind::Untimed => self.untimed += 1,
             AnswerKind::Complete(time) => self.add_time(time.0, 1),
         }
     }
@@ -102,6 +107,7 @@
     /// Adds other counts.
     pub fn add(&mut self, other: &Self) {
         self.failures += other.failures;
+        self.untimed += other.untimed;
         for &(bucket, count) in &other.times {
             self.add_time(bucket, count);
         }
@@ -119,7 +125,11 @@
             .map(|&(bucket, count)| (bucket, count.saturating_sub(before(bucket))))
             .filter(|&(_, count)| count > 0)
             .collect();
-        Self { failures: self.failures.saturating_sub(earlier.failures), times }
+        Self {
+            failures: self.failures.saturating_sub(earlier.failures),
+            untimed: self.untimed.saturating_sub(earlier.untimed),
+            times,
+        }
     }
 
     fn add_time(&mut self, bucket: u8, count: u64) {
--- a/crates/decisions/src/gateway/version_rollout/judge.rs
+++ b/crates/decisions/src/gateway/version_rollout/judge.rs
@@ -90,20 +90,26 @@
 #[derive(Debug, Clone, Default)]
 struct RecentBase {
     failures: f64,
+    untimed: f64,
     times: Vec<(u8, f64)>,
 }
 
 impl RecentBase {
-    fn complete(&self) -> f64 {
+    fn answers(&self) -> f64 {
+        self.failures + self.untimed + self.timed()
+    }
+
+    fn timed(&self) -> f64 {
         self.times.iter().map(|&(_, count)| count).sum()
     }
 
     /// Adds answers, and forgets as many of the earlier ones once there are enough.
     fn add(&mut self, counts: &RouteCounts) {
-        let known = self.failures + self.complete();
+        let known = self.answers();
         let excess = (known + counts.answers() as f64 - BASE_MEMORY).max(0.0);
         let kept = if known > 0.0 { (1.0 - excess / known).max(0.0) } else { 1.0 };
         self.failures = self.failures * kept + counts.failures as f64;
+        self.untimed = self.untimed * kept + counts.untimed as f64;
         self.times.iter_mut().for_each(|(_, count)| *count *= kept);
         for &(bucket, added) in &counts.times {
             match self.times.binary_search_by_key(&bucket, |&(at, _)| at) {
@@ -116,19 +122,19 @@
     /// Returns the bucket beyond which an answer is slow, and the share of such answers; `None` if
     /// there are too few answers.
     fn slow_beyond(&self) -> Option<(u8, f64)> {
-        let complete = self.complete();
-        if complete < MIN_TIMED_ANSWERS {
+        let timed = self.timed();
+        if timed < MIN_TIMED_ANSWERS {
             return None;
         }
-        let mut beyond = complete;
+        let mut beyond = timed;
         let position = self.times.iter().position(|&(_, count)| {
             beyond -= count;
-            beyond <= complete * SLOW_SHARE
+            beyond <= timed * SLOW_SHARE
         })?;
         // One more bucket, so that small differences between endpoints do not count.
         let bucket = self.times[position].0 + 1;
         let slower = self.times.iter().filter(|&&(at, _)| at > bucket).map(|&(_, count)| count);
-        Some((bucket, upper_bound(slower.sum(), complete)))
+        Some((bucket, upper_bound(slower.sum(), timed)))
     }
 }
 
@@ -295,19 +301,18 @@
     if answers == 0.0 {
         return;
     }
-    let recent = state.base.failures + state.base.complete();
-    let failure_rate =
-        upper_bound(state.base.failures, recent).max(latest_rate(base.failures, base.answers()));
+    let failure_rate = upper_bound(state.base.failures, state.base.answers())
+        .max(latest_rate(base.failures, base.answers()));
     state.failures.add(target.failures as f64, answers, failure_rate);
     failures.add(target.failures as f64, answers, failure_rate);
-    let complete = target.complete() as f64;
+    let timed = target.timed() as f64;
     if let Some((bucket, recent_rate)) = state.base.slow_beyond()
-        && complete > 0.0
+        && timed > 0.0
     {
-        let rate = recent_rate.max(latest_rate(base.slower_than(bucket), base.complete()));
+        let rate = recent_rate.max(latest_rate(base.slower_than(bucket), base.timed()));
         let slow = target.slower_than(bucket) as f64;
-        state.slowness.add(slow, complete, rate);
-        slowness.add(slow, complete, rate);
+        state.slowness.add(slow, timed, rate);
+        slowness.add(slow, timed, rate);
     }
 }
 
--- a/crates/decisions/tests/version_judge.rs
+++ b/crates/decisions/tests/version_judge.rs
@@ -95,6 +95,23 @@
     assert_eq!(judge(&evidence), Verdict::Suspect);
 }
 
+/// Guards against cold endpoints, which a new version begins with, whose slow answers count against it or
+/// whose usual failures count without their answers.
+#[test]
+fn answers_of_cold_endpoints_count_without_their_time() {
+    // Arrange
+    let mut evidence = evidence();
+    record(&mut evidence, VersionRole::Base, 450, complete(60));
+    record(&mut evidence, VersionRole::Base, 50, AnswerKind::Failed);
+
+    // Act
+    record(&mut evidence, VersionRole::Target, 180, AnswerKind::Untimed);
+    record(&mut evidence, VersionRole::Target, 20, AnswerKind::Failed);
+
+    // Assert
+    assert_eq!(judge(&evidence), Verdict::Sound);
+}
+
 /// Guards against counts of a node that are added twice, or not at all after it has restarted.
 #[test]
 fn a_restarted_node_counts_from_the_beginning() {
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -379,7 +379,7 @@
             return;
         }
         let kind = match outcome {
-            AttemptOutcome::Answered(_) if is_cold => None,
+            AttemptOutcome::Answered(_) if is_cold => Some(AnswerKind::Untimed),
             AttemptOutcome::Answered(_) if stream_bytes > 0 => {
                 Some(AnswerKind::Complete(AnswerTime::of_stream(answer_ms, stream_bytes)))
             }
