metrics: calls to the platform by purpose

Calls are the largest price of the large sites, and nothing showed what they are made for. Each handle of the key-value service has a `CallPurpose`, and an observer counts each call that is made, repeated ones too: `yuccapass_gateway_platform_calls`, with the label `purpose`. Tests: each_call_counts_for_its_purpose, names_of_purposes_can_be_parsed.

--- a/crates/decisions/src/platform_budget/mod.rs
+++ b/crates/decisions/src/platform_budget/mod.rs
@@ -11,6 +11,7 @@
 mod lease_holder;
 mod newest_revision;
 mod outage_gate;
+mod purpose;
 pub mod settle_write;
 
 pub use backoff::Backoff;
@@ -18,3 +19,4 @@
 pub use lease_holder::{LeaseHolder, LeasePermit, LeaseStep, LeaseTerms, RequestTime};
 pub use newest_revision::{NewestRevision, RevisionAtCall};
 pub use outage_gate::{OutageDecision, OutageGate};
+pub use purpose::{CallPurpose, ParseCallPurposeError};
--- a/crates/decisions/tests/platform_budget.rs
+++ b/crates/decisions/tests/platform_budget.rs
@@ -8,8 +8,8 @@
     ReadBackResult, SettleStep, Settled, WriteResult, Writing,
 };
 use yuccapass_decisions::platform_budget::{
-    Backoff, CallBudget, CallDecision, CallKind, CallRank, FleetRates, LeaseHolder, LeaseStep,
-    LeaseTerms, NewestRevision, OutageDecision, OutageGate, RequestTime,
+    Backoff, CallBudget, CallDecision, CallKind, CallPurpose, CallRank, FleetRates, LeaseHolder,
+    LeaseStep, LeaseTerms, NewestRevision, OutageDecision, OutageGate, RequestTime,
 };
 use yuccapass_types::{Deadline, FencingNumber, Instant};
 
@@ -279,6 +279,15 @@
     assert_eq!(gate.admit(CallRank::Refresh, at(1_100), &mut random), OutageDecision::Proceed);
 }
 
+/// Guards against labels of metrics that two purposes share, or that cannot be read back.
+#[test]
+fn names_of_purposes_can_be_parsed() {
+    for purpose in CallPurpose::ALL {
+        assert_eq!(purpose.to_string().parse(), Ok(purpose));
+    }
+    assert!("".parse::<CallPurpose>().is_err());
+}
+
 /// Guards against reports that take the probes of keys and configuration: while the platform is down they
 /// wait, also when a probe is due.
 #[test]
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -14,7 +14,7 @@
 use yuccapass_decisions::crash_guard::Fingerprint;
 use yuccapass_decisions::gateway::relay::TopicClass;
 use yuccapass_decisions::part_guard::{BlockDecision, CrashedProcess, Evidence, ReportPacing};
-use yuccapass_decisions::platform_budget::CallRank;
+use yuccapass_decisions::platform_budget::{CallPurpose, CallRank};
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{
     Change, ChangeKind, Compare, Entry, Key, KeyValue, KeyValueClient, LeaseGrant, LeaseId,
@@ -96,13 +96,14 @@
         watch_ms: WATCH_MS,
         relay_watch_ms: Some(WATCH_MS),
         pause_ms: WATCH_PAUSE_MS,
+        purpose: CallPurpose::Evidence,
         class: TopicClass::Background,
     };
     let handler = Arc::new(EvidenceHandler { shared: Arc::clone(shared) });
     task::spawn(watch_prefix(Arc::clone(shared), Arc::clone(platform), settings, handler));
     let publisher = EvidencePublisher {
         shared: Arc::clone(shared),
-        key_value: platform.key_value(CallRank::Report),
+        key_value: platform.key_value(CallRank::Report).with_purpose(CallPurpose::Evidence),
         pacing: ReportPacing::default(),
         report_due: None,
         lease: None,
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -5,7 +5,7 @@
 
 use async_std::task;
 use yuccapass_decisions::gateway::relay::TopicClass;
-use yuccapass_decisions::platform_budget::CallRank;
+use yuccapass_decisions::platform_budget::{CallPurpose, CallRank};
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{Change, ChangeKind, Entry, Key, PlatformClient};
 use yuccapass_types::{Deadline, NodeId};
@@ -41,6 +41,7 @@
         watch_ms: SWAP_LOCK_WATCH_MS,
         relay_watch_ms: Some(SWAP_LOCK_WATCH_MS),
         pause_ms: 0,
+        purpose: CallPurpose::WeightSwaps,
         class: TopicClass::Urgent,
     };
     let handler = Arc::new(SwapLockHandler { swap_leader: Arc::clone(swap_leader) });
@@ -51,14 +52,17 @@
         handler,
     ));
     task::spawn(count_nodes(Arc::clone(shared), Arc::clone(platform)));
-    let registration = Registration::new(Arc::clone(shared), platform.key_value(CallRank::Lease));
+    let registration = Registration::new(
+        Arc::clone(shared),
+        platform.key_value(CallRank::Lease).with_purpose(CallPurpose::Nodes),
+    );
     task::spawn(registration.run());
 }
 
 /// Counts the registered nodes until the process ends.
 async fn count_nodes(shared: Arc<Shared>, platform: Arc<PlatformClient>) {
     let prefix: Key = NODE_KEYS.parse().expect("the prefix is a valid key");
-    let reader = platform.key_value(CallRank::Refresh);
+    let reader = platform.key_value(CallRank::Refresh).with_purpose(CallPurpose::Nodes);
     loop {
         // Until the other nodes are known, a stale list could miss those that have just started.
         let may_be_stale = shared.fleet().is_known();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use smol_str::{SmolStr, ToSmolStr};
 use yuccapass_decisions::gateway::{Refusal, RouteKind};
+use yuccapass_decisions::platform_budget::CallPurpose;
 use yuccapass_types::Instant;
 
 use crate::admission::Admitted;
@@ -34,6 +35,7 @@
     refusals: Counter<u64>,
     broken_off: Counter<u64>,
     outdated_answers: Counter<u64>,
+    platform_calls: Counter<u64>,
     nodes: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
@@ -92,6 +94,10 @@
                 "yuccapass_gateway_outdated_answers",
                 "Answers that began on weights older than the target weights.",
             ),
+            platform_calls: counter(
+                "yuccapass_gateway_platform_calls",
+                "Calls to the platform's key-value service, by purpose.",
+            ),
             registry,
             _provider: provider,
             organisations: Mutex::default(),
@@ -144,6 +150,11 @@
         self.outdated_answers.add(1, &[KeyValue::new("is_late", is_late)]);
     }
 
+    /// Records a call to the platform.
+    pub(crate) fn record_platform_call(&self, purpose: CallPurpose) {
+        self.platform_calls.add(1, &[KeyValue::new("purpose", purpose.as_str())]);
+    }
+
     /// Returns the metrics in the text format of Prometheus.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,7 +11,7 @@
 use yuccapass_decisions::gateway::{LeastLoaded, PrefixAffinity};
 use yuccapass_http::{sleep_until, stop_pair};
 use yuccapass_peers::{ListenerConfig, LocalNode, Sender, TcpTransport, TransportConfig};
-use yuccapass_platform::PlatformClient;
+use yuccapass_platform::{CallObserver, PlatformClient};
 use yuccapass_types::{Clock, Deadline, Incarnation};
 
 use crate::caller::serve_connection;
@@ -109,6 +109,7 @@
         };
         let protocol = Arc::clone(&adapter.protocol);
         let shared = Arc::new(Shared::new(options, protocol, clock, placements, metrics));
+        adapter.key_value.observe_calls(Arc::clone(&shared) as Arc<dyn CallObserver>);
         let swap_leader = SwapLeader::new(
             Arc::clone(&shared),
             &adapter.key_value,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,9 @@
     Configuration, ConfigurationHolder, Directory, Distance, FleetSize, KeyValidity, Placement,
     RetryShare,
 };
+use yuccapass_decisions::platform_budget::CallPurpose;
 use yuccapass_http::{StopController, StopSignal, sleep_until, stop_pair};
+use yuccapass_platform::CallObserver;
 use yuccapass_types::{Clock, Deadline, Instant, ServiceId, Sharded, SortedMap, ZoneId};
 
 use crate::crashes::CrashTracker;
@@ -57,6 +59,12 @@
     buffered_answer_bytes: AtomicUsize,
 }
 
+impl CallObserver for Shared {
+    fn record_call(&self, purpose: CallPurpose) {
+        self.metrics.record_platform_call(purpose);
+    }
+}
+
 impl Shared {
     pub(crate) fn new(
         options: GatewayOptions,
--- a/crates/gateway/src/swap_leader.rs
+++ b/crates/gateway/src/swap_leader.rs
@@ -19,7 +19,7 @@
     EndpointRecord, EngineReport, Handover, ReplacedWeights, SwapPlan, SwapStep, Takeover,
     candidate_delay_ms,
 };
-use yuccapass_decisions::platform_budget::{CallRank, LeaseTerms};
+use yuccapass_decisions::platform_budget::{CallPurpose, CallRank, LeaseTerms};
 use yuccapass_http::message::{Connection, MessageError};
 use yuccapass_http::{sleep_until, with_deadline};
 use yuccapass_platform::{
@@ -118,7 +118,7 @@
             SWAP_LOCK_PREFIX.trim_end_matches('/').parse().expect("the lock's name is a valid key");
         let holder_key = name.child("holder").expect("the holder's key is a valid key");
         let handover_key = name.child("handover").expect("the handover's key is a valid key");
-        let key_value = platform.key_value(CallRank::Lease);
+        let key_value = platform.key_value(CallRank::Lease).with_purpose(CallPurpose::WeightSwaps);
         let lock = LeaseLock::new(
             key_value.clone(),
             &name,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -11,7 +11,7 @@
     OriginRead, OutageEnds, RelayItem, RelayedEntry, TopicClass,
 };
 use yuccapass_decisions::gateway::{EndpointRecord, EndpointState, TargetBounds};
-use yuccapass_decisions::platform_budget::{Backoff, CallRank};
+use yuccapass_decisions::platform_budget::{Backoff, CallPurpose, CallRank};
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{
     Change, ChangeKind, Entry, Key, KeyRange, KeyValue, KeyValueClient, KeyValueRevision,
@@ -124,6 +124,8 @@
     pub(crate) relay_watch_ms: Option<u64>,
     /// Pause after a watch call that returned changes.
     pub(crate) pause_ms: u64,
+    /// What the calls are counted as.
+    pub(crate) purpose: CallPurpose,
     /// How important the changes are. Keys of a background topic are read after all others.
     pub(crate) class: TopicClass,
 }
@@ -154,8 +156,8 @@
     });
     let (list_rank, watch_rank) = settings.ranks();
     let watcher = PrefixWatcher {
-        reader: platform.key_value(list_rank),
-        watcher: platform.key_value(watch_rank),
+        reader: platform.key_value(list_rank).with_purpose(settings.purpose),
+        watcher: platform.key_value(watch_rank).with_purpose(settings.purpose),
         shared,
         settings,
         handler,
@@ -493,6 +495,7 @@
         relay_watch_ms: (shared.options.revoke_bound_ms >= MIN_RELAYED_REVOKE_BOUND_MS)
             .then_some(RELAY_OPERATOR_WATCH_MS),
         pause_ms: OPERATOR_PAUSE_MS,
+        purpose: CallPurpose::Settings,
         class: TopicClass::Urgent,
     };
     let endpoint_settings = WatchSettings {
@@ -500,6 +503,7 @@
         watch_ms: ENDPOINTS_WATCH_MS,
         relay_watch_ms: Some(RELAY_ENDPOINTS_WATCH_MS),
         pause_ms: ENDPOINTS_PAUSE_MS,
+        purpose: CallPurpose::Endpoints,
         class: TopicClass::Urgent,
     };
     spawn(operator_settings, Arc::new(operator_handler));
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -2,13 +2,13 @@
 //! restorations.
 
 use std::future::Future;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use async_trait::async_trait;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use yuccapass_decisions::platform_budget::{
-    Backoff, CallBudget, CallDecision, CallKind, CallRank, FleetRates, NewestRevision,
+    Backoff, CallBudget, CallDecision, CallKind, CallPurpose, CallRank, FleetRates, NewestRevision,
     OutageDecision, OutageGate, RevisionAtCall, Ticket,
 };
 use yuccapass_http::sleep_until;
@@ -84,12 +84,19 @@
     random: StdRng,
 }
 
+/// Counts the calls of a [`PlatformClient`].
+pub trait CallObserver: Send + Sync {
+    /// Records that a call is made.
+    fn record_call(&self, purpose: CallPurpose);
+}
+
 /// The node's access to the key-value service.
 pub struct PlatformClient {
     inner: Arc<dyn KeyValue>,
     clock: Arc<dyn Clock>,
     attempt_timeout_ms: u64,
     state: Mutex<State>,
+    observer: OnceLock<Arc<dyn CallObserver>>,
 }
 
 impl PlatformClient {
@@ -110,12 +117,19 @@
             random: StdRng::seed_from_u64(config.seed),
         };
         let attempt_timeout_ms = config.attempt_timeout_ms;
-        Arc::new(Self { inner, clock, attempt_timeout_ms, state: Mutex::new(state) })
+        let state = Mutex::new(state);
+        Arc::new(Self { inner, clock, attempt_timeout_ms, state, observer: OnceLock::new() })
     }
 
     /// Returns a handle to the service whose calls all have `rank`.
     pub fn key_value(self: &Arc<Self>, rank: CallRank) -> KeyValueClient {
-        KeyValueClient { client: Arc::clone(self), rank }
+        KeyValueClient { client: Arc::clone(self), rank, purpose: CallPurpose::default() }
+    }
+
+    /// Sets the observer of all calls. Only the first one is kept.
+    pub fn observe_calls(&self, observer: Arc<dyn CallObserver>) {
+        // A second observer would count the same calls again.
+        let _ = self.observer.set(observer);
     }
 
     /// Changes the number of nodes that share the service's rates.
@@ -280,9 +294,25 @@
 pub struct KeyValueClient {
     client: Arc<PlatformClient>,
     rank: CallRank,
+    purpose: CallPurpose,
 }
 
 impl KeyValueClient {
+    /// Sets the purpose by which the calls are counted.
+    pub fn with_purpose(mut self, purpose: CallPurpose) -> Self {
+        self.purpose = purpose;
+        self
+    }
+
+    /// Waits until a call may be made, and counts it.
+    async fn wait_for_turn(&self, kind: CallKind, deadline: Deadline) -> Result<(), PlatformError> {
+        self.client.wait_for_turn(kind, self.rank, deadline).await?;
+        if let Some(observer) = self.client.observer.get() {
+            observer.record_call(self.purpose);
+        }
+        Ok(())
+    }
+
     pub(crate) fn client(&self) -> &PlatformClient {
         &self.client
     }
@@ -302,7 +332,7 @@
         let mut backoff = Backoff::new(RETRY_BASE_MS, RETRY_LIMIT_MS);
         let mut attempt_ms = client.attempt_timeout_ms;
         loop {
-            client.wait_for_turn(CallKind::Read, self.rank, deadline).await?;
+            self.wait_for_turn(CallKind::Read, deadline).await?;
             let at_call = client.revision_at_call();
             let result = call(client.attempt_deadline(attempt_ms, deadline)).await;
             attempt_ms = attempt_ms.saturating_mul(2).min(client.max_attempt_ms());
@@ -334,7 +364,7 @@
     where
         F: Future<Output = Result<T, PlatformError>>,
     {
-        self.client.wait_for_turn(CallKind::Write, self.rank, deadline).await?;
+        self.wait_for_turn(CallKind::Write, deadline).await?;
         let client = &*self.client;
         let result = call(client.attempt_deadline(client.attempt_timeout_ms, deadline)).await;
         client.record_result(self.rank, &result);
@@ -398,7 +428,7 @@
         deadline: Deadline,
     ) -> Result<WatchOutcome, PlatformError> {
         let client = &*self.client;
-        client.wait_for_turn(CallKind::Read, self.rank, deadline).await?;
+        self.wait_for_turn(CallKind::Read, deadline).await?;
         let now = client.clock.now();
         if !client.lock().budget.start_watch(now) {
             let detail = "the node's share is too small for another waiting watch";
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod vm_list;
 pub mod wire;
 
-pub use client::{KeyValueClient, PlatformClient, PlatformClientConfig};
+pub use client::{CallObserver, KeyValueClient, PlatformClient, PlatformClientConfig};
 pub use error::{PlatformError, PlatformErrorKind};
 pub use http_key_value::HttpKeyValue;
 pub use idempotent_transaction::{IdempotentTransaction, SettleOutcome};
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -2,15 +2,16 @@
 
 mod fakes;
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use async_std::task::block_on;
 use fakes::{FakeKeyValue, Fault, JumpingClock};
 use yuccapass_decisions::platform_budget::settle_write::Settled;
-use yuccapass_decisions::platform_budget::{CallRank, LeaseTerms};
+use yuccapass_decisions::platform_budget::{CallPurpose, CallRank, LeaseTerms};
 use yuccapass_platform::{
-    IdempotentTransaction, Key, KeyValue, KeyValueClient, KeyValueRevision, LeaseLock, LockStatus,
-    PlatformClient, PlatformClientConfig, PlatformErrorKind, Transaction, Value, Write,
+    CallObserver, IdempotentTransaction, Key, KeyValue, KeyValueClient, KeyValueRevision,
+    LeaseLock, LockStatus, PlatformClient, PlatformClientConfig, PlatformErrorKind, Transaction,
+    Value, Write,
 };
 use yuccapass_types::{Clock, Deadline, FencingNumber};
 
@@ -85,6 +86,37 @@
     assert!(setup.client.is_down());
 }
 
+/// Counts calls.
+#[derive(Default)]
+struct Calls(Mutex<Vec<CallPurpose>>);
+
+impl CallObserver for Calls {
+    fn record_call(&self, purpose: CallPurpose) {
+        self.0.lock().unwrap().push(purpose);
+    }
+}
+
+/// Guards against calls that are paid for and missing in the count by purpose, such as repeated ones, and
+/// against purposes that are confused.
+#[test]
+fn each_call_counts_for_its_purpose() {
+    // Arrange
+    let setup = setup(&[Fault::NotSent]);
+    let calls = Arc::new(Calls::default());
+    setup.client.observe_calls(calls.clone());
+    let reader = setup.key_value(CallRank::Command).with_purpose(CallPurpose::Settings);
+    let writer = setup.key_value(CallRank::Report).with_purpose(CallPurpose::Evidence);
+    let report = Transaction { compares: Vec::new(), writes: Vec::new() };
+
+    // Act: the first attempt of the read fails.
+    block_on(reader.get(&key("a"), setup.limit())).unwrap();
+    block_on(writer.compare_and_swap(&report, setup.limit())).unwrap();
+
+    // Assert
+    let expected = [CallPurpose::Settings, CallPurpose::Settings, CallPurpose::Evidence];
+    assert_eq!(*calls.0.lock().unwrap(), expected);
+}
+
 /// Guards against a failed report after which the node does not read its configuration for a while: a
 /// report may fail because the link is busy with reports.
 #[test]
