--- a/crates/decisions/tests/part_guard.rs
+++ b/crates/decisions/tests/part_guard.rs
@@ -3,7 +3,9 @@
 
 mod part_guard_model;
 
-use part_guard_model::guards::{CountingGuard, EvidenceGuard};
+use std::cell::Cell;
+
+use part_guard_model::guards::{CountingGuard, EvidenceGuard, NodeGuard};
 use part_guard_model::{Model, Report, Setup};
 use yuccapass_decisions::part_guard::{
     CrashedProcess, Evidence, PartGuard, PartGuardSettings, PartStatus,
@@ -53,9 +55,23 @@
     Model::new(setup, seed, || Box::new(EvidenceGuard::new())).run()
 }
 
+/// The same with the pauses between reports that the fleet has.
+fn run_paced(setup: Setup, seed: u64) -> Report {
+    let nodes = u32::try_from(setup.nodes).expect("the fleet is small");
+    let seeds = Cell::new(seed);
+    let new_guard = move || -> Box<dyn NodeGuard> {
+        seeds.set(seeds.get() + 1);
+        Box::new(EvidenceGuard::paced(nodes, seeds.get()))
+    };
+    Model::new(setup, seed, new_guard).run()
+}
+
 /// Checks that the crashing part is refused in time, and that sound requests beside it are served.
 fn check(setup: &Setup, seed: u64) -> Report {
-    let report = run(setup.clone(), seed);
+    check_report(setup, seed, run(setup.clone(), seed))
+}
+
+fn check_report(setup: &Setup, seed: u64, report: Report) -> Report {
     let about = format!("seed {seed}, {setup:?}: {report:?}");
     assert!(report.late_crashing_sent <= 3, "{about}");
     assert!(report.beside >= 20, "{about}");
@@ -143,6 +159,31 @@
     }
 }
 
+/// Guards against a crashing part that is blocked too late because reports wait for their turn, and against
+/// sound parts that are blocked before a report has cleared them, at larger sizes.
+#[test]
+#[ignore = "takes minutes without optimisation; run by hand with `--release`"]
+fn a_part_that_crashes_endpoints_during_streams_is_blocked_by_paced_reports() {
+    for crash_after_ms in CRASHES_AFTER_MS {
+        for size in &SIZES[1..] {
+            for (share, seed) in runs(*size) {
+                let paced = |setup: Setup| {
+                    let started_at = std::time::Instant::now();
+                    let report = check_report(&setup, seed, run_paced(setup.clone(), seed));
+                    println!(
+                        "{crash_after_ms} ms, {size:?}: {:?}, {report:?}",
+                        started_at.elapsed()
+                    );
+                    report
+                };
+                let calm = paced(streaming(setup(*size, share), crash_after_ms));
+                paced(streaming(troubled(*size, share), crash_after_ms));
+                assert_eq!(calm.sound_refused, 0, "{crash_after_ms} ms, {size:?}: {calm:?}");
+            }
+        }
+    }
+}
+
 /// Guards against the same failures at larger sizes, where each crash interrupts streams of more nodes.
 #[test]
 #[ignore = "takes minutes without optimisation; run by hand with `--release`"]
--- a/crates/decisions/tests/part_guard_model/guards.rs
+++ b/crates/decisions/tests/part_guard_model/guards.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use yuccapass_decisions::part_guard::{
-    CrashedProcess, Evidence, PartGuard, PartGuardSettings, PartStatus,
+    CrashedProcess, Evidence, PartGuard, PartGuardSettings, PartStatus, ReportPacing,
 };
 use yuccapass_types::{Instant, PromptPartId};
 
@@ -40,11 +42,38 @@
 pub struct EvidenceGuard {
     guard: PartGuard,
     is_idle: bool,
+    // `None` if each look at the evidence may publish a report.
+    pacing: Option<(ReportPacing, StdRng)>,
 }
 
 impl EvidenceGuard {
     pub fn new() -> Self {
-        Self { guard: PartGuard::new(PartGuardSettings::default()), is_idle: true }
+        let guard = PartGuard::new(PartGuardSettings::default());
+        Self { guard, is_idle: true, pacing: None }
+    }
+
+    /// Creates a guard of a node of a fleet, with the pauses between its reports.
+    pub fn paced(fleet_nodes: u32, seed: u64) -> Self {
+        let mut paced = Self::new();
+        let mut pacing = ReportPacing::default();
+        pacing.set_fleet_nodes(fleet_nodes);
+        paced.guard.set_fleet_nodes(fleet_nodes);
+        paced.pacing = Some((pacing, StdRng::seed_from_u64(seed)));
+        paced
+    }
+
+    /// Returns whether news may be published now.
+    fn may_report(&mut self, now: Instant) -> bool {
+        let Some((pacing, random)) = &mut self.pacing else { return true };
+        if !self.guard.has_news(now) {
+            pacing.rest(now);
+            return false;
+        }
+        let is_due = pacing.due(now, random).has_passed(now);
+        if is_due {
+            pacing.record_report(now, random);
+        }
+        is_due
     }
 }
 
@@ -80,7 +109,9 @@
         let own = decisions.into_iter().filter(|decision| decision.is_own);
         let mut messages: Vec<Message> =
             own.map(|decision| Message::Blocked(decision.part)).collect();
-        messages.extend(self.guard.report(now).map(Message::Evidence));
+        if self.may_report(now) {
+            messages.extend(self.guard.report(now).map(Message::Evidence));
+        }
         messages
     }
 }
