--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -269,6 +269,9 @@
         });
         shared.waiting.record_load(request.service, load, own_requests, now);
     }
+    if received.info.load.is_some_and(|load| load.slowdown.is_some()) {
+        shared.zone_room.enable();
+    }
     let is_stream = request.route.kind.is_streaming() && received.head.status == 200;
     if is_stream && received.info.is_signed {
         return forward_stream(shared, request, target, connection, received, events, answer).await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 use yuccapass_decisions::gateway::waiting_room::RefusalReason;
 use yuccapass_decisions::gateway::zone_room::Receipt;
 use yuccapass_decisions::gateway::{BudgetUse, OutstandingSum, Refusal, RouteKind, Shortage};
+use yuccapass_decisions::platform_budget::CallPurpose;
 use yuccapass_types::{Instant, ServiceId};
 
 use crate::admission::Admitted;
@@ -41,6 +42,7 @@
     caller_bytes: Gauge<u64>,
     caller_connections: Gauge<u64>,
     caller_evictions: Gauge<u64>,
+    platform_calls: Counter<u64>,
     nodes: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
@@ -180,6 +182,10 @@
                 "yuccapass_gateway_caller_evictions",
                 "Connections that were closed for the sake of others since the start.",
             ),
+            platform_calls: counter(
+                "yuccapass_gateway_platform_calls",
+                "Calls to the platform's key-value service, by purpose.",
+            ),
             registry,
             _provider: provider,
             organisations: Mutex::default(),
@@ -310,6 +316,11 @@
         self.outdated_answers.add(1, &[KeyValue::new("is_late", is_late)]);
     }
 
+    /// Records a call to the platform.
+    pub(crate) fn record_platform_call(&self, purpose: CallPurpose) {
+        self.platform_calls.add(1, &[KeyValue::new("purpose", purpose.as_str())]);
+    }
+
     /// Returns the metrics in the text format of Prometheus.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/rollouts/evidence.rs
+++ b/crates/gateway/src/rollouts/evidence.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use yuccapass_decisions::gateway::version_rollout::{NodeEvidence, ReportTimer};
-use yuccapass_decisions::platform_budget::CallRank;
+use yuccapass_decisions::platform_budget::{CallPurpose, CallRank};
 use yuccapass_platform::{
     Key, KeyValue, KeyValueClient, LeaseId, LeaseTtl, PlatformClient, PlatformError,
     PlatformErrorKind, Transaction, Write,
@@ -41,7 +41,7 @@
 
 impl Publisher {
     pub(super) fn new(shared: &Arc<Shared>, platform: &Arc<PlatformClient>) -> Self {
-        let key_value = platform.key_value(CallRank::Refresh);
+        let key_value = platform.key_value(CallRank::Report).with_purpose(CallPurpose::Rollouts);
         Self { shared: Arc::clone(shared), key_value, lease: None, timers: SortedMap::new() }
     }
 
--- a/crates/gateway/src/rollouts/leader.rs
+++ b/crates/gateway/src/rollouts/leader.rs
@@ -10,7 +10,7 @@
     FleetView, HolderAction, NodeEvidence, RolloutHolder, RolloutOrder, RolloutProgress, Stage,
     Verdict, VersionJudge,
 };
-use yuccapass_decisions::platform_budget::CallRank;
+use yuccapass_decisions::platform_budget::{CallPurpose, CallRank};
 use yuccapass_platform::{
     Compare, Entry, Key, KeyValue, KeyValueClient, KeyValueRevision, PlatformClient, PlatformError,
     PlatformErrorKind, Transaction, TransactionOutcome, Write,
@@ -132,8 +132,8 @@
     ) -> Self {
         Self {
             shared: Arc::clone(shared),
-            key_value: platform.key_value(CallRank::Lease),
-            reader: platform.key_value(CallRank::Refresh),
+            key_value: platform.key_value(CallRank::Lease).with_purpose(CallPurpose::Rollouts),
+            reader: platform.key_value(CallRank::Refresh).with_purpose(CallPurpose::Rollouts),
             status_encoder: Arc::clone(status_encoder),
             swap_leader: Arc::clone(swap_leader),
             fencing: None,
--- a/crates/gateway/src/rollouts/steps.rs
+++ b/crates/gateway/src/rollouts/steps.rs
@@ -5,6 +5,7 @@
 use async_std::task;
 use yuccapass_decisions::gateway::relay::TopicClass;
 use yuccapass_decisions::gateway::version_rollout::RolloutProgress;
+use yuccapass_decisions::platform_budget::CallPurpose;
 use yuccapass_platform::{Change, ChangeKind, Entry, PlatformClient};
 use yuccapass_types::{Instant, ServiceId};
 
@@ -31,6 +32,7 @@
         relay_watch_ms: Some(IDLE_WATCH_MS),
         pause_ms: 0,
         class: TopicClass::Urgent,
+        purpose: CallPurpose::Rollouts,
     };
     let handler = Arc::new(StepHandler { shared: Arc::clone(shared) });
     task::spawn(watch_prefix(Arc::clone(shared), Arc::clone(platform), settings, handler));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,9 @@
     CallerBudgetLimits, Configuration, ConfigurationHolder, ConnectionShares, Directory, Distance,
     EndpointRecord, FleetSize, KeyValidity, Placement, RetryShare,
 };
+use yuccapass_decisions::platform_budget::CallPurpose;
 use yuccapass_http::{StopController, StopSignal, sleep_until, stop_pair};
+use yuccapass_platform::CallObserver;
 use yuccapass_types::{
     Bytes, Clock, Deadline, EndpointId, Instant, ServiceId, Sharded, SortedMap, ZoneId,
 };
@@ -66,6 +68,12 @@
     open_requests: AtomicUsize,
 }
 
+impl CallObserver for Shared {
+    fn record_call(&self, purpose: CallPurpose) {
+        self.metrics.record_platform_call(purpose);
+    }
+}
+
 impl Shared {
     pub(crate) fn new(
         options: GatewayOptions,
