waiting room: a request starts at any sound engine once one has room

Change: a request waits only while no engine within reach has room; then the placement chooses among all sound ones.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -188,10 +188,10 @@
 pub(crate) enum NeededRoom {
     /// Any endpoint is chosen.
     None,
-    /// One with room is chosen if there is one.
+    /// A sound endpoint is preferred if one has room.
     Preferred,
-    /// One with room is chosen; the memory that is left to the most urgent requests counts if this is
-    /// `true`.
+    /// An endpoint is chosen only if one has room; the memory that is left to the most urgent requests
+    /// counts if this is `true`.
     Required(bool),
 }
 
@@ -284,7 +284,7 @@
 }
 
 /// Chooses one of these endpoints: a warm one without recent failures, else any warm one, else a cold one
-/// within this node's share of its capacity. With `room`, only one that has room is chosen.
+/// within this node's share of its capacity. With `room`, none is chosen unless one of them has room.
 fn choose_among<'a>(
     shared: &Shared,
     directory: &Directory,
@@ -295,20 +295,22 @@
     let now = shared.now();
     let is_cold =
         |record: &EndpointRecord| record.cold_until.is_some_and(|until| !until.has_passed(now));
-    let (mut cold, warm): (Vec<_>, Vec<_>) =
+    let (cold, warm): (Vec<_>, Vec<_>) =
         endpoints.into_iter().partition(|(_, record)| is_cold(record));
-    let (mut avoided, mut healthy): (Vec<_>, Vec<_>) =
-        warm.into_iter().partition(|(id, record)| {
-            shared.endpoints.with_tracker(id, record, |tracker| tracker.is_avoided(now))
-        });
+    let (mut avoided, healthy): (Vec<_>, Vec<_>) = warm.into_iter().partition(|(id, record)| {
+        shared.endpoints.with_tracker(id, record, |tracker| tracker.is_avoided(now))
+    });
     if let Some(room) = room {
         // A request rather waits for a sound endpoint than goes to one that fails or is full.
         if !healthy.is_empty() {
             avoided.clear();
         }
-        [&mut healthy, &mut avoided, &mut cold]
-            .into_iter()
-            .for_each(|endpoints| endpoints.retain(|entry| room.is_at(shared, entry)));
+        // Any of them may be chosen once one has room: to leave the endpoint that has cached a prompt costs
+        // more than a short queue there.
+        let mut endpoints = healthy.iter().chain(&avoided).chain(&cold);
+        if !endpoints.any(|entry| room.is_at(shared, entry)) {
+            return None;
+        }
     }
     place(shared, directory, request, &healthy)
         .or_else(|| place(shared, directory, request, &avoided))
