gateway: choices of endpoints and the encoding of requests in modules of their own

Change: choice.rs has what chooses an endpoint, request_message.rs what encodes a request for it. Code was moved only.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,24 +3,24 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 
-use bytes::{BufMut, Bytes};
+use bytes::Bytes;
 use futures::AsyncWriteExt;
 use futures::future::{Either, select};
 use yuccapass_decisions::gateway::{
-    AttemptFailure, EndpointRecord, EndpointTracker, RequestWork, SilenceStep, TransferRequest,
+    AttemptFailure, EndpointRecord, EndpointTracker, RequestWork, SilenceStep,
 };
 use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError, ResponseHead};
 use yuccapass_http::{Expired, with_deadline};
-use yuccapass_types::{CacheNamespace, Deadline, EndpointId, Instant, Tokens, WeightRevision};
+use yuccapass_types::{Deadline, EndpointId, Instant, Tokens, WeightRevision};
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
 use crate::caller_memory::{AnswerReservation, BodyBuffer};
 use crate::endpoints::OutstandingRequest;
 use crate::events::EventSplitter;
-use crate::protocol::{EndpointAnswer, Forwarding};
+use crate::protocol::EndpointAnswer;
+use crate::request_message::{is_separate, request_message};
 use crate::state::Shared;
-use crate::stores::cache_namespace_prefix;
 
 /// Maximum number of interim answers (status 1xx) before an answer. If they came without end and
 /// always were there to be read, the reader would not even notice its deadline.
@@ -37,9 +37,6 @@
 /// Maximum number of answers to earlier requests that are skipped on a connection.
 const MAX_STRAY_ANSWERS: usize = 2;
 
-/// Bodies of at least this size are written by themselves.
-const MIN_SEPARATE_BODY_BYTES: usize = 16 << 10;
-
 /// An endpoint that was chosen for an attempt.
 pub(crate) struct Target {
     pub(crate) id: EndpointId,
@@ -380,81 +377,6 @@
     }
 }
 
-/// Returns whether a body is written by itself, so that it is not copied. A small one is sent in the
-/// same packet as the head.
-fn is_separate(body: &[u8]) -> bool {
-    body.len() >= MIN_SEPARATE_BODY_BYTES
-}
-
-/// Encodes the request for the endpoint, without a body that is written by itself.
-fn request_message(
-    shared: &Shared,
-    request: &Admitted<'_>,
-    target: &Target,
-    events: &EventSplitter,
-) -> Vec<u8> {
-    let resume_after = events.last_id().or(request.caller.resume_after.as_ref());
-    let weights = target.record.served(request.model()).map(|&(_, weights)| weights);
-    let namespace = cache_namespace(request, weights);
-    let transfers = namespace.as_ref().filter(|_| weights.is_some()).map(|namespace| {
-        let directory = shared.directory();
-        let transfer = TransferRequest {
-            zone: &target.record.zone,
-            allowed_regions: &request.regions,
-            namespace,
-            parts: &request.caller.parts,
-            cache_peer: target.cache_peer,
-            is_outdated: directory.outdated(&target.record, request.model()).is_some(),
-            nodes: shared.nodes(),
-        };
-        shared.stores.plan(&directory, &transfer, shared.now())
-    });
-    let forwarding = Forwarding {
-        endpoint: &target.id,
-        organisation: request.organisation,
-        remaining_ms: request.deadline.remaining_ms(shared.now()),
-        priority: request.route.kind.is_streaming().then_some(request.priority),
-        namespace: namespace.as_ref(),
-        weights,
-        transfers: transfers.as_ref(),
-        resume_after: resume_after.map(|id| id.as_str()),
-    };
-    let head = &request.message.head;
-    let body = &request.message.body;
-    let attached_body = if is_separate(body) { &[] } else { &body[..] };
-    let mut message = Vec::with_capacity(1_024 + attached_body.len());
-    message.put_slice(head.method.as_bytes());
-    message.put_slice(b" ");
-    message.put_slice(head.target.as_bytes());
-    message.put_slice(b" HTTP/1.1\r\n");
-    shared.protocol.write_request_headers(head, &forwarding, &mut message);
-    let has_body =
-        !request.message.body.is_empty() || !matches!(head.method.as_str(), "GET" | "HEAD");
-    if has_body {
-        message.put_slice(format!("content-length: {}\r\n", request.message.body.len()).as_bytes());
-    }
-    message.put_slice(b"\r\n");
-    message.put_slice(attached_body);
-    message
-}
-
-/// Returns the cache namespace of a request. Each revision of the weights has its own, so that
-/// stored parts are never used with other weights, and so has each isolated organisation.
-fn cache_namespace(
-    request: &Admitted<'_>,
-    weights: Option<WeightRevision>,
-) -> Option<CacheNamespace> {
-    let organisation = request.organisation.filter(|_| request.is_isolated);
-    match (weights, organisation) {
-        (None, None) => None,
-        (None, Some(organisation)) => organisation.as_str().parse().ok(),
-        (Some(weights), None) => cache_namespace_prefix(weights).parse().ok(),
-        (Some(weights), Some(organisation)) => {
-            format!("{}-{organisation}", cache_namespace_prefix(weights)).parse().ok()
-        }
-    }
-}
-
 /// The head of an endpoint's answer to this request.
 struct Received {
     head: ResponseHead,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,9 +9,10 @@
 //! * [`node`]: a running gateway, from start to graceful stop.
 //! * [`clock`]: a clock that also advances while the machine is suspended.
 //!
-//! A request is read from its connection in `caller` and checked in `admission`. `forward` chooses
-//! endpoints and retries, and `attempt` makes one attempt at an endpoint. `events` splits streams
-//! into events, and `answer` writes to the caller.
+//! A request is read from its connection in `caller`, within the budget of `caller_memory`, and checked in
+//! `admission`. It may have to wait in `waiting` until an engine can start it. `choice` chooses endpoints,
+//! `forward` retries, `attempt` makes one attempt at an endpoint, and `request_message` encodes the request
+//! for it. `events` splits streams into events, and `answer` writes to the caller.
 //!
 //! State and background tasks: `endpoints` has the load, failures and connections of the endpoints, and
 //! `notices` what they say about themselves; `stores` polls the stores of prompt parts; `exchange` sends
@@ -20,14 +21,14 @@
 //! reads those of the other nodes; `relay` passes changes on within a zone; `swap_leader` orders
 //! endpoints to take new weights; `rollouts` moves services to new versions of their software; `crashes`
 //! finds requests that crash endpoints, `part_crashes` finds parts of prompts that do, and
-//! `crash_evidence` shares what is known about both. `waiting` keeps requests until an engine can start
-//! them.
+//! `crash_evidence` shares what is known about both.
 
 mod admission;
 mod answer;
 mod attempt;
 mod caller;
 mod caller_memory;
+mod choice;
 pub mod clock;
 mod crash_evidence;
 mod crashes;
@@ -45,6 +46,7 @@
 mod readiness;
 mod registration;
 mod relay;
+mod request_message;
 mod rollouts;
 mod state;
 mod stores;
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -16,7 +16,7 @@
 
 use crate::admission::Admitted;
 use crate::attempt::Target;
-use crate::forward::{NeededRoom, choose, has_endpoint};
+use crate::choice::{NeededRoom, choose, has_endpoint};
 use crate::options::RequestQueue;
 use crate::protocol::CallerRequest;
 use crate::state::Shared;
