--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -57,11 +57,11 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum RequestQueue {
     /// For services whose endpoints report how fast they are or crash if they run out of memory.
-    #[default]
     Auto,
     /// For all services of engines.
     On,
     /// For none.
+    #[default]
     Off,
 }
 
--- a/crates/yuccapassd/src/gateway.rs
+++ b/crates/yuccapassd/src/gateway.rs
@@ -210,7 +210,7 @@
     /// For which services requests wait here until an engine can start them: auto (those whose endpoints
     /// report how fast they are or crash if they run out of memory), on (all services of engines) or
     /// off.
-    #[arg(long, env = "YUCCAPASS_REQUEST_QUEUE", default_value_t = RequestQueue::Auto)]
+    #[arg(long, env = "YUCCAPASS_REQUEST_QUEUE", default_value_t = RequestQueue::Off)]
     pub request_queue: RequestQueue,
 
     /// Least severe log level: off, error, warn, info, debug or trace.
