--- a/crates/decisions/tests/evidence_traffic_model/mod.rs
+++ b/crates/decisions/tests/evidence_traffic_model/mod.rs
@@ -221,7 +221,7 @@
     fn configure(&mut self) {
         let revision = self.changes.len() as u64 + 1;
         let value = Some(vec![0; CONFIGURATION_BYTES]);
-        self.changes.push((RelayedEntry { key: "op/config".into(), value, revision }, None));
+        self.changes.push((RelayedEntry { key: "settings/current".into(), value, revision }, None));
         self.configured_ms.insert(revision, self.now_ms);
     }
 
