--- a/crates/decisions/src/gateway/key_validity.rs
+++ b/crates/decisions/src/gateway/key_validity.rs
@@ -30,6 +30,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(sent_at));
     }
 
+    /// Returns the instant of the last confirmation.
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        self.confirmed_at
+    }
+
     /// Returns whether the keys are valid for a request that arrives at `now`.
     pub fn is_valid(&self, now: Instant) -> bool {
         if !self.is_fail_closed {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -7,7 +7,7 @@
 use yuccapass_decisions::gateway::{Configuration, KeyVerdict, Priority, Refusal, Route};
 use yuccapass_http::message::RequestHead;
 use yuccapass_types::{
-    Deadline, Instant, ModelId, OrganisationId, RegionId, ResultCode, ServiceId,
+    Deadline, Instant, ModelId, OrganisationId, RegionId, ResultCode, Revision, ServiceId,
 };
 
 use crate::caller_memory::CallerClaim;
@@ -38,6 +38,8 @@
 pub(crate) struct Admitted<'a> {
     pub(crate) message: &'a ReadRequest,
     pub(crate) caller: &'a CallerRequest,
+    /// The revision of the configuration by which it was admitted.
+    pub(crate) revision: Revision,
     pub(crate) route: &'a Route,
     pub(crate) service: &'a ServiceId,
     pub(crate) organisation: Option<&'a OrganisationId>,
@@ -62,6 +64,11 @@
         self.caller.model.as_ref()
     }
 
+    /// Returns whether only some regions may serve the request.
+    pub(crate) fn is_region_bound(&self) -> bool {
+        self.regions.iter().any(|allowed| !allowed.is_empty())
+    }
+
     /// Returns whether the request is refused because it, or a part of its prompt, crashes endpoints.
     pub(crate) fn is_blocked(&self, shared: &Shared) -> bool {
         is_blocked(shared, self.message, self.caller, self.organisation)
@@ -109,6 +116,7 @@
         queued: shared.waiting.queued_work(service, spec, route, caller),
         message: request,
         caller,
+        revision: configuration.revision(),
         route,
         service,
         organisation: organisation_id,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -75,6 +75,7 @@
         let Some(target) = take_turn(shared, request, next_target, &attempts.tried) else {
             return refuse(shared, request, answer, no_endpoint_refusal(&attempts)).await;
         };
+        log_region_bound(shared, request, &target);
         attempts.tried.push(target.id.clone());
         let limit = attempt_limit(shared, request, &attempts);
         let failed = match attempt(shared, request, &target, limit, &mut events, answer).await {
@@ -220,6 +221,26 @@
     }
 }
 
+/// Logs by which configuration an endpoint was chosen for a request that only some regions may serve.
+fn log_region_bound(shared: &Shared, request: &Admitted<'_>, target: &Target) {
+    if !request.is_region_bound() {
+        return;
+    }
+    let now = shared.now();
+    let confirmed_at = shared.key_validity().confirmed_at();
+    log::info!(
+        request_id = request.caller.id.as_str(),
+        route = request.route.id.as_str(),
+        revision = request.revision.get(),
+        settings_age_ms = confirmed_at.map(|at| now.ms_since(at)),
+        regions:? = request.regions,
+        endpoint = target.id.as_str(),
+        zone = target.record.zone.as_str(),
+        age_ms = now.ms_since(request.arrived_at);
+        "an endpoint was chosen within the allowed regions"
+    );
+}
+
 fn log_attempt(
     shared: &Shared,
     request: &Admitted<'_>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,7 +12,7 @@
 use yuccapass_decisions::gateway::zone_room::Receipt;
 use yuccapass_decisions::gateway::{BudgetUse, OutstandingSum, Refusal, RouteKind, Shortage};
 use yuccapass_decisions::platform_budget::CallPurpose;
-use yuccapass_types::{Instant, ServiceId};
+use yuccapass_types::{Instant, Revision, ServiceId};
 
 use crate::admission::Admitted;
 use crate::forward::RequestOutcome;
@@ -58,6 +58,8 @@
     room_refusals: Counter<u64>,
     rollout_share: Gauge<f64>,
     rollout_steps: Counter<u64>,
+    configuration_revision: Gauge<u64>,
+    settings_age: Gauge<f64>,
 }
 
 impl Metrics {
@@ -182,6 +184,15 @@
                 "yuccapass_gateway_caller_evictions",
                 "Connections that were closed for the sake of others since the start.",
             ),
+            configuration_revision: gauge(
+                "yuccapass_gateway_configuration_revision",
+                "Revision of the configuration by which requests are admitted.",
+            ),
+            settings_age: meter
+                .f64_gauge("yuccapass_gateway_settings_age")
+                .with_unit("s")
+                .with_description("Time since the operator settings were last confirmed.")
+                .build(),
             platform_calls: counter(
                 "yuccapass_gateway_platform_calls",
                 "Calls to the platform's key-value service, by purpose.",
@@ -316,6 +327,19 @@
         self.outdated_answers.add(1, &[KeyValue::new("is_late", is_late)]);
     }
 
+    /// Records the configuration in use, and when the operator settings were last confirmed.
+    pub(crate) fn record_settings(
+        &self,
+        revision: Revision,
+        confirmed_at: Option<Instant>,
+        now: Instant,
+    ) {
+        self.configuration_revision.record(revision.get(), &[]);
+        if let Some(confirmed_at) = confirmed_at {
+            self.settings_age.record(now.ms_since(confirmed_at) as f64 / 1_000.0, &[]);
+        }
+    }
+
     /// Records a call to the platform.
     pub(crate) fn record_platform_call(&self, purpose: CallPurpose) {
         self.platform_calls.add(1, &[KeyValue::new("purpose", purpose.as_str())]);
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -77,5 +77,9 @@
 fn encode_metrics(shared: &Shared) -> Vec<u8> {
     let memory = &shared.caller_memory;
     shared.metrics.record_caller_use(memory.in_use(), memory.evictions());
+    if let Some(configuration) = shared.configuration() {
+        let confirmed_at = shared.key_validity().confirmed_at();
+        shared.metrics.record_settings(configuration.revision(), confirmed_at, shared.now());
+    }
     shared.metrics.encode()
 }
