gateway: regions are used only while the settings are confirmed

Callers saw: requests ran outside their regions (HOME) on fleets of 81 nodes and more. Cause: a node that does not get a newer configuration goes on with the regions of the one that it has. Only API keys had a time after which they are no longer trusted, and admission asked for it only where a route needs a key. The routes with regions on these deployments need none, so nothing bounded their use; with a key the bound was that of revocations (5 s), although a configuration applies within 4 s. Class: a bound on unconfirmed settings that covers one use of them and not the others. Ruled out: a false confirmation. Change: SettingsValidity replaces KeyValidity and has a bound for each use. AllowedRegions replaces the lists that were compared in two places. Where a configuration names regions, watch calls wait so short that two of them fit into the bound, so a node that hears from the platform does not refuse. Why it works: a confirmation shows all changes made before the call was sent, so a change that a node has missed is younger than the bound.

--- a/crates/decisions/examples/measure_gateway_placement.rs
+++ b/crates/decisions/examples/measure_gateway_placement.rs
@@ -7,7 +7,7 @@
 use std::time::Instant as WallInstant;
 
 use yuccapass_decisions::gateway::{
-    Candidate, Directory, Distance, EndpointRecord, EndpointState, EndpointTracker,
+    AllowedRegions, Candidate, Directory, Distance, EndpointRecord, EndpointState, EndpointTracker,
     EndpointTrackerSettings, Placement, PlacementRequest, PrefixAffinity, PromptPart,
 };
 use yuccapass_types::{EndpointId, Instant, SortedMap, Tokens, WeightRevision};
@@ -52,7 +52,7 @@
     now: Instant,
 ) -> Option<usize> {
     let service = "models".parse().expect("the id is valid");
-    let eligible = directory.eligible(&service, &[]);
+    let eligible = directory.eligible(&service, &AllowedRegions::default());
     let candidates: Vec<Candidate<'_>> = eligible
         .iter()
         .filter_map(|(id, record)| {
--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -111,6 +111,7 @@
     organisations: SortedMap<OrganisationId, Organisation>,
     keys: SortedMap<KeyHash, OrganisationId>,
     limits: CallerLimits,
+    is_region_bound: bool,
 }
 
 impl Configuration {
@@ -127,6 +128,9 @@
         organisations: SortedMap<OrganisationId, Organisation>,
         limits: CallerLimits,
     ) -> Result<Self, InvalidConfiguration> {
+        let names_regions = |allowed: &[RegionId]| !allowed.is_empty();
+        let is_region_bound = routes.iter().any(|route| names_regions(&route.allowed_regions))
+            || organisations.values().any(|known| names_regions(&known.allowed_regions));
         let mut by_host: SortedMap<SmolStr, Vec<Route>> = SortedMap::new();
         for route in routes {
             check_route(&route)?;
@@ -137,7 +141,15 @@
             .values_mut()
             .for_each(|routes| routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len())));
         let keys = index_keys(&organisations)?;
-        Ok(Self { revision, routes: by_host, services, organisations, keys, limits })
+        Ok(Self {
+            revision,
+            routes: by_host,
+            services,
+            organisations,
+            keys,
+            limits,
+            is_region_bound,
+        })
     }
 
     /// Returns the revision of the document.
@@ -150,6 +162,11 @@
         &self.limits
     }
 
+    /// Returns whether some routes or organisations are served in certain regions only.
+    pub fn is_region_bound(&self) -> bool {
+        self.is_region_bound
+    }
+
     /// Returns the services by id.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceId, &Service)> {
         self.services.iter()
--- a/crates/decisions/src/gateway/directory.rs
+++ b/crates/decisions/src/gateway/directory.rs
@@ -7,6 +7,7 @@
     WeightRevision, ZoneId,
 };
 
+use super::allowed_regions::AllowedRegions;
 use super::placement::Distance;
 use super::target_bounds::TargetDeadlines;
 use super::weight_targets::{OutdatedWeights, TargetWeights, WeightTargets};
@@ -275,24 +276,18 @@
         self.entries.get(id).map(|entry| &entry.record)
     }
 
-    /// Returns the endpoints that may get new requests of a service. Their region must be in each
-    /// list of `regions` that is not empty.
+    /// Returns the endpoints in `regions` that may get new requests of a service.
     pub fn eligible(
         &self,
         service: &ServiceId,
-        regions: &[&[RegionId]],
+        regions: &AllowedRegions,
     ) -> Vec<(&EndpointId, &EndpointRecord)> {
         let is_eligible = |(_, record): &(&EndpointId, &EndpointRecord)| {
             record.service == *service
                 && record.state == EndpointState::Ready
                 && self.evacuated.binary_search(&record.zone).is_err()
-                && regions.iter().all(|allowed| self.is_in(&record.zone, allowed))
+                && regions.contains(self.region(&record.zone))
         };
         self.endpoints().filter(is_eligible).collect()
     }
-
-    fn is_in(&self, zone: &ZoneId, regions: &[RegionId]) -> bool {
-        regions.is_empty()
-            || self.region(zone).is_some_and(|region| regions.binary_search(region).is_ok())
-    }
 }
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! [`EndpointTracker`]s, and a [`Placement`] chooses among them. [`next_step`] decides what happens
 //! after an attempt without a complete answer, within this node's [`RetryShare`].
 //!
+//! * [`allowed_regions`]: the regions in which a request may be served.
 //! * [`caller_budget`]: the bytes and connections that are held for callers.
 //! * [`configuration`] and [`route`]: the operators' configuration.
 //! * [`demand_share`]: this node's part in a request rate, by the demand of the nodes of its zone.
@@ -13,7 +14,6 @@
 //! * [`endpoint_speed`]: how fast an endpoint is now, and how long requests take at the usual speed.
 //! * [`endpoint_tracker`]: load and failures of one endpoint.
 //! * [`fleet`]: how many nodes share the limits that apply to all of them together.
-//! * [`key_validity`]: how long a node may rely on the API keys that it has read.
 //! * [`link_share`]: this node's share of a store's link.
 //! * [`next_step`]: whether an attempt is retried, and what the caller gets otherwise.
 //! * [`part_store`]: the prompt parts in a store, and when they may be fetched and saved.
@@ -22,6 +22,7 @@
 //! * [`relay`]: changes that a few nodes of each zone read and pass on to the others.
 //! * [`replaced_weights`]: which weights no endpoint serves any more.
 //! * [`retry_share`]: this node's share of the retries that all nodes may make together.
+//! * [`settings_validity`]: how long a node may rely on the operators' settings that it has read.
 //! * [`store_polling`]: how often a store is polled for changes.
 //! * [`swap`]: which endpoint takes new weights next.
 //! * [`target_bounds`]: when the bound of target weights ends that a node may have read late.
@@ -31,6 +32,7 @@
 //! * [`weight_targets`]: the target weights of a model, and until when older ones may be used.
 //! * [`zone_room`]: what the nodes of a zone have outstanding at each endpoint.
 
+pub mod allowed_regions;
 pub mod caller_budget;
 pub mod configuration;
 pub mod demand_share;
@@ -39,7 +41,6 @@
 pub mod endpoint_speed;
 pub mod endpoint_tracker;
 pub mod fleet;
-pub mod key_validity;
 pub mod link_share;
 pub mod next_step;
 mod paced_turns;
@@ -50,6 +51,7 @@
 pub mod replaced_weights;
 pub mod retry_share;
 pub mod route;
+pub mod settings_validity;
 pub mod store_polling;
 pub mod swap;
 mod takeover;
@@ -60,6 +62,7 @@
 pub mod weight_targets;
 pub mod zone_room;
 
+pub use allowed_regions::AllowedRegions;
 pub use caller_budget::{
     BudgetUse, CallerBudget, CallerBudgetLimits, ConnectionId, ConnectionShares, Decision, Grant,
     Shortage,
@@ -76,7 +79,6 @@
     EndpointTracker, EndpointTrackerSettings, KnownLoad, LoadReport, SilenceStep, ZoneLoad,
 };
 pub use fleet::FleetSize;
-pub use key_validity::KeyValidity;
 pub use link_share::LinkShare;
 pub use next_step::{AttemptFailure, AttemptSummary, NextStep, Refusal};
 pub use part_store::{PartEvent, PartEvents, StoreContents, TransferTiming};
@@ -88,6 +90,7 @@
 pub use replaced_weights::ReplacedWeights;
 pub use retry_share::{RetryLimits, RetryShare};
 pub use route::{Priority, PromptPart, Route, RouteKind, WeightedService};
+pub use settings_validity::{SettingsBounds, SettingsValidity};
 pub use store_polling::StorePollSettings;
 pub use swap::{EngineReport, SwapLimits, SwapPlan, SwapStep, candidate_delay_ms};
 pub use takeover::{Handover, Takeover};
--- a/crates/decisions/src/gateway/transfers.rs
+++ b/crates/decisions/src/gateway/transfers.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 
-use yuccapass_types::{CacheNamespace, Instant, RegionId, ServiceId, SortedMap, Tokens, ZoneId};
+use yuccapass_types::{CacheNamespace, Instant, ServiceId, SortedMap, Tokens, ZoneId};
 
+use super::allowed_regions::AllowedRegions;
 use super::directory::Directory;
 use super::part_store::StoreContents;
 use super::placement::Distance;
@@ -44,9 +45,8 @@
 pub struct TransferRequest<'a> {
     /// The zone of the endpoint that is to run it.
     pub zone: &'a ZoneId,
-    /// Lists of the regions in which it may be stored. A region must be in each list that is not
-    /// empty.
-    pub allowed_regions: &'a [&'a [RegionId]],
+    /// The regions in which it may be stored.
+    pub allowed_regions: &'a AllowedRegions,
     /// The cache namespace of its parts.
     pub namespace: &'a CacheNamespace,
     /// Its parts in order.
@@ -109,10 +109,7 @@
     ) -> Option<u64> {
         let store = contents.store();
         let region = directory.region(&store.zone)?;
-        let is_allowed = self
-            .allowed_regions
-            .iter()
-            .all(|allowed| allowed.is_empty() || allowed.binary_search(region).is_ok());
+        let is_allowed = self.allowed_regions.contains(Some(region));
         let slowdown = match directory.distance(self.zone, &store.zone) {
             Distance::SameZone => 1,
             Distance::SameRegion => CROSS_ZONE_SLOWDOWN,
--- a/crates/decisions/tests/gateway_directory.rs
+++ b/crates/decisions/tests/gateway_directory.rs
@@ -3,12 +3,13 @@
 mod gateway_fixtures;
 
 use gateway_fixtures::{at, deadlines, directory, id, model, record};
-use yuccapass_decisions::gateway::{Directory, EndpointRecord, EndpointState};
+use yuccapass_decisions::gateway::{AllowedRegions, Directory, EndpointRecord, EndpointState};
 use yuccapass_types::{EndpointId, Instant, RegionId, ServiceId, SortedMap, WeightRevision};
 
 fn eligible(directory: &Directory, regions: &[&[RegionId]]) -> Vec<String> {
     let service: ServiceId = id("models");
-    directory.eligible(&service, regions).iter().map(|(id, _)| id.to_string()).collect()
+    let regions = AllowedRegions::new(regions.iter().copied());
+    directory.eligible(&service, &regions).iter().map(|(id, _)| id.to_string()).collect()
 }
 
 fn is_past_bound(directory: &Directory, record: &EndpointRecord, now: Instant) -> bool {
--- a/crates/decisions/tests/gateway_part_store.rs
+++ b/crates/decisions/tests/gateway_part_store.rs
@@ -13,11 +13,11 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use yuccapass_decisions::gateway::{
-    Directory, LinkShare, PartEvent, PartEvents, PartStore, PartTransfers, StoreContents,
-    StorePollSettings, TransferRequest, TransferTiming, plan_transfers,
+    AllowedRegions, Directory, LinkShare, PartEvent, PartEvents, PartStore, PartTransfers,
+    StoreContents, StorePollSettings, TransferRequest, TransferTiming, plan_transfers,
 };
 use yuccapass_types::{
-    CacheNamespace, PromptPartId, RegionId, ServiceId, SortedMap, Tokens, TokensPerSecond,
+    CacheNamespace, PromptPartId, ServiceId, SortedMap, Tokens, TokensPerSecond,
 };
 
 const NODES: usize = 4;
@@ -209,7 +209,7 @@
     let zone = id("w1");
     let request = TransferRequest {
         zone: &zone,
-        allowed_regions: &[],
+        allowed_regions: &AllowedRegions::default(),
         namespace: &namespace(),
         parts: &parts,
         cache_peer: None,
@@ -355,7 +355,7 @@
         let zone = id(zone);
         let request = TransferRequest {
             zone: &zone,
-            allowed_regions: &[],
+            allowed_regions: &AllowedRegions::default(),
             namespace,
             parts: &parts,
             cache_peer: None,
@@ -385,7 +385,7 @@
     let mut stores = stores_with(&["a"]);
 
     let (zone, namespace) = (id("w1"), namespace());
-    let allowed_regions: &[&[RegionId]] = &[&east, &[]];
+    let allowed_regions = &AllowedRegions::new([&east[..], &[]]);
     let request = TransferRequest {
         zone: &zone,
         allowed_regions,
@@ -424,7 +424,7 @@
     let (zone, namespace) = (id("w1"), namespace());
     let request = TransferRequest {
         zone: &zone,
-        allowed_regions: &[],
+        allowed_regions: &AllowedRegions::default(),
         namespace: &namespace,
         parts: &parts,
         cache_peer,
--- a/crates/decisions/tests/gateway_soundness.rs
+++ b/crates/decisions/tests/gateway_soundness.rs
@@ -9,12 +9,14 @@
 use yuccapass_decisions::gateway::next_step::next_step;
 use yuccapass_decisions::gateway::{
     AttemptFailure, AttemptSummary, CallerLimits, Configuration, ConfigurationHolder,
-    EndpointTracker, EndpointTrackerSettings, FleetSize, KeyValidity, KeyVerdict, NextStep,
-    Organisation, RetryLimits, RetryShare, RouteKind,
+    EndpointTracker, EndpointTrackerSettings, FleetSize, KeyVerdict, NextStep, Organisation,
+    RetryLimits, RetryShare, RouteKind, SettingsBounds, SettingsValidity,
 };
-use yuccapass_types::{KeyHash, NodeId, RequestRate, Revision, SortedMap};
+use yuccapass_types::{Instant, KeyHash, NodeId, RequestRate, Revision, SortedMap};
 
 const REVOKE_BOUND_MS: u64 = 5_000;
+
+const APPLY_BOUND_MS: u64 = 4_000;
 const RESUMABLE: RouteKind = RouteKind::Streaming { is_resumable: true };
 
 fn configuration(revision: u64, keys: &[(&str, &[&str])]) -> Configuration {
@@ -203,31 +205,49 @@
     assert!((9..=27).contains(&sent), "{sent} requests in 60 s, capacity 18");
 }
 
+/// Checks that a node whose last answered read was sent before a change does not act by the earlier
+/// settings once the bound has passed after the change.
+fn check_validity(
+    readings: &[Reading],
+    bound_ms: u64,
+    is_valid: fn(&SettingsValidity, Instant) -> bool,
+) -> Result<(), TestCaseError> {
+    let bounds = SettingsBounds { revoke_ms: Some(REVOKE_BOUND_MS), apply_ms: APPLY_BOUND_MS };
+    let mut validity = SettingsValidity::new(bounds);
+    let (mut now, mut newest_read) = (0_u64, None::<u64>);
+    for reading in readings {
+        match *reading {
+            Reading::Read(Some(answer_ms)) => {
+                let sent = now;
+                now += answer_ms;
+                validity.confirm(at(sent));
+                newest_read = newest_read.max(Some(sent));
+            }
+            Reading::Read(None) => {}
+            Reading::Pass(ms) => now += ms,
+        }
+        // In the worst case, the settings were changed just after the newest read was sent.
+        let may_be_valid = newest_read.is_some_and(|read| now < read + bound_ms);
+        prop_assert!(!is_valid(&validity, at(now)) || may_be_valid);
+    }
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..Default::default() })]
 
     /// Guards against accepting a key after the revocation bound, whichever reads are lost and
-    /// however long the machine is suspended. A node whose last answered read was sent before a
-    /// revocation must reject requests that arrive once the bound has passed after the revocation.
+    /// however long the machine is suspended.
     #[test]
     fn revoked_keys_end_in_time(readings in proptest::collection::vec(reading(), 1..40)) {
-        let mut key_validity = KeyValidity::new(REVOKE_BOUND_MS, true);
-        let (mut now, mut newest_read) = (0_u64, None::<u64>);
-        for reading in readings {
-            match reading {
-                Reading::Read(Some(answer_ms)) => {
-                    let sent = now;
-                    now += answer_ms;
-                    key_validity.confirm(at(sent));
-                    newest_read = newest_read.max(Some(sent));
-                }
-                Reading::Read(None) => {}
-                Reading::Pass(ms) => now += ms,
-            }
-            // In the worst case, the key was revoked just after the newest read was sent.
-            let may_be_valid = newest_read.is_some_and(|read| now < read + REVOKE_BOUND_MS);
-            prop_assert!(!key_validity.is_valid(at(now)) || may_be_valid);
-        }
+        check_validity(&readings, REVOKE_BOUND_MS, SettingsValidity::are_keys_valid)?;
+    }
+
+    /// Guards against sending a request to a region that a configuration has excluded for longer than
+    /// the bound on earlier configurations.
+    #[test]
+    fn replaced_regions_end_in_time(readings in proptest::collection::vec(reading(), 1..40)) {
+        check_validity(&readings, APPLY_BOUND_MS, SettingsValidity::are_regions_valid)?;
     }
 
     /// Guards against more retries than the limit allows in any window: compares the share of one
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -4,10 +4,12 @@
 use std::sync::atomic::AtomicBool;
 
 use bytes::Bytes;
-use yuccapass_decisions::gateway::{Configuration, KeyVerdict, Priority, Refusal, Route};
+use yuccapass_decisions::gateway::{
+    AllowedRegions, Configuration, KeyVerdict, Priority, Refusal, Route,
+};
 use yuccapass_http::message::RequestHead;
 use yuccapass_types::{
-    Deadline, Instant, ModelId, OrganisationId, RegionId, ResultCode, Revision, ServiceId,
+    Deadline, Instant, ModelId, OrganisationId, ResultCode, Revision, ServiceId,
 };
 
 use crate::caller_memory::CallerClaim;
@@ -45,8 +47,8 @@
     pub(crate) organisation: Option<&'a OrganisationId>,
     pub(crate) is_isolated: bool,
     pub(crate) priority: Priority,
-    /// Regions in which it may be served, by the route and by the organisation.
-    pub(crate) regions: [&'a [RegionId]; 2],
+    /// The regions in which it may be served.
+    pub(crate) regions: AllowedRegions,
     /// Requests a second that a cold endpoint of the service can handle.
     pub(crate) cold_requests_per_s: f64,
     /// Whether the endpoints of the service are model engines.
@@ -64,11 +66,6 @@
         self.caller.model.as_ref()
     }
 
-    /// Returns whether only some regions may serve the request.
-    pub(crate) fn is_region_bound(&self) -> bool {
-        self.regions.iter().any(|allowed| !allowed.is_empty())
-    }
-
     /// Returns whether the request is refused because it, or a part of its prompt, crashes endpoints.
     pub(crate) fn is_blocked(&self, shared: &Shared) -> bool {
         is_blocked(shared, self.message, self.caller, self.organisation)
@@ -92,7 +89,9 @@
         .route(host, head.path())
         .ok_or(Refusal::without_retry(404, ResultCode::NotFound))?;
     let verdict = configuration.verify_key(route, caller.key);
-    if verdict != KeyVerdict::NotRequired && !shared.key_validity().is_valid(request.arrived_at) {
+    if verdict != KeyVerdict::NotRequired
+        && !shared.settings_validity().are_keys_valid(request.arrived_at)
+    {
         // The organisations and their keys may have changed since they were last confirmed.
         return Err(Refusal::not_run(ResultCode::PlatformUnavailable));
     }
@@ -105,6 +104,13 @@
     if is_blocked(shared, request, caller, organisation_id) {
         return Err(Refusal::blocked(ResultCode::RequestBlocked));
     }
+    let regions = AllowedRegions::new([
+        &route.allowed_regions[..],
+        organisation.map_or(&[], |(_, organisation)| &organisation.allowed_regions),
+    ]);
+    if !knows_regions(shared, &regions) {
+        return Err(Refusal::not_run(ResultCode::PlatformUnavailable));
+    }
     let service =
         route.service_for(rand::random()).ok_or(Refusal::not_run(ResultCode::ServiceNotFound))?;
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
@@ -122,15 +128,18 @@
         organisation: organisation_id,
         is_isolated: organisation.is_some_and(|(_, organisation)| organisation.is_isolated),
         priority: combined_priority(organisation_priority, route.priority),
-        regions: [
-            &route.allowed_regions,
-            organisation.map_or(&[][..], |(_, organisation)| &organisation.allowed_regions),
-        ],
+        regions,
         arrived_at: request.arrived_at,
         deadline: Deadline::after_ms(request.arrived_at, wait_ms),
     })
 }
 
+/// Returns whether the regions are those in which a request may be served now. A node that has not
+/// confirmed its settings in time may have missed that others are allowed.
+pub(crate) fn knows_regions(shared: &Shared, regions: &AllowedRegions) -> bool {
+    !regions.is_bound() || shared.settings_validity().are_regions_valid(shared.now())
+}
+
 fn is_blocked(
     shared: &Shared,
     request: &ReadRequest,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use yuccapass_decisions::gateway::{AttemptFailure, AttemptSummary, NextStep, Refusal};
 use yuccapass_types::{Deadline, EndpointId, ResultCode};
 
-use crate::admission::Admitted;
+use crate::admission::{Admitted, knows_regions};
 use crate::answer::AnswerWriter;
 use crate::attempt::{
     AttemptLimit, AttemptOutcome, BufferedAnswer, FailedAttempt, Target, attempt,
@@ -72,6 +72,9 @@
         Err(refusal) => return refuse(shared, request, answer, refusal).await,
     };
     loop {
+        if !knows_regions(shared, &request.regions) {
+            return refuse(shared, request, answer, late_settings_refusal(&attempts)).await;
+        }
         let Some(target) = take_turn(shared, request, next_target, &attempts.tried) else {
             return refuse(shared, request, answer, no_endpoint_refusal(&attempts)).await;
         };
@@ -164,6 +167,14 @@
     }
 }
 
+/// Returns the error answer for a request whose regions are no longer known.
+fn late_settings_refusal(attempts: &Attempts) -> Refusal {
+    match attempts.may_have_run {
+        false => Refusal::not_run(ResultCode::PlatformUnavailable),
+        true => Refusal::without_retry(502, ResultCode::EndpointFailed),
+    }
+}
+
 /// Returns when the first endpoint of the request's service takes another one, in milliseconds; `None` if
 /// some endpoint does now, or none says when it does.
 fn earliest_ms(shared: &Shared, request: &Admitted<'_>) -> Option<u64> {
@@ -223,17 +234,17 @@
 
 /// Logs by which configuration an endpoint was chosen for a request that only some regions may serve.
 fn log_region_bound(shared: &Shared, request: &Admitted<'_>, target: &Target) {
-    if !request.is_region_bound() {
+    if !request.regions.is_bound() {
         return;
     }
     let now = shared.now();
-    let confirmed_at = shared.key_validity().confirmed_at();
+    let confirmed_at = shared.settings_validity().confirmed_at();
     log::info!(
         request_id = request.caller.id.as_str(),
         route = request.route.id.as_str(),
         revision = request.revision.get(),
         settings_age_ms = confirmed_at.map(|at| now.ms_since(at)),
-        regions:? = request.regions,
+        regions:% = request.regions,
         endpoint = target.id.as_str(),
         zone = target.record.zone.as_str(),
         age_ms = now.ms_since(request.arrived_at);
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -30,6 +30,10 @@
     pub is_fail_closed: bool,
     /// Maximum time for which a revoked API key may still work.
     pub revoke_bound_ms: u64,
+    /// Maximum time after an accepted configuration for which requests that it keeps in certain
+    /// regions may still be sent to others. Requests that the known configuration keeps in regions
+    /// are refused while it could not be confirmed within this time.
+    pub apply_bound_ms: u64,
     /// The limit on the retries of all nodes together.
     pub retry_limits: RetryLimits,
     /// Time from a stop signal after which the process is killed.
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -78,7 +78,7 @@
     let memory = &shared.caller_memory;
     shared.metrics.record_caller_use(memory.in_use(), memory.evictions());
     if let Some(configuration) = shared.configuration() {
-        let confirmed_at = shared.key_validity().confirmed_at();
+        let confirmed_at = shared.settings_validity().confirmed_at();
         shared.metrics.record_settings(configuration.revision(), confirmed_at, shared.now());
     }
     shared.metrics.encode()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,7 @@
 
 use yuccapass_decisions::gateway::{
     CallerBudgetLimits, Configuration, ConfigurationHolder, ConnectionShares, Directory, Distance,
-    EndpointRecord, FleetSize, KeyValidity, Placement, RetryShare,
+    EndpointRecord, FleetSize, Placement, RetryShare, SettingsBounds, SettingsValidity,
 };
 use yuccapass_decisions::platform_budget::CallPurpose;
 use yuccapass_http::{StopController, StopSignal, sleep_until, stop_pair};
@@ -57,7 +57,7 @@
     configuration: RwLock<ConfigurationHolder>,
     // Copied on write, so that a request can read a consistent snapshot without holding the lock.
     directory: RwLock<Arc<Directory>>,
-    key_validity: Mutex<KeyValidity>,
+    settings_validity: Mutex<SettingsValidity>,
     fleet: Mutex<FleetSize>,
     retry_shares: Sharded<SortedMap<ServiceId, RetryShare>>,
     stop_controller: Mutex<Option<StopController>>,
@@ -107,10 +107,7 @@
             placements,
             configuration: RwLock::default(),
             directory: RwLock::new(Arc::new(Directory::new(options.zones.clone()))),
-            key_validity: Mutex::new(KeyValidity::new(
-                options.revoke_bound_ms,
-                options.is_fail_closed,
-            )),
+            settings_validity: Mutex::new(SettingsValidity::new(settings_bounds(&options))),
             fleet: Mutex::new(FleetSize::new(options.node.clone())),
             retry_shares: Sharded::default(),
             stop_controller: Mutex::new(Some(controller)),
@@ -176,8 +173,8 @@
         }
     }
 
-    pub(crate) fn key_validity(&self) -> MutexGuard<'_, KeyValidity> {
-        self.key_validity.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn settings_validity(&self) -> MutexGuard<'_, SettingsValidity> {
+        self.settings_validity.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn fleet(&self) -> MutexGuard<'_, FleetSize> {
@@ -222,7 +219,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping()
             && self.configuration().is_some()
-            && self.key_validity().is_valid(self.now())
+            && self.settings_validity().are_keys_valid(self.now())
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
@@ -288,6 +285,14 @@
     }
 }
 
+/// Returns the bounds on the use of settings that may have been replaced.
+fn settings_bounds(options: &GatewayOptions) -> SettingsBounds {
+    SettingsBounds {
+        revoke_ms: options.is_fail_closed.then_some(options.revoke_bound_ms),
+        apply_ms: options.apply_bound_ms,
+    }
+}
+
 /// Returns the limits of what is held for callers.
 fn caller_limits(options: &GatewayOptions) -> CallerBudgetLimits {
     let answers = Bytes::new(options.answer_limits.buffered_bytes as u64);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -21,6 +21,7 @@
     Deadline, EndpointId, Instant, ModelId, RolloutOrderId, SortedMap, WeightRevision, ZoneId,
 };
 
+use crate::options::GatewayOptions;
 use crate::protocol::{DecodeError, EntryChange, EntryDecoder};
 use crate::relay::{NextRead, RelayedChanges, Subscription, keys_topic};
 use crate::state::Shared;
@@ -39,6 +40,10 @@
 /// then be read again in time.
 const CONFIRM_RESERVE_MS: u64 = 1_400;
 
+/// Reserve within the bound on earlier configurations, beside its own margin. Two watch calls and this
+/// reserve fit into the bound, so that a node which gets its answers always knows the allowed regions.
+const REGIONS_RESERVE_MS: u64 = 700;
+
 /// How long one watch call for the endpoints waits. The client notices by other calls if the connection
 /// is silent; if the service has lost the call, that shows only when this time is over.
 const ENDPOINTS_WATCH_MS: u64 = 5_000;
@@ -499,9 +504,8 @@
     };
     let operator_settings = WatchSettings {
         prefix: entry_decoder.operator_prefix().clone(),
-        watch_ms: operator_watch_ms(shared.options.revoke_bound_ms),
-        relay_watch_ms: (shared.options.revoke_bound_ms >= MIN_RELAYED_REVOKE_BOUND_MS)
-            .then_some(RELAY_OPERATOR_WATCH_MS),
+        watch_ms: operator_watch_ms(shared.options.revoke_bound_ms, CONFIRM_RESERVE_MS),
+        relay_watch_ms: relay_operator_watch_ms(&shared.options),
         pause_ms: OPERATOR_PAUSE_MS,
         purpose: CallPurpose::Settings,
         class: TopicClass::Urgent,
@@ -519,13 +523,21 @@
     task::spawn(expire_endpoints(Arc::clone(shared)));
 }
 
-/// Returns how long a watch call for the operator settings may wait, so that keys are confirmed
-/// within the revocation bound even if one call is lost.
-fn operator_watch_ms(revoke_bound_ms: u64) -> u64 {
-    let wait_ms = revoke_bound_ms.saturating_sub(CONFIRM_RESERVE_MS) / 2;
+/// Returns how long a watch call for the operator settings may wait, so that two of them and the
+/// reserve fit into the bound within which the settings must be confirmed.
+fn operator_watch_ms(bound_ms: u64, reserve_ms: u64) -> u64 {
+    let wait_ms = bound_ms.saturating_sub(reserve_ms) / 2;
     wait_ms.clamp(MIN_OPERATOR_WATCH_MS, MAX_OPERATOR_WATCH_MS)
 }
 
+/// Returns how long one watch call of a relay for the operator settings waits, or `None` if followers
+/// could not confirm their settings in time.
+fn relay_operator_watch_ms(options: &GatewayOptions) -> Option<u64> {
+    let regions_ms = operator_watch_ms(options.apply_bound_ms, REGIONS_RESERVE_MS + RELAY_DELAY_MS);
+    (options.revoke_bound_ms >= MIN_RELAYED_REVOKE_BOUND_MS)
+        .then_some(RELAY_OPERATOR_WATCH_MS.min(regions_ms))
+}
+
 /// Drops endpoints that did not register again after an outage.
 async fn expire_endpoints(shared: Arc<Shared>) {
     loop {
@@ -657,8 +669,14 @@
         }
     }
 
+    fn max_watch_ms(&self) -> Option<u64> {
+        let is_bound = self.shared.configuration()?.is_region_bound();
+        let watch_ms = || operator_watch_ms(self.shared.options.apply_bound_ms, REGIONS_RESERVE_MS);
+        is_bound.then(watch_ms)
+    }
+
     fn confirmed(&self, sent_at: Instant) {
-        self.shared.key_validity().confirm(sent_at);
+        self.shared.settings_validity().confirm(sent_at);
     }
 
     fn record_known_until(&self, at: Instant) {
--- a/crates/yuccapassd/src/gateway.rs
+++ b/crates/yuccapassd/src/gateway.rs
@@ -130,6 +130,12 @@
     #[arg(long, env = "YUCCAPASS_REVOKE_BOUND_MS", default_value_t = 5_000)]
     pub revoke_bound_ms: u64,
 
+    /// Longest time after an accepted configuration for which requests that it keeps in certain regions may
+    /// still be sent to others, in milliseconds. Such requests are refused by a node that could not confirm
+    /// its configuration within this time.
+    #[arg(long, env = "YUCCAPASS_APPLY_BOUND_MS", default_value_t = 5_000)]
+    pub apply_bound_ms: u64,
+
     /// Retries to a service that all nodes together may make for each request of the window.
     #[arg(long, env = "YUCCAPASS_RETRY_RATIO", default_value_t = 0.2)]
     pub retry_ratio: f64,
@@ -255,6 +261,9 @@
         if !(500..=3_600_000).contains(&self.revoke_bound_ms) {
             return fail("revoke-bound-ms", &self.revoke_bound_ms, "from 500 to 3600000");
         }
+        if !(500..=3_600_000).contains(&self.apply_bound_ms) {
+            return fail("apply-bound-ms", &self.apply_bound_ms, "from 500 to 3600000");
+        }
         if !is_ratio(self.retry_ratio) {
             return fail("retry-ratio", &self.retry_ratio, "from 0 to 1");
         }
@@ -318,6 +327,7 @@
             peer_address: self.peer_address,
             is_fail_closed: self.fail_closed,
             revoke_bound_ms: self.revoke_bound_ms,
+            apply_bound_ms: self.apply_bound_ms,
             retry_limits: RetryLimits {
                 ratio: self.retry_ratio,
                 slack: self.retry_slack,
