gateway: each attempt keeps to the regions of the newest configuration

Callers saw: a request that was retried, waited or resumed after a change of regions could still be sent to a region that the change had excluded, at a node that already had the change. Cause: the regions were taken once, at admission, and kept until the deadline (up to 15 s). Class: a copy of settings that outlives the check that made it valid. Change: each choice of an endpoint, and the transfers of a prompt's parts, ask for the regions by the newest configuration. If that no longer has the route or the organisation, those of the admission stay. Evidence: a_retry_keeps_to_the_regions_of_the_newest_configuration failed before: two requests reached endpoints in the excluded region, one is allowed. It passes now, and the retry is served in the other region. Elsewhere: the service and priority of a request stay those of its admission, which the configuration that was in force when it was sent allows.

--- a/crates/decisions/src/gateway/allowed_regions.rs
+++ b/crates/decisions/src/gateway/allowed_regions.rs
@@ -4,6 +4,9 @@
 
 use yuccapass_types::RegionId;
 
+use super::configuration::Organisation;
+use super::route::Route;
+
 /// The regions in which a request may be served, and its prompt cached and stored.
 ///
 /// Routes and organisations each may name regions; a region must be among those of both. One that
@@ -30,6 +33,12 @@
         Self { regions }
     }
 
+    /// Returns the regions in which a request of an organisation on a route may be served.
+    pub fn of_request(route: &Route, organisation: Option<&Organisation>) -> Self {
+        let of_organisation = organisation.map(|known| &known.allowed_regions[..]);
+        Self::new([&route.allowed_regions[..]].into_iter().chain(of_organisation))
+    }
+
     /// Returns whether only some regions are allowed.
     pub fn is_bound(&self) -> bool {
         self.regions.is_some()
--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -177,6 +177,11 @@
         self.services.get(id)
     }
 
+    /// Returns the settings of an organisation.
+    pub fn organisation(&self, id: &OrganisationId) -> Option<&Organisation> {
+        self.organisations.get(id)
+    }
+
     /// Returns the stores of prompt parts.
     pub fn stores(&self) -> impl Iterator<Item = (&ServiceId, &PartStore)> {
         self.services.iter().filter_map(|(id, service)| Some((id, service.store.as_ref()?)))
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -36,19 +36,34 @@
     pub(crate) may_have_run: AtomicBool,
 }
 
+/// The regions in which a request may be served.
+pub(crate) struct RequestRegions {
+    /// The revision of the configuration that names them.
+    pub(crate) revision: Revision,
+    pub(crate) allowed: AllowedRegions,
+}
+
+impl RequestRegions {
+    /// Returns whether these are the regions in which the request may be served now. A node that has not
+    /// confirmed its settings in time may have missed that others are allowed.
+    pub(crate) fn are_known(&self, shared: &Shared) -> bool {
+        is_confirmed(shared, &self.allowed)
+    }
+}
+
 /// A request that passed the checks, with what is needed to forward it.
 pub(crate) struct Admitted<'a> {
     pub(crate) message: &'a ReadRequest,
     pub(crate) caller: &'a CallerRequest,
-    /// The revision of the configuration by which it was admitted.
-    pub(crate) revision: Revision,
+    // The revision of the configuration that admitted it.
+    revision: Revision,
     pub(crate) route: &'a Route,
     pub(crate) service: &'a ServiceId,
     pub(crate) organisation: Option<&'a OrganisationId>,
     pub(crate) is_isolated: bool,
     pub(crate) priority: Priority,
-    /// The regions in which it may be served.
-    pub(crate) regions: AllowedRegions,
+    // The regions in which it may be served, by the configuration that admitted it.
+    regions: AllowedRegions,
     /// Requests a second that a cold endpoint of the service can handle.
     pub(crate) cold_requests_per_s: f64,
     /// Whether the endpoints of the service are model engines.
@@ -66,6 +81,29 @@
         self.caller.model.as_ref()
     }
 
+    /// Returns the regions in which the request may be served, by the newest configuration: it may have
+    /// waited, or been sent before, since it was admitted.
+    pub(crate) fn regions(&self, shared: &Shared) -> RequestRegions {
+        let newest = shared.configuration().filter(|newest| newest.revision() > self.revision);
+        newest.and_then(|newest| self.regions_in(&newest)).unwrap_or_else(|| RequestRegions {
+            revision: self.revision,
+            allowed: self.regions.clone(),
+        })
+    }
+
+    /// Returns the regions by another configuration, or `None` if it no longer has the route or the
+    /// organisation.
+    fn regions_in(&self, configuration: &Configuration) -> Option<RequestRegions> {
+        let head = &self.message.head;
+        let route = configuration.route(host(head), head.path())?;
+        let organisation = match self.organisation {
+            Some(id) => Some(configuration.organisation(id)?),
+            None => None,
+        };
+        let allowed = AllowedRegions::of_request(route, organisation);
+        Some(RequestRegions { revision: configuration.revision(), allowed })
+    }
+
     /// Returns whether the request is refused because it, or a part of its prompt, crashes endpoints.
     pub(crate) fn is_blocked(&self, shared: &Shared) -> bool {
         is_blocked(shared, self.message, self.caller, self.organisation)
@@ -84,9 +122,8 @@
     caller: &'a CallerRequest,
 ) -> Result<Admitted<'a>, Refusal> {
     let head = &request.head;
-    let host = head.headers.get_str("host").map(without_port).unwrap_or_default();
     let route = configuration
-        .route(host, head.path())
+        .route(host(head), head.path())
         .ok_or(Refusal::without_retry(404, ResultCode::NotFound))?;
     let verdict = configuration.verify_key(route, caller.key);
     if verdict != KeyVerdict::NotRequired
@@ -104,11 +141,8 @@
     if is_blocked(shared, request, caller, organisation_id) {
         return Err(Refusal::blocked(ResultCode::RequestBlocked));
     }
-    let regions = AllowedRegions::new([
-        &route.allowed_regions[..],
-        organisation.map_or(&[], |(_, organisation)| &organisation.allowed_regions),
-    ]);
-    if !knows_regions(shared, &regions) {
+    let regions = AllowedRegions::of_request(route, organisation.map(|(_, known)| known));
+    if !is_confirmed(shared, &regions) {
         return Err(Refusal::not_run(ResultCode::PlatformUnavailable));
     }
     let service =
@@ -134,9 +168,7 @@
     })
 }
 
-/// Returns whether the regions are those in which a request may be served now. A node that has not
-/// confirmed its settings in time may have missed that others are allowed.
-pub(crate) fn knows_regions(shared: &Shared, regions: &AllowedRegions) -> bool {
+fn is_confirmed(shared: &Shared, regions: &AllowedRegions) -> bool {
     !regions.is_bound() || shared.settings_validity().are_regions_valid(shared.now())
 }
 
@@ -161,6 +193,11 @@
     )
 }
 
-pub(crate) fn without_port(host: &str) -> &str {
+/// Returns the host that a request names.
+pub(crate) fn host(head: &RequestHead) -> &str {
+    head.headers.get_str("host").map(without_port).unwrap_or_default()
+}
+
+fn without_port(host: &str) -> &str {
     host.rsplit_once(':').map_or(host, |(name, _)| name).trim()
 }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -12,7 +12,7 @@
 use yuccapass_http::with_deadline;
 use yuccapass_types::{Bytes as Size, Deadline, ResultCode};
 
-use crate::admission::{ReadRequest, admit, without_port};
+use crate::admission::{ReadRequest, admit, host};
 use crate::answer::AnswerWriter;
 use crate::caller_memory::{BodyBuffer, CallerClaim, OpenConnection};
 use crate::forward::{RequestOutcome, forward};
@@ -266,8 +266,7 @@
 fn charge_organisation(shared: &Shared, head: &RequestHead, claim: &CallerClaim) {
     let Some(configuration) = shared.configuration() else { return };
     let Ok(caller) = shared.protocol.caller_request(head) else { return };
-    let host = head.headers.get_str("host").map(without_port).unwrap_or_default();
-    let Some(route) = configuration.route(host, head.path()) else { return };
+    let Some(route) = configuration.route(host(head), head.path()) else { return };
     if let KeyVerdict::Known(id, _) = configuration.verify_key(route, caller.key) {
         claim.set_organisation(id);
     }
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -51,7 +51,7 @@
 pub(crate) fn has_endpoint(shared: &Shared, request: &Admitted<'_>) -> bool {
     let (now, nodes) = (shared.now(), shared.nodes());
     let directory = shared.directory();
-    let eligible = directory.eligible(request.service, &request.regions);
+    let eligible = directory.eligible(request.service, &request.regions(shared).allowed);
     eligible.iter().any(|(id, record)| shared.notices.may_send(id, record, nodes, now))
 }
 
@@ -109,7 +109,7 @@
         outdated
             .is_some_and(|outdated| outdated.deadlines.bound_end.remaining_ms(now) <= reserve_ms)
     };
-    let eligible = directory.eligible(request.service, &request.regions);
+    let eligible = directory.eligible(request.service, &request.regions(shared).allowed);
     let versions = shared.rollouts.choice(request.service, &eligible, nodes, now);
     let untried: Vec<DirectoryEntry<'_>> = eligible
         .iter()
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,7 +6,7 @@
 use yuccapass_decisions::gateway::{AttemptFailure, AttemptSummary, NextStep, Refusal};
 use yuccapass_types::{Deadline, EndpointId, ResultCode};
 
-use crate::admission::{Admitted, knows_regions};
+use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
 use crate::attempt::{
     AttemptLimit, AttemptOutcome, BufferedAnswer, FailedAttempt, Target, attempt,
@@ -72,7 +72,7 @@
         Err(refusal) => return refuse(shared, request, answer, refusal).await,
     };
     loop {
-        if !knows_regions(shared, &request.regions) {
+        if !request.regions(shared).are_known(shared) {
             return refuse(shared, request, answer, late_settings_refusal(&attempts)).await;
         }
         let Some(target) = take_turn(shared, request, next_target, &attempts.tried) else {
@@ -181,7 +181,7 @@
     let (now, nodes) = (shared.now(), shared.nodes());
     let directory = shared.directory();
     let mut earliest_ms = None;
-    for (id, record) in directory.eligible(request.service, &request.regions) {
+    for (id, record) in directory.eligible(request.service, &request.regions(shared).allowed) {
         if shared.notices.may_send(id, record, nodes, now) {
             return None;
         }
@@ -234,7 +234,8 @@
 
 /// Logs by which configuration an endpoint was chosen for a request that only some regions may serve.
 fn log_region_bound(shared: &Shared, request: &Admitted<'_>, target: &Target) {
-    if !request.regions.is_bound() {
+    let regions = request.regions(shared);
+    if !regions.allowed.is_bound() {
         return;
     }
     let now = shared.now();
@@ -242,9 +243,9 @@
     log::info!(
         request_id = request.caller.id.as_str(),
         route = request.route.id.as_str(),
-        revision = request.revision.get(),
+        revision = regions.revision.get(),
         settings_age_ms = confirmed_at.map(|at| now.ms_since(at)),
-        regions:% = request.regions,
+        regions:% = regions.allowed,
         endpoint = target.id.as_str(),
         zone = target.record.zone.as_str(),
         age_ms = now.ms_since(request.arrived_at);
--- a/crates/gateway/src/request_message.rs
+++ b/crates/gateway/src/request_message.rs
@@ -30,11 +30,12 @@
     let resume_after = events.last_id().or(request.caller.resume_after.as_ref());
     let weights = target.record.served(request.model()).map(|&(_, weights)| weights);
     let namespace = cache_namespace(request, weights);
+    let regions = request.regions(shared).allowed;
     let transfers = namespace.as_ref().filter(|_| weights.is_some()).map(|namespace| {
         let directory = shared.directory();
         let transfer = TransferRequest {
             zone: &target.record.zone,
-            allowed_regions: &request.regions,
+            allowed_regions: &regions,
             namespace,
             parts: &request.caller.parts,
             cache_peer: target.cache_peer,
