platform: revisions and leases belong to an era of the store

What callers saw: after the store came back from an older copy, a node went on with revisions and lease ids from before. It missed changes, renewed a lease that had been granted to another node meanwhile, and overwrote a value on a condition that held by accident.

Cause: revisions and lease ids were compared and kept as bare numbers, and the adapter did not read the header that names the era to which they belong. A restoration showed only while the revision was lower than before.

Change: KeyValueRevision and LeaseId carry a StoreEra and are ordered by it first. PlatformClient counts each rise of the era once, whichever answer names it first, and logs it with the number of revisions lost.

Why it works: two equal numbers of different eras are different values now, so no comparison can take one for the other.

--- a/crates/decisions/src/platform_budget/mod.rs
+++ b/crates/decisions/src/platform_budget/mod.rs
@@ -17,6 +17,6 @@
 pub use backoff::Backoff;
 pub use budget::{CallBudget, CallDecision, CallKind, CallRank, FleetRates, Ticket};
 pub use lease_holder::{LeaseHolder, LeasePermit, LeaseStep, LeaseTerms, RequestTime};
-pub use newest_revision::{NewestRevision, RevisionAtCall};
+pub use newest_revision::{NewestRevision, Restoration, RevisionAtCall};
 pub use outage_gate::{OutageDecision, OutageGate};
 pub use purpose::{CallPurpose, ParseCallPurposeError};
--- a/crates/decisions/tests/platform_budget.rs
+++ b/crates/decisions/tests/platform_budget.rs
@@ -9,7 +9,7 @@
 };
 use yuccapass_decisions::platform_budget::{
     Backoff, CallBudget, CallDecision, CallKind, CallPurpose, CallRank, FleetRates, LeaseHolder,
-    LeaseStep, LeaseTerms, NewestRevision, OutageDecision, OutageGate, RequestTime,
+    LeaseStep, LeaseTerms, NewestRevision, OutageDecision, OutageGate, RequestTime, Restoration,
 };
 use yuccapass_types::{Deadline, FencingNumber, Instant};
 
@@ -346,18 +346,18 @@
     // Arrange
     let mut newest = NewestRevision::default();
     let (early, late) = (newest.at_call(), newest.at_call());
-    assert!(!newest.record_answer(late, 10));
-    assert!(!newest.record_answer(early, 9));
+    assert!(!newest.record_answer(late, 0, 10));
+    assert!(!newest.record_answer(early, 0, 9));
     let after = [newest.at_call(), newest.at_call()];
 
     // Act
-    let detected = after.map(|at_call| newest.record_answer(at_call, 4));
+    let detected = after.map(|at_call| newest.record_answer(at_call, 0, 4));
 
     // Assert
     assert_eq!(detected, [true, true]);
     assert_eq!(newest.restorations(), 1);
     let at_call = newest.at_call();
-    assert!(!newest.record_answer(at_call, 4));
+    assert!(!newest.record_answer(at_call, 0, 4));
 }
 
 /// Guards against a holder that loses its lease because the platform grants a longer one than was
@@ -377,3 +377,51 @@
     };
     assert!(renewal < permit.deadline.instant(), "{renewal:?}");
 }
+
+/// Guards against a restoration that goes undetected because the revision has caught up already, and
+/// against one that is counted again by each answer of the new era.
+#[test]
+fn each_rise_of_the_era_is_one_restoration() {
+    // Arrange
+    let mut newest = NewestRevision::default();
+    let at_first = newest.at_call();
+    assert!(!newest.record_answer(at_first, 3, 100));
+    let at_calls = [newest.at_call(), newest.at_call()];
+
+    // Act: the era is named by an answer without a revision first, and the revision has caught up.
+    newest.record_era(4);
+    let detected = [
+        newest.record_answer(at_calls[0], 4, 120),
+        newest.record_answer(at_calls[1], 4, 90),
+        newest.record_answer(at_calls[1], 3, 101),
+    ];
+
+    // Assert: only the answer of the older era is not used.
+    assert_eq!(detected, [false, false, true]);
+    assert_eq!((newest.era(), newest.restorations()), (4, 1));
+}
+
+/// Guards against the first answer of a node that starts after a restoration, which is none to it, and
+/// against a log that tells of one restoration several times or without its extent.
+#[test]
+fn the_extent_of_a_restoration_is_told_once() {
+    // Arrange
+    let mut newest = NewestRevision::default();
+    let at_call = newest.at_call();
+    assert!(!newest.record_answer(at_call, 3, 100));
+    assert_eq!(newest.take_restoration(), None);
+
+    // Act: the store goes back twice before a revision is seen.
+    newest.record_era(4);
+    newest.record_era(5);
+    let before_revision = newest.take_restoration();
+    let at_call = newest.at_call();
+    newest.record_answer(at_call, 5, 70);
+    let first = newest.take_restoration();
+    newest.record_answer(at_call, 5, 71);
+
+    // Assert
+    let expected = Restoration { old_era: 3, new_era: 5, revisions_back: 30 };
+    assert_eq!((before_revision, first), (None, Some(expected)));
+    assert_eq!((newest.take_restoration(), newest.restorations()), (None, 2));
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -15,7 +15,7 @@
 use yuccapass_types::{Clock, Deadline, Instant};
 
 use crate::error::{PlatformError, PlatformErrorKind};
-use crate::ids::{Key, KeyValueRevision, LeaseId, LeaseTtl};
+use crate::ids::{Key, KeyValueRevision, LeaseId, LeaseTtl, StoreEra};
 use crate::key_value::{
     GetResponse, KeyValue, LeaseGrant, Page, RangeRequest, Transaction, TransactionOutcome,
     WatchOutcome, WatchRequest,
@@ -145,8 +145,16 @@
         self.lock().gate.is_down()
     }
 
-    /// Returns how many restorations of the service from an older state were detected.
+    /// Returns the newest era of the service that an answer has named.
+    pub fn era(&self) -> StoreEra {
+        self.record_era();
+        StoreEra::new(self.lock().newest.era())
+    }
+
+    /// Returns how many restorations of the service from an older state were detected. Each rise of the
+    /// era counts once, whichever answer named the new one first.
     pub fn restorations(&self) -> u64 {
+        self.record_era();
         self.lock().newest.restorations()
     }
 
@@ -219,8 +227,17 @@
         self.lock().newest.at_call()
     }
 
-    /// Reports the result of a call to the outage gate.
+    /// Records the era that the answers have named so far. An answer to a call of another task may have
+    /// named a new one.
+    fn record_era(&self) {
+        if let Some(era) = self.inner.era() {
+            self.lock().newest.record_era(era.get());
+        }
+    }
+
+    /// Reports the result of a call to the outage gate, and records the era of its answer.
     fn record_result<T>(&self, rank: CallRank, result: &Result<T, PlatformError>) {
+        self.record_era();
         if !rank.shows_outage() {
             return;
         }
@@ -235,13 +252,27 @@
         }
     }
 
-    /// Checks the revision of a response; fails if the service was restored from an older state.
+    /// Checks the revision of a response; fails if it shows an older state than seen before. The first
+    /// response of a newer era is a usable one.
     fn check_revision(
         &self,
         at_call: RevisionAtCall,
         revision: KeyValueRevision,
     ) -> Result<(), PlatformError> {
-        if !self.lock().newest.record_answer(at_call, revision.get()) {
+        let (is_older, restoration) = {
+            let mut state = self.lock();
+            let newest = &mut state.newest;
+            let is_older = newest.record_answer(at_call, revision.era().get(), revision.get());
+            (is_older, newest.take_restoration())
+        };
+        if let Some(restoration) = restoration {
+            log::warn!(
+                old_era = restoration.old_era, new_era = restoration.new_era,
+                revisions_back = restoration.revisions_back;
+                "the platform was restored from an older copy"
+            );
+        }
+        if !is_older {
             return Ok(());
         }
         let detail = format!("the platform is at revision {revision}, older than seen before");
@@ -430,6 +461,7 @@
         let client = &*self.client;
         self.wait_for_turn(CallKind::Read, deadline).await?;
         let now = client.clock.now();
+        let at_call = client.revision_at_call();
         if !client.lock().budget.start_watch(now) {
             let detail = "the node's share is too small for another waiting watch";
             return Err(PlatformError::new(PlatformErrorKind::OverBudget, detail));
@@ -438,7 +470,6 @@
         let result = client.inner.watch(request, deadline).await;
         client.record_result(self.rank, &result);
         if let Ok(WatchOutcome::Restored { revision }) = &result {
-            let at_call = client.revision_at_call();
             // The outcome already tells the caller, so the error is not needed.
             let _ = client.check_revision(at_call, *revision);
         }
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -21,7 +21,8 @@
     LeaseNotFound,
     /// The platform no longer keeps the requested revision; read again without a revision.
     Compacted,
-    /// The platform's revision is older than one seen before: it was restored from an older state.
+    /// The platform was restored from an older state: its revision is older than one seen before, or the
+    /// answer belongs to an era before the newest one. The answer is not used.
     Restored,
     /// The node's own call budget did not allow the call before the deadline; nothing was sent.
     OverBudget,
--- a/crates/platform/src/ids.rs
+++ b/crates/platform/src/ids.rs
@@ -131,10 +131,84 @@
 }
 
 number! {
+    /// An era of the key-value service: it rises when the service comes back from an older copy, and the
+    /// numbers that the service gives out are then given out again. Services that name none are in era 0.
+    StoreEra, "store era"
+}
+
+/// Separates the era from the number in the text of a number that belongs to an era.
+const ERA_SEPARATOR: char = ':';
+
+macro_rules! number_of_era {
+    ($(#[$doc:meta])* $name:ident, $label:literal) => {
+        $(#[$doc])*
+        ///
+        /// The same number may stand for something else in another era, so numbers are compared by their
+        /// era first. The text form is `era:number`, or only the number in era 0.
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay,
+            DeserializeFromStr,
+        )]
+        pub struct $name {
+            era: StoreEra,
+            number: u64,
+        }
+
+        impl $name {
+            /// Wraps a number of era 0, for services that name no era.
+            pub const fn new(number: u64) -> Self {
+                Self { era: StoreEra::new(0), number }
+            }
+
+            /// Returns the same number in another era.
+            pub const fn in_era(self, era: StoreEra) -> Self {
+                Self { era, number: self.number }
+            }
+
+            /// Returns the era to which the number belongs.
+            pub const fn era(self) -> StoreEra {
+                self.era
+            }
+
+            /// Returns the number without its era.
+            pub const fn get(self) -> u64 {
+                self.number
+            }
+
+            /// Returns the number that follows this one in the same era.
+            pub const fn next(self) -> Self {
+                Self { era: self.era, number: self.number.saturating_add(1) }
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                match self.era.get() {
+                    0 => self.number.fmt(f),
+                    era => write!(f, "{era}{ERA_SEPARATOR}{}", self.number),
+                }
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = InvalidId;
+
+            fn from_str(text: &str) -> Result<Self, InvalidId> {
+                let problem = "is neither a whole number nor an era and a whole number";
+                let (era, number) = text.split_once(ERA_SEPARATOR).unwrap_or(("0", text));
+                let invalid = |_| InvalidId { type_name: $label, problem };
+                let era = StoreEra::new(era.parse().map_err(invalid)?);
+                Ok(Self { era, number: number.parse().map_err(invalid)? })
+            }
+        }
+    };
+}
+
+number_of_era! {
     /// A revision of the key-value service; each committed transaction increments it.
     KeyValueRevision, "key-value revision"
 }
-number! {
+number_of_era! {
     /// Identifies a lease.
     LeaseId, "lease id"
 }
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -5,7 +5,7 @@
 use yuccapass_types::Deadline;
 
 use crate::error::PlatformError;
-use crate::ids::{Key, KeyValueRevision, LeaseId, LeaseTtl, Value};
+use crate::ids::{Key, KeyValueRevision, LeaseId, LeaseTtl, StoreEra, Value};
 
 /// A stored key with its value.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -165,8 +165,8 @@
     /// The service no longer keeps all changes since the requested revision; the state has to be
     /// read again.
     Compacted,
-    /// The service is at an older revision than the caller has seen; the state has to be read
-    /// again.
+    /// The service was restored from an older state: it is at an older revision than the caller has
+    /// seen, or in another era. The state has to be read again.
     Restored {
         /// The service's revision.
         revision: KeyValueRevision,
@@ -176,8 +176,18 @@
 /// The platform's key-value service.
 ///
 /// An error of a write has the kind `Unknown` if the write may have taken effect.
+///
+/// Revisions and leases belong to an era of the service. What an implementation is given of an older era
+/// than the newest one that it has seen is not sent, since the number may stand for something else now: a
+/// watch is `Restored`, a condition is a `Conflict`, and a lease is `LeaseNotFound`.
 #[async_trait]
 pub trait KeyValue: Send + Sync {
+    /// Returns the newest era that an answer of the service has named, also one without a revision;
+    /// `None` if the service has not answered yet or names no eras.
+    fn era(&self) -> Option<StoreEra> {
+        None
+    }
+
     /// Reads a key.
     ///
     /// # Errors
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -9,9 +9,9 @@
 use yuccapass_decisions::platform_budget::settle_write::Settled;
 use yuccapass_decisions::platform_budget::{CallPurpose, CallRank, LeaseTerms};
 use yuccapass_platform::{
-    CallObserver, IdempotentTransaction, Key, KeyValue, KeyValueClient, KeyValueRevision,
-    LeaseLock, LockStatus, PlatformClient, PlatformClientConfig, PlatformErrorKind, Transaction,
-    Value, Write,
+    CallObserver, IdempotentTransaction, Key, KeyValue, KeyValueClient, KeyValueRevision, LeaseId,
+    LeaseLock, LockStatus, PlatformClient, PlatformClientConfig, PlatformErrorKind, StoreEra,
+    Transaction, Value, Write,
 };
 use yuccapass_types::{Clock, Deadline, FencingNumber};
 
@@ -193,6 +193,32 @@
     assert_eq!(setup.client.restorations(), 1);
 }
 
+/// Guards against a restoration that goes undetected because the revision has caught up, against one that is
+/// counted by each call, and against reads that fail although they show the new era.
+#[test]
+fn each_rise_of_the_era_is_counted_once() {
+    // Arrange
+    let setup = setup(&[]);
+    let key_value = setup.key_value(CallRank::Refresh);
+    setup.fake.data.lock().unwrap().revision = 50;
+    block_on(key_value.get(&key("a"), setup.limit())).unwrap();
+    let before = setup.client.restorations();
+    setup.fake.data.lock().unwrap().era = StoreEra::new(1);
+    setup.fake.data.lock().unwrap().revision = 60;
+
+    // Act: an answer without a revision names the new era first.
+    block_on(key_value.lease_keep_alive(LeaseId::new(1), setup.limit())).unwrap();
+    let at_renewal = setup.client.restorations();
+    let answers =
+        [0; 2].map(|_| block_on(key_value.get(&key("a"), setup.limit())).map(|it| it.revision));
+
+    // Assert
+    let expected = KeyValueRevision::new(60).in_era(StoreEra::new(1));
+    assert!(answers.iter().all(|answer| answer.as_ref().is_ok_and(|&it| it == expected)));
+    assert_eq!((before, at_renewal, setup.client.restorations()), (0, 1, 1));
+    assert_eq!(setup.client.era(), StoreEra::new(1));
+}
+
 /// Guards against a node that takes a lock for not acquired because the response was lost, and
 /// against two holders.
 #[test]
--- a/crates/platform/tests/fakes/mod.rs
+++ b/crates/platform/tests/fakes/mod.rs
@@ -7,8 +7,8 @@
 use async_trait::async_trait;
 use yuccapass_platform::{
     Compare, Entry, GetResponse, Key, KeyValue, KeyValueRevision, LeaseGrant, LeaseId, LeaseTtl,
-    Page, PlatformError, PlatformErrorKind, RangeRequest, Transaction, TransactionOutcome,
-    WatchOutcome, WatchRequest, Write,
+    Page, PlatformError, PlatformErrorKind, RangeRequest, StoreEra, Transaction,
+    TransactionOutcome, WatchOutcome, WatchRequest, Write,
 };
 use yuccapass_types::{Clock, Deadline, Instant, MonotonicClock};
 
@@ -23,6 +23,7 @@
 
 #[derive(Default)]
 pub struct Data {
+    pub era: StoreEra,
     pub revision: u64,
     pub entries: BTreeMap<Key, Entry>,
     pub faults: VecDeque<Fault>,
@@ -33,6 +34,12 @@
     pub leases: u64,
 }
 
+impl Data {
+    fn current(&self) -> KeyValueRevision {
+        KeyValueRevision::new(self.revision).in_era(self.era)
+    }
+}
+
 #[derive(Default)]
 pub struct FakeKeyValue {
     pub data: Mutex<Data>,
@@ -82,12 +89,12 @@
         }
     };
     if !transaction.compares.iter().all(holds) {
-        let revision = KeyValueRevision::new(data.revision);
+        let revision = data.current();
         return TransactionOutcome::Conflict { revision, entries: Vec::new() };
     }
     data.revision += 1;
     data.effects += 1;
-    let mod_revision = KeyValueRevision::new(data.revision);
+    let mod_revision = data.current();
     for write in &transaction.writes {
         match write.clone() {
             Write::Put { key, value, lease } => {
@@ -104,10 +111,15 @@
 
 #[async_trait]
 impl KeyValue for FakeKeyValue {
+    fn era(&self) -> Option<StoreEra> {
+        let data = self.data.lock().unwrap();
+        (!data.calls.is_empty()).then_some(data.era)
+    }
+
     async fn get(&self, key: &Key, deadline: Deadline) -> Result<GetResponse, PlatformError> {
         self.data.lock().unwrap().deadlines.push(deadline);
         self.call("get", false, |data| GetResponse {
-            revision: KeyValueRevision::new(data.revision),
+            revision: data.current(),
             entry: data.entries.get(key).cloned(),
         })
     }
@@ -127,7 +139,7 @@
     async fn lease_grant(&self, ttl: LeaseTtl, _: Deadline) -> Result<LeaseGrant, PlatformError> {
         self.call("grant", true, |data| {
             data.leases += 1;
-            LeaseGrant { id: LeaseId::new(data.leases), ttl }
+            LeaseGrant { id: LeaseId::new(data.leases).in_era(data.era), ttl }
         })
     }
 
