gateway: the watch module in three files

The lists that are read page by page and the handlers of the settings and the endpoints have files of their own now. No behaviour changes.

--- /dev/null
+++ b/crates/gateway/src/watch/mod.rs
@@ -0,0 +1,377 @@
+//! Watches keys in the platform's key-value service.
+//!
+//! [`watch_prefix`] reads all keys with a prefix and then watches for changes. After a failure it
+//! continues from the last known revision, and starts over only if the service no longer has the
+//! changes since then. While this node follows a relay, the changes come from the relay.
+
+mod listing;
+mod settings;
+
+use std::sync::Arc;
+
+use yuccapass_decisions::gateway::relay::{
+    OriginRead, OutageEnds, RelayItem, RelayedEntry, TopicClass,
+};
+use yuccapass_decisions::platform_budget::{Backoff, CallPurpose, CallRank};
+use yuccapass_http::sleep_until;
+use yuccapass_platform::{
+    Change, ChangeKind, Entry, Key, KeyRange, KeyValue, KeyValueClient, KeyValueRevision,
+    PlatformClient, PlatformError, Value, WatchOutcome, WatchRequest,
+};
+use yuccapass_types::{Deadline, Instant};
+
+use self::listing::Listing;
+pub(crate) use self::listing::read_all;
+pub(crate) use self::settings::start;
+use crate::relay::{NextRead, RelayedChanges, Subscription, keys_topic};
+use crate::state::Shared;
+
+/// Base and limit of the pauses between failed calls. Half of the base is the shortest pause; after
+/// an outage, keys must be confirmed again soon.
+const RETRY_BASE_MS: u64 = 150;
+const RETRY_LIMIT_MS: u64 = 600;
+
+/// Base of the pause before a background topic is listed again after the service has dropped its
+/// history. The lists of the other topics, and the link that they share, go first.
+const BACKGROUND_LIST_PAUSE_MS: u64 = 1_000;
+
+/// How long the first watch call waits after this node has followed a relay, or after a failed call.
+/// What the node knows may already be old; with a call of the usual length, the keys could not be
+/// confirmed in time. The end of an outage would be noticed only with the next change, and an
+/// endpoint that leaves with that change would be kept as if it had lapsed in the outage.
+const FIRST_WATCH_MS: u64 = 100;
+
+/// Time by which the age of what a relay knows may exceed the wait of its calls: pauses between the
+/// calls, the calls themselves under load, and the time for which the relay holds requests.
+const RELAY_DELAY_MS: u64 = 1_000;
+
+/// Handles the entries and changes of a watched prefix.
+pub(crate) trait WatchHandler: Send + Sync {
+    /// Handles the complete list of entries.
+    fn replace(&self, entries: &[Entry]);
+
+    /// Handles changes, in their order.
+    fn change(&self, changes: &[Change]);
+
+    /// Handles the end of a call that was sent at `sent_at` and returned all changes up to then.
+    fn confirmed(&self, _sent_at: Instant) {}
+
+    /// Handles the end of a call after which all changes before `at` are known. A call that waited
+    /// without changes returns all changes up to the end of the wait.
+    fn record_known_until(&self, _at: Instant) {}
+
+    /// Returns the longest time for which a watch call may wait now, if it is shorter than the usual one.
+    fn max_watch_ms(&self) -> Option<u64> {
+        None
+    }
+
+    /// Handles a failure of the service to answer.
+    fn lost(&self) {}
+
+    /// Handles the first answer of the service after a failure, before its content. The service has
+    /// answered since then, this node or a relay.
+    fn recovered(&self, _since: Instant) {}
+}
+
+/// Which keys are watched, and how.
+#[derive(Debug, Clone)]
+pub(crate) struct WatchSettings {
+    /// The prefix of the keys.
+    pub(crate) prefix: Key,
+    /// How long one watch call waits for changes.
+    pub(crate) watch_ms: u64,
+    /// The same if this node is a relay; `None` if changes must not come from relays.
+    pub(crate) relay_watch_ms: Option<u64>,
+    /// Pause after a watch call that returned changes.
+    pub(crate) pause_ms: u64,
+    /// What the calls are counted as.
+    pub(crate) purpose: CallPurpose,
+    /// How important the changes are. Keys of a background topic are read after all others.
+    pub(crate) class: TopicClass,
+}
+
+impl WatchSettings {
+    /// Returns the ranks of the lists and of the watch calls.
+    fn ranks(&self) -> (CallRank, CallRank) {
+        match self.class {
+            TopicClass::Urgent | TopicClass::Regular => (CallRank::Refresh, CallRank::Watch),
+            TopicClass::Background => (CallRank::Report, CallRank::Report),
+        }
+    }
+}
+
+/// Watches keys until the process ends.
+pub(crate) async fn watch_prefix(
+    shared: Arc<Shared>,
+    platform: Arc<PlatformClient>,
+    settings: WatchSettings,
+    handler: Arc<dyn WatchHandler>,
+) {
+    let subscription = settings.relay_watch_ms.map(|watch_ms| {
+        // What a relay knows is confirmed as of the start of a call, and next at the end of another
+        // one.
+        let max_age_ms = 2 * watch_ms + RELAY_DELAY_MS;
+        let topic = keys_topic(settings.prefix.as_str());
+        shared.relay.subscribe(topic, settings.class, max_age_ms)
+    });
+    let (list_rank, watch_rank) = settings.ranks();
+    let watcher = PrefixWatcher {
+        reader: platform.key_value(list_rank).with_purpose(settings.purpose),
+        watcher: platform.key_value(watch_rank).with_purpose(settings.purpose),
+        shared,
+        settings,
+        handler,
+        subscription,
+        listing: None,
+        revision: None,
+        was_following: false,
+        outage: None,
+        outage_ends: OutageEnds::default(),
+    };
+    watcher.run().await;
+}
+
+/// The watch of one prefix.
+struct PrefixWatcher {
+    shared: Arc<Shared>,
+    reader: KeyValueClient,
+    watcher: KeyValueClient,
+    settings: WatchSettings,
+    handler: Arc<dyn WatchHandler>,
+    subscription: Option<Subscription>,
+    // The list that is being read.
+    listing: Option<Listing>,
+    // The revision up to which all changes are known; `None` until the keys were listed.
+    revision: Option<KeyValueRevision>,
+    // Whether the last changes came from a relay.
+    was_following: bool,
+    // The pauses between calls while they fail.
+    outage: Option<Backoff>,
+    // Which outages that relays report are those of the service.
+    outage_ends: OutageEnds,
+}
+
+impl PrefixWatcher {
+    async fn run(mut self) {
+        loop {
+            let next_read = match (&self.subscription, self.revision) {
+                (Some(subscription), Some(revision)) => {
+                    self.shared.relay.next_read(subscription, 0, revision.get()).await
+                }
+                _ => NextRead::Origin,
+            };
+            match next_read {
+                NextRead::Relayed(changes) => self.apply_relayed(changes),
+                NextRead::Origin => match self.read_origin().await {
+                    Ok(()) => {}
+                    Err(error) => self.pause_after(&error).await,
+                },
+            }
+        }
+    }
+
+    /// Lists the keys, or waits for their changes if they are known.
+    async fn read_origin(&mut self) -> Result<(), PlatformError> {
+        match self.revision {
+            Some(revision) => self.watch(revision).await,
+            None => self.list().await,
+        }
+    }
+
+    /// Lists the keys. After a failure, the next call continues with the page that was not read: if
+    /// hundreds of nodes started over, their lists would fill the service's link for nothing.
+    async fn list(&mut self) -> Result<(), PlatformError> {
+        let listing = self.listing.get_or_insert_with(|| Listing::new(self.shared.now()));
+        listing.read(&self.shared, &self.reader, &self.settings.prefix, false).await?;
+        let Some(Listing { sent_at, entries, revision, .. }) = self.listing.take() else {
+            return Ok(());
+        };
+        self.record_answer(self.shared.now());
+        self.handler.replace(&entries);
+        self.handler.confirmed(sent_at);
+        self.handler.record_known_until(sent_at);
+        self.publish(revision, revision, &[], sent_at);
+        Ok(())
+    }
+
+    async fn watch(&mut self, revision: KeyValueRevision) -> Result<(), PlatformError> {
+        let range = KeyRange::Prefix(self.settings.prefix.clone());
+        let request = WatchRequest { range, from: revision.next() };
+        let sent_at = self.shared.now();
+        let is_relay = self.shared.relay.is_relay(&self.shared.options.node);
+        let needs_answer = self.was_following || self.outage.is_some();
+        let watch_ms = match (needs_answer, self.settings.relay_watch_ms) {
+            (true, _) => FIRST_WATCH_MS,
+            (false, Some(relay_watch_ms)) if is_relay => relay_watch_ms,
+            _ => self.settings.watch_ms,
+        };
+        let watch_ms = self.handler.max_watch_ms().map_or(watch_ms, |max_ms| watch_ms.min(max_ms));
+        let deadline = Deadline::after_ms(sent_at, watch_ms);
+        let outcome = self.watcher.watch(&request, deadline).await?;
+        let now = self.shared.now();
+        self.was_following = false;
+        self.outage_ends.record_own_answer(sent_at, needs_answer, now);
+        self.record_answer(now);
+        let known_until = match outcome {
+            // An answer before the end of the wait was cut short; only its beginning is certain.
+            WatchOutcome::NoChanges { .. } if deadline.has_passed(self.shared.now()) => {
+                deadline.instant()
+            }
+            _ => sent_at,
+        };
+        let (changes, newest) = match outcome {
+            WatchOutcome::Changes(changes) => {
+                let newest = changes.iter().map(|change| change.revision).fold(revision, Ord::max);
+                (changes, newest)
+            }
+            WatchOutcome::NoChanges { revision: newest } => {
+                (Vec::new(), revision.max(newest.unwrap_or(revision)))
+            }
+            WatchOutcome::Compacted | WatchOutcome::Restored { .. } => {
+                log::info!(
+                    prefix = self.settings.prefix.as_str();
+                    "the platform no longer has the missed changes; reading all entries again"
+                );
+                self.revision = None;
+                self.pause_before_list().await;
+                return Ok(());
+            }
+        };
+        if !changes.is_empty() {
+            self.handler.change(&changes);
+        }
+        self.handler.confirmed(sent_at);
+        self.handler.record_known_until(known_until);
+        self.publish(revision, newest, &changes, sent_at);
+        if !changes.is_empty() && self.settings.pause_ms > 0 {
+            let resume_at = Deadline::after_ms(self.shared.now(), self.settings.pause_ms);
+            sleep_until(&*self.shared.clock, resume_at).await;
+        }
+        Ok(())
+    }
+
+    /// Pauses before the keys are listed again: a service that drops its history does so for all
+    /// nodes, and may do so again soon.
+    async fn pause_before_list(&self) {
+        let base_ms = match self.settings.class {
+            TopicClass::Urgent | TopicClass::Regular => RETRY_BASE_MS,
+            TopicClass::Background => BACKGROUND_LIST_PAUSE_MS,
+        };
+        let pause_ms = base_ms + rand::random_range(0..base_ms);
+        let pause = Deadline::after_ms(self.shared.now(), pause_ms);
+        sleep_until(&*self.shared.clock, pause).await;
+    }
+
+    /// Applies changes that a relay has read.
+    fn apply_relayed(&mut self, relayed: RelayedChanges) {
+        self.was_following = true;
+        // The relay may have heard from the service earlier than this node.
+        self.record_answer(relayed.outage_ended_at.unwrap_or_else(|| self.shared.now()));
+        if let Some(ended_at) = relayed.outage_ended_at.filter(|&at| self.outage_ends.record(at)) {
+            // Registrations that the service removed during the outage may return.
+            self.handler.lost();
+            self.handler.recovered(ended_at);
+        }
+        let changes: Vec<Change> = relayed.items.into_iter().filter_map(change_of).collect();
+        if !changes.is_empty() {
+            self.handler.change(&changes);
+        }
+        self.handler.confirmed(relayed.confirmed_at);
+        self.handler.record_known_until(relayed.confirmed_at);
+        self.revision = Some(KeyValueRevision::new(relayed.end));
+        if let Some(subscription) = &self.subscription {
+            self.shared.relay.set_position(subscription, 0, relayed.end);
+        }
+    }
+
+    /// Publishes what was read after `from`, up to `to`, for the followers of this node.
+    fn publish(
+        &mut self,
+        from: KeyValueRevision,
+        to: KeyValueRevision,
+        changes: &[Change],
+        sent_at: Instant,
+    ) {
+        self.revision = Some(to);
+        let read = OriginRead {
+            epoch: 0,
+            from: from.get(),
+            to: to.get(),
+            items: changes.iter().map(relay_item).collect(),
+            sent_at,
+            clock_ms: None,
+        };
+        if let Some(subscription) = &self.subscription {
+            self.shared.relay.publish(subscription, read, self.shared.now());
+        }
+    }
+
+    /// Records that the service answers, itself or through a relay, and has answered from `since` on.
+    fn record_answer(&mut self, since: Instant) {
+        if self.outage.take().is_none() {
+            return;
+        }
+        log::info!(
+            prefix = self.settings.prefix.as_str(), revision = self.revision.map_or(0, |at| at.get());
+            "the platform answers again"
+        );
+        self.handler.recovered(since);
+        if let Some(subscription) = &self.subscription {
+            self.shared.relay.publish_outage_end(subscription, since);
+        }
+    }
+
+    async fn pause_after(&mut self, error: &PlatformError) {
+        if self.outage.is_none() {
+            let prefix = self.settings.prefix.as_str();
+            log::warn!(prefix, error:%; "the platform does not answer");
+        }
+        self.handler.lost();
+        if let Some(subscription) = &self.subscription {
+            self.shared.relay.publish_lost(subscription);
+        }
+        let backoff =
+            self.outage.get_or_insert_with(|| Backoff::new(RETRY_BASE_MS, RETRY_LIMIT_MS));
+        let pause_ms = RETRY_BASE_MS / 2 + backoff.next_delay_ms(&mut rand::rng());
+        let pause = Deadline::after_ms(self.shared.now(), pause_ms);
+        sleep_until(&*self.shared.clock, pause).await;
+    }
+}
+
+/// Converts a change for the followers of this node.
+fn relay_item(change: &Change) -> (u64, RelayItem) {
+    let (key, value) = changed_entry(change);
+    let revision = change.revision.get();
+    let entry = RelayedEntry {
+        key: key.as_str().into(),
+        value: value.map(|value| value.as_bytes().to_vec()),
+        revision,
+    };
+    (revision, RelayItem::Entry(entry))
+}
+
+/// Converts a change from a relay. One whose key or value is not valid is left out, as this node
+/// cannot have read it from the service either.
+fn change_of(item: RelayItem) -> Option<Change> {
+    let RelayItem::Entry(entry) = item else { return None };
+    let key: Key = entry.key.parse().ok()?;
+    let revision = KeyValueRevision::new(entry.revision);
+    let kind = match entry.value {
+        Some(value) => ChangeKind::Put(Entry {
+            key,
+            value: Value::new(value).ok()?,
+            mod_revision: revision,
+            lease: None,
+        }),
+        None => ChangeKind::Deleted(key),
+    };
+    Some(Change { revision, kind })
+}
+
+/// Returns the key of a change, and the value unless the key was deleted.
+fn changed_entry(change: &Change) -> (&Key, Option<&Value>) {
+    match &change.kind {
+        ChangeKind::Put(entry) => (&entry.key, Some(&entry.value)),
+        ChangeKind::Deleted(key) => (key, None),
+    }
+}
