relays: the topics of keys are published with their era

What callers saw: after the store came back from an older copy, nodes that follow a relay could use settings and endpoints which the store no longer had, and took them for confirmed.

Cause: relays published all topics of keys with epoch 0. A follower could not tell changes after its position from those after the same number of another history.

Evidence: the relay model has restorations now, after which the store has more revisions than before.

Change: the epoch of a topic of keys is the era of the store. A follower applies the changes of its own era only (EraStep). If its relay reads a later era, it lists the keys at the origin after the pause for dropped history; if its relay is still in an earlier one, it goes to another relay or to the origin and avoids that relay for a while, so that relay does not confirm settings either. A relay keeps answering with honest ages until its own list is there, which spreads the lists.

Result: the model keeps its rules with one restoration, two within 0.4 s and two 3 s apart, with and without other faults, and with a relay, a follower or a node of a small zone cut off through them.

Why it works: a position is used only with the history that it is from.

--- a/crates/decisions/src/gateway/relay/mod.rs
+++ b/crates/decisions/src/gateway/relay/mod.rs
@@ -9,6 +9,7 @@
 //! * [`RelayTopics`] is what a node has read from its origins, and its answers to followers.
 //! * [`ChangeLog`] has the recent changes that a relay has read from an origin.
 //! * [`RelaySources`] decides whether a node reads from the origin or follows a relay.
+//! * [`EraStep`] decides what a follower does when its relay reads another era of the key-value service.
 //! * [`OutageEnds`] decides which outages that relays report are those of the origin.
 //! * [`confirmed_at`] converts the age of a relay's knowledge to an instant of the follower.
 //!
@@ -17,6 +18,7 @@
 //! origin itself. A relay passes on only what it read from the origin itself, so an age cannot be
 //! lost on the way.
 
+mod eras;
 mod log;
 mod outage_ends;
 mod sources;
@@ -25,6 +27,7 @@
 use smol_str::SmolStr;
 use yuccapass_types::{Bytes, Instant};
 
+pub use eras::EraStep;
 pub use log::ChangeLog;
 pub use outage_ends::OutageEnds;
 pub use sources::{ChangeSource, RelaySources, is_relayed, relay_count, relays};
--- a/crates/decisions/tests/gateway_relay.rs
+++ b/crates/decisions/tests/gateway_relay.rs
@@ -6,7 +6,7 @@
 use proptest::test_runner::RngSeed;
 use relay_model::{Guard, Model};
 use yuccapass_decisions::gateway::relay::{
-    ChangeLog, ChangeSource, OriginRead, OutageEnds, RelayItem, RelaySources, RelayTopics,
+    ChangeLog, ChangeSource, EraStep, OriginRead, OutageEnds, RelayItem, RelaySources, RelayTopics,
     RelayedEntry, TopicClass, TopicRequest, confirmed_at, relay_count, relays,
 };
 use yuccapass_types::{Bytes, Instant, NodeId};
@@ -291,6 +291,94 @@
     }
 }
 
+/// When the origin of a model comes back from an older copy: once, and twice within a moment.
+const RESTORATIONS_MS: [u64; 3] = [15_000, 35_000, 35_400];
+
+/// Guards against relays and followers that mix two histories of an origin which comes back from an older
+/// copy and gives its positions out again: a node that keeps a change which the copy lacks, and one that
+/// takes its settings for confirmed although its relay still reads the ended era.
+#[test]
+fn followers_keep_the_rules_when_the_origin_comes_back_from_a_copy() {
+    for seed in 0..12 {
+        for faults_per_s in [0.0, 0.4] {
+            // Arrange
+            let model = Model::new(3, 12, seed, Guard::Complete).restore_at_ms(&RESTORATIONS_MS);
+
+            // Act
+            let report = model.run(60, faults_per_s);
+
+            // Assert
+            assert_eq!(report.violation, None, "seed {seed}, {faults_per_s} faults/s");
+        }
+    }
+}
+
+/// Guards against a node that was cut off while the origin came back, once or twice, and then continues
+/// from its position of an ended era: a relay, a follower, and a node of a zone without followers.
+#[test]
+fn a_node_that_was_cut_off_through_a_restoration_keeps_the_rules() {
+    for (nodes, number) in [(12, 0), (12, 7), (3, 0)] {
+        for times in [&RESTORATIONS_MS[..1], &[15_000, 18_000]] {
+            // Arrange
+            let model = Model::new(2, nodes, 3, Guard::Complete).restore_at_ms(times);
+
+            // Act
+            let report = model.cut_off(number, 25_000).run(60, 0.0);
+
+            // Assert
+            assert_eq!(report.violation, None, "node {number} of {nodes}");
+        }
+    }
+}
+
+/// Guards against a model that would not notice nodes that mix two histories.
+#[test]
+fn model_notices_missing_eras() {
+    // Arrange
+    let models = (0..12).map(|seed| Model::new(3, 12, seed, Guard::WithoutEras));
+
+    // Act
+    let run = |model: Model| model.restore_at_ms(&RESTORATIONS_MS).run(60, 0.4).violation;
+    let violations = models.filter_map(run).count();
+
+    // Assert
+    assert!(violations > 0);
+}
+
+/// Guards against a storm of calls when all nodes list again after a restoration.
+#[test]
+fn a_restoration_costs_a_few_calls_of_each_node() {
+    // Arrange: 126 nodes.
+    let run =
+        |times: &[u64]| Model::new(6, 21, 1, Guard::Complete).restore_at_ms(times).run(30, 0.0);
+
+    // Act
+    let (without, with) = (run(&[]), run(&[15_000]));
+
+    // Assert: one list of each node, and few watch calls around it.
+    assert_eq!((without.violation, with.violation), (None, None));
+    assert_eq!((without.origin_lists, with.origin_lists), (126, 252));
+    let (few, many) = (without.origin_calls, with.origin_calls);
+    assert!(many <= few + 2 * 126, "{few} calls without, {many} with a restoration");
+}
+
+/// Guards against a follower that continues in another era of the key-value service: from the changes of a
+/// relay that has not noticed a restoration, or from its own position in the relay's era.
+#[test]
+fn a_follower_does_not_continue_in_another_era() {
+    // Arrange: the relay has all changes of the era from its beginning.
+    let mut relay = RelayTopics::default();
+    let items = vec![entry(1, 10), entry(2, 10)];
+    relay.record_read(&"keys:op/".into(), read(0, 2, items, at(1_000)), at(1_100));
+    let answer = |epoch| relay.answer(&request(epoch, 2), &mut large_budget(), at(1_200)).unwrap();
+
+    // Act
+    let steps = [0, 1, 2].map(|epoch| EraStep::of(epoch, answer(epoch).epoch));
+
+    // Assert: the relay reads era 1.
+    assert_eq!(steps, [EraStep::ListAgain, EraStep::Apply, EraStep::Refuse]);
+}
+
 /// Guards against calls to the origin that grow with the number of nodes.
 #[test]
 fn calls_to_the_origin_do_not_grow_with_the_zone() {
--- a/crates/decisions/tests/relay_model/mod.rs
+++ b/crates/decisions/tests/relay_model/mod.rs
@@ -1,11 +1,12 @@
 //! A model of nodes that follow relays, in virtual time: an origin with changes, calls and replies
-//! that take time, and nodes that are frozen, killed, or cut off from the origin.
+//! that take time, nodes that are frozen, killed, or cut off from the origin, and an origin that comes back
+//! from an older copy.
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use yuccapass_decisions::gateway::relay::{
-    ChangeSource, OriginRead, RelayItem, RelaySources, RelayTopics, RelayedEntry, TopicRequest,
-    TopicUpdate,
+    ChangeSource, EraStep, OriginRead, RelayItem, RelaySources, RelayTopics, RelayedEntry,
+    TopicRequest, TopicUpdate,
 };
 use yuccapass_types::{Bytes, Instant, NodeId};
 
@@ -36,6 +37,14 @@
 /// Time for which a node may use keys after they were confirmed.
 const KEY_VALIDITY_MS: u64 = 4_700;
 
+/// Changes that a restoration of the origin loses, and those that are written again at once. The origin has
+/// more changes after it than before, so its positions don't show that it went back.
+const LOST_CHANGES: usize = 4;
+const REWRITTEN_CHANGES: usize = 6;
+
+/// Pause of a node before it lists again, which is longer by a random part of it.
+const LIST_PAUSE_MS: u64 = 150;
+
 /// A guard that is taken out to see that the model notices.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Guard {
@@ -49,6 +58,8 @@
     WithoutTimeout,
     /// A follower that goes to the origin waits there as long as any other node.
     WithoutShortFirstWatch,
+    /// Positions are used without their era.
+    WithoutEras,
 }
 
 /// What a run of the model has shown.
@@ -58,6 +69,8 @@
     pub violation: Option<String>,
     /// Calls to the origin.
     pub origin_calls: u64,
+    /// Those of them that were lists.
+    pub origin_lists: u64,
 }
 
 enum Pending {
@@ -79,7 +92,12 @@
     sources: RelaySources,
     topics: RelayTopics,
     position: Option<u64>,
+    /// The era of the position.
+    era: u64,
+    /// The changes up to the position, in their order.
+    known: Vec<u64>,
     confirmed_at: Option<Instant>,
+    list_at: Instant,
     was_following: bool,
     pending: Option<Pending>,
     frozen_until: Instant,
@@ -97,7 +115,10 @@
             zone,
             topics: RelayTopics::default(),
             position: None,
+            era: 0,
+            known: Vec::new(),
             confirmed_at: None,
+            list_at: now,
             was_following: false,
             pending: None,
             frozen_until: now,
@@ -118,8 +139,13 @@
     random: StdRng,
     now: Instant,
     nodes: Vec<Node>,
-    /// When each revision was committed; revisions begin at 1.
-    changes: Vec<Instant>,
+    /// The id of each revision's change and when it was committed; revisions begin at 1.
+    changes: Vec<(u64, Instant)>,
+    next_change: u64,
+    era: u64,
+    restored_at: Instant,
+    /// When the origin comes back from an older copy; the next one is last.
+    restorations: Vec<Instant>,
     report: Report,
 }
 
@@ -127,6 +153,18 @@
     "keys:op/".into()
 }
 
+/// Returns the changes that items stand for.
+fn ids_of<'a>(items: impl Iterator<Item = &'a RelayItem>) -> Vec<u64> {
+    let id = |item: &RelayItem| match item {
+        RelayItem::Entry(entry) => entry
+            .value
+            .as_ref()
+            .map(|value| u64::from_le_bytes(value.as_slice().try_into().unwrap())),
+        RelayItem::Part(_) => None,
+    };
+    items.filter_map(id).collect()
+}
+
 fn later(instant: Instant, ms: u64) -> Instant {
     Instant::from_ms(instant.as_ms() + ms)
 }
@@ -142,17 +180,38 @@
             now,
             nodes: nodes.collect(),
             changes: Vec::new(),
+            next_change: 0,
+            era: 0,
+            restored_at: now,
+            restorations: Vec::new(),
             report: Report::default(),
         }
     }
 
+    /// Lets the origin come back from an older copy at these times since the beginning.
+    pub fn restore_at_ms(mut self, times: &[u64]) -> Self {
+        self.restorations = times.iter().rev().map(|&ms| later(self.now, ms)).collect();
+        self
+    }
+
+    /// Cuts a node off from the origin between these times since the beginning.
+    pub fn cut_off(mut self, number: usize, until_ms: u64) -> Self {
+        let until = later(self.now, until_ms);
+        self.nodes[number].cut_until = until;
+        self.nodes[number].undisturbed_since = until;
+        self
+    }
+
     /// Runs the model; `faults_per_s` is the mean number of faults in each zone.
     pub fn run(mut self, seconds: u64, faults_per_s: f64) -> Report {
         let end = later(self.now, seconds * 1_000);
         while self.now < end && self.report.violation.is_none() {
             self.now = later(self.now, STEP_MS);
             if self.random.random_bool(0.02) {
-                self.changes.push(self.now);
+                self.commit();
+            }
+            if self.restorations.pop_if(|at| *at <= self.now).is_some() {
+                self.restore();
             }
             self.inject_faults(faults_per_s);
             for number in 0..self.nodes.len() {
@@ -165,6 +224,23 @@
         self.report
     }
 
+    fn commit(&mut self) {
+        self.next_change += 1;
+        self.changes.push((self.next_change, self.now));
+    }
+
+    fn restore(&mut self) {
+        self.changes.truncate(self.changes.len().saturating_sub(LOST_CHANGES));
+        self.era += 1;
+        self.restored_at = self.now;
+        (0..REWRITTEN_CHANGES).for_each(|_| self.commit());
+    }
+
+    /// Returns the era that the origin names in its answers.
+    fn named_era(&self) -> u64 {
+        if self.guard == Guard::WithoutEras { 0 } else { self.era }
+    }
+
     /// Faults hit the relays, which come first in their zones, as often as all other nodes.
     fn inject_faults(&mut self, faults_per_s: f64) {
         let zones = self.nodes.last().map_or(0, |node| node.zone + 1);
@@ -209,12 +285,15 @@
         let zone_nodes = self.zone_nodes(self.nodes[number].zone);
         let now = self.now;
         let node = &mut self.nodes[number];
+        if node.position.is_none() && now < node.list_at {
+            return;
+        }
         let source = match node.position {
             // The first list always comes from the origin.
             None => ChangeSource::Origin,
             Some(_) => node.sources.choose(&zone_nodes, now),
         };
-        let after = node.position.unwrap_or_default();
+        let (epoch, after) = (node.era, node.position.unwrap_or_default());
         self.nodes[number].pending = Some(match source {
             ChangeSource::Origin => {
                 self.report.origin_calls += 1;
@@ -223,7 +302,7 @@
             ChangeSource::Relay(relay) => Pending::Relay(PendingRequest {
                 relay: self.nodes.iter().position(|node| node.id == relay).unwrap(),
                 sent_at: now,
-                request: TopicRequest { topic: topic(), epoch: 0, after },
+                request: TopicRequest { topic: topic(), epoch, after },
                 received_at: None,
                 reply: None,
             }),
@@ -252,17 +331,41 @@
             self.nodes[number].pending = Some(Pending::Origin { sent_at });
             return;
         }
+        let epoch = self.named_era();
+        // The origin does not have the position, or it has one of another era.
+        if node.position.is_some_and(|position| node.era != epoch || position > newest) {
+            return self.list_again(number);
+        }
         let from = node.position.unwrap_or(newest);
         let entry = |revision: u64| {
-            let entry = RelayedEntry { key: "key".into(), value: None, revision };
-            (revision, RelayItem::Entry(entry))
+            let value = Some(self.changes[revision as usize - 1].0.to_le_bytes().to_vec());
+            (revision, RelayItem::Entry(RelayedEntry { key: "key".into(), value, revision }))
+        };
+        let items: Vec<(u64, RelayItem)> = (from + 1..=newest).map(entry).collect();
+        let ids = match node.position {
+            Some(_) => ids_of(items.iter().map(|(_, item)| item)),
+            None => self.changes.iter().map(|(id, _)| *id).collect(),
         };
-        let items = (from + 1..=newest).map(entry).collect();
-        let read = OriginRead { epoch: 0, from, to: newest, items, sent_at, clock_ms: None };
+        let is_list = node.position.is_none();
+        let read = OriginRead { epoch, from, to: newest, items, sent_at, clock_ms: None };
         let now = self.now;
-        self.nodes[number].topics.record_read(&topic(), read, now);
-        self.nodes[number].was_following = false;
-        self.apply(number, newest, sent_at);
+        let node = &mut self.nodes[number];
+        node.topics.record_read(&topic(), read, now);
+        node.was_following = false;
+        node.era = epoch;
+        if is_list {
+            node.known.clear();
+            self.report.origin_lists += 1;
+        }
+        self.apply(number, &ids, newest, sent_at);
+    }
+
+    /// Lets a node list again, after a pause.
+    fn list_again(&mut self, number: usize) {
+        let pause_ms = LIST_PAUSE_MS + self.random.random_range(0..LIST_PAUSE_MS);
+        let list_at = later(self.now, pause_ms);
+        let node = &mut self.nodes[number];
+        (node.position, node.list_at) = (None, list_at);
     }
 
     fn await_relay(&mut self, number: usize, mut pending: PendingRequest) {
@@ -276,9 +379,16 @@
             };
             let is_recent = now.ms_since(confirmed_at) <= MAX_AGE_MS;
             if is_recent || self.guard == Guard::WithoutMaxAge {
+                match EraStep::of(pending.request.epoch, update.epoch) {
+                    EraStep::Apply => {}
+                    EraStep::ListAgain => return self.list_again(number),
+                    EraStep::Refuse => return self.fail(number, pending.relay),
+                }
                 self.nodes[number].was_following = true;
-                if update.items.is_some() {
-                    self.apply(number, update.end, confirmed_at);
+                if let Some(items) = &update.items {
+                    let ids = ids_of(items.iter());
+                    self.nodes[number].era = update.epoch;
+                    self.apply(number, &ids, update.end, confirmed_at);
                 } else {
                     self.report.origin_calls += 1;
                     self.nodes[number].pending = Some(Pending::Origin { sent_at: now });
@@ -324,8 +434,9 @@
         self.nodes[number].was_following = true;
     }
 
-    fn apply(&mut self, number: usize, end: u64, confirmed_at: Instant) {
+    fn apply(&mut self, number: usize, ids: &[u64], end: u64, confirmed_at: Instant) {
         let node = &mut self.nodes[number];
+        node.known.extend(ids);
         if node.position.is_some_and(|position| end < position) {
             self.report.violation = Some(format!("{} went back to {end}", node.id));
         }
@@ -336,8 +447,12 @@
     fn check(&mut self) {
         let now = self.now;
         for node in self.nodes.iter().filter(|node| node.runs(now)) {
-            let known = node.position.unwrap_or_default() as usize;
-            let first_unknown = self.changes.get(known).copied();
+            // A node that knows changes which the origin has lost knows nothing from the restoration on.
+            let history = self.changes.iter().map(|(id, _)| id).take(node.known.len());
+            let first_unknown = match history.eq(&node.known) {
+                true => self.changes.get(node.known.len()).map(|(_, at)| *at),
+                false => Some(self.restored_at),
+            };
             let is_unsound = matches!(
                 (first_unknown, node.confirmed_at),
                 (Some(change), Some(confirmed)) if node.position.is_some() && change < confirmed
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -20,7 +20,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use smol_str::SmolStr;
 use yuccapass_decisions::gateway::relay::{
-    OriginRead, RelayItem, RelayTopics, TopicClass, TopicRequest, TopicUpdate, is_relayed,
+    EraStep, OriginRead, RelayItem, RelayTopics, TopicClass, TopicRequest, TopicUpdate, is_relayed,
     relay_count, relays,
 };
 use yuccapass_types::{Bytes, Instant, NodeId, SortedMap};
@@ -38,6 +38,8 @@
 /// An update that was received from a relay, with times of this node's clock.
 #[derive(Debug, Clone)]
 pub(crate) struct RelayedChanges {
+    /// The run or the era of the origin. The changes continue from the topic's position only if it is the
+    /// same; keys in a later era come without changes.
     pub(crate) epoch: u64,
     pub(crate) end: u64,
     pub(crate) items: Vec<RelayItem>,
@@ -54,7 +56,7 @@
 pub(crate) enum NextRead {
     /// Read from the origin.
     Origin,
-    /// Apply these changes, which continue from the topic's position.
+    /// Apply these changes.
     Relayed(RelayedChanges),
 }
 
@@ -220,7 +222,8 @@
         was_following != is_following
     }
 
-    /// Passes an update to the task of its topic; returns whether it was recent enough.
+    /// Passes an update to the task of its topic; returns whether the relay may be followed: the update is
+    /// recent enough, and not of an era of the key-value service before that of this node.
     fn deliver(
         &self,
         request: TopicRequest,
@@ -233,8 +236,18 @@
         let outage_ended_at = update.outage_ended_at(sent_at, held_ms);
         let mut followers = lock(&self.followers);
         let Some(follower) = followers.get_mut(&request.topic) else { return true };
+        let era_step = match is_keys_topic(&request.topic) {
+            true => EraStep::of(request.epoch, update.epoch),
+            false => EraStep::Apply,
+        };
         let is_recent = now.ms_since(confirmed_at) <= follower.max_age_ms;
-        let changes = update.items.filter(|_| is_recent).map(|items| {
+        let is_usable = is_recent && era_step != EraStep::Refuse;
+        let items = match era_step {
+            EraStep::Apply => update.items,
+            EraStep::ListAgain => Some(Vec::new()),
+            EraStep::Refuse => None,
+        };
+        let changes = items.filter(|_| is_usable).map(|items| {
             let changes = RelayedChanges {
                 epoch: update.epoch,
                 end: update.end,
@@ -247,7 +260,7 @@
         });
         // If the task has not taken the previous update yet, the next reply repeats this one.
         let _ = follower.updates.try_send(changes);
-        is_recent
+        is_usable
     }
 
     /// Answers a follower, with `other_bytes` of the reply taken by something else.
@@ -282,6 +295,10 @@
     smol_str::format_smolstr!("{KEYS_TOPICS}{prefix}")
 }
 
+fn is_keys_topic(topic: &SmolStr) -> bool {
+    topic.starts_with(KEYS_TOPICS)
+}
+
 /// Returns the topic of a store.
 pub(crate) fn store_topic(store: &str) -> SmolStr {
     smol_str::format_smolstr!("store:{store}")
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -10,13 +10,13 @@
 use std::sync::Arc;
 
 use yuccapass_decisions::gateway::relay::{
-    OriginRead, OutageEnds, RelayItem, RelayedEntry, TopicClass,
+    EraStep, OriginRead, OutageEnds, RelayItem, RelayedEntry, TopicClass,
 };
 use yuccapass_decisions::platform_budget::{Backoff, CallPurpose, CallRank};
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{
     Change, ChangeKind, Entry, Key, KeyRange, KeyValue, KeyValueClient, KeyValueRevision,
-    PlatformClient, PlatformError, Value, WatchOutcome, WatchRequest,
+    PlatformClient, PlatformError, StoreEra, Value, WatchOutcome, WatchRequest,
 };
 use yuccapass_types::{Deadline, Instant};
 
@@ -156,12 +156,13 @@
         loop {
             let next_read = match (&self.subscription, self.revision) {
                 (Some(subscription), Some(revision)) => {
-                    self.shared.relay.next_read(subscription, 0, revision.get()).await
+                    let era = revision.era().get();
+                    self.shared.relay.next_read(subscription, era, revision.get()).await
                 }
                 _ => NextRead::Origin,
             };
             match next_read {
-                NextRead::Relayed(changes) => self.apply_relayed(changes),
+                NextRead::Relayed(changes) => self.follow(changes).await,
                 NextRead::Origin => match self.read_origin().await {
                     Ok(()) => {}
                     Err(error) => self.pause_after(&error).await,
@@ -262,6 +263,25 @@
         sleep_until(&*self.shared.clock, pause).await;
     }
 
+    /// Applies what a relay has read, or lists the keys again if that is of a later era.
+    async fn follow(&mut self, relayed: RelayedChanges) {
+        let own = self.revision.unwrap_or_default().era();
+        match EraStep::of(own.get(), relayed.epoch) {
+            EraStep::Apply => self.apply_relayed(relayed),
+            EraStep::ListAgain => {
+                log::info!(
+                    prefix = self.settings.prefix.as_str(), old_era = own.get(),
+                    new_era = relayed.epoch;
+                    "a relay reads a later era of the platform; reading all entries again"
+                );
+                self.revision = None;
+                self.pause_before_list().await;
+            }
+            // The relay client does not pass these on.
+            EraStep::Refuse => {}
+        }
+    }
+
     /// Applies changes that a relay has read.
     fn apply_relayed(&mut self, relayed: RelayedChanges) {
         self.was_following = true;
@@ -272,15 +292,17 @@
             self.handler.lost();
             self.handler.recovered(ended_at);
         }
-        let changes: Vec<Change> = relayed.items.into_iter().filter_map(change_of).collect();
+        let changes: Vec<Change> =
+            relayed.items.into_iter().filter_map(|item| change_of(item, relayed.epoch)).collect();
         if !changes.is_empty() {
             self.handler.change(&changes);
         }
         self.handler.confirmed(relayed.confirmed_at);
         self.handler.record_known_until(relayed.confirmed_at);
-        self.revision = Some(KeyValueRevision::new(relayed.end));
+        let era = StoreEra::new(relayed.epoch);
+        self.revision = Some(KeyValueRevision::new(relayed.end).in_era(era));
         if let Some(subscription) = &self.subscription {
-            self.shared.relay.set_position(subscription, 0, relayed.end);
+            self.shared.relay.set_position(subscription, relayed.epoch, relayed.end);
         }
     }
 
@@ -294,7 +316,7 @@
     ) {
         self.revision = Some(to);
         let read = OriginRead {
-            epoch: 0,
+            epoch: to.era().get(),
             from: from.get(),
             to: to.get(),
             items: changes.iter().map(relay_item).collect(),
@@ -350,12 +372,12 @@
     (revision, RelayItem::Entry(entry))
 }
 
-/// Converts a change from a relay. One whose key or value is not valid is left out, as this node
+/// Converts a change of an era from a relay. One whose key or value is not valid is left out, as this node
 /// cannot have read it from the service either.
-fn change_of(item: RelayItem) -> Option<Change> {
+fn change_of(item: RelayItem, era: u64) -> Option<Change> {
     let RelayItem::Entry(entry) = item else { return None };
     let key: Key = entry.key.parse().ok()?;
-    let revision = KeyValueRevision::new(entry.revision);
+    let revision = KeyValueRevision::new(entry.revision).in_era(StoreEra::new(era));
     let kind = match entry.value {
         Some(value) => ChangeKind::Put(Entry {
             key,
