directory: an older registration does not undo a newer one

Seen: after the key-value service came back from a copy some seconds old, callers' requests were sent to endpoints that drained or had left, until their entries were written or removed again.

Cause: the directory took each registration that it read for the newest one, and forgot processes when they left.

Change: a registration with a smaller sequence than that of the same process is ignored. If the removal was seen, an entry with the same sequence is ignored too. If the entry was missing from a list or did not return after an outage, it is accepted, since the process may write the same entry again. Processes are told apart by address and start time, so entries without a start time are treated as before. The start times of two processes are not compared, because the clocks of machines differ.

A node that starts after the restore, or did not see the newer entry, cannot know better than the copy.

It works because an entry of the copy is never newer than what a node has seen of that process, and a live process writes the next one.

--- a/crates/decisions/examples/measure_gateway_placement.rs
+++ b/crates/decisions/examples/measure_gateway_placement.rs
@@ -28,6 +28,7 @@
         state: EndpointState::Ready,
         cold_until: None,
         started_unix_ms: Some(number as u64),
+        sequence: None,
         weights: vec![("model".parse().expect("the id is valid"), WeightRevision::new(1))],
     }
 }
--- a/crates/decisions/src/gateway/directory.rs
+++ b/crates/decisions/src/gateway/directory.rs
@@ -7,6 +7,7 @@
     WeightRevision, ZoneId,
 };
 
+use super::departed_processes::{DepartedProcesses, Departure};
 use super::placement::Distance;
 use super::target_bounds::TargetDeadlines;
 use super::weight_targets::{OutdatedWeights, TargetWeights, WeightTargets};
@@ -43,6 +44,8 @@
     pub cold_until: Option<Deadline>,
     /// Unix time of its start in milliseconds. Distinguishes two processes with the same id.
     pub started_unix_ms: Option<u64>,
+    /// The number of times that the process has written its registration, if it says so.
+    pub sequence: Option<u64>,
     /// The weights that it serves, by model.
     pub weights: Vec<(ModelId, WeightRevision)>,
 }
@@ -62,6 +65,14 @@
     pub fn is_same_process(&self, other: &Self) -> bool {
         self.address == other.address && self.started_unix_ms == other.started_unix_ms
     }
+
+    /// Returns whether the same process wrote this registration before the other one. Without a start time
+    /// two processes at one address cannot be told apart, and a later one counts anew.
+    fn is_older_than(&self, other: &Self) -> bool {
+        self.started_unix_ms.is_some()
+            && self.is_same_process(other)
+            && self.sequence < other.sequence
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -83,6 +94,7 @@
 pub struct Directory {
     zones: SortedMap<ZoneId, RegionId>,
     entries: SortedMap<EndpointId, Entry>,
+    departed: DepartedProcesses,
     evacuated: Vec<ZoneId>,
     targets: SortedMap<ModelId, WeightTargets>,
     is_outage: bool,
@@ -96,6 +108,7 @@
         Self {
             zones,
             entries: SortedMap::new(),
+            departed: DepartedProcesses::default(),
             evacuated: Vec::new(),
             targets: SortedMap::new(),
             is_outage: false,
@@ -119,9 +132,15 @@
         }
     }
 
-    /// Adds or replaces the registration of an endpoint. The weights of a process never go back: its
-    /// registration may be older than what an answer has shown, or lack them.
+    /// Adds or replaces the registration of an endpoint, unless the same process has written a newer one
+    /// since: the key-value service may come back from an older copy. The weights of a process never go
+    /// back: its registration may be older than what an answer has shown, or lack them.
     pub fn register(&mut self, id: EndpointId, mut record: EndpointRecord) {
+        if self.endpoint(&id).is_some_and(|known| record.is_older_than(known))
+            || self.departed.supersedes(&id, &record)
+        {
+            return;
+        }
         if let Some(known) = self.endpoint(&id).filter(|known| known.is_same_process(&record)) {
             if record.weights.is_empty() {
                 record.weights.clone_from(&known.weights);
@@ -131,6 +150,11 @@
                 *weights = learned.map_or(*weights, |&(_, learned)| learned.max(*weights));
             }
         }
+        if let Some(Entry { record: known, .. }) = self.entries.get(&id)
+            && !known.is_same_process(&record)
+        {
+            self.departed.add(&id, known, Departure::Certain);
+        }
         self.entries.insert(id, Entry { record, remove_at: None });
     }
 
@@ -154,9 +178,15 @@
     /// Around an outage of the key-value service, the registration of a running endpoint may have
     /// expired, so the endpoint is kept until it has had time to register again.
     pub fn remove(&mut self, id: &EndpointId, now: Instant) {
+        self.remove_as(id, Departure::Certain, now);
+    }
+
+    fn remove_as(&mut self, id: &EndpointId, departure: Departure, now: Instant) {
         match self.grace_until.filter(|until| !until.has_passed(now)) {
             None => {
-                self.entries.remove(id);
+                if let Some(entry) = self.entries.remove(id) {
+                    self.departed.add(id, &entry.record, departure);
+                }
             }
             Some(until) => {
                 if let Some(entry) = self.entries.get_mut(id) {
@@ -171,7 +201,7 @@
         let missing: Vec<EndpointId> =
             self.entries.keys().filter(|id| !records.contains_key(id)).cloned().collect();
         for id in &missing {
-            self.remove(id, now);
+            self.remove_as(id, Departure::Uncertain, now);
         }
         for (id, record) in records.into_entries() {
             self.register(id, record);
@@ -199,9 +229,13 @@
 
     /// Drops endpoints that did not register again in time.
     pub fn expire(&mut self, now: Instant) {
-        if !self.is_outage {
-            self.entries.retain(|_, entry| !entry.is_expired(now));
+        if self.is_outage {
+            return;
+        }
+        for (id, entry) in self.entries.iter().filter(|(_, entry)| entry.is_expired(now)) {
+            self.departed.add(id, &entry.record, Departure::Uncertain);
         }
+        self.entries.retain(|_, entry| !entry.is_expired(now));
     }
 
     /// Sets whether a zone is evacuated: its endpoints get no new requests.
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod caller_budget;
 pub mod configuration;
 pub mod demand_share;
+mod departed_processes;
 pub mod directory;
 pub mod endpoint_notices;
 pub mod endpoint_speed;
--- a/crates/decisions/tests/gateway_directory.rs
+++ b/crates/decisions/tests/gateway_directory.rs
@@ -2,7 +2,7 @@
 
 mod gateway_fixtures;
 
-use gateway_fixtures::{at, deadlines, directory, id, model, record};
+use gateway_fixtures::{at, deadlines, directory, id, model, record, zones};
 use yuccapass_decisions::gateway::{Directory, EndpointRecord, EndpointState};
 use yuccapass_types::{EndpointId, Instant, RegionId, ServiceId, SortedMap, WeightRevision};
 
@@ -72,6 +72,83 @@
     assert_eq!(eligible(&directory, &[]), ["e1"]);
 }
 
+/// Returns a registration of the process that was started at this time.
+fn written(started_unix_ms: u64, sequence: u64, state: EndpointState) -> EndpointRecord {
+    let started_unix_ms = Some(started_unix_ms);
+    EndpointRecord { started_unix_ms, sequence: Some(sequence), state, ..record("w1") }
+}
+
+/// Guards against requests to an endpoint that drains, because the key-value service has come back from a
+/// copy in which it was ready.
+#[test]
+fn an_older_registration_does_not_end_draining() {
+    // Arrange
+    let mut directory = Directory::new(zones());
+    directory.register(id("e0"), written(1, 7, EndpointState::Ready));
+    directory.register(id("e0"), written(1, 8, EndpointState::Draining));
+
+    // Act: the copy, and then a newer registration.
+    directory
+        .replace([(id("e0"), written(1, 7, EndpointState::Ready))].into_iter().collect(), at(0));
+    let after_copy = eligible(&directory, &[]);
+    directory.register(id("e0"), written(1, 9, EndpointState::Ready));
+
+    // Assert
+    assert_eq!(after_copy, Vec::<String>::new());
+    assert_eq!(eligible(&directory, &[]), ["e0"]);
+}
+
+/// Guards against requests to a process that has left, also if another one has taken its place, because the
+/// key-value service has come back from a copy in which it was ready.
+#[test]
+fn an_older_registration_does_not_bring_a_process_back() {
+    // Arrange
+    let mut directory = Directory::new(zones());
+    for name in ["e0", "e1"] {
+        directory.register(id(name), written(1, 7, EndpointState::Ready));
+    }
+    directory.remove(&id("e0"), at(0));
+    // The clock of the machine of the next process may be slow.
+    directory.register(id("e1"), written(0, 1, EndpointState::Ready));
+
+    // Act
+    for name in ["e0", "e1"] {
+        directory.register(id(name), written(1, 7, EndpointState::Ready));
+    }
+
+    // Assert
+    let endpoint = directory.endpoint(&id("e1")).expect("the second process is registered");
+    assert_eq!(endpoint.started_unix_ms, Some(0));
+    assert_eq!(eligible(&directory, &[]), ["e1"]);
+}
+
+/// Guards against the loss of an endpoint that writes the same registration again, because it was lost and
+/// came back only after the time for it.
+#[test]
+fn a_lost_registration_may_be_written_again() {
+    // Arrange
+    let mut directory = Directory::new(zones());
+    for name in ["e0", "e1"] {
+        directory.register(id(name), written(1, 7, EndpointState::Ready));
+    }
+    directory
+        .replace([(id("e1"), written(1, 7, EndpointState::Ready))].into_iter().collect(), at(0));
+    directory.source_lost();
+    directory.source_recovered(at(0));
+    directory.replace(SortedMap::new(), at(0));
+    directory.expire(at(5_000));
+    let before = eligible(&directory, &[]);
+
+    // Act
+    for name in ["e0", "e1"] {
+        directory.register(id(name), written(1, 7, EndpointState::Ready));
+    }
+
+    // Assert
+    assert_eq!(before, Vec::<String>::new());
+    assert_eq!(eligible(&directory, &[]), ["e0", "e1"]);
+}
+
 /// Guards against requests to an evacuated zone, also if the evacuation is reported twice.
 #[test]
 fn an_evacuated_zone_gets_nothing() {
--- a/crates/decisions/tests/gateway_fixtures/mod.rs
+++ b/crates/decisions/tests/gateway_fixtures/mod.rs
@@ -55,6 +55,7 @@
         state: EndpointState::Ready,
         cold_until: None,
         started_unix_ms: None,
+        sequence: None,
         weights: vec![(model(), WeightRevision::new(1))],
     }
 }
