watches: all entries are read again in a new era of the store

What callers saw: after the store came back from an older copy without a call of the node failing, an endpoint that had registered within the lost seconds got no requests until it had written its entry again.

Cause: the watch took a restoration for dropped history. It read the keys again, but its handlers were not told that what the copy lacks may return, so the directory dropped such endpoints at once. A list whose pages came from before and after the restoration was taken for one state.

Change: after a restoration, which the era shows also where the list is the first call to notice it, the handlers get lost() and recovered() before the list, at nodes that read from the origin, at relays and at followers. A position never carries over. A list starts over if a page belongs to another era than the first one. A late answer of an ended era is no outage.

Other handlers with a restored list: the configuration and the target weights never go back, and the same version written again changes nothing; evidence and blocks are merged and kept for their own time, as before; evacuated zones are those of the list, so an evacuation that the copy lacks ends until the operator's write is there again.

Why it works: the directory keeps endpoints that are missing from the list for the time that they have to register again.

--- a/crates/gateway/src/watch/listing.rs
+++ b/crates/gateway/src/watch/listing.rs
@@ -34,7 +34,7 @@
         Self { sent_at, revision, entries, next: None, has_first: false }
     }
 
-    /// Reads the pages that are left.
+    /// Reads the pages that are left. Starts over if they belong to another era than the first one.
     pub(super) async fn read(
         &mut self,
         shared: &Shared,
@@ -52,6 +52,11 @@
             };
             let limit = Deadline::after_ms(shared.now(), PAGE_TIMEOUT_MS);
             let page = reader.range(&request, limit).await?;
+            if self.has_first && page.revision.era() != self.revision.era() {
+                // The service came back from a copy between the pages, so they don't show one state.
+                *self = Self::new(shared.now());
+                continue;
+            }
             if !self.has_first {
                 self.revision = page.revision;
                 self.has_first = true;
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! [`watch_prefix`] reads all keys with a prefix and then watches for changes. After a failure it
 //! continues from the last known revision, and starts over only if the service no longer has the
-//! changes since then. While this node follows a relay, the changes come from the relay.
+//! changes since then, or has come back from an older copy. While this node follows a relay, the changes
+//! come from the relay.
 
 mod listing;
 mod settings;
@@ -16,7 +17,7 @@
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{
     Change, ChangeKind, Entry, Key, KeyRange, KeyValue, KeyValueClient, KeyValueRevision,
-    PlatformClient, PlatformError, StoreEra, Value, WatchOutcome, WatchRequest,
+    PlatformClient, PlatformError, PlatformErrorKind, StoreEra, Value, WatchOutcome, WatchRequest,
 };
 use yuccapass_types::{Deadline, Instant};
 
@@ -65,11 +66,12 @@
         None
     }
 
-    /// Handles a failure of the service to answer.
+    /// Handles a failure of the service to answer. A service that comes back from an older copy has failed,
+    /// also if no call of this node did: what it acknowledged since the copy is gone.
     fn lost(&self) {}
 
-    /// Handles the first answer of the service after a failure, before its content. The service has
-    /// answered since then, this node or a relay.
+    /// Handles the first answer of the service after a failure or a restoration, before its content. The
+    /// service has answered since then, this node or a relay.
     fn recovered(&self, _since: Instant) {}
 }
 
@@ -124,6 +126,8 @@
         subscription,
         listing: None,
         revision: None,
+        era: None,
+        is_restored: false,
         was_following: false,
         outage: None,
         outage_ends: OutageEnds::default(),
@@ -143,6 +147,10 @@
     listing: Option<Listing>,
     // The revision up to which all changes are known; `None` until the keys were listed.
     revision: Option<KeyValueRevision>,
+    // The era of what is known; it stays while the keys are listed again.
+    era: Option<StoreEra>,
+    // Whether the service has come back from an older copy since the keys were listed.
+    is_restored: bool,
     // Whether the last changes came from a relay.
     was_following: bool,
     // The pauses between calls while they fail.
@@ -165,6 +173,10 @@
                 NextRead::Relayed(changes) => self.follow(changes).await,
                 NextRead::Origin => match self.read_origin().await {
                     Ok(()) => {}
+                    // A late answer of an ended era was not used; the service answers.
+                    Err(error) if error.kind() == PlatformErrorKind::Restored => {
+                        self.pause_before_list().await;
+                    }
                     Err(error) => self.pause_after(&error).await,
                 },
             }
@@ -188,6 +200,12 @@
             return Ok(());
         };
         self.record_answer(self.shared.now());
+        let is_other_era = self.era.is_some_and(|era| era != revision.era());
+        if std::mem::take(&mut self.is_restored) || is_other_era {
+            // Registrations that the copy lacks may return.
+            self.handler.lost();
+            self.record_recovery(self.shared.now());
+        }
         self.handler.replace(&entries);
         self.handler.confirmed(sent_at);
         self.handler.record_known_until(sent_at);
@@ -228,7 +246,7 @@
             WatchOutcome::NoChanges { revision: newest } => {
                 (Vec::new(), revision.max(newest.unwrap_or(revision)))
             }
-            WatchOutcome::Compacted | WatchOutcome::Restored { .. } => {
+            WatchOutcome::Compacted => {
                 log::info!(
                     prefix = self.settings.prefix.as_str();
                     "the platform no longer has the missed changes; reading all entries again"
@@ -237,6 +255,10 @@
                 self.pause_before_list().await;
                 return Ok(());
             }
+            WatchOutcome::Restored { revision: newest } => {
+                self.list_after_restoration(newest.era()).await;
+                return Ok(());
+            }
         };
         if !changes.is_empty() {
             self.handler.change(&changes);
@@ -251,8 +273,21 @@
         Ok(())
     }
 
-    /// Pauses before the keys are listed again: a service that drops its history does so for all
-    /// nodes, and may do so again soon.
+    /// Lists the keys again, because the service has come back from an older copy. No position carries
+    /// over: the service gives the revisions out again.
+    async fn list_after_restoration(&mut self, era: StoreEra) {
+        log::info!(
+            prefix = self.settings.prefix.as_str(), era:%,
+            old_revision:% = self.revision.unwrap_or_default();
+            "the platform has come back from an older copy; reading all entries again"
+        );
+        self.revision = None;
+        self.is_restored = true;
+        self.pause_before_list().await;
+    }
+
+    /// Pauses before the keys are listed again: a service that drops its history or comes back from a copy
+    /// does so for all nodes, and may do so again soon.
     async fn pause_before_list(&self) {
         let base_ms = match self.settings.class {
             TopicClass::Urgent | TopicClass::Regular => RETRY_BASE_MS,
@@ -269,13 +304,7 @@
         match EraStep::of(own.get(), relayed.epoch) {
             EraStep::Apply => self.apply_relayed(relayed),
             EraStep::ListAgain => {
-                log::info!(
-                    prefix = self.settings.prefix.as_str(), old_era = own.get(),
-                    new_era = relayed.epoch;
-                    "a relay reads a later era of the platform; reading all entries again"
-                );
-                self.revision = None;
-                self.pause_before_list().await;
+                self.list_after_restoration(StoreEra::new(relayed.epoch)).await;
             }
             // The relay client does not pass these on.
             EraStep::Refuse => {}
@@ -314,7 +343,7 @@
         changes: &[Change],
         sent_at: Instant,
     ) {
-        self.revision = Some(to);
+        (self.revision, self.era) = (Some(to), Some(to.era()));
         let read = OriginRead {
             epoch: to.era().get(),
             from: from.get(),
@@ -337,6 +366,11 @@
             prefix = self.settings.prefix.as_str(), revision = self.revision.map_or(0, |at| at.get());
             "the platform answers again"
         );
+        self.record_recovery(since);
+    }
+
+    /// Passes on that what the service lost may return from `since` on.
+    fn record_recovery(&self, since: Instant) {
         self.handler.recovered(since);
         if let Some(subscription) = &self.subscription {
             self.shared.relay.publish_outage_end(subscription, since);
