roll-outs: the condition of a step keeps the era of its revision

What callers saw: with a store that names its era, no step of a roll-out was written, so a new version stayed at its first share until the order's time was over.

Cause: the leader kept the revision of the stored progress as a bare number, and made a revision of era 0 of it for the condition of the next write. Since revisions belong to an era, that is a conflict in any other one. Before, the condition could hold for a value that was written after a restoration at the same number.

Change: the holder keeps the revision as it was read; its type is a parameter, since the decisions do not know the store.

Why it works: the condition names the revision of the value that the leader has read, in the history from which it was read.

--- a/crates/decisions/src/gateway/version_rollout/holder.rs
+++ b/crates/decisions/src/gateway/version_rollout/holder.rs
@@ -6,16 +6,16 @@
 use super::limits::RolloutLimits;
 use super::progress::RolloutProgress;
 
-/// What the holder does next about an order.
+/// What the holder does next about an order. `R` is a revision of the key-value service.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum HolderAction {
+pub enum HolderAction<R = u64> {
     /// Read the progress from the key-value service.
     Read,
     /// Write the progress and the status, on condition that the progress still has this revision of
     /// the key-value service (`None` if there is none) and that the lock is held.
     Write {
         /// The revision that is replaced.
-        expected: Option<u64>,
+        expected: Option<R>,
         /// The progress.
         progress: Box<RolloutProgress>,
     },
@@ -28,18 +28,18 @@
 /// A holder decides only on a progress that it has read or written itself. After a write without an
 /// answer it reads again: the write may have been carried out, or may be carried out later, and then
 /// the next write of the holder fails by its condition.
-#[derive(Debug, Clone, Default)]
-pub struct RolloutHolder {
+#[derive(Debug, Clone)]
+pub struct RolloutHolder<R = u64> {
     fencing: FencingNumber,
     is_known: bool,
-    stored: Option<(u64, RolloutProgress)>,
+    stored: Option<(R, RolloutProgress)>,
     written: Option<RolloutProgress>,
 }
 
-impl RolloutHolder {
+impl<R: Copy> RolloutHolder<R> {
     /// Creates the state of a holder that has not read anything.
     pub fn new(fencing: FencingNumber) -> Self {
-        Self { fencing, ..Self::default() }
+        Self { fencing, is_known: false, stored: None, written: None }
     }
 
     /// Returns the fencing number under which this node became the holder.
@@ -53,7 +53,7 @@
     }
 
     /// Returns what to do; `view` has the progress of [`progress`](Self::progress).
-    pub fn next(&mut self, view: &FleetView<'_>, limits: &RolloutLimits) -> HolderAction {
+    pub fn next(&mut self, view: &FleetView<'_>, limits: &RolloutLimits) -> HolderAction<R> {
         if !self.is_known {
             return HolderAction::Read;
         }
@@ -67,14 +67,14 @@
     }
 
     /// Records what was read: the progress and its revision.
-    pub fn record_read(&mut self, stored: Option<(u64, RolloutProgress)>) {
+    pub fn record_read(&mut self, stored: Option<(R, RolloutProgress)>) {
         self.is_known = true;
         self.stored = stored;
         self.written = None;
     }
 
     /// Records that the write was carried out as this revision.
-    pub fn record_written(&mut self, revision: u64) {
+    pub fn record_written(&mut self, revision: R) {
         if let Some(progress) = self.written.take() {
             self.stored = Some((revision, progress));
             self.is_known = true;
--- a/crates/gateway/src/rollouts/leader.rs
+++ b/crates/gateway/src/rollouts/leader.rs
@@ -56,7 +56,7 @@
 
 /// What the holder knows about one service.
 struct ServiceRun {
-    holder: RolloutHolder,
+    holder: RolloutHolder<KeyValueRevision>,
     judge: VersionJudge,
     judged_order: Option<RolloutOrderId>,
     verdict: Verdict,
@@ -273,7 +273,7 @@
         service: &ServiceId,
         key: &Key,
         run: &mut ServiceRun,
-        action: HolderAction,
+        action: HolderAction<KeyValueRevision>,
     ) -> Result<(), PlatformError> {
         match action {
             HolderAction::Wait => Ok(()),
@@ -293,7 +293,7 @@
         run: &mut ServiceRun,
         order: Option<&RolloutOrder>,
         elapsed_ms: u64,
-    ) -> HolderAction {
+    ) -> HolderAction<KeyValueRevision> {
         let progress = run.holder.progress().cloned();
         let id = progress.as_ref().map_or(RolloutOrderId::default(), |known| known.order);
         // What was judged before may belong to an earlier order.
@@ -340,10 +340,13 @@
         summary
     }
 
-    async fn read_step(&self, key: &Key) -> Result<Option<(u64, RolloutProgress)>, PlatformError> {
+    async fn read_step(
+        &self,
+        key: &Key,
+    ) -> Result<Option<(KeyValueRevision, RolloutProgress)>, PlatformError> {
         let deadline = Deadline::after_ms(self.shared.now(), CALL_TIMEOUT_MS);
         let Some(entry) = self.key_value.get(key, deadline).await?.entry else { return Ok(None) };
-        decode_step(&entry).map(|progress| Some((entry.mod_revision.get(), progress)))
+        decode_step(&entry).map(|progress| Some((entry.mod_revision, progress)))
     }
 
     /// Writes a step and the status for operators, on condition that the step is the one that this node
@@ -353,7 +356,7 @@
         service: &ServiceId,
         key: &Key,
         run: &mut ServiceRun,
-        expected: Option<u64>,
+        expected: Option<KeyValueRevision>,
         progress: RolloutProgress,
     ) -> Result<(), PlatformError> {
         let Some((_, held)) =
@@ -363,7 +366,7 @@
             return Ok(());
         };
         let unchanged = match expected {
-            Some(revision) => Compare::ModRevision(key.clone(), KeyValueRevision::new(revision)),
+            Some(revision) => Compare::ModRevision(key.clone(), revision),
             None => Compare::Absent(key.clone()),
         };
         let value = encode(&progress).map_err(|error| invalid(&error))?;
@@ -374,7 +377,7 @@
         let deadline = Deadline::after_ms(self.shared.now(), CALL_TIMEOUT_MS);
         match self.key_value.compare_and_swap(&transaction, deadline).await {
             Ok(TransactionOutcome::Committed { revision }) => {
-                run.holder.record_written(revision.get());
+                run.holder.record_written(revision);
                 log_step(service, &progress, run);
                 steps::follow(&self.shared, service, progress);
                 Ok(())
