roll-outs: an order that was lost and given again is followed

What callers saw: nothing yet; found by reading. If the store came back from an older copy during a roll-out, the nodes stayed with the steps of the lost order, or judged a version by the answers of another one.

Cause: the id of an order is the revision of its key. An order that was lost and written again has a smaller revision or the same one, and its steps count from 0. Nodes took steps by the id and the step only, so they ignored the new ones. If another order got the same revision, the evidence about the lost one counted for it.

Evidence: with the code before, in crates/decisions/tests/version_shares: - an_order_that_was_lost_and_given_again_is_followed: left (5, 3), right (3, 1), order 3. - another_order_with_the_same_revision_begins_without_evidence: left (1, true), right (0, false).

Change: steps are compared by the fencing number of their holder first. A restoration ends the holder's lock, so what follows has a larger number. Evidence about an order ends if its id comes with another target. The id stays the bare revision: with the era in it, each order that the copy still has would be a new one, and a version that was rolled back would be tried again.

Result: both tests pass, also for the same revision; the other tests of the shares, the holder, the judge and the simulated roll-outs pass.

Why it works: fencing numbers do not go back with the store, and each holder writes only while it holds the lock.

--- a/crates/decisions/src/gateway/version_rollout/progress.rs
+++ b/crates/decisions/src/gateway/version_rollout/progress.rs
@@ -159,8 +159,13 @@
     }
 
     /// Returns whether this was written after `other`.
+    ///
+    /// A later holder decides from what is stored. If the key-value service has come back from an older
+    /// copy, that may be an earlier order or step, and an order that was lost and given again may have a
+    /// smaller id or the same one. The fencing number of a later holder is larger all the same.
     pub fn is_newer_than(&self, other: &Self) -> bool {
-        (self.order, self.step) > (other.order, other.step)
+        let position = |progress: &Self| (progress.fencing, progress.order, progress.step);
+        position(self) > position(other)
     }
 }
 
--- a/crates/decisions/src/gateway/version_rollout/shares.rs
+++ b/crates/decisions/src/gateway/version_rollout/shares.rs
@@ -110,6 +110,8 @@
     // Versions with the instant at which each was first seen.
     versions: Vec<(SoftwareVersion, Instant)>,
     evidence: Option<NodeEvidence>,
+    // The target about which there is evidence.
+    counted_target: Option<SoftwareVersion>,
     cap: Option<ExposureCap>,
     // Requests that have not ended, by the version that they were sent to. Some may have been sent
     // before the order.
@@ -130,6 +132,7 @@
             settings_known_until: Instant::default(),
             versions: Vec::new(),
             evidence: None,
+            counted_target: None,
             cap: None,
             outstanding: Vec::new(),
         }
@@ -141,6 +144,13 @@
         if id != self.order.as_ref().map(|order| order.id) {
             self.ordered_at = now;
         }
+        let target =
+            |order: &Option<RolloutOrder>| order.as_ref().map(|order| order.target.clone());
+        if id.is_some() && id == self.counted_order() && target(&order) != self.counted_target {
+            // The id was given out again after the key-value service lost the order that had it.
+            self.ordered_at = now;
+            self.evidence = None;
+        }
         self.order = order;
         self.follow_order();
     }
@@ -402,13 +412,19 @@
         cap.allows(evidence.sent, evidence.exposed, nodes, projection)
     }
 
+    /// Returns the order about which there is evidence.
+    fn counted_order(&self) -> Option<RolloutOrderId> {
+        self.evidence.as_ref().map(|evidence| evidence.order)
+    }
+
     /// Begins to count for the current order, if that has changed.
     fn follow_order(&mut self) {
         let Some(current) = self.current_order() else { return };
-        if self.evidence.as_ref().is_some_and(|evidence| evidence.order == current) {
+        if self.counted_order() == Some(current) {
             return;
         }
         self.evidence = Some(NodeEvidence::new(self.incarnation, current));
+        self.counted_target = self.target().cloned();
         self.cap = Some(ExposureCap::new(self.limits, &self.node, current));
     }
 }
--- a/crates/decisions/tests/version_shares.rs
+++ b/crates/decisions/tests/version_shares.rs
@@ -8,7 +8,7 @@
     RolloutProgress, Stage, VersionFilter, VersionShares,
 };
 use yuccapass_types::{
-    EndpointId, Incarnation, NodeId, RolloutOrderId, SoftwareVersion, TrafficShare,
+    EndpointId, FencingNumber, Incarnation, NodeId, RolloutOrderId, SoftwareVersion, TrafficShare,
 };
 
 const NODES: u32 = 9;
@@ -391,3 +391,54 @@
     // Act and assert
     assert_eq!((count(0.01), count(0.06), count(0.5), count(1.0)), (2, 4, 30, 60));
 }
+
+/// Returns a step of an order of a later holder, which decided from an older copy of the progress.
+fn after_restoration(ordered: &RolloutOrder, share: f64) -> RolloutProgress {
+    let step = progress(ordered, Stage::Observing, share);
+    RolloutProgress { fencing: FencingNumber::new(9), step: 1, ..step }
+}
+
+/// Guards against nodes that follow the steps of an order which the key-value service has lost: given
+/// again, it has a smaller revision or the same one, and its steps count anew.
+#[test]
+fn an_order_that_was_lost_and_given_again_is_followed() {
+    for id in [3, 5] {
+        // Arrange: order 5 is being raised, in its third step.
+        let mut shares = shares_in(Stage::Raising(0), 0.5);
+        let raised = progress(&order(5, "v2", 12_000), Stage::Raising(0), 0.5);
+        shares.set_progress(RolloutProgress { step: 3, ..raised }, at(2_000));
+
+        // Act: the service comes back once, and the operators' order is there again.
+        shares.set_order(None, at(3_000));
+        let ordered = order(id, "v2", 12_000);
+        shares.set_order(Some(ordered.clone()), at(3_100));
+        shares.set_progress(after_restoration(&ordered, 0.05), at(5_000));
+        shares.confirm_progress(at(5_000));
+
+        // Assert
+        let followed = shares.progress().unwrap();
+        assert_eq!((followed.order.get(), followed.step), (id, 1), "order {id}");
+        assert_eq!(shares.evidence().map(|evidence| evidence.step), Some(Some(1)), "order {id}");
+    }
+}
+
+/// Guards against a version that is judged by the answers of another one, whose order had the same
+/// revision before the key-value service came back twice.
+#[test]
+fn another_order_with_the_same_revision_begins_without_evidence() {
+    // Arrange
+    let mut shares = shares_in(Stage::Observing, 0.5);
+    shares.record_sent(Some(&v(2)));
+    shares.stop_target(RolloutOrderId::new(5));
+
+    // Act
+    shares.set_order(Some(order(5, "v2", 12_000)), at(2_000));
+    let repeated = shares.evidence().unwrap();
+    shares.set_order(None, at(3_000));
+    shares.set_order(Some(order(5, "v3", 12_000)), at(3_100));
+    let other = shares.evidence().unwrap();
+
+    // Assert: the same order again keeps what was counted.
+    assert_eq!((repeated.sent, repeated.has_alarm), (1, true));
+    assert_eq!((other.sent, other.has_alarm), (0, false));
+}
