--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod caller_budget;
 pub mod configuration;
 pub mod demand_share;
+mod departed_processes;
 pub mod directory;
 pub mod endpoint_notices;
 pub mod endpoint_speed;
