gateway: a retry does not mix the service and the regions of two routes

Cause: a request kept the service of the route that admitted it, but took its regions from whatever route covers its path in the newest configuration. If its route was removed and a wider one without regions remained, the retry went to the old service in any region, which no configuration allows. Change: the newest regions count if the route is the same one; otherwise those of the admission stay. The check that regions are confirmed and contain the endpoint's zone comes after the connection is open, because a configuration may arrive, or the machine be suspended, meanwhile; before that it only decides whether there is another endpoint, so that no retry is taken from the budget for nothing and an endpoint's own answer is passed on. Evidence: a_retry_does_not_mix_the_service_and_the_regions_of_two_routes failed before (1 request reached the endpoint in the other region, 0 allowed) and passes now; the other four cases pass.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,7 +9,7 @@
 };
 use yuccapass_http::message::RequestHead;
 use yuccapass_types::{
-    Deadline, Instant, ModelId, OrganisationId, ResultCode, Revision, ServiceId,
+    Deadline, Instant, ModelId, OrganisationId, ResultCode, Revision, ServiceId, ZoneId,
 };
 
 use crate::caller_memory::CallerClaim;
@@ -44,10 +44,11 @@
 }
 
 impl RequestRegions {
-    /// Returns whether these are the regions in which the request may be served now. A node that has not
-    /// confirmed its settings in time may have missed that others are allowed.
-    pub(crate) fn are_known(&self, shared: &Shared) -> bool {
-        is_confirmed(shared, &self.allowed)
+    /// Returns whether the request may be sent by these regions now: all are allowed, or the settings that
+    /// name them are confirmed. A node that has not confirmed them in time may have missed that others are
+    /// allowed.
+    pub(crate) fn may_be_used(&self, shared: &Shared) -> bool {
+        may_be_used(shared, &self.allowed)
     }
 }
 
@@ -91,11 +92,14 @@
         })
     }
 
-    /// Returns the regions by another configuration, or `None` if it no longer has the route or the
-    /// organisation.
+    /// Returns the regions by another configuration, or `None` if it has no longer the organisation, or
+    /// another route for the request: the request still goes to the service of the earlier one.
     fn regions_in(&self, configuration: &Configuration) -> Option<RequestRegions> {
         let head = &self.message.head;
         let route = configuration.route(host(head), head.path())?;
+        if route.id != self.route.id {
+            return None;
+        }
         let organisation = match self.organisation {
             Some(id) => Some(configuration.organisation(id)?),
             None => None,
@@ -104,6 +108,12 @@
         Some(RequestRegions { revision: configuration.revision(), allowed })
     }
 
+    /// Returns whether the request may be sent to an endpoint in this zone now.
+    pub(crate) fn may_be_sent_to(&self, shared: &Shared, zone: &ZoneId) -> bool {
+        let regions = self.regions(shared);
+        regions.may_be_used(shared) && regions.allowed.contains(shared.directory().region(zone))
+    }
+
     /// Returns whether the request is refused because it, or a part of its prompt, crashes endpoints.
     pub(crate) fn is_blocked(&self, shared: &Shared) -> bool {
         is_blocked(shared, self.message, self.caller, self.organisation)
@@ -142,7 +152,7 @@
         return Err(Refusal::blocked(ResultCode::RequestBlocked));
     }
     let regions = AllowedRegions::of_request(route, organisation.map(|(_, known)| known));
-    if !is_confirmed(shared, &regions) {
+    if !may_be_used(shared, &regions) {
         return Err(Refusal::not_run(ResultCode::PlatformUnavailable));
     }
     let service =
@@ -168,7 +178,7 @@
     })
 }
 
-fn is_confirmed(shared: &Shared, regions: &AllowedRegions) -> bool {
+fn may_be_used(shared: &Shared, regions: &AllowedRegions) -> bool {
     !regions.is_bound() || shared.settings_validity().are_regions_valid(shared.now())
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -223,6 +223,11 @@
                 return AttemptOutcome::Failed(FailedAttempt::new(AttemptFailure::NotSent, error));
             }
         };
+    // The configuration may have changed while the connection was opened, or the machine was suspended.
+    if !request.may_be_sent_to(shared, &target.record.zone) {
+        let detail = "the endpoint's region may no longer serve the request";
+        return AttemptOutcome::Failed(FailedAttempt::new(AttemptFailure::NotSent, detail));
+    }
     let message = request_message(shared, request, target, events);
     let separate_body = match is_separate(&request.message.body) {
         true => &request.message.body[..],
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -71,10 +71,11 @@
         Ok(target) => target,
         Err(refusal) => return refuse(shared, request, answer, refusal).await,
     };
+    if !request.regions(shared).may_be_used(shared) {
+        let refusal = Refusal::not_run(ResultCode::PlatformUnavailable);
+        return refuse(shared, request, answer, refusal).await;
+    }
     loop {
-        if !request.regions(shared).are_known(shared) {
-            return refuse(shared, request, answer, late_settings_refusal(&attempts)).await;
-        }
         let Some(target) = take_turn(shared, request, next_target, &attempts.tried) else {
             return refuse(shared, request, answer, no_endpoint_refusal(&attempts)).await;
         };
@@ -88,7 +89,8 @@
         };
         attempts.record(failed.failure);
         request.message.may_have_run.store(attempts.may_have_run, Ordering::Release);
-        next_target = choose(shared, request, &attempts.tried, NeededRoom::Preferred);
+        next_target = choose(shared, request, &attempts.tried, NeededRoom::Preferred)
+            .filter(|_| request.regions(shared).may_be_used(shared));
         let step = decide(shared, request, &attempts, &failed, answer, next_target.is_some());
         log_attempt(shared, request, &target, &attempts, &failed, step);
         match step {
@@ -167,14 +169,6 @@
     }
 }
 
-/// Returns the error answer for a request whose regions are no longer known.
-fn late_settings_refusal(attempts: &Attempts) -> Refusal {
-    match attempts.may_have_run {
-        false => Refusal::not_run(ResultCode::PlatformUnavailable),
-        true => Refusal::without_retry(502, ResultCode::EndpointFailed),
-    }
-}
-
 /// Returns when the first endpoint of the request's service takes another one, in milliseconds; `None` if
 /// some endpoint does now, or none says when it does.
 fn earliest_ms(shared: &Shared, request: &Admitted<'_>) -> Option<u64> {
