gateway: memory of prompts with regions stays in its region

Callers saw: nothing yet; found by review. Cause: an endpoint fetches the parts of a prompt from the endpoint that has most likely cached them, in whichever region that is. A request that any region may serve can share parts with prompts that only one region may store, so their memory was copied out of it. Change: where the configuration has prompts with regions, parts are fetched within the region of the endpoint, as from stores. Other deployments fetch as before. Evidence: memory_of_prompts_with_regions_is_not_fetched_from_another_region failed before (6 of 20 requests fetched from the other region, 0 allowed) and passes now.

--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -112,6 +112,7 @@
     keys: SortedMap<KeyHash, OrganisationId>,
     limits: CallerLimits,
     is_region_bound: bool,
+    has_bound_prompts: bool,
 }
 
 impl Configuration {
@@ -129,8 +130,12 @@
         limits: CallerLimits,
     ) -> Result<Self, InvalidConfiguration> {
         let names_regions = |allowed: &[RegionId]| !allowed.is_empty();
-        let is_region_bound = routes.iter().any(|route| names_regions(&route.allowed_regions))
-            || organisations.values().any(|known| names_regions(&known.allowed_regions));
+        let is_bound = |route: &&Route| names_regions(&route.allowed_regions);
+        let has_bound_organisation =
+            organisations.values().any(|known| names_regions(&known.allowed_regions));
+        let is_region_bound = has_bound_organisation || routes.iter().any(|route| is_bound(&route));
+        let has_bound_prompts =
+            has_bound_organisation || routes.iter().filter(is_bound).any(|route| route.is_sticky);
         let mut by_host: SortedMap<SmolStr, Vec<Route>> = SortedMap::new();
         for route in routes {
             check_route(&route)?;
@@ -149,6 +154,7 @@
             keys,
             limits,
             is_region_bound,
+            has_bound_prompts,
         })
     }
 
@@ -167,6 +173,12 @@
         self.is_region_bound
     }
 
+    /// Returns whether some prompts may be cached in certain regions only. Those of other requests may share
+    /// parts with them.
+    pub fn has_bound_prompts(&self) -> bool {
+        self.has_bound_prompts
+    }
+
     /// Returns the services by id.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceId, &Service)> {
         self.services.iter()
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -129,7 +129,7 @@
             tracker.record_sent_slow(now);
         }
     });
-    let cache_peer = cache_peer(shared, request, &eligible, record)
+    let cache_peer = cache_peer(shared, &directory, request, &eligible, record)
         .filter(|cache_peer| *cache_peer != record.address);
     let work = prompt_work(&request.caller.parts, is_home);
     Some(Target { id: id.clone(), record: record.clone(), cache_peer, work })
@@ -195,6 +195,7 @@
 /// the weights of the chosen endpoint. It may be overloaded, but must be reachable.
 fn cache_peer(
     shared: &Shared,
+    directory: &Directory,
     request: &Admitted<'_>,
     eligible: &[DirectoryEntry<'_>],
     chosen: &EndpointRecord,
@@ -204,9 +205,15 @@
     }
     let now = shared.now();
     let model = request.model();
+    // What an endpoint has cached does not tell whose prompt it was.
+    let stays_in_region = shared.configuration().is_some_and(|known| known.has_bound_prompts());
+    let is_allowed_source = |record: &EndpointRecord| {
+        !stays_in_region || directory.region(&record.zone) == directory.region(&chosen.zone)
+    };
     let sources: Vec<&DirectoryEntry<'_>> = eligible
         .iter()
         .filter(|(_, record)| record.served(model) == chosen.served(model))
+        .filter(|(_, record)| is_allowed_source(record))
         .collect();
     let ids: Vec<&EndpointId> = sources.iter().map(|(id, _)| *id).collect();
     let placement_request = PlacementRequest { parts: &request.caller.parts, random: 0 };
