lease lock: fencing numbers and holders are kept apart by the era of the store

Seen: after the key-value service came back from a copy some seconds old, two nodes could hold the lock for weight swaps at once, and give orders with the same fencing number or a lower one after a higher one.

Cause: the number came from a key, which went back with the copy. A process that started, or a node that had not seen the older revision, did not wait for the end of the lease of an earlier holder. A lease id of before the restore could be that of someone else after it.

Change: - A fencing number has the era in its high bits and a count in the low 24, so each number of a later era is higher. In era 0, of services without eras, the numbers are as before. - A number is only used if the read, the grant and the commit belong to the same era. - A holder gives up when any answer to its process names a newer era; that is checked with each look at the permit. - No node acquires within the lease's time after it first heard of the era. - An acquisition that was committed after the restore under a lease of before it leaves the holder key attached to the lease of someone else, who may renew it for ever. The node removes the key, on condition of its revision.

Cost: the first leader after a start is elected 2 s later than before, since it cannot know how old the era is. After a restore the lock is free for the same 2 s, and the next leader waits for 2.5 s more before its first order, as after a crash; a handover that was lost is not needed for that, since it only shortens this wait. No call is added. The very first holder still has no such wait: it is told by count 1 in era 0 or 1, and a number that follows an earlier one never has that count. If a service begins with era 0 and comes back once from a copy without any number, its next leader is taken for the first one; it still waits for the 2 s.

It works because an earlier holder relies on its lease for at most 1.5 s from a renewal that was answered before the restore, and each other node hears of the era after the restore.

--- a/crates/decisions/src/gateway/takeover.rs
+++ b/crates/decisions/src/gateway/takeover.rs
@@ -33,7 +33,7 @@
         now: Instant,
     ) -> Self {
         // The very first leader has no predecessor.
-        let is_first = fencing.get() <= 1;
+        let is_first = fencing.is_first();
         let handed_over = handover.filter(|handover| handover.fencing.next() == fencing);
         let wait_ms = match handed_over {
             _ if is_first => 0,
--- a/crates/gateway/src/swap_leader.rs
+++ b/crates/gateway/src/swap_leader.rs
@@ -237,6 +237,8 @@
                 return next_check;
             }
             match self.candidate_from(now) {
+                // What an acquisition has left behind keeps the lock from being free.
+                _ if self.lock.is_unsettled() => {}
                 Some(from) if from.has_passed(now) => {}
                 Some(from) => return next_check.earlier(from),
                 None => return next_check,
--- a/crates/platform/src/lease_lock.rs
+++ b/crates/platform/src/lease_lock.rs
@@ -9,7 +9,7 @@
 
 use crate::client::KeyValueClient;
 use crate::error::{PlatformError, PlatformErrorKind};
-use crate::ids::{InvalidId, Key, KeyValueRevision, LeaseId, LeaseTtl, Value};
+use crate::ids::{InvalidId, Key, KeyValueRevision, LeaseId, LeaseTtl, StoreEra, Value};
 use crate::key_value::{Compare, Entry, KeyValue, Transaction, TransactionOutcome, Write};
 
 /// Base and limit of the backoff before a failed renewal is repeated, in milliseconds; the base is
@@ -36,16 +36,21 @@
     lease: Option<(LeaseId, KeyValueRevision)>,
     // Grows with each failed renewal in a row, until a renewal succeeds.
     renewal_backoff: Backoff,
-    highest_fencing: FencingNumber,
+    // The highest number that this node has used.
+    highest_fencing: Option<FencingNumber>,
     restorations: u64,
-    // No acquisition before this instant; set when a restoration of the service is detected.
+    era: StoreEra,
+    // No acquisition before this instant; set when a new era or a restoration of the service is detected.
     acquire_after: Instant,
+    // The lease of an acquisition whose outcome is not known.
+    unsettled: Option<LeaseId>,
 }
 
 /// A lock in the key-value service.
 ///
 /// The holder key is attached to the holder's lease. The fencing number is stored under a key of
-/// its own and grows with each holder. One task calls [`LeaseLock::step`]; any task may call
+/// its own and grows with each holder. It contains the era of the service in which it was given out, since
+/// a service that comes back from an older copy has lost the latest numbers. One task calls [`LeaseLock::step`]; any task may call
 /// [`LeaseLock::permit`].
 pub struct LeaseLock {
     key_value: KeyValueClient,
@@ -72,9 +77,11 @@
             holder: LeaseHolder::new(terms),
             lease: None,
             renewal_backoff: new_renewal_backoff(),
-            highest_fencing: FencingNumber::default(),
+            highest_fencing: None,
             restorations: key_value.client().restorations(),
+            era: StoreEra::default(),
             acquire_after: Instant::default(),
+            unsettled: None,
         };
         let (holder_key, fencing_key) = (name.child("holder")?, name.child("fencing")?);
         Ok(Self { key_value, node, holder_key, fencing_key, state: Mutex::new(state) })
@@ -83,6 +90,7 @@
     /// Returns the permit to act as the holder, if it is valid now. Callers check it immediately
     /// before each action.
     pub fn permit(&self) -> Option<LeasePermit> {
+        self.detect_restoration();
         let now = self.now();
         self.lock().holder.permit(now)
     }
@@ -94,6 +102,12 @@
         Some(Compare::ModRevision(self.holder_key.clone(), revision))
     }
 
+    /// Returns whether an acquisition of this node may have left the holder key behind. The next step then
+    /// removes it, also if the lock is not free.
+    pub fn is_unsettled(&self) -> bool {
+        self.lock().unsettled.is_some()
+    }
+
     /// Learns the revision of the holder key from the entries of a transaction that failed.
     ///
     /// A service may give each write of a transaction a revision of its own and return only the last
@@ -144,13 +158,16 @@
     /// Gives up the lock if the service was restored from an older state.
     ///
     /// After a restoration an earlier holder may not know yet that its lease no longer exists, so
-    /// this node does not acquire the lock before that holder's permit must have ended.
+    /// this node does not acquire the lock before that holder's permit must have ended. How long ago an era
+    /// began is not known to a node that first hears of it, also if its process has just started.
     fn detect_restoration(&self) {
-        let restorations = self.key_value.client().restorations();
+        let client = self.key_value.client();
+        let (restorations, era) = (client.restorations(), client.era());
         let now = self.now();
         let mut state = self.lock();
-        if restorations != state.restorations {
+        if restorations != state.restorations || era > state.era {
             state.restorations = restorations;
+            state.era = era;
             state.holder.lost();
             let ttl_ms = state.holder.terms().ttl_ms();
             state.acquire_after = Deadline::after_ms(now, ttl_ms).instant();
@@ -191,29 +208,45 @@
     }
 
     async fn acquire(&self, deadline: Deadline) -> Result<LockStatus, PlatformError> {
-        if self.now() < self.lock().acquire_after {
+        let earlier = self.lock().lease.map(|(lease, _)| lease);
+        let answer = self.key_value.get(&self.holder_key, deadline).await?;
+        // An earlier lease of this node may still hold the holder key. It is only revoked once the era is
+        // known, since its id may be that of another lease in a new one.
+        self.release(deadline).await?;
+        let is_own = |entry: &Entry| earlier.is_some() && entry.lease == earlier;
+        if let Some(entry) = answer.entry.filter(|entry| !is_own(entry)) {
+            self.remove_stray(&entry, deadline).await?;
             return Ok(LockStatus::HeldByOther);
         }
-        // An earlier lease of this node may still hold the holder key.
-        self.release(deadline).await?;
-        if self.key_value.get(&self.holder_key, deadline).await?.entry.is_some() {
+        self.lock().unsettled = None;
+        let era = answer.revision.era();
+        // The answer may have been the first one that named the era.
+        self.detect_restoration();
+        if self.now() < self.lock().acquire_after {
             return Ok(LockStatus::HeldByOther);
         }
         let stored = self.key_value.get(&self.fencing_key, deadline).await?.entry;
-        let fencing = self.next_fencing(stored.as_ref())?;
+        let fencing = self.next_fencing(stored.as_ref(), era)?;
         let requested_at = RequestTime::at(self.now());
         let ttl = LeaseTtl::new(self.lock().holder.terms().ttl_ms().div_ceil(1_000));
         let grant = self.key_value.lease_grant(ttl, deadline).await?;
         let transaction = self.acquire_transaction(grant.id, fencing, stored.as_ref());
-        let Some(revision) = self.settle_acquisition(&transaction, grant.id, deadline).await?
-        else {
+        self.lock().unsettled = Some(grant.id);
+        let settled = self.settle_acquisition(&transaction, grant.id, deadline).await?;
+        self.lock().unsettled = None;
+        // A number is only used in the era for which it was made.
+        let Some(revision) = settled.filter(|revision| revision.era() == era) else {
             // If this fails, the lease expires.
             let _ = self.key_value.lease_revoke(grant.id, deadline).await;
             return Ok(LockStatus::HeldByOther);
         };
+        self.detect_restoration();
         let now = self.now();
         let mut state = self.lock();
-        state.highest_fencing = fencing;
+        if state.era != era {
+            return Ok(LockStatus::HeldByOther);
+        }
+        state.highest_fencing = Some(fencing);
         state.lease = Some((grant.id, revision));
         state.renewal_backoff = new_renewal_backoff();
         state.holder.acquired(requested_at, grant.ttl.as_ms(), fencing);
@@ -225,22 +258,23 @@
 
     /// Returns a number above the stored one and above every number that this node has used, which
     /// may be higher if the service was restored.
-    fn next_fencing(&self, stored: Option<&Entry>) -> Result<FencingNumber, PlatformError> {
+    fn next_fencing(
+        &self,
+        stored: Option<&Entry>,
+        era: StoreEra,
+    ) -> Result<FencingNumber, PlatformError> {
         let invalid = || {
-            let detail = format!("{} does not hold a number", self.fencing_key);
+            let detail =
+                format!("{} does not hold a number before era {era} ends", self.fencing_key);
             PlatformError::new(PlatformErrorKind::Protocol, detail)
         };
-        let number: FencingNumber = match stored {
-            None => FencingNumber::default(),
-            Some(entry) => std::str::from_utf8(entry.value.as_bytes())
-                .ok()
-                .and_then(|text| text.parse().ok())
-                .ok_or_else(invalid)?,
+        let decode = |entry: &Entry| {
+            let text = std::str::from_utf8(entry.value.as_bytes()).ok();
+            text.and_then(|text| text.parse::<FencingNumber>().ok()).ok_or_else(invalid)
         };
-        if number.get() == u64::MAX {
-            return Err(invalid());
-        }
-        Ok(number.max(self.lock().highest_fencing).next())
+        let stored = stored.map(decode).transpose()?;
+        let last = stored.max(self.lock().highest_fencing);
+        FencingNumber::following(last, era.get()).ok_or_else(invalid)
     }
 
     fn acquire_transaction(
@@ -283,12 +317,36 @@
             Ok(TransactionOutcome::Conflict { .. }) => Ok(None),
             Err(error) if error.kind() == PlatformErrorKind::Unknown => {
                 let entry = self.key_value.get(&self.holder_key, deadline).await?.entry;
-                Ok(entry.filter(|entry| entry.lease == Some(lease)).map(|entry| entry.mod_revision))
+                match entry {
+                    Some(entry) if entry.lease == Some(lease) => Ok(Some(entry.mod_revision)),
+                    Some(entry) => self.remove_stray(&entry, deadline).await.map(|()| None),
+                    None => Ok(None),
+                }
             }
             Err(error) => Err(error),
         }
     }
 
+    /// Removes the holder key if this node has written it in a new era under a lease of an earlier one. It
+    /// is then attached to the lease of someone else with the same id, which may be renewed for ever.
+    async fn remove_stray(&self, entry: &Entry, deadline: Deadline) -> Result<(), PlatformError> {
+        let Some(unsettled) = self.lock().unsettled else { return Ok(()) };
+        let is_stray = entry.value.as_bytes() == self.node.as_str().as_bytes()
+            && entry
+                .lease
+                .is_some_and(|lease| lease.get() == unsettled.get() && lease != unsettled);
+        if is_stray {
+            let key = self.holder_key.clone();
+            let transaction = Transaction {
+                compares: vec![Compare::ModRevision(key.clone(), entry.mod_revision)],
+                writes: vec![Write::Delete(key)],
+            };
+            self.key_value.compare_and_swap(&transaction, deadline).await?;
+        }
+        self.lock().unsettled = None;
+        Ok(())
+    }
+
     fn now(&self) -> Instant {
         self.key_value.client().clock().now()
     }
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -260,9 +260,38 @@
 number_id! {
     /// A fencing token: it grows with each holder of a lease, so that a receiver that checks it can
     /// reject an earlier holder.
+    ///
+    /// The high bits contain the era of the key-value service in which the holder acquired the lease, so
+    /// that the numbers of a later era are higher than all that may be lost with the state of an earlier one.
     FencingNumber
 }
 
+impl FencingNumber {
+    /// Bits of the count of holders within an era. Up to era 2^29 a number fits into 53 bits, which receivers
+    /// that read numbers as floating-point values keep.
+    const COUNTER_BITS: u32 = 24;
+
+    /// Returns the number of the holder in this era that follows the one with the number `last`; `None` if
+    /// the era has no number left.
+    pub fn following(last: Option<Self>, era: u64) -> Option<Self> {
+        let before_era = era.checked_mul(1 << Self::COUNTER_BITS)?;
+        let last_number = match last {
+            None => before_era,
+            // The first number of an era is for the very first holder, see `is_first`.
+            Some(last) => last.0.max(before_era.checked_add(1)?),
+        };
+        let number = last_number.checked_add(1)?;
+        let is_in_era = era == 0 || number >> Self::COUNTER_BITS == era;
+        is_in_era.then_some(Self(number))
+    }
+
+    /// Returns whether there was no holder before, as far as the service can tell: it has no earlier number,
+    /// and has not come back from an older copy. The era of a service that starts is 0 or 1.
+    pub const fn is_first(self) -> bool {
+        matches!(self.0, 0 | 1) || self.0 == (1 << Self::COUNTER_BITS) + 1
+    }
+}
+
 /// The BLAKE3 hash of a caller's bearer key; the key itself is never stored.
 #[derive(
     Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
