registration: a node registers at once in a new era of the store

Seen: after the key-value service came back from a copy, nodes were missing from the list of nodes for seconds, on which shares of limits, relays and the order of candidates for the lock depend.

Cause: a node noticed the loss of its lease by the next renewal, up to 2 s later, and paused for 0.5 s after it.

Change: the registration looks every 250 ms whether an answer to any call of the process has named a newer era, and then registers without a pause. The check makes no call.

It works because each watch call that waits is cut by the restore, so that a node hears of the era with its next call.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -54,6 +54,7 @@
     task::spawn(count_nodes(Arc::clone(shared), Arc::clone(platform)));
     let registration = Registration::new(
         Arc::clone(shared),
+        Arc::clone(platform),
         platform.key_value(CallRank::Lease).with_purpose(CallPurpose::Nodes),
     );
     task::spawn(registration.run());
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -7,8 +7,8 @@
 use yuccapass_decisions::platform_budget::{LeaseHolder, LeaseStep, LeaseTerms, RequestTime};
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{
-    Key, KeyValue, KeyValueClient, LeaseId, LeaseTtl, PlatformError, PlatformErrorKind,
-    Transaction, Value, Write,
+    Key, KeyValue, KeyValueClient, LeaseId, LeaseTtl, PlatformClient, PlatformError,
+    PlatformErrorKind, Transaction, Value, Write,
 };
 use yuccapass_types::{Deadline, FencingNumber, Incarnation, ZoneId};
 
@@ -24,6 +24,10 @@
 /// Timeout of a call to the key-value service.
 const CALL_TIMEOUT_MS: u64 = 1_500;
 
+/// Period of the check for a new era of the key-value service, in which the registration is lost. The other
+/// calls of the node hear of it; this one makes none.
+const ERA_CHECK_MS: u64 = 250;
+
 /// Pause after a failed call.
 const RETRY_PAUSE_MS: u64 = 500;
 
@@ -45,6 +49,7 @@
 
 /// The registration of this node.
 pub(crate) struct Registration {
+    platform: Arc<PlatformClient>,
     key_value: KeyValueClient,
     shared: Arc<Shared>,
     holder: LeaseHolder,
@@ -52,17 +57,24 @@
 }
 
 impl Registration {
-    pub(crate) fn new(shared: Arc<Shared>, key_value: KeyValueClient) -> Self {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        platform: Arc<PlatformClient>,
+        key_value: KeyValueClient,
+    ) -> Self {
         let holder = LeaseHolder::new(LeaseTerms::new(REGISTRATION_TTL_MS));
-        Self { key_value, shared, holder, lease: None }
+        Self { platform, key_value, shared, holder, lease: None }
     }
 
     /// Registers the node and renews the registration until the process ends.
     pub(crate) async fn run(mut self) {
         loop {
             let now = self.shared.now();
+            self.check_era();
             let wake_at = match self.holder.next_step(now) {
-                LeaseStep::WaitUntil(instant) => Deadline::after_ms(instant, 0),
+                LeaseStep::WaitUntil(instant) => {
+                    Deadline::after_ms(instant, 0).earlier(Deadline::after_ms(now, ERA_CHECK_MS))
+                }
                 step => match self.call(step).await {
                     Ok(()) => continue,
                     Err(error) => {
@@ -75,6 +87,14 @@
         }
     }
 
+    /// Gives the registration up if it belongs to an earlier era, so that the node registers at once.
+    fn check_era(&mut self) {
+        let era = self.platform.era();
+        if self.lease.take_if(|lease| lease.era() < era).is_some() {
+            self.holder.lost();
+        }
+    }
+
     async fn call(&mut self, step: LeaseStep) -> Result<(), PlatformError> {
         let sent_at = self.shared.now();
         let deadline = Deadline::after_ms(sent_at, CALL_TIMEOUT_MS);
