fleet: a list that misses nodes after a restore raises no share

Seen by reading, and in the model: after the key-value service came back from a copy, its list misses the nodes that have not registered again. A node that started then counted itself only, and took the whole of limits that all nodes share. At running nodes the others counted as registered no longer, and each of them would have been a relay that watches by itself.

Cause: two lists with the own registration counted as complete, in any era.

Evidence, before the change: gateway_soundness, a_list_that_misses_nodes_after_a_restore_raises_no_share: "at 20000 ms", left: 1, right: 10 registered nodes.

Change: for 3.5 s after a node first hears of an era after the first one, lists only add nodes, do not count towards knowing the others, and do not change the relays once these are known. Nodes that were known already counted for 10 s after they disappeared; that time now begins after the 3.5 s.

Result: the test passes.

Cost: in a service that has been restored before, a node that starts assumes 100 nodes for up to 3.5 s instead of 2 s, and a node that leaves within 3.5 s of a restore counts for that much longer. In era 1 or without eras nothing changes.

It works because all nodes hear of the era within 2 s, with the read of the registrations, and register at once.

--- a/crates/decisions/src/gateway/fleet.rs
+++ b/crates/decisions/src/gateway/fleet.rs
@@ -16,6 +16,13 @@
 /// nodes that have started together with this one have registered by the second list.
 const LISTS_UNTIL_KNOWN: u32 = 2;
 
+/// Time after an era of the key-value service was first heard of in which nodes register again: each hears of
+/// the era with its next call, which is at most 2 s away, and the two calls to register take some time.
+const REREGISTER_MS: u64 = 3_500;
+
+/// The era of a service that has never come back from a copy, or that names no eras.
+const FIRST_ERA: u64 = 1;
+
 /// The nodes that are registered, or were until recently.
 #[derive(Debug, Clone)]
 pub struct FleetSize {
@@ -23,23 +30,49 @@
     // Until when each node counts; `NEVER` while it is registered.
     nodes: SortedMap<NodeId, Deadline>,
     lists_with_own: u32,
+    era: u64,
+    // Until when lists may miss nodes that have not registered again in the era.
+    incomplete_until: Option<Deadline>,
 }
 
 impl FleetSize {
     /// Creates the state of a node that knows no other.
     pub fn new(own: NodeId) -> Self {
-        Self { own, nodes: SortedMap::new(), lists_with_own: 0 }
+        Self {
+            own,
+            nodes: SortedMap::new(),
+            lists_with_own: 0,
+            era: FIRST_ERA,
+            incomplete_until: None,
+        }
+    }
+
+    /// Records the era of the key-value service. Registrations are lost when it comes back from a copy, so
+    /// for some time lists miss nodes that run. A node that starts cannot know how old a later era is.
+    pub fn record_era(&mut self, era: u64, now: Instant) {
+        if era > self.era {
+            self.era = era;
+            self.incomplete_until = Some(Deadline::after_ms(now, REREGISTER_MS));
+        }
+    }
+
+    /// Returns whether lists may miss nodes that run.
+    pub fn is_incomplete(&self, now: Instant) -> bool {
+        self.incomplete_until.is_some_and(|until| !until.has_passed(now))
     }
 
-    /// Replaces the nodes with the complete list of registered ones.
+    /// Replaces the nodes with the list of registered ones. While lists are incomplete, nodes are only added.
     pub fn replace(&mut self, nodes: Vec<NodeId>, now: Instant) {
-        for (node, deadline) in self.nodes.iter_mut() {
-            if !nodes.contains(node) {
-                *deadline = Deadline::after_ms(now, DEPARTED_NODE_MS).earlier(*deadline);
+        let is_complete = !self.is_incomplete(now);
+        if is_complete {
+            for (node, deadline) in self.nodes.iter_mut() {
+                if !nodes.contains(node) {
+                    *deadline = Deadline::after_ms(now, DEPARTED_NODE_MS).earlier(*deadline);
+                }
             }
         }
         self.nodes.retain(|_, deadline| !deadline.has_passed(now));
-        self.lists_with_own += u32::from(nodes.contains(&self.own));
+        self.lists_with_own += u32::from(is_complete && nodes.contains(&self.own));
         for node in nodes {
             self.nodes.insert(node, Deadline::NEVER);
         }
--- a/crates/decisions/tests/gateway_soundness.rs
+++ b/crates/decisions/tests/gateway_soundness.rs
@@ -97,6 +97,38 @@
     assert_eq!(holder.current().map(|current| current.revision()), Some(Revision::new(7)));
 }
 
+/// Guards against a share of the limits that rises after the key-value service came back from a copy, because
+/// its list misses the nodes that have not registered again: at a node that knew them, and at one that starts.
+#[test]
+fn a_list_that_misses_nodes_after_a_restore_raises_no_share() {
+    // Arrange
+    let own: NodeId = id("n0");
+    let all: Vec<NodeId> = (0..10).map(|number| id(&format!("n{number}"))).collect();
+    let (mut running, mut started) = (FleetSize::new(own.clone()), FleetSize::new(own.clone()));
+    for ms in [0, 1_000] {
+        running.replace(all.clone(), at(ms));
+    }
+
+    // Act: the others register again late.
+    let mut counts = Vec::new();
+    for (ms, listed) in [(20_000, 1), (21_000, 1), (22_000, 2), (23_000, 4), (24_000, 10)] {
+        for fleet in [&mut running, &mut started] {
+            fleet.record_era(2, at(ms));
+            fleet.replace(all[..listed].to_vec(), at(ms));
+            counts.push(fleet.nodes(at(ms)));
+        }
+        assert_eq!(running.registered().len(), 10, "at {ms} ms");
+    }
+    for fleet in [&mut running, &mut started] {
+        fleet.replace(all.clone(), at(25_000));
+        counts.push(fleet.nodes(at(25_000)));
+    }
+
+    // Assert
+    assert!(counts.iter().all(|&count| count >= 10), "{counts:?}");
+    assert_eq!(counts[counts.len() - 2..], [10, 10]);
+}
+
 /// Guards against a node that takes over the share of a node that has just left, and against
 /// counting nodes that left long ago.
 #[test]
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -71,7 +71,16 @@
         let next = Deadline::after_ms(shared.now(), period_ms);
         match read_all(&shared, &reader, &prefix, may_be_stale).await {
             Ok(entries) => {
-                read_entries(&shared, &entries);
+                let now = shared.now();
+                shared.fleet().record_era(platform.era().get(), now);
+                let may_miss_relays = {
+                    let fleet = shared.fleet();
+                    fleet.is_known() && fleet.is_incomplete(now)
+                };
+                // With a list that misses most nodes, many would be relays and watch by themselves.
+                if !may_miss_relays {
+                    read_entries(&shared, &entries);
+                }
                 let nodes = entries.iter().filter_map(|entry| node_of(&entry.key)).collect();
                 update_nodes(&shared, &platform, nodes);
             }
