crash evidence: what a restore has lost is published again

Seen: after the key-value service came back from a copy, blocked parts and requests, the evidence about crashes and the counts of requests that were written within the lost seconds were gone. Nodes that had read them went on refusing, but a node that started later forwarded what crashes replicas.

Cause: a blocked part or request is written once, and evidence only when there is news.

Change: a node remembers what it has published until the end of its time, and publishes it again when it hears of a newer era. A blocked request keeps the end of its block. A blocked part, evidence and counts get their whole time again, as their common lease does. Keys are written on condition that they do not exist, so the nodes that blocked the same part write it once.

Cost: nothing without a restore, except a look at the era each second while something is published. After one, a node makes 1 call for a lease, 1 each for its evidence, its counts and each of its blocked parts, and 2 for each blocked request. The calls begin at a random time within 40 ms for each node of the fleet, and have the rank of reports: 127 nodes with evidence and counts make 381 writes within about 5 s (computed, not measured), where the service takes 300 in a second.

The handover of the leader for weight swaps is not written again: it only shortens the wait of the next leader, and counts for the following number of the same era only. Without it the leader waits for the longest time.

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -24,6 +24,7 @@
 use yuccapass_types::{Deadline, Incarnation, Instant, NodeId, PromptPartId};
 
 use crate::crashes::{BLOCK_MS, CrashEntry};
+use crate::published_evidence::PublishedEvidence;
 use crate::state::Shared;
 use crate::watch::{WatchHandler, WatchSettings, watch_prefix};
 
@@ -56,6 +57,9 @@
 /// Timeout of a call to the key-value service.
 const CALL_TIMEOUT_MS: u64 = 1_500;
 
+/// Period of the check for a new era of the key-value service, while something is published. It makes no call.
+const ERA_CHECK_MS: u64 = 1_000;
+
 /// Pause between two looks at the evidence of this node, so that a crash costs few writes.
 const PAUSE_MS: u64 = 150;
 
@@ -103,6 +107,7 @@
     task::spawn(watch_prefix(Arc::clone(shared), Arc::clone(platform), settings, handler));
     let publisher = EvidencePublisher {
         shared: Arc::clone(shared),
+        platform: Arc::clone(platform),
         key_value: platform.key_value(CallRank::Report).with_purpose(CallPurpose::Evidence),
         pacing: ReportPacing::default(),
         report_due: None,
@@ -111,6 +116,7 @@
         decisions: Vec::new(),
         counts: None,
         blocked_requests: Vec::new(),
+        published: PublishedEvidence::default(),
     };
     task::spawn(publisher.run());
 }
@@ -193,6 +199,7 @@
 /// Publishes the evidence of this node and what it blocks.
 struct EvidencePublisher {
     shared: Arc<Shared>,
+    platform: Arc<PlatformClient>,
     key_value: KeyValueClient,
     pacing: ReportPacing,
     // When news of this node may be published, if there are any.
@@ -203,7 +210,9 @@
     evidence: Option<Evidence>,
     decisions: Vec<BlockDecision>,
     counts: Option<Vec<CrashEntry>>,
-    blocked_requests: Vec<Fingerprint>,
+    // With the ends of their blocks.
+    blocked_requests: Vec<(Fingerprint, Deadline)>,
+    published: PublishedEvidence,
 }
 
 impl EvidencePublisher {
@@ -223,7 +232,10 @@
                     self.decisions.push(decision);
                 }
             }
-            self.blocked_requests.extend(self.shared.crashes.take_announcements(now));
+            let announced = self.shared.crashes.take_announcements(now);
+            let until = Deadline::after_ms(now, BLOCK_MS);
+            self.blocked_requests.extend(announced.into_iter().map(|request| (request, until)));
+            self.restore_lost(now);
             let is_report_due = self.take_reports(now);
             let (suspected, blocked) = self.shared.part_crashes.counts();
             self.shared.metrics.record_crash_parts(suspected, blocked);
@@ -233,6 +245,20 @@
         }
     }
 
+    /// Publishes again what the service has lost with an earlier era.
+    fn restore_lost(&mut self, now: Instant) {
+        let (era, fleet_nodes) = (self.platform.era(), self.shared.nodes());
+        let Some(lost) = self.published.take_lost(era, fleet_nodes, now) else { return };
+        log::info!(
+            era = era.get(), parts = lost.decisions.len(), requests = lost.requests.len();
+            "evidence about crashes is published again"
+        );
+        self.decisions.extend(lost.decisions);
+        self.blocked_requests.extend(lost.requests);
+        self.evidence = self.evidence.take().or(lost.evidence);
+        self.counts = self.counts.take().or(lost.counts);
+    }
+
     /// Takes the news of this node if they may be published now; returns whether they may.
     fn take_reports(&mut self, now: Instant) -> bool {
         let (part_crashes, crashes) = (&self.shared.part_crashes, &self.shared.crashes);
@@ -262,7 +288,11 @@
         let is_pending = !self.decisions.is_empty() || !self.blocked_requests.is_empty();
         if !is_pending {
             let next_check = self.shared.part_crashes.next_check(now).unwrap_or(Deadline::NEVER);
-            let next = next_check.earlier(report_due);
+            let era_check = match self.published.is_empty() {
+                true => Deadline::NEVER,
+                false => Deadline::after_ms(now, ERA_CHECK_MS),
+            };
+            let next = next_check.earlier(report_due).earlier(era_check);
             let sleeping = Box::pin(sleep_until(&*self.shared.clock, next));
             let changing = select(
                 Box::pin(self.shared.part_crashes.changed()),
@@ -276,11 +306,15 @@
 
     /// Publishes what is blocked first: other nodes refuse it at once, and evidence may be large.
     async fn publish(&mut self, is_report_due: bool) -> Result<(), PlatformError> {
-        while let Some(fingerprint) = self.blocked_requests.first() {
-            let key = key(BLOCKED_REQUEST_KEYS, &format!("{:016x}", fingerprint.to_bits()))?;
-            let entry = BlockedRequestEntry { node: self.shared.options.node.clone() };
-            let lease = self.grant(BLOCK_MS).await?;
-            self.write(key, &entry, lease.id, true).await?;
+        while let Some(&(fingerprint, until)) = self.blocked_requests.first() {
+            let remaining_ms = until.remaining_ms(self.shared.now());
+            if remaining_ms > 0 {
+                let key = key(BLOCKED_REQUEST_KEYS, &format!("{:016x}", fingerprint.to_bits()))?;
+                let entry = BlockedRequestEntry { node: self.shared.options.node.clone() };
+                let lease = self.grant(remaining_ms).await?;
+                self.write(key, &entry, lease.id, true).await?;
+                self.published.record_request(fingerprint, until);
+            }
             self.blocked_requests.remove(0);
         }
         while let Some(decision) = self.decisions.first() {
@@ -289,7 +323,9 @@
             let entry = BlockedEntry { node, crashes: decision.crashes.clone() };
             let lease = self.lease().await?;
             self.write(key, &entry, lease, true).await?;
-            self.decisions.remove(0);
+            let decision = self.decisions.remove(0);
+            let until = Deadline::after_ms(self.shared.now(), TTL_MS);
+            self.published.record_decision(decision, until);
         }
         if !is_report_due {
             return Ok(());
@@ -300,7 +336,10 @@
             let entry = CountsEntry { incarnation: options.incarnation, requests: counts.clone() };
             let lease = self.lease().await?;
             self.write(key, &entry, lease, false).await?;
-            self.counts = None;
+            let until = Deadline::after_ms(self.shared.now(), TTL_MS);
+            if let Some(counts) = self.counts.take() {
+                self.published.record_counts(counts, until);
+            }
         }
         if let Some(evidence) = &self.evidence {
             log::info!(
@@ -317,10 +356,14 @@
                 // The same evidence would be refused again. What comes next replaces it.
                 Err(error) if error.kind() == PlatformErrorKind::InvalidRequest => {
                     log::warn!(error:%; "evidence about crashes is not valid and was dropped");
+                    self.evidence = None;
                 }
                 result => result?,
             }
-            self.evidence = None;
+            let until = Deadline::after_ms(self.shared.now(), TTL_MS);
+            if let Some(evidence) = self.evidence.take() {
+                self.published.record_evidence(evidence, until);
+            }
         }
         Ok(())
     }
@@ -358,6 +401,7 @@
         let now = self.shared.now();
         if let Some((lease, until)) = self.lease
             && !until.has_passed(now)
+            && lease.era() >= self.platform.era()
         {
             return Ok(lease);
         }
@@ -368,7 +412,7 @@
 
     async fn grant(&self, ttl_ms: u64) -> Result<LeaseGrant, PlatformError> {
         let deadline = Deadline::after_ms(self.shared.now(), CALL_TIMEOUT_MS);
-        self.key_value.lease_grant(LeaseTtl::new(ttl_ms / 1_000), deadline).await
+        self.key_value.lease_grant(LeaseTtl::new(ttl_ms.div_ceil(1_000)), deadline).await
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod options;
 mod part_crashes;
 pub mod protocol;
+mod published_evidence;
 mod readiness;
 mod registration;
 mod relay;
