relays: followers are led into a later era of the store

What callers saw: followers that could not reach the store while their relays saw it come back from a copy kept their settings, and refused callers once the keys could not be confirmed any more.

Cause: a relay passed on changes within an era only, so a follower had to list the keys at the origin after a restoration.

Evidence: a_relay_leads_its_followers_into_the_next_era in crates/decisions/tests/gateway_relay; the code before has no such operation (a relay in a later era answered without items).

When it lists the keys in a later era, it publishes the differences, with the log of the era before. A follower whose position that log reaches gets what is missing of its era, the differences, and what followed; its handlers get lost() and recovered() first. Otherwise it lists at the origin, as before: if the relay had not published what it knew, the follower is ahead of it or further behind, or the differences have more than 48 KB. The topic of the evidence is not led over; it is not urgent.

Why it works: relay and follower know the same state at the end of the log of the ended era, so the differences are the same for both.

--- a/crates/decisions/src/gateway/relay/mod.rs
+++ b/crates/decisions/src/gateway/relay/mod.rs
@@ -31,7 +31,7 @@
 pub use log::ChangeLog;
 pub use outage_ends::OutageEnds;
 pub use sources::{ChangeSource, RelaySources, is_relayed, relay_count, relays};
-pub use topics::{OriginRead, RelayTopics, TopicClass, TopicRequest, TopicUpdate};
+pub use topics::{Crossing, OriginRead, RelayTopics, TopicClass, TopicRequest, TopicUpdate};
 
 use super::part_store::PartEvent;
 
--- a/crates/decisions/src/gateway/relay/topics.rs
+++ b/crates/decisions/src/gateway/relay/topics.rs
@@ -11,6 +11,9 @@
 /// link of 10 Mbit/s carries.
 const MAX_BACKGROUND: Bytes = Bytes::new(8 << 10);
 
+/// Maximum size of the differences between two eras that are kept for followers; a reply has less room.
+const MAX_CROSSING: Bytes = Bytes::new(48 << 10);
+
 /// How long the end of an outage is passed on: longer than followers take to hear of it, also if
 /// they first have to find another relay.
 const OUTAGE_MEMORY_MS: u64 = 10_000;
@@ -21,7 +24,8 @@
     /// Nodes must learn of changes in time: keys, configuration, endpoints. Followers get them at once,
     /// and do not follow a relay that does not know them.
     Urgent,
-    /// Changes that followers get with the next reply.
+    /// Changes of stores, which followers get with the next reply. All topics of the key-value service have
+    /// another class.
     Regular,
     /// Evidence and reports. They get what room the others leave, up to a limit; a follower that is
     /// behind gets a part of its changes with each reply, and only the newest of each key.
@@ -90,10 +94,23 @@
     pub clock_ms: Option<u64>,
 }
 
+/// The differences between what this node knew at a position and what it listed in a later era.
+#[derive(Debug, Clone)]
+pub struct Crossing {
+    /// The era that has ended.
+    pub epoch: u64,
+    /// The position up to which this node knew the changes of that era.
+    pub end: u64,
+    /// The entries that are new or different, and those that are gone.
+    pub items: Vec<RelayItem>,
+}
+
 #[derive(Debug, Clone)]
 struct Topic {
     epoch: u64,
     log: ChangeLog<RelayItem>,
+    // How followers get from the era before to the beginning of the log, with the log of that era.
+    crossing: Option<(Crossing, u64, ChangeLog<RelayItem>)>,
     confirmed_at: Instant,
     // Whether the last call failed.
     is_lost: bool,
@@ -109,6 +126,21 @@
         if self.epoch == request.epoch { request.after } else { 0 }
     }
 
+    /// Returns the changes after the position of a request; `None` if the follower has to read them from
+    /// the origin. The key-value service has entries that are older than its changes, so a follower in
+    /// another era gets changes only if they lead from there into this one.
+    fn changes(&self, request: &TopicRequest, class: TopicClass) -> Option<Vec<RelayItem>> {
+        if self.epoch == request.epoch || class == TopicClass::Regular {
+            return Some(self.log.since(self.known_position(request))?.cloned().collect());
+        }
+        let (crossing, begin, log) = self.crossing.as_ref()?;
+        if crossing.epoch != request.epoch || crossing.end < request.after {
+            return None;
+        }
+        let before = log.since(request.after)?;
+        Some(before.chain(&crossing.items).chain(self.log.since(*begin)?).cloned().collect())
+    }
+
     fn update(
         &self,
         request: &TopicRequest,
@@ -172,6 +204,7 @@
         let new_topic = || Topic {
             epoch,
             log: ChangeLog::new(from),
+            crossing: None,
             confirmed_at: sent_at,
             is_lost: false,
             outage_ended_at: None,
@@ -181,6 +214,7 @@
         if topic.epoch != epoch {
             topic.epoch = epoch;
             topic.log = ChangeLog::new(from);
+            topic.crossing = None;
         }
         topic.is_lost = false;
         topic.log.extend(from, items, to);
@@ -188,6 +222,27 @@
         topic.clock = clock_ms.map(|clock_ms| (clock_ms, now)).or(topic.clock);
     }
 
+    /// Records a list of the key-value service in a later era, and how it differs from what this node knew.
+    /// The differences are passed on if they are small, and if this node knew what it has published.
+    pub fn record_crossing(
+        &mut self,
+        name: &SmolStr,
+        read: OriginRead,
+        crossing: Crossing,
+        now: Instant,
+    ) {
+        let size: Bytes = crossing.items.iter().map(RelayItem::size).sum();
+        let is_known = |topic: &&Topic| {
+            (topic.epoch, topic.log.end()) == (crossing.epoch, crossing.end) && size <= MAX_CROSSING
+        };
+        let log = self.topics.get(name).filter(is_known).map(|topic| topic.log.clone());
+        let begin = read.to;
+        self.record_read(name, read, now);
+        if let (Some(log), Some(topic)) = (log, self.topics.get_mut(name)) {
+            topic.crossing = Some((crossing, begin, log));
+        }
+    }
+
     /// Records that an origin does not answer. The topic is not passed on until it does: other nodes may
     /// reach the origin, and the changes that this node misses are lost to its followers too.
     pub fn record_lost(&mut self, name: &SmolStr) {
@@ -243,8 +298,7 @@
     ) -> Option<TopicUpdate> {
         let topic = self.topics.get(&request.topic).filter(|topic| !topic.is_lost)?;
         let after = topic.known_position(request);
-        let items: Option<Vec<RelayItem>> =
-            topic.log.since(after).map(|items| items.cloned().collect());
+        let items = topic.changes(request, self.class(&request.topic));
         let size: Bytes = items.iter().flatten().map(RelayItem::size).sum();
         let items = items.filter(|_| size <= *budget);
         if items.is_some() {
--- a/crates/decisions/tests/gateway_relay.rs
+++ b/crates/decisions/tests/gateway_relay.rs
@@ -6,8 +6,8 @@
 use proptest::test_runner::RngSeed;
 use relay_model::{Guard, Model};
 use yuccapass_decisions::gateway::relay::{
-    ChangeLog, ChangeSource, EraStep, OriginRead, OutageEnds, RelayItem, RelaySources, RelayTopics,
-    RelayedEntry, TopicClass, TopicRequest, confirmed_at, relay_count, relays,
+    ChangeLog, ChangeSource, Crossing, EraStep, OriginRead, OutageEnds, RelayItem, RelaySources,
+    RelayTopics, RelayedEntry, TopicClass, TopicRequest, confirmed_at, relay_count, relays,
 };
 use yuccapass_types::{Bytes, Instant, NodeId};
 
@@ -368,17 +368,65 @@
 fn a_follower_does_not_continue_in_another_era() {
     // Arrange: the relay has all changes of the era from its beginning.
     let mut relay = RelayTopics::default();
+    relay.set_class("keys:op/".into(), TopicClass::Urgent);
     let items = vec![entry(1, 10), entry(2, 10)];
     relay.record_read(&"keys:op/".into(), read(0, 2, items, at(1_000)), at(1_100));
     let answer = |epoch| relay.answer(&request(epoch, 2), &mut large_budget(), at(1_200)).unwrap();
 
     // Act
-    let steps = [0, 1, 2].map(|epoch| EraStep::of(epoch, answer(epoch).epoch));
+    let steps = [0, 1, 2].map(|epoch| {
+        let update = answer(epoch);
+        EraStep::of(epoch, update.epoch, update.items.is_some())
+    });
 
     // Assert: the relay reads era 1.
     assert_eq!(steps, [EraStep::ListAgain, EraStep::Apply, EraStep::Refuse]);
 }
 
+/// Returns a relay that knew the changes 11 and 12 of era 1, and listed revision 9 of era 2: one entry was
+/// different. A change followed.
+fn relay_in_second_era(known_end: u64) -> RelayTopics {
+    let mut relay = topics();
+    relay.set_class("keys:op/".into(), TopicClass::Urgent);
+    let list = OriginRead { epoch: 2, ..read(9, 9, Vec::new(), at(2_000)) };
+    let items = vec![entry(9, 10).1];
+    let crossing = Crossing { epoch: 1, end: known_end, items };
+    relay.record_crossing(&"keys:op/".into(), list, crossing, at(2_100));
+    let next = OriginRead { epoch: 2, ..read(9, 10, vec![entry(10, 10)], at(2_200)) };
+    relay.record_read(&"keys:op/".into(), next, at(2_300));
+    relay
+}
+
+/// Guards against followers that cannot reach the origin and so never hear what is different after it came
+/// back from an older copy, and against followers that are led there from a position which the relay did
+/// not know: they would keep what the copy lacks.
+#[test]
+fn a_relay_leads_its_followers_into_the_next_era() {
+    // Arrange
+    let (relay, behind) = (relay_in_second_era(12), relay_in_second_era(14));
+    let revisions = |relay: &RelayTopics, epoch, after| {
+        let update = relay.answer(&request(epoch, after), &mut large_budget(), at(2_400)).unwrap();
+        assert_eq!((update.epoch, update.end), (2, 10));
+        let items = update.items.into_iter().flatten();
+        items
+            .map(|item| match item {
+                RelayItem::Entry(entry) => entry.revision,
+                RelayItem::Part(_) => 0,
+            })
+            .collect::<Vec<u64>>()
+    };
+
+    // Act
+    let led = [(1, 11), (1, 12), (2, 9)].map(|(epoch, after)| revisions(&relay, epoch, after));
+    let not_led = [(1, 9), (1, 13), (0, 12)].map(|(epoch, after)| revisions(&relay, epoch, after));
+
+    // Assert: what is missing of era 1, the differences, and what followed; nothing if the relay itself had
+    // not published what it knew.
+    assert_eq!(led, [vec![12, 9, 10], vec![9, 10], vec![10]]);
+    assert!(not_led.iter().all(Vec::is_empty), "{not_led:?}");
+    assert!(revisions(&behind, 1, 12).is_empty());
+}
+
 /// Guards against calls to the origin that grow with the number of nodes.
 #[test]
 fn calls_to_the_origin_do_not_grow_with_the_zone() {
--- a/crates/decisions/tests/relay_model/mod.rs
+++ b/crates/decisions/tests/relay_model/mod.rs
@@ -379,9 +379,11 @@
             };
             let is_recent = now.ms_since(confirmed_at) <= MAX_AGE_MS;
             if is_recent || self.guard == Guard::WithoutMaxAge {
-                match EraStep::of(pending.request.epoch, update.epoch) {
+                let has_items = update.items.is_some();
+                match EraStep::of(pending.request.epoch, update.epoch, has_items) {
                     EraStep::Apply => {}
-                    EraStep::ListAgain => return self.list_again(number),
+                    // The relays of the model list without telling what is different.
+                    EraStep::Cross | EraStep::ListAgain => return self.list_again(number),
                     EraStep::Refuse => return self.fail(number, pending.relay),
                 }
                 self.nodes[number].was_following = true;
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -20,8 +20,8 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use smol_str::SmolStr;
 use yuccapass_decisions::gateway::relay::{
-    EraStep, OriginRead, RelayItem, RelayTopics, TopicClass, TopicRequest, TopicUpdate, is_relayed,
-    relay_count, relays,
+    Crossing, EraStep, OriginRead, RelayItem, RelayTopics, TopicClass, TopicRequest, TopicUpdate,
+    is_relayed, relay_count, relays,
 };
 use yuccapass_types::{Bytes, Instant, NodeId, SortedMap};
 
@@ -38,11 +38,11 @@
 /// An update that was received from a relay, with times of this node's clock.
 #[derive(Debug, Clone)]
 pub(crate) struct RelayedChanges {
-    /// The run or the era of the origin. The changes continue from the topic's position only if it is the
-    /// same; keys in a later era come without changes.
+    /// The run or the era of the origin. It may be a later one than that of the topic's position.
     pub(crate) epoch: u64,
     pub(crate) end: u64,
-    pub(crate) items: Vec<RelayItem>,
+    /// The changes; `None` if this node has to list the keys because a later era has begun.
+    pub(crate) items: Option<Vec<RelayItem>>,
     /// When the origin confirmed that there are no later changes.
     pub(crate) confirmed_at: Instant,
     /// When the origin answered again after a recent outage.
@@ -127,6 +127,18 @@
         }
     }
 
+    /// Publishes a list of a later era than the last one, and sets the position of the topic.
+    pub(crate) fn publish_crossing(
+        &self,
+        subscription: &Subscription,
+        read: OriginRead,
+        crossing: Crossing,
+        now: Instant,
+    ) {
+        self.set_position(subscription, read.epoch, read.to);
+        lock(&self.read).record_crossing(&subscription.topic, read, crossing, now);
+    }
+
     /// Publishes that the origin of a topic does not answer this node.
     pub(crate) fn publish_lost(&self, subscription: &Subscription) {
         lock(&self.read).record_lost(&subscription.topic);
@@ -237,21 +249,17 @@
         let mut followers = lock(&self.followers);
         let Some(follower) = followers.get_mut(&request.topic) else { return true };
         let era_step = match is_keys_topic(&request.topic) {
-            true => EraStep::of(request.epoch, update.epoch),
+            true => EraStep::of(request.epoch, update.epoch, update.items.is_some()),
             false => EraStep::Apply,
         };
         let is_recent = now.ms_since(confirmed_at) <= follower.max_age_ms;
         let is_usable = is_recent && era_step != EraStep::Refuse;
-        let items = match era_step {
-            EraStep::Apply => update.items,
-            EraStep::ListAgain => Some(Vec::new()),
-            EraStep::Refuse => None,
-        };
-        let changes = items.filter(|_| is_usable).map(|items| {
+        let is_for_task = update.items.is_some() || era_step == EraStep::ListAgain;
+        let changes = (is_usable && is_for_task).then(|| {
             let changes = RelayedChanges {
                 epoch: update.epoch,
                 end: update.end,
-                items,
+                items: update.items,
                 confirmed_at,
                 outage_ended_at,
                 clock_ms: update.clock_ms,
--- a/crates/gateway/src/stores.rs
+++ b/crates/gateway/src/stores.rs
@@ -258,7 +258,7 @@
 
     /// Applies changes that a relay has read.
     fn apply_relayed(&mut self, since: u64, changes: RelayedChanges) {
-        let events = changes.items.into_iter().filter_map(|item| match item {
+        let events = changes.items.into_iter().flatten().filter_map(|item| match item {
             RelayItem::Part(event) => Some(event),
             RelayItem::Entry(_) => None,
         });
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -6,12 +6,13 @@
 //! come from the relay.
 
 mod listing;
+mod mirror;
 mod settings;
 
 use std::sync::Arc;
 
 use yuccapass_decisions::gateway::relay::{
-    EraStep, OriginRead, OutageEnds, RelayItem, RelayedEntry, TopicClass,
+    Crossing, EraStep, OriginRead, OutageEnds, RelayItem, RelayedEntry, TopicClass,
 };
 use yuccapass_decisions::platform_budget::{Backoff, CallPurpose, CallRank};
 use yuccapass_http::sleep_until;
@@ -23,6 +24,7 @@
 
 use self::listing::Listing;
 pub(crate) use self::listing::read_all;
+use self::mirror::Mirror;
 pub(crate) use self::settings::start;
 use crate::relay::{NextRead, RelayedChanges, Subscription, keys_topic};
 use crate::state::Shared;
@@ -126,7 +128,8 @@
         subscription,
         listing: None,
         revision: None,
-        era: None,
+        known: None,
+        mirror: Mirror::default(),
         is_restored: false,
         was_following: false,
         outage: None,
@@ -147,8 +150,10 @@
     listing: Option<Listing>,
     // The revision up to which all changes are known; `None` until the keys were listed.
     revision: Option<KeyValueRevision>,
-    // The era of what is known; it stays while the keys are listed again.
-    era: Option<StoreEra>,
+    // The revision of what is known; it stays while the keys are listed again.
+    known: Option<KeyValueRevision>,
+    // What is known; empty for a background topic, whose followers list the keys themselves.
+    mirror: Mirror,
     // Whether the service has come back from an older copy since the keys were listed.
     is_restored: bool,
     // Whether the last changes came from a relay.
@@ -200,7 +205,7 @@
             return Ok(());
         };
         self.record_answer(self.shared.now());
-        let is_other_era = self.era.is_some_and(|era| era != revision.era());
+        let is_other_era = self.known.is_some_and(|known| known.era() != revision.era());
         if std::mem::take(&mut self.is_restored) || is_other_era {
             // Registrations that the copy lacks may return.
             self.handler.lost();
@@ -209,7 +214,7 @@
         self.handler.replace(&entries);
         self.handler.confirmed(sent_at);
         self.handler.record_known_until(sent_at);
-        self.publish(revision, revision, &[], sent_at);
+        self.publish_list(&entries, revision, sent_at);
         Ok(())
     }
 
@@ -301,8 +306,18 @@
     /// Applies what a relay has read, or lists the keys again if that is of a later era.
     async fn follow(&mut self, relayed: RelayedChanges) {
         let own = self.revision.unwrap_or_default().era();
-        match EraStep::of(own.get(), relayed.epoch) {
+        match EraStep::of(own.get(), relayed.epoch, relayed.items.is_some()) {
             EraStep::Apply => self.apply_relayed(relayed),
+            EraStep::Cross => {
+                log::info!(
+                    prefix = self.settings.prefix.as_str(), era = relayed.epoch,
+                    old_revision:% = self.revision.unwrap_or_default();
+                    "a relay leads into a later era of the platform"
+                );
+                self.handler.lost();
+                self.handler.recovered(self.shared.now());
+                self.apply_relayed(relayed);
+            }
             EraStep::ListAgain => {
                 self.list_after_restoration(StoreEra::new(relayed.epoch)).await;
             }
@@ -321,15 +336,19 @@
             self.handler.lost();
             self.handler.recovered(ended_at);
         }
-        let changes: Vec<Change> =
-            relayed.items.into_iter().filter_map(|item| change_of(item, relayed.epoch)).collect();
+        let changes: Vec<Change> = relayed
+            .items
+            .into_iter()
+            .flatten()
+            .filter_map(|item| change_of(item, relayed.epoch))
+            .collect();
         if !changes.is_empty() {
             self.handler.change(&changes);
         }
         self.handler.confirmed(relayed.confirmed_at);
         self.handler.record_known_until(relayed.confirmed_at);
         let era = StoreEra::new(relayed.epoch);
-        self.revision = Some(KeyValueRevision::new(relayed.end).in_era(era));
+        self.record_known(&changes, KeyValueRevision::new(relayed.end).in_era(era));
         if let Some(subscription) = &self.subscription {
             self.shared.relay.set_position(subscription, relayed.epoch, relayed.end);
         }
@@ -343,20 +362,43 @@
         changes: &[Change],
         sent_at: Instant,
     ) {
-        (self.revision, self.era) = (Some(to), Some(to.era()));
-        let read = OriginRead {
-            epoch: to.era().get(),
-            from: from.get(),
-            to: to.get(),
-            items: changes.iter().map(relay_item).collect(),
-            sent_at,
-            clock_ms: None,
-        };
+        self.record_known(changes, to);
+        let items = changes.iter().map(relay_item).collect();
         if let Some(subscription) = &self.subscription {
+            let read = origin_read(from, to, items, sent_at);
             self.shared.relay.publish(subscription, read, self.shared.now());
         }
     }
 
+    /// Publishes a complete list for the followers of this node, with the differences from what is known
+    /// if that belongs to an earlier era.
+    fn publish_list(&mut self, entries: &[Entry], revision: KeyValueRevision, sent_at: Instant) {
+        let differences = match self.settings.class {
+            TopicClass::Background => None,
+            _ => Some(self.mirror.replace(entries, revision)),
+        };
+        let before = self.known.filter(|known| known.era() < revision.era());
+        self.record_known(&[], revision);
+        let Some(subscription) = &self.subscription else { return };
+        let (read, now) = (origin_read(revision, revision, Vec::new(), sent_at), self.shared.now());
+        match (before, differences) {
+            (Some(before), Some(differences)) => {
+                let items = differences.iter().map(|change| relay_item(change).1).collect();
+                let crossing = Crossing { epoch: before.era().get(), end: before.get(), items };
+                self.shared.relay.publish_crossing(subscription, read, crossing, now);
+            }
+            _ => self.shared.relay.publish(subscription, read, now),
+        }
+    }
+
+    /// Records that all changes up to a revision are known.
+    fn record_known(&mut self, changes: &[Change], revision: KeyValueRevision) {
+        if self.settings.class != TopicClass::Background {
+            self.mirror.apply(changes);
+        }
+        (self.revision, self.known) = (Some(revision), Some(revision));
+    }
+
     /// Records that the service answers, itself or through a relay, and has answered from `since` on.
     fn record_answer(&mut self, since: Instant) {
         if self.outage.take().is_none() {
@@ -394,6 +436,16 @@
     }
 }
 
+fn origin_read(
+    from: KeyValueRevision,
+    to: KeyValueRevision,
+    items: Vec<(u64, RelayItem)>,
+    sent_at: Instant,
+) -> OriginRead {
+    let epoch = to.era().get();
+    OriginRead { epoch, from: from.get(), to: to.get(), items, sent_at, clock_ms: None }
+}
+
 /// Converts a change for the followers of this node.
 fn relay_item(change: &Change) -> (u64, RelayItem) {
     let (key, value) = changed_entry(change);
