watches: a follower that hears of a new era can still be led into it

What callers saw: a follower that heard of the new era by itself, such as in a refusal of the store, listed the keys with a timeout of 8 s a page, and did not listen to its relay meanwhile. If it could not reach the store, it kept its settings and then refused callers.

Cause: a node without a position did not take updates of relays.

Change: for 5 s after it has heard of a new era, a node of a zone with relays keeps its last position for them, and its lists time out after 1 s a page, with a look for a relay between the attempts.

Why it works: the position of the ended era is what a relay needs to lead the node from there.

--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -188,6 +188,12 @@
         is_relayed(nodes.len()) && relays(&nodes).contains(own)
     }
 
+    /// Returns whether the zone of this node has relays, and this node is none of them.
+    pub(crate) fn has_relay_for(&self, own: &NodeId) -> bool {
+        let nodes = self.node_ids();
+        is_relayed(nodes.len()) && !relays(&nodes).contains(own)
+    }
+
     /// Returns the number of relays in the zone of this node.
     pub(crate) fn relay_count(&self) -> u32 {
         u32::try_from(relay_count(lock(&self.nodes).len())).unwrap_or(u32::MAX)
--- a/crates/gateway/src/watch/listing.rs
+++ b/crates/gateway/src/watch/listing.rs
@@ -10,7 +10,7 @@
 /// Timeout for reading one page. It does not apply to all pages together, because that time grows
 /// with the deployment: with 3 s for all pages, 300 nodes with 3,000 endpoints never got past the
 /// first pages.
-const PAGE_TIMEOUT_MS: u64 = 8_000;
+pub(super) const PAGE_TIMEOUT_MS: u64 = 8_000;
 
 /// Number of entries per page.
 const PAGE_ENTRIES: u32 = 500;
@@ -24,6 +24,8 @@
     // changes that they already contain.
     pub(super) revision: KeyValueRevision,
     pub(super) entries: Vec<Entry>,
+    // Timeout for reading one page.
+    pub(super) page_timeout_ms: u64,
     next: Option<Key>,
     has_first: bool,
 }
@@ -31,7 +33,8 @@
 impl Listing {
     pub(super) fn new(sent_at: Instant) -> Self {
         let (revision, entries) = (KeyValueRevision::default(), Vec::new());
-        Self { sent_at, revision, entries, next: None, has_first: false }
+        let page_timeout_ms = PAGE_TIMEOUT_MS;
+        Self { sent_at, revision, entries, page_timeout_ms, next: None, has_first: false }
     }
 
     /// Reads the pages that are left. Starts over if they belong to another era than the first one.
@@ -50,11 +53,12 @@
                 revision: None,
                 may_be_stale,
             };
-            let limit = Deadline::after_ms(shared.now(), PAGE_TIMEOUT_MS);
+            let limit = Deadline::after_ms(shared.now(), self.page_timeout_ms);
             let page = reader.range(&request, limit).await?;
             if self.has_first && page.revision.era() != self.revision.era() {
                 // The service came back from a copy between the pages, so they don't show one state.
-                *self = Self::new(shared.now());
+                let page_timeout_ms = self.page_timeout_ms;
+                *self = Self { page_timeout_ms, ..Self::new(shared.now()) };
                 continue;
             }
             if !self.has_first {
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -22,8 +22,8 @@
 };
 use yuccapass_types::{Deadline, Instant};
 
-use self::listing::Listing;
 pub(crate) use self::listing::read_all;
+use self::listing::{Listing, PAGE_TIMEOUT_MS};
 use self::mirror::Mirror;
 pub(crate) use self::settings::start;
 use crate::relay::{NextRead, RelayedChanges, Subscription, keys_topic};
@@ -48,6 +48,13 @@
 /// calls, the calls themselves under load, and the time for which the relay holds requests.
 const RELAY_DELAY_MS: u64 = 1_000;
 
+/// How long a relay may lead a node into a later era of the service that the node has heard of itself. A
+/// relay that has failed is not asked again for up to 4 s.
+const LEAD_MS: u64 = 5_000;
+
+/// Timeout for reading one page in that time, after which the node looks for a relay again.
+const LED_PAGE_TIMEOUT_MS: u64 = 1_000;
+
 /// Handles the entries and changes of a watched prefix.
 pub(crate) trait WatchHandler: Send + Sync {
     /// Handles the complete list of entries.
@@ -131,6 +138,7 @@
         known: None,
         mirror: Mirror::default(),
         is_restored: false,
+        led_until: None,
         was_following: false,
         outage: None,
         outage_ends: OutageEnds::default(),
@@ -156,6 +164,8 @@
     mirror: Mirror,
     // Whether the service has come back from an older copy since the keys were listed.
     is_restored: bool,
+    // Until when a relay may lead this node into the era that it has heard of.
+    led_until: Option<Deadline>,
     // Whether the last changes came from a relay.
     was_following: bool,
     // The pauses between calls while they fail.
@@ -167,7 +177,9 @@
 impl PrefixWatcher {
     async fn run(mut self) {
         loop {
-            let next_read = match (&self.subscription, self.revision) {
+            // While a relay may lead this node into a later era, its position is the last one before.
+            let position = self.revision.or(self.known.filter(|_| self.led_until.is_some()));
+            let next_read = match (&self.subscription, position) {
                 (Some(subscription), Some(revision)) => {
                     let era = revision.era().get();
                     self.shared.relay.next_read(subscription, era, revision.get()).await
@@ -199,7 +211,14 @@
     /// Lists the keys. After a failure, the next call continues with the page that was not read: if
     /// hundreds of nodes started over, their lists would fill the service's link for nothing.
     async fn list(&mut self) -> Result<(), PlatformError> {
-        let listing = self.listing.get_or_insert_with(|| Listing::new(self.shared.now()));
+        let now = self.shared.now();
+        self.led_until = self.led_until.filter(|until| !until.has_passed(now));
+        let page_timeout_ms = match self.led_until {
+            Some(_) => LED_PAGE_TIMEOUT_MS,
+            None => PAGE_TIMEOUT_MS,
+        };
+        let listing = self.listing.get_or_insert_with(|| Listing::new(now));
+        listing.page_timeout_ms = page_timeout_ms;
         listing.read(&self.shared, &self.reader, &self.settings.prefix, false).await?;
         let Some(Listing { sent_at, entries, revision, .. }) = self.listing.take() else {
             return Ok(());
@@ -261,6 +280,10 @@
                 return Ok(());
             }
             WatchOutcome::Restored { revision: newest } => {
+                let may_be_led = self.settings.class != TopicClass::Background
+                    && self.subscription.is_some()
+                    && self.shared.relay.has_relay_for(&self.shared.options.node);
+                self.led_until = may_be_led.then(|| Deadline::after_ms(now, LEAD_MS));
                 self.list_after_restoration(newest.era()).await;
                 return Ok(());
             }
@@ -305,7 +328,7 @@
 
     /// Applies what a relay has read, or lists the keys again if that is of a later era.
     async fn follow(&mut self, relayed: RelayedChanges) {
-        let own = self.revision.unwrap_or_default().era();
+        let own = self.known.unwrap_or_default().era();
         match EraStep::of(own.get(), relayed.epoch, relayed.items.is_some()) {
             EraStep::Apply => self.apply_relayed(relayed),
             EraStep::Cross => {
@@ -314,11 +337,13 @@
                     old_revision:% = self.revision.unwrap_or_default();
                     "a relay leads into a later era of the platform"
                 );
+                self.is_restored = false;
                 self.handler.lost();
                 self.handler.recovered(self.shared.now());
                 self.apply_relayed(relayed);
             }
             EraStep::ListAgain => {
+                self.led_until = None;
                 self.list_after_restoration(StoreEra::new(relayed.epoch)).await;
             }
             // The relay client does not pass these on.
@@ -397,6 +422,7 @@
             self.mirror.apply(changes);
         }
         (self.revision, self.known) = (Some(revision), Some(revision));
+        self.led_until = None;
     }
 
     /// Records that the service answers, itself or through a relay, and has answered from `since` on.
