swap leader: a node that waits after a restore goes on being a candidate

Seen: after the key-value service came back from a copy, no node ordered weight swaps for more than 10 s, and requests on outdated weights were refused after their bound.

Cause: a node that may not acquire the lock yet was told that another node holds it, forgot that the lock is free, and was told so again only by a change of the holder key.

Change: the lock tells until when it waits, and a candidate tries again then, without calls in between.

--- a/crates/gateway/src/swap_leader.rs
+++ b/crates/gateway/src/swap_leader.rs
@@ -243,6 +243,9 @@
                 Some(from) => return next_check.earlier(from),
                 None => return next_check,
             }
+            if let Some(instant) = self.lock.waits_until().filter(|_| !self.lock.is_unsettled()) {
+                return next_check.earlier(Deadline::after_ms(instant, 0));
+            }
         }
         let deadline = Deadline::after_ms(now, LOCK_CALL_TIMEOUT_MS);
         match self.lock.step(deadline).await {
@@ -253,6 +256,10 @@
             }
             Ok(LockStatus::HeldByOther) => {
                 self.clear_lost_leadership();
+                if let Some(instant) = self.lock.waits_until() {
+                    // The lock may be free, and then no watch would tell that again.
+                    return next_check.earlier(Deadline::after_ms(instant, 0));
+                }
                 self.state().free_since = None;
                 next_check
             }
--- a/crates/platform/src/lease_lock.rs
+++ b/crates/platform/src/lease_lock.rs
@@ -102,6 +102,14 @@
         Some(Compare::ModRevision(self.holder_key.clone(), revision))
     }
 
+    /// Returns until when this node does not acquire the lock, although it may be free, because an earlier
+    /// holder may still rely on a lease that was lost.
+    pub fn waits_until(&self) -> Option<Instant> {
+        self.detect_restoration();
+        let now = self.now();
+        Some(self.lock().acquire_after).filter(|&instant| instant > now)
+    }
+
     /// Returns whether an acquisition of this node may have left the holder key behind. The next step then
     /// removes it, also if the lock is not free.
     pub fn is_unsettled(&self) -> bool {
