platform: a watch of an ended era counts no second restoration

Callers saw: nothing yet; found by review. New weights wait longer after a restore. Cause: the adapter answers a watch of an ended era with revision 0 of the newest one. The client took it for the service's revision, which was lower than one seen before, and counted another restoration each time; the lock for weight swaps was given up again. Change: the revision of a restored watch is checked only where the service names no era. Evidence: a_watch_of_an_ended_era_counts_no_second_restoration failed before (2 restorations, 1 allowed).

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -469,7 +469,11 @@
         let _guard = WatchGuard(client);
         let result = client.inner.watch(request, deadline).await;
         client.record_result(self.rank, &result);
-        if let Ok(WatchOutcome::Restored { revision }) = &result {
+        // Where the service names eras, its answers have shown the restoration, and the revision may not be
+        // one of its own.
+        if let Ok(WatchOutcome::Restored { revision }) = &result
+            && revision.era() == StoreEra::default()
+        {
             // The outcome already tells the caller, so the error is not needed.
             let _ = client.check_revision(at_call, *revision);
         }
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -9,9 +9,9 @@
 use yuccapass_decisions::platform_budget::settle_write::Settled;
 use yuccapass_decisions::platform_budget::{CallPurpose, CallRank, LeaseTerms};
 use yuccapass_platform::{
-    CallObserver, IdempotentTransaction, Key, KeyValue, KeyValueClient, KeyValueRevision, LeaseId,
-    LeaseLock, LockStatus, PlatformClient, PlatformClientConfig, PlatformErrorKind, StoreEra,
-    Transaction, Value, Write,
+    CallObserver, IdempotentTransaction, Key, KeyRange, KeyValue, KeyValueClient, KeyValueRevision,
+    LeaseId, LeaseLock, LockStatus, PlatformClient, PlatformClientConfig, PlatformErrorKind,
+    StoreEra, Transaction, Value, WatchOutcome, WatchRequest, Write,
 };
 use yuccapass_types::{Clock, Deadline, FencingNumber};
 
@@ -219,6 +219,26 @@
     assert_eq!(setup.client.era(), StoreEra::new(1));
 }
 
+/// Guards against a restoration that is counted again by each watch that goes on in the ended era, so that
+/// locks are given up again.
+#[test]
+fn a_watch_of_an_ended_era_counts_no_second_restoration() {
+    let setup = setup(&[]);
+    let key_value = setup.key_value(CallRank::Refresh);
+    setup.fake.data.lock().unwrap().revision = 50;
+    block_on(key_value.get(&key("a"), setup.limit())).unwrap();
+    setup.fake.data.lock().unwrap().era = StoreEra::new(1);
+    block_on(key_value.get(&key("a"), setup.limit())).unwrap();
+
+    let range = KeyRange::Prefix(key("a"));
+    let request = WatchRequest { range, from: KeyValueRevision::new(51) };
+    let outcomes = [0; 2].map(|_| block_on(key_value.watch(&request, setup.limit())));
+
+    let is_restored = |outcome: &Result<_, _>| matches!(outcome, Ok(WatchOutcome::Restored { .. }));
+    assert!(outcomes.iter().all(is_restored));
+    assert_eq!(setup.client.restorations(), 1);
+}
+
 /// Guards against a node that takes a lock for not acquired because the response was lost, and
 /// against two holders.
 #[test]
--- a/crates/platform/tests/fakes/mod.rs
+++ b/crates/platform/tests/fakes/mod.rs
@@ -157,8 +157,19 @@
         })
     }
 
-    async fn watch(&self, _: &WatchRequest, _: Deadline) -> Result<WatchOutcome, PlatformError> {
-        self.call("watch", false, |_| WatchOutcome::NoChanges { revision: None })
+    /// A watch of an earlier era learns the era only: the service has not named a revision.
+    async fn watch(
+        &self,
+        request: &WatchRequest,
+        _: Deadline,
+    ) -> Result<WatchOutcome, PlatformError> {
+        self.call("watch", false, |data| match request.from.era() == data.era {
+            true => WatchOutcome::NoChanges { revision: None },
+            false => {
+                let revision = KeyValueRevision::new(0).in_era(data.era);
+                WatchOutcome::Restored { revision }
+            }
+        })
     }
 }
 
