watches: pages read before a relay led on are not used later

Callers saw: nothing yet; found by review, by reading. An endpoint could be dropped minutes after a restore. Cause: a list that was interrupted stayed when a relay led the node into the new era, and the next list went on with its old pages. Where a service names no era, a read that showed an older state no longer gave endpoints the time to register again, as it did before eras. Change: what is known replaces a list that is under way; each restored read is followed by that time.

--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -192,6 +192,7 @@
                     Ok(()) => {}
                     // A late answer of an ended era was not used; the service answers.
                     Err(error) if error.kind() == PlatformErrorKind::Restored => {
+                        self.is_restored = true;
                         self.pause_before_list().await;
                     }
                     Err(error) => self.pause_after(&error).await,
@@ -422,6 +423,8 @@
             self.mirror.apply(changes);
         }
         (self.revision, self.known) = (Some(revision), Some(revision));
+        // Pages that were read before a relay led this node on are older than what it knows now.
+        self.listing = None;
         self.led_until = None;
     }
 
