directory: processes that left are forgotten after some time

Callers saw: nothing yet; found by review. Cause: the registration of a process that left was refused until a newer one came, without a limit in time. A process that was removed for silence and writes its registration again unchanged got no requests. Change: such registrations are remembered for 30 to 60 s; copies of the service are some seconds old. Evidence: a_process_that_left_long_ago_may_come_back; what it calls did not exist before.

--- a/crates/decisions/src/gateway/departed_processes.rs
+++ b/crates/decisions/src/gateway/departed_processes.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use yuccapass_types::{EndpointId, SortedMap};
+use yuccapass_types::{Deadline, EndpointId, Instant, SortedMap};
 
 use super::directory::EndpointRecord;
 
@@ -13,6 +13,10 @@
 /// within that time a zone may leave with all its endpoints.
 const MAX_RECENT: usize = 1_024;
 
+/// Time after which registrations may be forgotten: copies are some seconds old. A process that lives may write
+/// the same registration again later.
+const PERIOD_MS: u64 = 30_000;
+
 /// How a registration disappeared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Departure {
@@ -51,9 +55,25 @@
     recent: SortedMap<ProcessKey, Departed>,
     // Those that were recent before.
     earlier: SortedMap<ProcessKey, Departed>,
+    // When the recent ones become the earlier ones.
+    period_end: Option<Deadline>,
 }
 
 impl DepartedProcesses {
+    /// Forgets the registrations of ended periods, which may end late: each is remembered for one period
+    /// at least, and for two if this is called often.
+    pub(super) fn forget_ended(&mut self, now: Instant) {
+        let Some(period_end) = self.period_end.filter(|end| end.has_passed(now)) else {
+            self.period_end.get_or_insert(Deadline::after_ms(now, PERIOD_MS));
+            return;
+        };
+        self.earlier = std::mem::replace(&mut self.recent, SortedMap::new());
+        if Deadline::after_ms(period_end.instant(), PERIOD_MS).has_passed(now) {
+            self.earlier = SortedMap::new();
+        }
+        self.period_end = Some(Deadline::after_ms(now, PERIOD_MS));
+    }
+
     /// Remembers a registration that has disappeared. One without a start time or a sequence cannot be told
     /// from that of a later process.
     pub(super) fn add(&mut self, id: &EndpointId, record: &EndpointRecord, departure: Departure) {
--- a/crates/decisions/src/gateway/directory.rs
+++ b/crates/decisions/src/gateway/directory.rs
@@ -197,6 +197,11 @@
         }
     }
 
+    /// Forgets the processes that left long ago. Called before registrations are applied.
+    pub fn forget_departed(&mut self, now: Instant) {
+        self.departed.forget_ended(now);
+    }
+
     /// Replaces the endpoints with a complete list of the registrations.
     pub fn replace(&mut self, records: SortedMap<EndpointId, EndpointRecord>, now: Instant) {
         let missing: Vec<EndpointId> =
--- a/crates/decisions/tests/gateway_directory.rs
+++ b/crates/decisions/tests/gateway_directory.rs
@@ -195,6 +195,25 @@
     assert!(is_past_bound(&directory, &record, at(9_000)));
 }
 
+/// Guards against an endpoint that lives and is never used again, because it writes the registration that it
+/// had before it was removed.
+#[test]
+fn a_process_that_left_long_ago_may_come_back() {
+    let mut directory = Directory::new(zones());
+    directory.forget_departed(at(0));
+    directory.register(id("e0"), written(1, 7, EndpointState::Ready));
+    directory.remove(&id("e0"), at(0));
+
+    directory.forget_departed(at(20_000));
+    directory.register(id("e0"), written(1, 7, EndpointState::Ready));
+    let soon = eligible(&directory, &[]);
+    directory.forget_departed(at(90_000));
+    directory.register(id("e0"), written(1, 7, EndpointState::Ready));
+
+    assert_eq!(soon, Vec::<String>::new());
+    assert_eq!(eligible(&directory, &[]), ["e0"]);
+}
+
 /// Guards against a registration that is older than an answer of the same process: the endpoint would
 /// be asked for weights that it no longer has, and count as outdated.
 #[test]
--- a/crates/gateway/src/watch/settings.rs
+++ b/crates/gateway/src/watch/settings.rs
@@ -297,6 +297,7 @@
         }
         log::info!(endpoints = records.len(); "the list of endpoints was read");
         self.shared.change_directory(|directory| {
+            directory.forget_departed(now);
             directory.replace(records, now);
         });
         self.shared.rollouts.note_directory(&self.shared.directory(), now);
@@ -310,6 +311,7 @@
         // All changes are applied at once, because each call of `change_directory` copies the
         // directory if a reader holds it.
         self.shared.change_directory(|directory| {
+            directory.forget_departed(now);
             for (id, record) in changed {
                 match record {
                     Some(record) => directory.register(id, record),
