directory: a report of an earlier recovery shortens no grace

Callers saw: nothing yet; found by review. Endpoints could be dropped after a restore although they register again. Change: the later end counts. Evidence: a_report_of_an_earlier_recovery_shortens_no_grace failed before (no endpoint left, e0 expected).

--- a/crates/decisions/src/gateway/directory.rs
+++ b/crates/decisions/src/gateway/directory.rs
@@ -223,7 +223,9 @@
     pub fn source_recovered(&mut self, since: Instant) {
         if self.is_outage {
             self.is_outage = false;
-            self.grace_until = Some(Deadline::after_ms(since, REREGISTER_GRACE_MS));
+            // A report of an earlier recovery must not shorten the time that a later one gave.
+            let until = Deadline::after_ms(since, REREGISTER_GRACE_MS);
+            self.grace_until = self.grace_until.max(Some(until));
         }
     }
 
--- a/crates/decisions/tests/gateway_directory.rs
+++ b/crates/decisions/tests/gateway_directory.rs
@@ -214,6 +214,21 @@
     assert_eq!(eligible(&directory, &[]), ["e0"]);
 }
 
+/// Guards against endpoints that are dropped too soon after a restoration, because a relay reports an earlier
+/// end of the same outage.
+#[test]
+fn a_report_of_an_earlier_recovery_shortens_no_grace() {
+    let mut directory = directory(&["w1"]);
+
+    directory.source_lost();
+    directory.source_recovered(at(10_000));
+    directory.source_lost();
+    directory.source_recovered(at(7_000));
+    directory.remove(&id("e0"), at(10_500));
+
+    assert_eq!(eligible(&directory, &[]), ["e0"]);
+}
+
 /// Guards against a registration that is older than an answer of the same process: the endpoint would
 /// be asked for weights that it no longer has, and count as outdated.
 #[test]
