--- a/crates/gateway/src/watch/settings.rs
+++ b/crates/gateway/src/watch/settings.rs
@@ -45,8 +45,8 @@
 /// other nodes, since the confirmation of the keys ages further on its way to the followers.
 const RELAY_OPERATOR_WATCH_MS: u64 = 900;
 
-/// Reserve within the bound on earlier configurations, which fits into it with two watch calls. With 700 ms,
-/// answers that took 250 ms longer left the settings unconfirmed for a tenth of the time.
+/// Reserve within the bound on earlier configurations, which fits into it with two watch calls, so that slow
+/// answers leave the regions confirmed.
 const REGIONS_RESERVE_MS: u64 = 1_400;
 
 /// Minimum bound on the use of revoked keys with which followers can confirm keys in time: the age
