metrics: bytes of changes by topic and path

Cause: the logs and metrics do not tell whether a late configuration waits for bytes, for time-outs that end a read, or for the processor. Change: yuccapass_gateway_change_bytes counts what a node reads from an origin, gets from a relay and sends to followers, by topic. Reads of 16 KiB or more are logged with their size and age, and an activated configuration with the time that decoding and indexing took.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,7 +12,7 @@
 use yuccapass_decisions::gateway::zone_room::Receipt;
 use yuccapass_decisions::gateway::{BudgetUse, OutstandingSum, Refusal, RouteKind, Shortage};
 use yuccapass_decisions::platform_budget::CallPurpose;
-use yuccapass_types::{Instant, Revision, ServiceId};
+use yuccapass_types::{Bytes, Instant, Revision, ServiceId};
 
 use crate::admission::Admitted;
 use crate::forward::RequestOutcome;
@@ -27,6 +27,28 @@
 /// Label value for requests without an organisation, and for organisations beyond the maximum.
 const OTHER: &str = "other";
 
+/// The way that changes of a topic take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ChangePath {
+    /// From the origin to this node.
+    FromOrigin,
+    /// From a relay to this node.
+    FromRelay,
+    /// From this node, which is a relay, to a follower.
+    ToFollower,
+}
+
+impl ChangePath {
+    /// Returns the value of the label.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::FromOrigin => "from_origin",
+            Self::FromRelay => "from_relay",
+            Self::ToFollower => "to_follower",
+        }
+    }
+}
+
 /// The instruments of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -43,6 +65,7 @@
     caller_connections: Gauge<u64>,
     caller_evictions: Gauge<u64>,
     platform_calls: Counter<u64>,
+    change_bytes: Counter<u64>,
     nodes: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
@@ -197,6 +220,10 @@
                 "yuccapass_gateway_platform_calls",
                 "Calls to the platform's key-value service, by purpose.",
             ),
+            change_bytes: counter(
+                "yuccapass_gateway_change_bytes",
+                "Bytes of changes, by topic and by the way they took.",
+            ),
             registry,
             _provider: provider,
             organisations: Mutex::default(),
@@ -345,6 +372,15 @@
         self.platform_calls.add(1, &[KeyValue::new("purpose", purpose.as_str())]);
     }
 
+    /// Records the size of changes of a topic that this node has received or sent.
+    pub(crate) fn record_change_bytes(&self, topic: &str, path: ChangePath, size: Bytes) {
+        if size > Bytes::default() {
+            let labels =
+                [KeyValue::new("topic", topic.to_owned()), KeyValue::new("path", path.as_str())];
+            self.change_bytes.add(size.get(), &labels);
+        }
+    }
+
     /// Returns the metrics in the text format of Prometheus.
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use yuccapass_decisions::gateway::relay::RelayItem;
 use yuccapass_http::with_deadline;
 use yuccapass_peers::{PeerHandler, PeerMessage, RelayReply, RelayRequest, Sender};
 use yuccapass_types::Deadline;
 
+use crate::metrics::ChangePath;
 use crate::state::Shared;
 
 /// How long a request is held if there are no urgent news. It bounds the calls of a follower, and
@@ -52,6 +54,10 @@
         let outstanding = scope.map(|scope| self.shared.zone_room.reply(&from.node, scope, now));
         let other_bytes = outstanding.as_ref().map(|reply| reply.sum.size()).unwrap_or_default();
         let updates = self.shared.relay.answer(&request.topics, other_bytes, now);
+        for update in &updates {
+            let size = update.items.iter().flatten().map(RelayItem::size).sum();
+            self.shared.metrics.record_change_bytes(&update.topic, ChangePath::ToFollower, size);
+        }
         RelayReply { held_ms: now.ms_since(received_at), updates, outstanding }
     }
 }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -20,12 +20,13 @@
     Change, ChangeKind, Entry, Key, KeyRange, KeyValue, KeyValueClient, KeyValueRevision,
     PlatformClient, PlatformError, PlatformErrorKind, StoreEra, Value, WatchOutcome, WatchRequest,
 };
-use yuccapass_types::{Deadline, Instant};
+use yuccapass_types::{Bytes, Deadline, Instant};
 
 pub(crate) use self::listing::read_all;
 use self::listing::{Listing, PAGE_TIMEOUT_MS};
 use self::mirror::Mirror;
 pub(crate) use self::settings::start;
+use crate::metrics::ChangePath;
 use crate::relay::{NextRead, RelayedChanges, Subscription, keys_topic};
 use crate::state::Shared;
 
@@ -55,6 +56,9 @@
 /// Timeout for reading one page in that time, after which the node looks for a relay again.
 const LED_PAGE_TIMEOUT_MS: u64 = 1_000;
 
+/// Size from which what was read is logged.
+const LOGGED_READ: Bytes = Bytes::new(16 << 10);
+
 /// Handles the entries and changes of a watched prefix.
 pub(crate) trait WatchHandler: Send + Sync {
     /// Handles the complete list of entries.
@@ -231,6 +235,8 @@
             self.handler.lost();
             self.record_recovery(self.shared.now());
         }
+        let sizes = entries.iter().map(entry_size);
+        self.record_read(ChangePath::FromOrigin, sizes, sent_at, revision);
         self.handler.replace(&entries);
         self.handler.confirmed(sent_at);
         self.handler.record_known_until(sent_at);
@@ -290,6 +296,8 @@
             }
         };
         if !changes.is_empty() {
+            let sizes = changes.iter().map(change_size);
+            self.record_read(ChangePath::FromOrigin, sizes, sent_at, newest);
             self.handler.change(&changes);
         }
         self.handler.confirmed(sent_at);
@@ -368,18 +376,42 @@
             .flatten()
             .filter_map(|item| change_of(item, relayed.epoch))
             .collect();
+        let end = KeyValueRevision::new(relayed.end).in_era(StoreEra::new(relayed.epoch));
         if !changes.is_empty() {
+            let sizes = changes.iter().map(change_size);
+            self.record_read(ChangePath::FromRelay, sizes, relayed.confirmed_at, end);
             self.handler.change(&changes);
         }
         self.handler.confirmed(relayed.confirmed_at);
         self.handler.record_known_until(relayed.confirmed_at);
-        let era = StoreEra::new(relayed.epoch);
-        self.record_known(&changes, KeyValueRevision::new(relayed.end).in_era(era));
+        self.record_known(&changes, end);
         if let Some(subscription) = &self.subscription {
             self.shared.relay.set_position(subscription, relayed.epoch, relayed.end);
         }
     }
 
+    /// Records the sizes of entries or changes that were read, and logs them if a slow link needs long for
+    /// them. The origin confirmed at `confirmed_at` that there were no later ones.
+    fn record_read(
+        &self,
+        path: ChangePath,
+        sizes: impl ExactSizeIterator<Item = Bytes>,
+        confirmed_at: Instant,
+        revision: KeyValueRevision,
+    ) {
+        let count = sizes.len();
+        let size: Bytes = sizes.sum();
+        let prefix = self.settings.prefix.as_str();
+        self.shared.metrics.record_change_bytes(&keys_topic(prefix), path, size);
+        if size >= LOGGED_READ {
+            log::info!(
+                prefix, path = path.as_str(), count, bytes = size.get(), revision:%,
+                age_ms = self.shared.now().ms_since(confirmed_at);
+                "much was read"
+            );
+        }
+    }
+
     /// Publishes what was read after `from`, up to `to`, for the followers of this node.
     fn publish(
         &mut self,
@@ -475,6 +507,17 @@
     OriginRead { epoch, from: from.get(), to: to.get(), items, sent_at, clock_ms: None }
 }
 
+fn entry_size(entry: &Entry) -> Bytes {
+    Bytes::new((entry.key.as_str().len() + entry.value.as_bytes().len()) as u64)
+}
+
+fn change_size(change: &Change) -> Bytes {
+    match &change.kind {
+        ChangeKind::Put(entry) => entry_size(entry),
+        ChangeKind::Deleted(key) => Bytes::new(key.as_str().len() as u64),
+    }
+}
+
 /// Converts a change for the followers of this node.
 fn relay_item(change: &Change) -> (u64, RelayItem) {
     let (key, value) = changed_entry(change);
--- a/crates/gateway/src/watch/settings.rs
+++ b/crates/gateway/src/watch/settings.rs
@@ -145,12 +145,14 @@
 }
 
 impl OperatorHandler {
-    fn apply(&self, change: EntryChange, revision: KeyValueRevision) {
+    /// Applies a change whose decoding began at `began_at`.
+    fn apply(&self, change: EntryChange, revision: KeyValueRevision, began_at: Instant) {
         match change {
             EntryChange::Configuration(configuration) => {
                 let revision = configuration.revision();
                 if self.shared.offer_configuration(*configuration) {
-                    log::info!(revision = revision.get(); "configuration activated");
+                    let spent_ms = self.shared.now().ms_since(began_at);
+                    log::info!(revision = revision.get(), spent_ms; "configuration activated");
                 }
             }
             EntryChange::Evacuation { zone, is_evacuated } => {
@@ -211,12 +213,13 @@
         let mut evacuated: Vec<ZoneId> = Vec::new();
         let mut orders = Vec::new();
         for entry in entries {
+            let began_at = self.shared.now();
             match decode(&*self.entry_decoder, (&entry.key, Some(&entry.value)), now) {
                 Ok(EntryChange::Evacuation { zone, .. }) => evacuated.push(zone),
                 Ok(EntryChange::Rollout { service, request: Some(request) }) => {
                     orders.push((service, RolloutOrderId::new(entry.mod_revision.get()), request));
                 }
-                Ok(change) => self.apply(change, entry.mod_revision),
+                Ok(change) => self.apply(change, entry.mod_revision, began_at),
                 Err(_) => {}
             }
         }
@@ -226,10 +229,9 @@
 
     fn change(&self, changes: &[Change]) {
         for change in changes {
-            if let Ok(decoded) =
-                decode(&*self.entry_decoder, changed_entry(change), self.shared.now())
-            {
-                self.apply(decoded, change.revision);
+            let began_at = self.shared.now();
+            if let Ok(decoded) = decode(&*self.entry_decoder, changed_entry(change), began_at) {
+                self.apply(decoded, change.revision, began_at);
             }
         }
     }
