relays: large values are passed on as differences, in pieces

Callers saw routes of a confirmed configuration refused, and others handled by an older version, for 20 s. Cause: a reply of a relay has room for 56 KB. A configuration that is larger was left out, and each follower read all of it from the key-value service: 33 nodes of a zone 10 MB of values for each version, over the link that all nodes of their region share. What was then too slow was cut off and asked for again (a fault of its own). Ruled out: processor time (a configuration of 311 KB is decoded and indexed in 2 to 22 ms); other topics before it. Change: a relay holds values of 4 KB and more by their digests and sends references. A follower that lacks the value asks its relay for it in pieces of 16 KB; it is encoded as the difference from the value that the follower has. References to replaced values are left out, and the log of a relay no longer keeps the values of 512 changes. A follower goes on waiting while pieces arrive, and reads from the service if the relay does not send them. Relays still read the whole value.

--- a/crates/decisions/src/gateway/relay/mod.rs
+++ b/crates/decisions/src/gateway/relay/mod.rs
@@ -8,6 +8,8 @@
 //!
 //! * [`RelayTopics`] is what a node has read from its origins, and its answers to followers.
 //! * [`ChangeLog`] has the recent changes that a relay has read from an origin.
+//! * [`HeldValues`] has the large values that a node knows. A relay sends references to them.
+//! * [`EncodedValues`] and [`ValueTransfer`] are the two ends of the transfer of such a value.
 //! * [`RelaySources`] decides whether a node reads from the origin or follows a relay.
 //! * [`EraStep`] decides what a follower does when its relay reads another era of the key-value service.
 //! * [`OutageEnds`] decides which outages that relays report are those of the origin.
@@ -19,19 +21,25 @@
 //! lost on the way.
 
 mod eras;
+mod held_values;
 mod log;
 mod outage_ends;
 mod sources;
 mod topics;
+mod value_transfer;
 
 use smol_str::SmolStr;
 use yuccapass_types::{Bytes, Instant};
 
 pub use eras::EraStep;
+pub use held_values::{HeldValues, LARGE_VALUE, RelayedReference, ValueDigest};
 pub use log::ChangeLog;
 pub use outage_ends::OutageEnds;
 pub use sources::{ChangeSource, RelaySources, is_relayed, relay_count, relays};
 pub use topics::{Crossing, OriginRead, RelayTopics, TopicClass, TopicRequest, TopicUpdate};
+pub use value_transfer::{
+    EncodedValues, MAX_PIECE, TransferStep, ValuePiece, ValueRequest, ValueTransfer,
+};
 
 use super::part_store::PartEvent;
 
@@ -51,6 +59,8 @@
 pub enum RelayItem {
     /// A change in the key-value service.
     Entry(RelayedEntry),
+    /// A change in the key-value service to a large value, which the follower may hold or ask for.
+    Reference(RelayedReference),
     /// A change of the contents of a store of prompt parts.
     Part(PartEvent),
 }
@@ -60,6 +70,7 @@
     pub fn size(&self) -> Bytes {
         let bytes = match self {
             Self::Entry(entry) => entry.key.len() + entry.value.as_ref().map_or(0, Vec::len),
+            Self::Reference(reference) => reference.key.len(),
             Self::Part(event) => event.namespace.as_str().len() + event.part.as_str().len(),
         };
         // The lengths, numbers and tags of the fields take less than this.
--- a/crates/decisions/src/gateway/relay/topics.rs
+++ b/crates/decisions/src/gateway/relay/topics.rs
@@ -3,6 +3,7 @@
 use smol_str::SmolStr;
 use yuccapass_types::{Bytes, Instant, SortedMap};
 
+use super::held_values::without_replaced;
 use super::log::ChangeLog;
 use super::{RelayItem, confirmed_at};
 
@@ -169,6 +170,7 @@
     let mut keys: SortedMap<SmolStr, ()> = SortedMap::new();
     let mut is_newest = |item: &RelayItem| match item {
         RelayItem::Entry(entry) => keys.insert(entry.key.clone(), ()).is_none(),
+        RelayItem::Reference(reference) => keys.insert(reference.key.clone(), ()).is_none(),
         RelayItem::Part(_) => true,
     };
     let mut newest: Vec<(u64, &RelayItem)> = changes
@@ -298,7 +300,7 @@
     ) -> Option<TopicUpdate> {
         let topic = self.topics.get(&request.topic).filter(|topic| !topic.is_lost)?;
         let after = topic.known_position(request);
-        let items = topic.changes(request, self.class(&request.topic));
+        let items = topic.changes(request, self.class(&request.topic)).map(without_replaced);
         let size: Bytes = items.iter().flatten().map(RelayItem::size).sum();
         let items = items.filter(|_| size <= *budget);
         if items.is_some() {
--- a/crates/decisions/tests/gateway_relay.rs
+++ b/crates/decisions/tests/gateway_relay.rs
@@ -411,7 +411,7 @@
         items
             .map(|item| match item {
                 RelayItem::Entry(entry) => entry.revision,
-                RelayItem::Part(_) => 0,
+                RelayItem::Reference(_) | RelayItem::Part(_) => 0,
             })
             .collect::<Vec<u64>>()
     };
@@ -506,7 +506,7 @@
         request.after = updates[0].end;
         keys.extend(items.into_iter().filter_map(|item| match item {
             RelayItem::Entry(entry) => Some((entry.revision, entry.key)),
-            RelayItem::Part(_) => None,
+            RelayItem::Reference(_) | RelayItem::Part(_) => None,
         }));
     }
 
--- a/crates/decisions/tests/relay_model/mod.rs
+++ b/crates/decisions/tests/relay_model/mod.rs
@@ -160,7 +160,7 @@
             .value
             .as_ref()
             .map(|value| u64::from_le_bytes(value.as_slice().try_into().unwrap())),
-        RelayItem::Part(_) => None,
+        RelayItem::Reference(_) | RelayItem::Part(_) => None,
     };
     items.filter_map(id).collect()
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -66,6 +66,7 @@
     caller_evictions: Gauge<u64>,
     platform_calls: Counter<u64>,
     change_bytes: Counter<u64>,
+    following: Gauge<u64>,
     nodes: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
@@ -220,6 +221,10 @@
                 "yuccapass_gateway_platform_calls",
                 "Calls to the platform's key-value service, by purpose.",
             ),
+            following: gauge(
+                "yuccapass_gateway_following",
+                "1 if this node gets changes from a relay of its zone, 0 if it reads them itself.",
+            ),
             change_bytes: counter(
                 "yuccapass_gateway_change_bytes",
                 "Bytes of changes, by topic and by the way they took.",
@@ -372,6 +377,11 @@
         self.platform_calls.add(1, &[KeyValue::new("purpose", purpose.as_str())]);
     }
 
+    /// Records whether this node follows a relay.
+    pub(crate) fn record_following(&self, is_following: bool) {
+        self.following.record(u64::from(is_following), &[]);
+    }
+
     /// Records the size of changes of a topic that this node has received or sent.
     pub(crate) fn record_change_bytes(&self, topic: &str, path: ChangePath, size: Bytes) {
         if size > Bytes::default() {
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -4,11 +4,15 @@
 use std::time::Duration;
 
 use async_std::task;
-use yuccapass_decisions::gateway::relay::{ChangeSource, RelaySources, TopicClass, TopicRequest};
+use yuccapass_decisions::gateway::relay::{
+    ChangeSource, RelayItem, RelaySources, TopicClass, TopicRequest,
+};
 use yuccapass_peers::{PeerMessage, PeerTransport, RelayReply, RelayRequest};
-use yuccapass_types::{Deadline, Instant, NodeId};
+use yuccapass_types::{Bytes, Deadline, Instant, NodeId};
 
 use super::room::SentSummary;
+use super::value_topic;
+use crate::metrics::ChangePath;
 use crate::state::Shared;
 
 /// Time after which a relay that does not reply is given up. It holds requests for at most 250 ms.
@@ -47,6 +51,7 @@
 
 fn set_following(shared: &Shared, relay: Option<&NodeId>) {
     if shared.relay.set_following(relay.is_some()) {
+        shared.metrics.record_following(relay.is_some());
         let relay = relay.map_or("none", NodeId::as_str);
         log::info!(relay; "the source of changes has changed");
     }
@@ -64,16 +69,25 @@
         sent_at,
     });
     let topics = requests.iter().map(|(request, _)| request.clone()).collect();
-    let request = RelayRequest { topics, outstanding };
+    let value = shared.relay.values.next_request(relay);
+    let value_topic = value.as_ref().map(|request| value_topic(&request.key));
+    let request = RelayRequest { topics, outstanding, accepts_references: true, value };
     let message = PeerMessage::RelayRequest(request);
     let deadline = Deadline::after_ms(sent_at, CALL_TIMEOUT_MS);
     match transport.call(address, message, deadline).await {
         Ok(reply) => match reply.message {
-            PeerMessage::RelayReply(reply) => {
+            PeerMessage::RelayReply(mut reply) => {
+                if let Some(topic) = value_topic {
+                    let piece = reply.piece.take();
+                    let size = piece.as_ref().map_or(0, |piece| piece.bytes.len() as u64);
+                    let path = ChangePath::FromRelay;
+                    shared.metrics.record_change_bytes(&topic, path, Bytes::new(size));
+                    shared.relay.values.record_piece(piece);
+                }
                 if let (Some(sent), Some(room)) = (sent, &reply.outstanding) {
                     shared.zone_room.record_reply(shared, relay, (sent, reply.held_ms), room);
                 }
-                deliver(shared, requests, reply, sent_at)
+                deliver(shared, relay, requests, reply, sent_at)
             }
             _ => false,
         },
@@ -90,6 +104,7 @@
 /// do not count.
 fn deliver(
     shared: &Shared,
+    relay: &NodeId,
     requests: Vec<(TopicRequest, TopicClass)>,
     reply: RelayReply,
     sent_at: Instant,
@@ -102,7 +117,9 @@
         let is_urgent = class == TopicClass::Urgent;
         let is_recent = position.is_some_and(|position| {
             let update = updates.swap_remove(position);
-            shared.relay.deliver(request, update, (sent_at, reply.held_ms), now)
+            let size = update.items.iter().flatten().map(RelayItem::size).sum();
+            shared.metrics.record_change_bytes(&update.topic, ChangePath::FromRelay, size);
+            shared.relay.deliver(relay, request, update, (sent_at, reply.held_ms), now)
         });
         is_followable &= is_recent || !is_urgent;
     }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -4,13 +4,15 @@
 //! topic and publishes what it reads. While this node follows a relay, the task waits for the
 //! relay's updates instead. [`server`] answers followers from what was published, and [`client`]
 //! asks a relay for all topics at once. See `yuccapass_decisions::gateway::relay`. The same messages
-//! carry what the nodes of the zone have outstanding, see [`room`].
+//! carry what the nodes of the zone have outstanding, see [`room`], and the pieces of large values, see
+//! [`values`].
 //!
 //! [subscribes]: RelayTable::subscribe
 
 pub(crate) mod client;
 pub(crate) mod room;
 pub(crate) mod server;
+pub(crate) mod values;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -25,6 +27,8 @@
 };
 use yuccapass_types::{Bytes, Instant, NodeId, SortedMap};
 
+use self::values::{Resolution, ValueTable};
+
 /// Time without an update after which a task reads from the origin: a relay that does not reply is
 /// given up after 700 ms, and then another one is asked.
 const UPDATE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -60,23 +64,34 @@
     Relayed(RelayedChanges),
 }
 
+/// What the task of a topic gets from the task that follows a relay.
+enum Delivery {
+    /// Changes after the position of this request.
+    Changes(TopicRequest, RelayedChanges),
+    /// There are changes, and one of their values is on its way.
+    Transferring,
+    /// The relay does not send the changes.
+    Ended,
+}
+
 /// The topic of a task, and the updates for it.
 pub(crate) struct Subscription {
     topic: SmolStr,
     class: TopicClass,
-    updates: Receiver<Option<(TopicRequest, RelayedChanges)>>,
+    updates: Receiver<Delivery>,
 }
 
 struct Follower {
     position: TopicRequest,
     class: TopicClass,
     max_age_ms: u64,
-    updates: Sender<Option<(TopicRequest, RelayedChanges)>>,
+    updates: Sender<Delivery>,
 }
 
 /// The topics that this node reads or follows, and the nodes of its zone.
 #[derive(Default)]
 pub(crate) struct RelayTable {
+    pub(crate) values: ValueTable,
     read: Mutex<RelayTopics>,
     followers: Mutex<SortedMap<SmolStr, Follower>>,
     // Sorted by id; the nodes that accept connections of other nodes.
@@ -120,6 +135,7 @@
     pub(crate) fn publish(&self, subscription: &Subscription, read: OriginRead, now: Instant) {
         self.set_position(subscription, read.epoch, read.to);
         let has_news = !read.items.is_empty();
+        let read = OriginRead { items: self.values.refer(read.items), ..read };
         lock(&self.read).record_read(&subscription.topic, read, now);
         if subscription.class == TopicClass::Urgent && has_news {
             // Dropping the senders wakes the receivers.
@@ -136,6 +152,9 @@
         now: Instant,
     ) {
         self.set_position(subscription, read.epoch, read.to);
+        let changes = crossing.items.into_iter().map(|item| (read.to, item)).collect();
+        let items = self.values.refer(changes).into_iter().map(|(_, item)| item).collect();
+        let crossing = Crossing { items, ..crossing };
         lock(&self.read).record_crossing(&subscription.topic, read, crossing, now);
     }
 
@@ -165,12 +184,13 @@
         while self.is_following.load(Ordering::Acquire) {
             let receiving = subscription.updates.recv();
             match async_std::future::timeout(UPDATE_TIMEOUT, receiving).await {
-                Ok(Ok(Some((request, changes)))) => {
+                Ok(Ok(Delivery::Changes(request, changes))) => {
                     if (request.epoch, request.after) == (epoch, after) {
                         return NextRead::Relayed(changes);
                     }
                 }
-                Ok(Ok(None) | Err(_)) | Err(_) => break,
+                Ok(Ok(Delivery::Transferring)) => {}
+                Ok(Ok(Delivery::Ended) | Err(_)) | Err(_) => break,
             }
         }
         NextRead::Origin
@@ -234,16 +254,17 @@
         if was_following && !is_following {
             for follower in lock(&self.followers).values() {
                 // If the channel is full, the task wakes up anyway.
-                let _ = follower.updates.try_send(None);
+                let _ = follower.updates.try_send(Delivery::Ended);
             }
         }
         was_following != is_following
     }
 
-    /// Passes an update to the task of its topic; returns whether the relay may be followed: the update is
-    /// recent enough, and not of an era of the key-value service before that of this node.
+    /// Passes an update of a relay to the task of its topic; returns whether the relay may be followed: the
+    /// update is recent enough, and not of an era of the key-value service before that of this node.
     fn deliver(
         &self,
+        relay: &NodeId,
         request: TopicRequest,
         update: TopicUpdate,
         times: (Instant, u64),
@@ -252,28 +273,39 @@
         let (sent_at, held_ms) = times;
         let confirmed_at = update.confirmed_at(sent_at, held_ms);
         let outage_ended_at = update.outage_ended_at(sent_at, held_ms);
+        let (items, is_transferring) =
+            match update.items.map(|items| self.values.resolve(relay, items)) {
+                Some(Resolution::Ready(items)) => (Some(items), false),
+                Some(Resolution::Transferring) => (None, true),
+                Some(Resolution::Unavailable) | None => (None, false),
+            };
         let mut followers = lock(&self.followers);
         let Some(follower) = followers.get_mut(&request.topic) else { return true };
+        let has_items = items.is_some() || is_transferring;
         let era_step = match is_keys_topic(&request.topic) {
-            true => EraStep::of(request.epoch, update.epoch, update.items.is_some()),
+            true => EraStep::of(request.epoch, update.epoch, has_items),
             false => EraStep::Apply,
         };
         let is_recent = now.ms_since(confirmed_at) <= follower.max_age_ms;
         let is_usable = is_recent && era_step != EraStep::Refuse;
-        let is_for_task = update.items.is_some() || era_step == EraStep::ListAgain;
-        let changes = (is_usable && is_for_task).then(|| {
-            let changes = RelayedChanges {
-                epoch: update.epoch,
-                end: update.end,
-                items: update.items,
-                confirmed_at,
-                outage_ended_at,
-                clock_ms: update.clock_ms,
-            };
-            (request, changes)
-        });
+        let is_for_task = items.is_some() || era_step == EraStep::ListAgain;
+        let delivery = match (is_usable, is_transferring) {
+            (true, true) => Delivery::Transferring,
+            (true, false) if is_for_task => {
+                let changes = RelayedChanges {
+                    epoch: update.epoch,
+                    end: update.end,
+                    items,
+                    confirmed_at,
+                    outage_ended_at,
+                    clock_ms: update.clock_ms,
+                };
+                Delivery::Changes(request, changes)
+            }
+            _ => Delivery::Ended,
+        };
         // If the task has not taken the previous update yet, the next reply repeats this one.
-        let _ = follower.updates.try_send(changes);
+        let _ = follower.updates.try_send(delivery);
         is_usable
     }
 
@@ -281,11 +313,19 @@
     fn answer(
         &self,
         requests: &[TopicRequest],
+        accepts_references: bool,
         other_bytes: Bytes,
         now: Instant,
     ) -> Vec<TopicUpdate> {
         let limit = MAX_REPLY.saturating_sub(other_bytes);
-        lock(&self.read).answer_all(requests, limit, now)
+        let mut updates = lock(&self.read).answer_all(requests, limit, now);
+        if !accepts_references {
+            let is_reference = |item: &RelayItem| matches!(item, RelayItem::Reference(_));
+            for update in &mut updates {
+                update.items.take_if(|items| items.iter().any(is_reference));
+            }
+        }
+        updates
     }
 
     /// Returns a receiver that is closed when an urgent topic gets news, or `None` if one of the
@@ -313,6 +353,11 @@
     topic.starts_with(KEYS_TOPICS)
 }
 
+/// Returns the topic under which the bytes of a large value are counted.
+fn value_topic(key: &str) -> SmolStr {
+    smol_str::format_smolstr!("value:{key}")
+}
+
 /// Returns the topic of a store.
 pub(crate) fn store_topic(store: &str) -> SmolStr {
     smol_str::format_smolstr!("store:{store}")
--- a/crates/gateway/src/relay/room.rs
+++ b/crates/gateway/src/relay/room.rs
@@ -244,7 +244,12 @@
     let sum = lock(&shared.zone_room.room).sum_of_followers(&own, sent_at);
     let summary = shared.zone_room.summary(SummaryScope::Relay, relay, sum);
     let sent = SentSummary { scope: summary.scope, sequence: summary.sequence, sent_at };
-    let request = RelayRequest { topics: Vec::new(), outstanding: Some(summary) };
+    let request = RelayRequest {
+        topics: Vec::new(),
+        outstanding: Some(summary),
+        accepts_references: false,
+        value: None,
+    };
     let deadline = Deadline::after_ms(sent_at, RELAY_CALL_TIMEOUT_MS);
     let message = PeerMessage::RelayRequest(request);
     match transport.call(*address, message, deadline).await.map(|reply| reply.message) {
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -6,8 +6,9 @@
 use yuccapass_decisions::gateway::relay::RelayItem;
 use yuccapass_http::with_deadline;
 use yuccapass_peers::{PeerHandler, PeerMessage, RelayReply, RelayRequest, Sender};
-use yuccapass_types::Deadline;
+use yuccapass_types::{Bytes, Deadline};
 
+use super::value_topic;
 use crate::metrics::ChangePath;
 use crate::state::Shared;
 
@@ -45,19 +46,32 @@
         if let Some(summary) = request.outstanding {
             self.shared.zone_room.record_summary(&self.shared, from, summary);
         }
-        if let Some(news) = self.shared.relay.wait_for_news(&request.topics) {
+        let is_transferring = request.value.is_some();
+        if let Some(news) =
+            self.shared.relay.wait_for_news(&request.topics).filter(|_| !is_transferring)
+        {
             let limit = Deadline::after_ms(received_at, HOLD_MS);
             // The receiver only ever closes; both outcomes end the wait.
             let _ = with_deadline(&*self.shared.clock, limit, news.recv()).await;
         }
         let now = self.shared.now();
         let outstanding = scope.map(|scope| self.shared.zone_room.reply(&from.node, scope, now));
-        let other_bytes = outstanding.as_ref().map(|reply| reply.sum.size()).unwrap_or_default();
-        let updates = self.shared.relay.answer(&request.topics, other_bytes, now);
+        let piece =
+            request.value.as_ref().and_then(|request| self.shared.relay.values.piece(request));
+        let piece_size =
+            piece.as_ref().map_or(Bytes::default(), |piece| Bytes::new(piece.bytes.len() as u64));
+        if let Some(request) = &request.value {
+            let (topic, path) = (value_topic(&request.key), ChangePath::ToFollower);
+            self.shared.metrics.record_change_bytes(&topic, path, piece_size);
+        }
+        let room_size = outstanding.as_ref().map(|reply| reply.sum.size()).unwrap_or_default();
+        let other_bytes = [piece_size, room_size].into_iter().sum();
+        let updates =
+            self.shared.relay.answer(&request.topics, request.accepts_references, other_bytes, now);
         for update in &updates {
             let size = update.items.iter().flatten().map(RelayItem::size).sum();
             self.shared.metrics.record_change_bytes(&update.topic, ChangePath::ToFollower, size);
         }
-        RelayReply { held_ms: now.ms_since(received_at), updates, outstanding }
+        RelayReply { held_ms: now.ms_since(received_at), updates, outstanding, piece }
     }
 }
--- a/crates/gateway/src/stores.rs
+++ b/crates/gateway/src/stores.rs
@@ -260,7 +260,7 @@
     fn apply_relayed(&mut self, since: u64, changes: RelayedChanges) {
         let events = changes.items.into_iter().flatten().filter_map(|item| match item {
             RelayItem::Part(event) => Some(event),
-            RelayItem::Entry(_) => None,
+            RelayItem::Entry(_) | RelayItem::Reference(_) => None,
         });
         let answer = PartEvents {
             epoch: changes.epoch,
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -237,6 +237,7 @@
         }
         let sizes = entries.iter().map(entry_size);
         self.record_read(ChangePath::FromOrigin, sizes, sent_at, revision);
+        self.shared.relay.values.hold(&entries);
         self.handler.replace(&entries);
         self.handler.confirmed(sent_at);
         self.handler.record_known_until(sent_at);
@@ -402,7 +403,10 @@
         let count = sizes.len();
         let size: Bytes = sizes.sum();
         let prefix = self.settings.prefix.as_str();
-        self.shared.metrics.record_change_bytes(&keys_topic(prefix), path, size);
+        // What came from a relay was counted as it arrived.
+        if path == ChangePath::FromOrigin {
+            self.shared.metrics.record_change_bytes(&keys_topic(prefix), path, size);
+        }
         if size >= LOGGED_READ {
             log::info!(
                 prefix, path = path.as_str(), count, bytes = size.get(), revision:%,
--- a/crates/peers/src/convert/relay.rs
+++ b/crates/peers/src/convert/relay.rs
@@ -1,7 +1,10 @@
 //! Conversion of the messages between relays and their followers.
 
 use yuccapass_decisions::gateway::PartEvent;
-use yuccapass_decisions::gateway::relay::{RelayItem, RelayedEntry, TopicRequest, TopicUpdate};
+use yuccapass_decisions::gateway::relay::{
+    RelayItem, RelayedEntry, RelayedReference, TopicRequest, TopicUpdate, ValueDigest, ValuePiece,
+    ValueRequest,
+};
 use yuccapass_types::Tokens;
 
 use super::{check_count, parse_id, required};
@@ -9,7 +12,8 @@
 use crate::message::{RelayReply, RelayRequest};
 use crate::wire::{
     WirePartEvent, WireRelayChange, WireRelayItem, WireRelayItems, WireRelayReply,
-    WireRelayRequest, WireRelayedEntry, WireTopicRequest, WireTopicUpdate,
+    WireRelayRequest, WireRelayedEntry, WireRelayedReference, WireTopicRequest, WireTopicUpdate,
+    WireValuePiece, WireValueRequest,
 };
 
 /// Maximum number of topics in a message: the prefixes of the key-value service, and the stores of
@@ -23,7 +27,12 @@
             epoch: topic.epoch,
             after: topic.after,
         });
-        Self { topics: topics.collect(), outstanding: request.outstanding.map(Into::into) }
+        Self {
+            topics: topics.collect(),
+            outstanding: request.outstanding.map(Into::into),
+            accepts_references: request.accepts_references,
+            value: request.value.map(Into::into),
+        }
     }
 }
 
@@ -38,7 +47,9 @@
             after: topic.after,
         });
         let outstanding = wire.outstanding.map(TryInto::try_into).transpose()?;
-        Ok(Self { topics: topics.collect(), outstanding })
+        let value = wire.value.map(TryInto::try_into).transpose()?;
+        let accepts_references = wire.accepts_references;
+        Ok(Self { topics: topics.collect(), outstanding, accepts_references, value })
     }
 }
 
@@ -46,7 +57,8 @@
     fn from(reply: RelayReply) -> Self {
         let updates = reply.updates.into_iter().map(WireTopicUpdate::from).collect();
         let outstanding = reply.outstanding.map(Into::into);
-        Self { held_ms: reply.held_ms, updates, outstanding }
+        let piece = reply.piece.map(Into::into);
+        Self { held_ms: reply.held_ms, updates, outstanding, piece }
     }
 }
 
@@ -58,7 +70,8 @@
         let updates: Result<Vec<TopicUpdate>, DecodeError> =
             wire.updates.into_iter().map(TopicUpdate::try_from).collect();
         let outstanding = wire.outstanding.map(TryInto::try_into).transpose()?;
-        Ok(Self { held_ms: wire.held_ms, updates: updates?, outstanding })
+        let piece = wire.piece.map(TryInto::try_into).transpose()?;
+        Ok(Self { held_ms: wire.held_ms, updates: updates?, outstanding, piece })
     }
 }
 
@@ -107,6 +120,11 @@
                 value: entry.value,
                 revision: entry.revision,
             }),
+            RelayItem::Reference(reference) => WireRelayChange::Reference(WireRelayedReference {
+                key: reference.key.into(),
+                digest: reference.digest.as_bytes().to_vec(),
+                revision: reference.revision,
+            }),
             RelayItem::Part(event) => WireRelayChange::Part(WirePartEvent {
                 is_added: event.is_added,
                 namespace: event.namespace.to_string(),
@@ -128,6 +146,11 @@
                 value: entry.value,
                 revision: entry.revision,
             }),
+            WireRelayChange::Reference(reference) => Self::Reference(RelayedReference {
+                key: reference.key.into(),
+                digest: digest("digest", &reference.digest)?,
+                revision: reference.revision,
+            }),
             WireRelayChange::Part(event) => Self::Part(PartEvent {
                 is_added: event.is_added,
                 namespace: parse_id("namespace", &event.namespace)?,
@@ -137,3 +160,60 @@
         })
     }
 }
+
+impl From<ValueRequest> for WireValueRequest {
+    fn from(request: ValueRequest) -> Self {
+        Self {
+            key: request.key.into(),
+            digest: request.digest.as_bytes().to_vec(),
+            base: request.base.map(|base| base.as_bytes().to_vec()),
+            offset_bytes: request.offset_bytes,
+        }
+    }
+}
+
+impl TryFrom<WireValueRequest> for ValueRequest {
+    type Error = DecodeError;
+
+    fn try_from(wire: WireValueRequest) -> Result<Self, DecodeError> {
+        Ok(Self {
+            key: wire.key.into(),
+            digest: digest("digest", &wire.digest)?,
+            base: wire.base.map(|base| digest("base", &base)).transpose()?,
+            offset_bytes: wire.offset_bytes,
+        })
+    }
+}
+
+impl From<ValuePiece> for WireValuePiece {
+    fn from(piece: ValuePiece) -> Self {
+        Self {
+            digest: piece.digest.as_bytes().to_vec(),
+            base: piece.base.map(|base| base.as_bytes().to_vec()),
+            offset_bytes: piece.offset_bytes,
+            total_bytes: piece.total_bytes,
+            bytes: piece.bytes,
+        }
+    }
+}
+
+impl TryFrom<WireValuePiece> for ValuePiece {
+    type Error = DecodeError;
+
+    fn try_from(wire: WireValuePiece) -> Result<Self, DecodeError> {
+        Ok(Self {
+            digest: digest("digest", &wire.digest)?,
+            base: wire.base.map(|base| digest("base", &base)).transpose()?,
+            offset_bytes: wire.offset_bytes,
+            total_bytes: wire.total_bytes,
+            bytes: wire.bytes,
+        })
+    }
+}
+
+fn digest(field: &'static str, bytes: &[u8]) -> Result<ValueDigest, DecodeError> {
+    let bytes = bytes
+        .try_into()
+        .map_err(|_| DecodeError::new(field, format!("{} bytes instead of 16", bytes.len())))?;
+    Ok(ValueDigest::from_bytes(bytes))
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -3,6 +3,8 @@
 //! * [`PeerMessage`] is a message between nodes, built from the types of the decisions crate;
 //!   [`Frame`] adds the sender and is the unit that a connection carries.
 //! * [`PeerTransport`] sends messages; [`TcpTransport`] is its implementation over TCP.
+//! * [`ValueCodec`] encodes large values as the difference from earlier ones; [`ZstdCodec`] is its
+//!   implementation.
 //! * [`serve`] accepts connections and passes each message to a [`PeerHandler`].
 //!
 //! On the wire a frame is a length of four bytes followed by a protobuf message. Deadlines are sent
@@ -17,6 +19,7 @@
 mod local_node;
 mod message;
 mod transport;
+mod value_codec;
 mod wire;
 
 pub use counters::{PeerCounters, PeerTraffic};
@@ -28,3 +31,4 @@
     PermitRequest, RelayReply, RelayRequest, Sender,
 };
 pub use transport::{PeerReply, PeerTransport, TcpTransport, TransportConfig};
+pub use value_codec::{ValueCodec, ValueCodecError, ZstdCodec};
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use prost::Message;
-use yuccapass_decisions::gateway::relay::{TopicRequest, TopicUpdate};
+use yuccapass_decisions::gateway::relay::{TopicRequest, TopicUpdate, ValuePiece, ValueRequest};
 use yuccapass_decisions::gateway::zone_room::{OutstandingSummary, RoomReply};
 use yuccapass_decisions::membership::Heartbeat;
 use yuccapass_decisions::permits::{PermitId, PermitReply};
@@ -63,16 +63,21 @@
 }
 
 /// A request of a follower for the changes that a relay has read.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RelayRequest {
     /// What the follower knows of each topic.
     pub topics: Vec<TopicRequest>,
     /// What the follower has outstanding, if the nodes exchange it. Earlier versions ignore it.
     pub outstanding: Option<OutstandingSummary>,
+    /// Whether the reply may have references to large values. Followers of earlier versions read these from
+    /// the origin.
+    pub accepts_references: bool,
+    /// A piece of a value that the follower needs.
+    pub value: Option<ValueRequest>,
 }
 
 /// The reply of a relay.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RelayReply {
     /// Time from the receipt of the request to the reply, in milliseconds.
     pub held_ms: u64,
@@ -80,6 +85,8 @@
     pub updates: Vec<TopicUpdate>,
     /// What the other nodes have outstanding, if the request has a summary. Earlier versions send none.
     pub outstanding: Option<RoomReply>,
+    /// The piece, if the request asks for one and the relay has the value.
+    pub piece: Option<ValuePiece>,
 }
 
 /// A message between nodes.
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -221,6 +221,25 @@
     /// Absent if the sender does not exchange what it has outstanding.
     #[prost(message, optional, tag = "2")]
     pub(crate) outstanding: Option<WireOutstandingSummary>,
+    #[prost(bool, tag = "3")]
+    pub(crate) accepts_references: bool,
+    /// Absent if the sender needs no value.
+    #[prost(message, optional, tag = "4")]
+    pub(crate) value: Option<WireValueRequest>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireValueRequest {
+    #[prost(string, tag = "1")]
+    pub(crate) key: String,
+    /// 16 bytes.
+    #[prost(bytes = "vec", tag = "2")]
+    pub(crate) digest: Vec<u8>,
+    /// Absent if the sender holds no value of the key.
+    #[prost(bytes = "vec", optional, tag = "3")]
+    pub(crate) base: Option<Vec<u8>>,
+    #[prost(uint64, tag = "4")]
+    pub(crate) offset_bytes: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -289,6 +308,25 @@
     /// Absent if the request has no summary.
     #[prost(message, optional, tag = "3")]
     pub(crate) outstanding: Option<WireRoomReply>,
+    /// Absent if the request asks for no value, or the relay does not have it.
+    #[prost(message, optional, tag = "4")]
+    pub(crate) piece: Option<WireValuePiece>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireValuePiece {
+    /// 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) digest: Vec<u8>,
+    /// Absent if the value is encoded by itself.
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub(crate) base: Option<Vec<u8>>,
+    #[prost(uint64, tag = "3")]
+    pub(crate) offset_bytes: u64,
+    #[prost(uint64, tag = "4")]
+    pub(crate) total_bytes: u64,
+    #[prost(bytes = "vec", tag = "5")]
+    pub(crate) bytes: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -320,7 +358,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct WireRelayItem {
-    #[prost(oneof = "WireRelayChange", tags = "1, 2")]
+    #[prost(oneof = "WireRelayChange", tags = "1, 2, 3")]
     pub(crate) change: Option<WireRelayChange>,
 }
 
@@ -330,6 +368,19 @@
     Entry(WireRelayedEntry),
     #[prost(message, tag = "2")]
     Part(WirePartEvent),
+    #[prost(message, tag = "3")]
+    Reference(WireRelayedReference),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireRelayedReference {
+    #[prost(string, tag = "1")]
+    pub(crate) key: String,
+    /// 16 bytes.
+    #[prost(bytes = "vec", tag = "2")]
+    pub(crate) digest: Vec<u8>,
+    #[prost(uint64, tag = "3")]
+    pub(crate) revision: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -5,7 +5,10 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use yuccapass_decisions::gateway::PartEvent;
-use yuccapass_decisions::gateway::relay::{RelayItem, RelayedEntry, TopicRequest, TopicUpdate};
+use yuccapass_decisions::gateway::relay::{
+    RelayItem, RelayedEntry, RelayedReference, TopicRequest, TopicUpdate, ValueDigest, ValuePiece,
+    ValueRequest,
+};
 use yuccapass_decisions::gateway::zone_room::{
     EndpointKey, EndpointUse, OutstandingSum, OutstandingSummary, RoomReply, RoomStamp,
     SummaryScope,
@@ -130,11 +133,35 @@
         clock_ms: None,
         items,
     };
-    let items = vec![entry(None), entry(Some(body.to_vec())), part];
+    let digest = ValueDigest::of(body);
+    let reference =
+        RelayItem::Reference(RelayedReference { key: "op/b".into(), digest, revision: number });
+    let items = vec![entry(None), entry(Some(body.to_vec())), reference, part];
     let updates = vec![update(None), update(Some(Vec::new())), update(Some(items))];
     [
-        PeerMessage::RelayRequest(RelayRequest { topics: vec![request], outstanding: None }),
-        PeerMessage::RelayReply(RelayReply { held_ms: number, updates, outstanding: None }),
+        PeerMessage::RelayRequest(RelayRequest {
+            topics: vec![request],
+            outstanding: None,
+            accepts_references: true,
+            value: Some(ValueRequest {
+                key: "op/b".into(),
+                digest,
+                base: Some(digest),
+                offset_bytes: number,
+            }),
+        }),
+        PeerMessage::RelayReply(RelayReply {
+            held_ms: number,
+            updates,
+            outstanding: None,
+            piece: Some(ValuePiece {
+                digest,
+                base: None,
+                offset_bytes: number,
+                total_bytes: number,
+                bytes: body.to_vec(),
+            }),
+        }),
     ]
 }
 
@@ -150,10 +177,15 @@
     let stamp = RoomStamp { incarnation: Incarnation::new(number), at: Instant::from_ms(number) };
     let request = |scope, echo| {
         let outstanding = Some(OutstandingSummary::new(scope, number, echo, sum.clone()));
-        PeerMessage::RelayRequest(RelayRequest { topics: Vec::new(), outstanding })
+        PeerMessage::RelayRequest(RelayRequest {
+            topics: Vec::new(),
+            outstanding,
+            ..RelayRequest::default()
+        })
     };
     let outstanding = Some(RoomReply { stamp, sum: sum.clone() });
-    let reply = RelayReply { held_ms: number, updates: Vec::new(), outstanding };
+    let reply =
+        RelayReply { held_ms: number, updates: Vec::new(), outstanding, ..RelayReply::default() };
     vec![
         request(SummaryScope::Node, None),
         request(SummaryScope::Relay, Some(stamp)),
--- a/crates/peers/tests/zone_room.rs
+++ b/crates/peers/tests/zone_room.rs
@@ -67,12 +67,21 @@
 
 fn request(endpoints: usize, scope: SummaryScope) -> PeerMessage {
     let outstanding = OutstandingSummary::new(scope, 9_999, Some(stamp()), sum(endpoints, 2));
-    PeerMessage::RelayRequest(RelayRequest { topics: Vec::new(), outstanding: Some(outstanding) })
+    PeerMessage::RelayRequest(RelayRequest {
+        topics: Vec::new(),
+        outstanding: Some(outstanding),
+        ..RelayRequest::default()
+    })
 }
 
 fn reply(endpoints: usize) -> PeerMessage {
     let outstanding = Some(RoomReply { stamp: stamp(), sum: sum(endpoints, 200) });
-    PeerMessage::RelayReply(RelayReply { held_ms: 250, updates: Vec::new(), outstanding })
+    PeerMessage::RelayReply(RelayReply {
+        held_ms: 250,
+        updates: Vec::new(),
+        outstanding,
+        ..RelayReply::default()
+    })
 }
 
 /// Bytes of a message on the wire, with the length in front of its frame.
@@ -119,9 +128,14 @@
     let outstanding = None;
     assert_eq!(
         request,
-        PeerMessage::RelayRequest(RelayRequest { topics: Vec::new(), outstanding })
+        PeerMessage::RelayRequest(RelayRequest {
+            topics: Vec::new(),
+            outstanding,
+            ..RelayRequest::default()
+        })
     );
-    let reply_without = RelayReply { held_ms: 5, updates: Vec::new(), outstanding: None };
+    let reply_without =
+        RelayReply { held_ms: 5, updates: Vec::new(), outstanding: None, ..RelayReply::default() };
     assert_eq!(reply, PeerMessage::RelayReply(reply_without));
 }
 
@@ -129,7 +143,11 @@
 #[test]
 fn without_the_exchange_the_messages_are_those_of_earlier_versions() {
     // Arrange
-    let without = PeerMessage::RelayRequest(RelayRequest { topics: Vec::new(), outstanding: None });
+    let without = PeerMessage::RelayRequest(RelayRequest {
+        topics: Vec::new(),
+        outstanding: None,
+        ..RelayRequest::default()
+    });
     let earlier = EarlierFrame {
         node: "node-123".to_owned(),
         incarnation: 1_796_000_000_000,
@@ -169,8 +187,11 @@
     if nodes < MIN_NODES {
         return Cost::default();
     }
-    let empty =
-        size(PeerMessage::RelayRequest(RelayRequest { topics: Vec::new(), outstanding: None }));
+    let empty = size(PeerMessage::RelayRequest(RelayRequest {
+        topics: Vec::new(),
+        outstanding: None,
+        ..RelayRequest::default()
+    }));
     let periods_per_s = 1_000.0 / PERIOD_MS as f64;
     let relays = relay_count(nodes);
     // A follower's messages exist without the exchange, so their frames do not count.
