gateway: streams that go on are logged with their version

Cause: the logs do not tell whether a stream went on within an answer or was taken up by its caller, nor at which version of the software. Change: one line for each stream that goes on, with the event, the attempt that began it (Resumes) and the version of the endpoint; failed attempts are logged with the version too.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,7 +4,7 @@
 
 use yuccapass_decisions::gateway::next_step::next_step;
 use yuccapass_decisions::gateway::{AttemptFailure, AttemptSummary, NextStep, Refusal};
-use yuccapass_types::{Deadline, EndpointId, ResultCode};
+use yuccapass_types::{Deadline, EndpointId, RequestId, ResultCode, SoftwareVersion};
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
@@ -80,6 +80,7 @@
             return refuse(shared, request, answer, no_endpoint_refusal(&attempts)).await;
         };
         log_region_bound(shared, request, &target);
+        log_resumption(request, &target, &events);
         attempts.tried.push(target.id.clone());
         let limit = attempt_limit(shared, request, &attempts);
         let failed = match attempt(shared, request, &target, limit, &mut events, answer).await {
@@ -247,6 +248,21 @@
     );
 }
 
+/// Logs at which version of the software a stream goes on.
+fn log_resumption(request: &Admitted<'_>, target: &Target, events: &EventSplitter) {
+    let caller = request.caller;
+    let Some(event) = events.last_id().or(caller.resume_after.as_ref()) else { return };
+    log::info!(
+        request_id = caller.id.as_str(),
+        resumed = caller.resumed.as_ref().map(RequestId::as_str),
+        after_event = event.as_str(),
+        is_within_answer = events.last_id().is_some(),
+        endpoint = target.id.as_str(),
+        software = target.record.software.as_ref().map(SoftwareVersion::as_str);
+        "a stream goes on"
+    );
+}
+
 fn log_attempt(
     shared: &Shared,
     request: &Admitted<'_>,
@@ -260,6 +276,7 @@
         request_id = request.caller.id.as_str(),
         route = request.route.id.as_str(),
         endpoint = target.id.as_str(),
+        software = target.record.software.as_ref().map(SoftwareVersion::as_str),
         attempt = attempts.tried.len(),
         failure:? = failed.failure,
         detail = failed.detail.as_str(),
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -13,7 +13,7 @@
 use yuccapass_platform::{Key, Value};
 use yuccapass_types::{
     CacheNamespace, EndpointId, FencingNumber, Instant, KeyHash, ModelId, NodeId, OrganisationId,
-    PromptPartId, ServiceId, SoftwareVersion, Tokens, WeightRevision, ZoneId,
+    PromptPartId, RequestId, ServiceId, SoftwareVersion, Tokens, WeightRevision, ZoneId,
 };
 
 /// The contents of the head of a caller's request.
@@ -31,6 +31,8 @@
     pub parts: Vec<PromptPart>,
     /// Id of the event after which a stream is to continue.
     pub resume_after: Option<SmolStr>,
+    /// The caller's id for the attempt that brought the first event of that stream.
+    pub resumed: Option<RequestId>,
     /// Length of the prompt.
     pub prompt_tokens: Option<Tokens>,
     /// Maximum length of the output.
