gateway: a stream that breaks goes on at its version only

Callers got streams whose first part came from one software version of a service and the rest from another (ORDER). Cause: after a break, the choice of the next endpoint within the answer did not ask for the version that had begun the stream. EndpointRecord::software was used by roll-outs only. Change: a request knows the version of the endpoint that brought its first event, and only endpoints with that version are chosen from then on. Without one the answer is broken off, as after any break.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,15 +1,16 @@
 //! Checks a caller's request against the configuration.
 
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use yuccapass_decisions::gateway::{
-    AllowedRegions, Configuration, KeyVerdict, Priority, Refusal, Route,
+    AllowedRegions, Configuration, EndpointRecord, KeyVerdict, Priority, Refusal, Route,
 };
 use yuccapass_http::message::RequestHead;
 use yuccapass_types::{
-    Deadline, Instant, ModelId, OrganisationId, ResultCode, Revision, ServiceId, ZoneId,
+    Deadline, Instant, ModelId, OrganisationId, ResultCode, Revision, ServiceId, SoftwareVersion,
+    ZoneId,
 };
 
 use crate::caller_memory::CallerClaim;
@@ -65,6 +66,8 @@
     pub(crate) priority: Priority,
     // The regions in which it may be served, by the configuration that admitted it.
     regions: AllowedRegions,
+    // The version of the software that began the stream, once it has begun.
+    software: OnceLock<Option<SoftwareVersion>>,
     /// Requests a second that a cold endpoint of the service can handle.
     pub(crate) cold_requests_per_s: f64,
     /// Whether the endpoints of the service are model engines.
@@ -114,6 +117,17 @@
         regions.may_be_used(shared) && regions.allowed.contains(shared.directory().region(zone))
     }
 
+    /// Returns whether an endpoint may go on with the stream: it has the version of the software that began
+    /// it, or the stream has not begun.
+    pub(crate) fn may_go_on_at(&self, record: &EndpointRecord) -> bool {
+        self.software.get().is_none_or(|software| *software == record.software)
+    }
+
+    /// Records that the stream begins at an endpoint.
+    pub(crate) fn begin_stream(&self, record: &EndpointRecord) {
+        self.software.get_or_init(|| record.software.clone());
+    }
+
     /// Returns whether the request is refused because it, or a part of its prompt, crashes endpoints.
     pub(crate) fn is_blocked(&self, shared: &Shared) -> bool {
         is_blocked(shared, self.message, self.caller, self.organisation)
@@ -173,6 +187,7 @@
         is_isolated: organisation.is_some_and(|(_, organisation)| organisation.is_isolated),
         priority: combined_priority(organisation_priority, route.priority),
         regions,
+        software: OnceLock::new(),
         arrived_at: request.arrived_at,
         deadline: Deadline::after_ms(request.arrived_at, wait_ms),
     })
--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -52,7 +52,9 @@
     let (now, nodes) = (shared.now(), shared.nodes());
     let directory = shared.directory();
     let eligible = directory.eligible(request.service, &request.regions(shared).allowed);
-    eligible.iter().any(|(id, record)| shared.notices.may_send(id, record, nodes, now))
+    eligible.iter().any(|(id, record)| {
+        request.may_go_on_at(record) && shared.notices.may_send(id, record, nodes, now)
+    })
 }
 
 /// Chooses an endpoint that was not tried yet, takes another request of this node, and has a version to
@@ -115,6 +117,7 @@
         .iter()
         .copied()
         .filter(|(id, record)| versions.allows(id, record))
+        .filter(|(_, record)| request.may_go_on_at(record))
         .filter(|(id, _)| !tried.contains(id))
         .filter(|(_, record)| !is_overdue(record))
         .filter(|(id, record)| shared.notices.may_send(id, record, nodes, now))
