gateway: a stream is taken up at the version that began it, or refused

Cause: the node to which a caller comes back does not know the version that began the stream, nor, on a split route, the service. What the first node knew is gone with it, and after a replacement a node that starts does not even know that another version existed. Change: each node records the streams that it begins. While several versions may have begun streams, the record goes to two keepers of the zone before the first event does (one acknowledgement is awaited, for at most 150 ms), and the streams that run are handed over when a second version appears. A node asks the keepers for a stream that it does not know. The versions of a service are published in the key-value service when they appear, and for a minute after they have left, so that a node that starts knows them. With one version nothing is sent and nothing refused. Weighed: a write for each stream (too dear); a version computed from the request's id (a change of the shares would move streams that run, and an endpoint that fails could not be replaced by one of another version). After a kill of all nodes nobody keeps a record, so all take-ups are refused until then begun streams are over.

--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -179,6 +179,11 @@
         self.has_bound_prompts
     }
 
+    /// Returns the routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the services by id.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceId, &Service)> {
         self.services.iter()
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 //! * [`retry_share`]: this node's share of the retries that all nodes may make together.
 //! * [`settings_validity`]: how long a node may rely on the operators' settings that it has read.
 //! * [`store_polling`]: how often a store is polled for changes.
+//! * [`stream_origin`]: which version of a service's software began a stream.
 //! * [`swap`]: which endpoint takes new weights next.
 //! * [`target_bounds`]: when the bound of target weights ends that a node may have read late.
 //! * [`transfers`]: which prompt parts an endpoint fetches and saves.
@@ -54,6 +55,7 @@
 pub mod route;
 pub mod settings_validity;
 pub mod store_polling;
+pub mod stream_origin;
 pub mod swap;
 mod takeover;
 pub mod target_bounds;
@@ -93,6 +95,7 @@
 pub use route::{Priority, PromptPart, Route, RouteKind, WeightedService};
 pub use settings_validity::{SettingsBounds, SettingsValidity};
 pub use store_polling::StorePollSettings;
+pub use stream_origin::{SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, keepers};
 pub use swap::{EngineReport, SwapLimits, SwapPlan, SwapStep, candidate_delay_ms};
 pub use takeover::{Handover, Takeover};
 pub use target_bounds::{TargetBounds, TargetDeadlines};
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use yuccapass_decisions::gateway::{
-    AllowedRegions, Configuration, EndpointRecord, KeyVerdict, Priority, Refusal, Route,
+    AllowedRegions, Configuration, EndpointRecord, KeyVerdict, Priority, Refusal, Route, RouteKind,
+    StreamOrigin, StreamRecord,
 };
 use yuccapass_http::message::RequestHead;
 use yuccapass_types::{
@@ -123,9 +124,17 @@
         self.software.get().is_none_or(|software| *software == record.software)
     }
 
-    /// Records that the stream begins at an endpoint.
-    pub(crate) fn begin_stream(&self, record: &EndpointRecord) {
-        self.software.get_or_init(|| record.software.clone());
+    /// Records the stream before its first event goes out, if its caller may take it up later.
+    pub(crate) async fn begin_stream(&self, shared: &Shared, record: &EndpointRecord) {
+        if self.route.kind != (RouteKind::Streaming { is_resumable: true }) {
+            return;
+        }
+        let software = self.software.get_or_init(|| record.software.clone()).clone();
+        let id = self.caller.resumed.clone().or_else(|| self.caller.id.parse().ok());
+        if let Some(id) = id {
+            let origin = StreamOrigin { service: self.service.clone(), software };
+            shared.streams.begin(shared, StreamRecord { id, origin }).await;
+        }
     }
 
     /// Returns whether the request is refused because it, or a part of its prompt, crashes endpoints.
@@ -144,6 +153,7 @@
     configuration: &'a Arc<Configuration>,
     request: &'a ReadRequest,
     caller: &'a CallerRequest,
+    origin: Option<&StreamOrigin>,
 ) -> Result<Admitted<'a>, Refusal> {
     let head = &request.head;
     let route = configuration
@@ -169,8 +179,19 @@
     if !may_be_used(shared, &regions) {
         return Err(Refusal::not_run(ResultCode::PlatformUnavailable));
     }
-    let service =
-        route.service_for(rand::random()).ok_or(Refusal::not_run(ResultCode::ServiceNotFound))?;
+    let goes_on = caller.resume_after.is_some()
+        && route.kind == (RouteKind::Streaming { is_resumable: true });
+    let (service, software) = match goes_on {
+        true => {
+            let (service, software) = resumed_service(shared, route, origin)
+                .ok_or(Refusal::without_retry(503, ResultCode::StreamOriginUnknown))?;
+            (service, OnceLock::from(software))
+        }
+        false => {
+            let service = route.service_for(rand::random());
+            (service.ok_or(Refusal::not_run(ResultCode::ServiceNotFound))?, OnceLock::new())
+        }
+    };
     let wait_ms = caller.wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let organisation_priority = organisation.and_then(|(_, organisation)| organisation.priority);
     let spec = configuration.service(service);
@@ -187,12 +208,29 @@
         is_isolated: organisation.is_some_and(|(_, organisation)| organisation.is_isolated),
         priority: combined_priority(organisation_priority, route.priority),
         regions,
-        software: OnceLock::new(),
+        software,
         arrived_at: request.arrived_at,
         deadline: Deadline::after_ms(request.arrived_at, wait_ms),
     })
 }
 
+/// Returns the service and the version of its software that go on with a stream, or `None` if several may have
+/// begun it.
+fn resumed_service<'a>(
+    shared: &Shared,
+    route: &'a Route,
+    origin: Option<&StreamOrigin>,
+) -> Option<(&'a ServiceId, Option<SoftwareVersion>)> {
+    let mut services =
+        route.services.iter().filter(|part| part.weight > 0).map(|part| &part.service);
+    if let Some(origin) = origin {
+        let service = services.find(|service| **service == origin.service)?;
+        return Some((service, origin.software.clone()));
+    }
+    let service = services.next().filter(|_| services.next().is_none())?;
+    Some((service, shared.streams.sole_version(shared, service)?))
+}
+
 fn may_be_used(shared: &Shared, regions: &AllowedRegions) -> bool {
     !regions.is_bound() || shared.settings_validity().are_regions_valid(shared.now())
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -604,7 +604,7 @@
         }
         has_begun = true;
         if !answer.has_begun() {
-            request.begin_stream(&target.record);
+            request.begin_stream(shared, &target.record).await;
             shared.metrics.record_first_event(request, shared.now());
             shared.waiting.record_first_event(request, sent_at, shared.now());
         }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -407,7 +407,11 @@
         let refusal = Refusal::not_run(ResultCode::PlatformUnavailable);
         return refuse(shared, request, &caller, refusal, answer).await;
     };
-    let admitted = match admit(shared, &configuration, request, &caller) {
+    let origin = match caller.resumed.as_ref().filter(|_| caller.resume_after.is_some()) {
+        Some(id) => shared.streams.find_origin(shared, id).await,
+        None => None,
+    };
+    let admitted = match admit(shared, &configuration, request, &caller, origin.as_ref()) {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(shared, request, &caller, refusal, answer).await,
     };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,8 @@
 //! this node's own requests to endpoints and stores; `watch` keeps the configuration and the directory
 //! up to date; `registration` maintains this node's entry in the key-value service, and `membership`
 //! reads those of the other nodes; `relay` passes changes on within a zone; `swap_leader` orders
-//! endpoints to take new weights; `rollouts` moves services to new versions of their software; `crashes`
+//! endpoints to take new weights; `rollouts` moves services to new versions of their software; `streams` knows which version began a stream;
+//! `crashes`
 //! finds requests that crash endpoints, `part_crashes` finds parts of prompts that do, and
 //! `crash_evidence` shares what is known about both.
 
@@ -51,6 +52,7 @@
 mod rollouts;
 mod state;
 mod stores;
+mod streams;
 mod swap_leader;
 mod waiting;
 mod watch;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,7 +24,7 @@
 use crate::state::{Placements, Shared};
 use crate::swap_leader::SwapLeader;
 use crate::{
-    crash_evidence, crashes, membership, part_crashes, readiness, rollouts, stores, watch,
+    crash_evidence, crashes, membership, part_crashes, readiness, rollouts, stores, streams, watch,
 };
 
 /// How long new requests are served after a stop signal: the load balancer sends some until it has
@@ -133,6 +133,7 @@
         watch::start(&shared, &adapter.key_value, &adapter.entry_decoder, &swap_leader);
         membership::start(&shared, &adapter.key_value, &swap_leader);
         crash_evidence::start(&shared, &adapter.key_value);
+        streams::published::start(&shared, &adapter.key_value);
         rollouts::start(&shared, &adapter.key_value, &adapter.status_encoder, &swap_leader);
         task::spawn(stores::poll_stores(
             Arc::clone(&shared),
@@ -189,6 +190,7 @@
     let local_node = Arc::new(LocalNode::new(sender, Arc::clone(&shared.clock)));
     let transport =
         Arc::new(TcpTransport::new(Arc::clone(&local_node), TransportConfig::default()));
+    shared.streams.set_transport(transport.clone());
     let handler = Arc::new(RelayHandler { shared: Arc::clone(shared) });
     let config = ListenerConfig::default().max_connections(shared.connection_shares().peers);
     let shared = Arc::clone(shared);
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -208,6 +208,12 @@
         is_relayed(nodes.len()) && relays(&nodes).contains(own)
     }
 
+    /// Returns whether this node is known to be one of those of its zone that read from origins, with or
+    /// without followers.
+    pub(crate) fn reads_from_origins(&self, own: &NodeId) -> bool {
+        relays(&self.node_ids()).contains(own)
+    }
+
     /// Returns whether the zone of this node has relays, and this node is none of them.
     pub(crate) fn has_relay_for(&self, own: &NodeId) -> bool {
         let nodes = self.node_ids();
@@ -231,11 +237,13 @@
         relays.iter().filter(|(id, _)| id > own).cloned().collect()
     }
 
-    fn node_ids(&self) -> Vec<NodeId> {
+    /// Returns the nodes of the zone, sorted.
+    pub(crate) fn node_ids(&self) -> Vec<NodeId> {
         lock(&self.nodes).iter().map(|(id, _)| id.clone()).collect()
     }
 
-    fn address(&self, node: &NodeId) -> Option<SocketAddr> {
+    /// Returns the address of a node of the zone for other nodes.
+    pub(crate) fn address(&self, node: &NodeId) -> Option<SocketAddr> {
         let nodes = lock(&self.nodes);
         let position = nodes.binary_search_by(|(id, _)| id.cmp(node)).ok()?;
         Some(nodes[position].1)
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -1,4 +1,4 @@
-//! Answers the followers of this node.
+//! Answers other nodes: the followers of this one, and those whose streams it keeps.
 
 use std::sync::Arc;
 
@@ -33,6 +33,13 @@
             PeerMessage::RelayRequest(request) => {
                 Some(PeerMessage::RelayReply(self.reply(&from, request).await))
             }
+            PeerMessage::KeepStreams(records) => {
+                self.shared.streams.keep(&self.shared, records);
+                Some(PeerMessage::StreamsKept)
+            }
+            PeerMessage::FindStream(id) => {
+                Some(PeerMessage::StreamFound(self.shared.streams.known_origin(&self.shared, &id)))
+            }
             // The gateway uses none of the other messages.
             _ => None,
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::relay::room::RoomTable;
 use crate::rollouts::RolloutTable;
 use crate::stores::StoreTable;
+use crate::streams::StreamTable;
 use crate::waiting::WaitingTable;
 
 /// The strategies for choosing endpoints.
@@ -52,6 +53,7 @@
     pub(crate) zone_room: RoomTable,
     pub(crate) waiting: WaitingTable,
     pub(crate) rollouts: RolloutTable,
+    pub(crate) streams: StreamTable,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
     configuration: RwLock<ConfigurationHolder>,
@@ -101,6 +103,7 @@
                 options.capabilities.limits_endpoint_memory,
             ),
             rollouts: RolloutTable::new(&options),
+            streams: StreamTable::default(),
             crashes: CrashTracker::new(options.node.clone(), options.incarnation),
             part_crashes: PartCrashTracker::default(),
             metrics,
--- /dev/null
+++ b/crates/gateway/src/streams/mod.rs
@@ -0,0 +1,196 @@
+//! Which version of a service's software began a stream, so that only that version goes on with it.
+//!
+//! A stream may be taken up by its caller at any node. Each node records the streams that it begins, and where
+//! several versions may serve, it gives the record to two [`keepers`] of its zone before the first event goes
+//! out. [`published`] makes the versions that may have begun streams known to nodes that start. See
+//! `yuccapass_decisions::gateway::stream_origin`.
+
+pub(crate) mod published;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+
+use async_std::channel::bounded;
+use async_std::task;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use yuccapass_decisions::gateway::{
+    RouteKind, SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, keepers,
+};
+use yuccapass_http::with_deadline;
+use yuccapass_peers::{MAX_STREAM_RECORDS, PeerMessage, PeerTransport};
+use yuccapass_types::{
+    Deadline, NodeId, RequestId, ServiceId, Sharded, SoftwareVersion, SortedMap,
+};
+
+use crate::state::Shared;
+
+/// Number of nodes that keep the record of a stream besides the one that begins it.
+const KEEPERS: usize = 2;
+
+/// Number of nodes that are asked for a stream. One more, because the nodes of a zone are read every 2 s, and
+/// a node that starts changes the order.
+const ASKED_KEEPERS: usize = 3;
+
+/// How long the first event of a stream waits for a keeper. Without one the stream stays unknown to others.
+const KEEP_TIMEOUT_MS: u64 = 150;
+
+/// How long the keepers of a stream are waited for when its caller takes it up.
+const FIND_TIMEOUT_MS: u64 = 300;
+
+/// The streams that this node has begun or keeps, and the versions that may have begun others.
+#[derive(Default)]
+pub(crate) struct StreamTable {
+    records: Sharded<StreamRecords>,
+    history: Mutex<SoftwareHistory>,
+    // Set once, if the node can call other nodes.
+    transport: OnceLock<Arc<dyn PeerTransport>>,
+}
+
+impl StreamTable {
+    /// Sets the connections to other nodes.
+    pub(crate) fn set_transport(&self, transport: Arc<dyn PeerTransport>) {
+        // A second call would be an error of the start, and change nothing.
+        let _ = self.transport.set(transport);
+    }
+
+    fn history(&self) -> MutexGuard<'_, SoftwareHistory> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps streams that another node has begun.
+    pub(crate) fn keep(&self, shared: &Shared, records: Vec<StreamRecord>) {
+        for record in records {
+            self.record(shared, record);
+        }
+    }
+
+    fn record(&self, shared: &Shared, record: StreamRecord) {
+        let now = shared.now();
+        let id = record.id.clone();
+        self.records.with(&id, |records| records.record(record, now));
+    }
+
+    /// Returns where a stream has begun, if this node has begun or keeps it.
+    pub(crate) fn known_origin(&self, shared: &Shared, id: &RequestId) -> Option<StreamOrigin> {
+        let now = shared.now();
+        self.records.with(id, |records| records.origin(id, now).cloned())
+    }
+
+    /// Returns where a stream has begun, if this node or one of its keepers knows it.
+    pub(crate) async fn find_origin(
+        &self,
+        shared: &Shared,
+        id: &RequestId,
+    ) -> Option<StreamOrigin> {
+        if let Some(origin) = self.known_origin(shared, id) {
+            return Some(origin);
+        }
+        let transport = self.transport.get()?;
+        let deadline = Deadline::after_ms(shared.now(), FIND_TIMEOUT_MS);
+        let mut calls: FuturesUnordered<_> = keepers_of(shared, id, ASKED_KEEPERS)
+            .into_iter()
+            .map(|(_, address)| {
+                transport.call(address, PeerMessage::FindStream(id.clone()), deadline)
+            })
+            .collect();
+        while let Some(reply) = calls.next().await {
+            if let Ok(PeerMessage::StreamFound(Some(origin))) = reply.map(|reply| reply.message) {
+                return Some(origin);
+            }
+        }
+        None
+    }
+
+    /// Records a stream before its first event goes out. Waits until a keeper has it, if another version may
+    /// have begun streams of the service.
+    pub(crate) async fn begin(&self, shared: &Shared, record: StreamRecord) {
+        let StreamOrigin { service, software } = &record.origin;
+        let is_sole = self.history().sole_version(service, shared.now()) == Some(software);
+        self.record(shared, record.clone());
+        let Some(transport) = self.transport.get().filter(|_| !is_sole) else { return };
+        let (kept, is_kept) = bounded(KEEPERS);
+        for (_, address) in keepers_of(shared, &record.id, KEEPERS) {
+            let (transport, kept) = (Arc::clone(transport), kept.clone());
+            let deadline = Deadline::after_ms(shared.now(), KEEP_TIMEOUT_MS);
+            let message = PeerMessage::KeepStreams(vec![record.clone()]);
+            task::spawn(async move {
+                match transport.call(address, message, deadline).await {
+                    // The receiver is gone once the first keeper has answered.
+                    Ok(_) => drop(kept.try_send(())),
+                    Err(error) => log::debug!(error:%; "a keeper of a stream did not answer"),
+                }
+            });
+        }
+        drop(kept);
+        let limit = Deadline::after_ms(shared.now(), KEEP_TIMEOUT_MS);
+        if with_deadline(&*shared.clock, limit, is_kept.recv()).await.is_err() {
+            log::info!(request_id = record.id.as_str(); "no keeper has a stream that begins");
+        }
+    }
+
+    /// Returns the version that has begun all streams of a service that are not known, or `None` if there may
+    /// be several.
+    pub(crate) fn sole_version(
+        &self,
+        shared: &Shared,
+        service: &ServiceId,
+    ) -> Option<Option<SoftwareVersion>> {
+        self.observe(shared, service);
+        self.history().sole_version(service, shared.now()).cloned()
+    }
+
+    /// Records the versions of a service that serve now.
+    fn observe(&self, shared: &Shared, service: &ServiceId) {
+        let directory = shared.directory();
+        let of_service = directory.endpoints().filter(|(_, record)| record.service == *service);
+        let serving = of_service.map(|(_, record)| record.software.clone());
+        self.history().observe(service, serving, shared.now());
+    }
+
+    /// Gives the records of a service to their keepers. Those from before a second version appeared have
+    /// not been given to any.
+    async fn hand_over(&self, shared: &Shared, service: &ServiceId) {
+        let Some(transport) = self.transport.get() else { return };
+        let now = shared.now();
+        let mut by_keeper: SortedMap<(NodeId, SocketAddr), Vec<StreamRecord>> = SortedMap::new();
+        let records = self.records.fold(Vec::new(), |mut all, records| {
+            all.extend(records.all(now).filter(|record| record.origin.service == *service));
+            all
+        });
+        for record in records {
+            for keeper in keepers_of(shared, &record.id, KEEPERS) {
+                by_keeper.get_or_insert_with(keeper, Vec::new).push(record.clone());
+            }
+        }
+        for ((_, address), records) in by_keeper.into_entries() {
+            for part in records.chunks(MAX_STREAM_RECORDS) {
+                let deadline = Deadline::after_ms(shared.now(), FIND_TIMEOUT_MS);
+                let message = PeerMessage::KeepStreams(part.to_vec());
+                if let Err(error) = transport.call(address, message, deadline).await {
+                    log::debug!(error:%; "a keeper did not take the streams that run");
+                }
+            }
+        }
+    }
+}
+
+/// Returns the other nodes of the zone that keep a stream.
+fn keepers_of(shared: &Shared, id: &RequestId, count: usize) -> Vec<(NodeId, SocketAddr)> {
+    let mut nodes = shared.relay.node_ids();
+    nodes.retain(|node| *node != shared.options.node);
+    let addressed = |node: NodeId| shared.relay.address(&node).map(|address| (node, address));
+    keepers(id, &nodes, count).into_iter().filter_map(addressed).collect()
+}
+
+/// Returns the services whose streams callers may take up. Sorted.
+fn resumable_services(shared: &Shared) -> Vec<ServiceId> {
+    let Some(configuration) = shared.configuration() else { return Vec::new() };
+    let is_resumable = |kind| kind == RouteKind::Streaming { is_resumable: true };
+    let routes = configuration.routes().filter(|route| is_resumable(route.kind));
+    let mut services: Vec<ServiceId> =
+        routes.flat_map(|route| &route.services).map(|part| part.service.clone()).collect();
+    services.sort();
+    services.dedup();
+    services
+}
--- a/crates/peers/src/convert/frame.rs
+++ b/crates/peers/src/convert/frame.rs
@@ -6,7 +6,9 @@
 use super::{parse_id, required};
 use crate::error::DecodeError;
 use crate::message::{Frame, PeerMessage, Sender};
-use crate::wire::{WireBody, WireFrame, WireOutcome};
+use crate::wire::{
+    WireBody, WireFrame, WireOutcome, WireStreamAnswer, WireStreamQuery, WireStreamsKept,
+};
 
 impl From<Frame> for WireFrame {
     fn from(frame: Frame) -> Self {
@@ -50,6 +52,12 @@
             PeerMessage::PermitReply(reply) => Self::PermitReply(reply.into()),
             PeerMessage::RelayRequest(request) => Self::RelayRequest(request.into()),
             PeerMessage::RelayReply(reply) => Self::RelayReply(reply.into()),
+            PeerMessage::KeepStreams(records) => Self::KeepStreams(records.into()),
+            PeerMessage::StreamsKept => Self::StreamsKept(WireStreamsKept {}),
+            PeerMessage::FindStream(id) => Self::FindStream(WireStreamQuery { id: id.to_string() }),
+            PeerMessage::StreamFound(origin) => {
+                Self::StreamFound(WireStreamAnswer { origin: origin.map(Into::into) })
+            }
         }
     }
 }
@@ -77,6 +85,12 @@
             WireBody::PermitReply(reply) => Self::PermitReply(reply.try_into()?),
             WireBody::RelayRequest(request) => Self::RelayRequest(request.try_into()?),
             WireBody::RelayReply(reply) => Self::RelayReply(reply.try_into()?),
+            WireBody::KeepStreams(records) => Self::KeepStreams(records.try_into()?),
+            WireBody::StreamsKept(_) => Self::StreamsKept,
+            WireBody::FindStream(query) => Self::FindStream(parse_id("id", &query.id)?),
+            WireBody::StreamFound(answer) => {
+                Self::StreamFound(answer.origin.map(TryInto::try_into).transpose()?)
+            }
         })
     }
 }
--- a/crates/peers/src/convert/mod.rs
+++ b/crates/peers/src/convert/mod.rs
@@ -6,6 +6,7 @@
 mod members;
 mod permits;
 mod relay;
+mod streams;
 mod votes;
 mod zone_room;
 
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -27,8 +27,8 @@
 pub use listener::{ListenerConfig, PeerHandler, serve};
 pub use local_node::LocalNode;
 pub use message::{
-    ConfigChunk, ConfigRequest, Frame, MAX_CHUNK_BYTES, MAX_FRAME_BYTES, PeerMessage, PermitAction,
-    PermitRequest, RelayReply, RelayRequest, Sender,
+    ConfigChunk, ConfigRequest, Frame, MAX_CHUNK_BYTES, MAX_FRAME_BYTES, MAX_STREAM_RECORDS,
+    PeerMessage, PermitAction, PermitRequest, RelayReply, RelayRequest, Sender,
 };
 pub use transport::{PeerReply, PeerTransport, TcpTransport, TransportConfig};
 pub use value_codec::{ValueCodec, ValueCodecError, ZstdCodec};
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -4,10 +4,11 @@
 use prost::Message;
 use yuccapass_decisions::gateway::relay::{TopicRequest, TopicUpdate, ValuePiece, ValueRequest};
 use yuccapass_decisions::gateway::zone_room::{OutstandingSummary, RoomReply};
+use yuccapass_decisions::gateway::{StreamOrigin, StreamRecord};
 use yuccapass_decisions::membership::Heartbeat;
 use yuccapass_decisions::permits::{PermitId, PermitReply};
 use yuccapass_decisions::quorum::{AttemptId, OutcomeState, VoteKey, VoteReply, VoteRequest};
-use yuccapass_types::{EndpointId, Incarnation, NodeId, Revision};
+use yuccapass_types::{EndpointId, Incarnation, NodeId, RequestId, Revision};
 
 use crate::error::DecodeError;
 use crate::wire::WireFrame;
@@ -18,6 +19,9 @@
 /// Largest frame, in bytes: an outcome or a chunk of 64 KB, and the other fields.
 pub const MAX_FRAME_BYTES: usize = MAX_CHUNK_BYTES + 4 * 1024;
 
+/// Maximum number of streams in a message; with the longest ids, a frame has room for them.
+pub const MAX_STREAM_RECORDS: usize = 256;
+
 /// A request for a part of a configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ConfigRequest {
@@ -126,6 +130,14 @@
     RelayRequest(RelayRequest),
     /// Reply to [`PeerMessage::RelayRequest`].
     RelayReply(RelayReply),
+    /// Streams that the sender has begun, for a keeper. Answered by [`PeerMessage::StreamsKept`].
+    KeepStreams(Vec<StreamRecord>),
+    /// Reply to [`PeerMessage::KeepStreams`].
+    StreamsKept,
+    /// Asks a keeper for a stream. Answered by [`PeerMessage::StreamFound`].
+    FindStream(RequestId),
+    /// Reply to [`PeerMessage::FindStream`]; `None` if the stream is not known.
+    StreamFound(Option<StreamOrigin>),
 }
 
 /// The process that sent a frame.
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -15,7 +15,7 @@
     pub(crate) call: u64,
     #[prost(uint64, tag = "4")]
     pub(crate) remaining_ms: u64,
-    #[prost(oneof = "WireBody", tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(oneof = "WireBody", tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
     pub(crate) body: Option<WireBody>,
 }
 
@@ -43,6 +43,53 @@
     RelayRequest(WireRelayRequest),
     #[prost(message, tag = "15")]
     RelayReply(WireRelayReply),
+    #[prost(message, tag = "16")]
+    KeepStreams(WireStreamRecords),
+    #[prost(message, tag = "17")]
+    StreamsKept(WireStreamsKept),
+    #[prost(message, tag = "18")]
+    FindStream(WireStreamQuery),
+    #[prost(message, tag = "19")]
+    StreamFound(WireStreamAnswer),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireStreamRecords {
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) records: Vec<WireStreamRecord>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireStreamRecord {
+    #[prost(string, tag = "1")]
+    pub(crate) id: String,
+    #[prost(message, optional, tag = "2")]
+    pub(crate) origin: Option<WireStreamOrigin>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireStreamOrigin {
+    #[prost(string, tag = "1")]
+    pub(crate) service: String,
+    /// Absent if the endpoint names no version.
+    #[prost(string, optional, tag = "2")]
+    pub(crate) software: Option<String>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireStreamsKept {}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireStreamQuery {
+    #[prost(string, tag = "1")]
+    pub(crate) id: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireStreamAnswer {
+    /// Absent if the stream is not known.
+    #[prost(message, optional, tag = "1")]
+    pub(crate) origin: Option<WireStreamOrigin>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -4,7 +4,6 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use yuccapass_decisions::gateway::PartEvent;
 use yuccapass_decisions::gateway::relay::{
     RelayItem, RelayedEntry, RelayedReference, TopicRequest, TopicUpdate, ValueDigest, ValuePiece,
     ValueRequest,
@@ -13,6 +12,7 @@
     EndpointKey, EndpointUse, OutstandingSum, OutstandingSummary, RoomReply, RoomStamp,
     SummaryScope,
 };
+use yuccapass_decisions::gateway::{PartEvent, StreamOrigin, StreamRecord};
 use yuccapass_decisions::membership::{
     CrashCount, Heartbeat, HeartbeatCounter, LoadSummary, OrganisationUsage, Row, RowState,
 };
@@ -25,7 +25,7 @@
     ConfigChunk, ConfigRequest, Frame, MAX_CHUNK_BYTES, PeerMessage, PermitAction, PermitRequest,
     RelayReply, RelayRequest, Sender,
 };
-use yuccapass_types::{Incarnation, Instant, Revision, Tokens, TokensPerSecond};
+use yuccapass_types::{Incarnation, Instant, RequestId, Revision, Tokens, TokensPerSecond};
 
 fn attempt(number: u64) -> AttemptId {
     AttemptId { node: "node-1".parse().unwrap(), incarnation: Incarnation::new(number), number }
@@ -107,9 +107,27 @@
     messages.extend(replies.map(PeerMessage::PermitReply));
     messages.extend(relay_messages(number, body));
     messages.extend(zone_room_messages(number));
+    messages.extend(stream_messages(number));
     messages
 }
 
+/// Creates the messages about streams.
+fn stream_messages(number: u64) -> Vec<PeerMessage> {
+    let origin = |software: Option<&str>| StreamOrigin {
+        service: "ledger".parse().unwrap(),
+        software: software.map(|software| software.parse().unwrap()),
+    };
+    let id: RequestId = format!("r-{number}").parse().unwrap();
+    let record = |software| StreamRecord { id: id.clone(), origin: origin(software) };
+    vec![
+        PeerMessage::KeepStreams(vec![record(None), record(Some("v1.1"))]),
+        PeerMessage::StreamsKept,
+        PeerMessage::FindStream(id.clone()),
+        PeerMessage::StreamFound(None),
+        PeerMessage::StreamFound(Some(origin(Some("v1")))),
+    ]
+}
+
 /// Creates a request of a follower, and a reply with all kinds of items.
 fn relay_messages(number: u64, body: &[u8]) -> [PeerMessage; 2] {
     let topic = || "keys:op/".into();
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -106,6 +106,7 @@
     RequestBlocked = 2006, "request_blocked", "This request stopped what ran it several times, so it is held back for now.";
     Stopping = 2007, "stopping", "This server is stopping; please send the request again.";
     RetriesExhausted = 2008, "retries_exhausted", "Several attempts failed and no further one is possible just now.";
+    StreamOriginUnknown = 2009, "stream_origin_unknown", "It cannot be known what began this stream, so it cannot be continued.";
     EndpointFailed = 3001, "endpoint_failed", "What ran the request failed.";
     EndpointTimeout = 3002, "endpoint_timeout", "What ran the request did not answer in time.";
     StreamCut = 3003, "stream_cut", "The answer stopped before its end and could not be continued.";
--- a/crates/yuccapassd/src/fleet/peer_handler.rs
+++ b/crates/yuccapassd/src/fleet/peer_handler.rs
@@ -52,7 +52,11 @@
             | PeerMessage::VoteReply(_)
             | PeerMessage::PermitReply(_)
             | PeerMessage::RelayRequest(_)
-            | PeerMessage::RelayReply(_) => None,
+            | PeerMessage::RelayReply(_)
+            | PeerMessage::KeepStreams(_)
+            | PeerMessage::StreamsKept
+            | PeerMessage::FindStream(_)
+            | PeerMessage::StreamFound(_) => None,
         }
     }
 }
