streams: their origins outlast a kill of all nodes

Callers that took streams up after all nodes had been killed were refused, also where the version that began the stream still served. Cause: the records of streams were kept in memory only, and no node has a disk. Change: the nodes that read from origins keep the records of their zone. A keeper that starts reads the keys of its zone.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -134,6 +134,7 @@
         membership::start(&shared, &adapter.key_value, &swap_leader);
         crash_evidence::start(&shared, &adapter.key_value);
         streams::published::start(&shared, &adapter.key_value);
+        streams::saved::start(&shared, &adapter.key_value);
         rollouts::start(&shared, &adapter.key_value, &adapter.status_encoder, &swap_leader);
         task::spawn(stores::poll_stores(
             Arc::clone(&shared),
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -208,6 +208,11 @@
         is_relayed(nodes.len()) && relays(&nodes).contains(own)
     }
 
+    /// Returns the nodes of the zone that read from origins.
+    pub(crate) fn origin_readers(&self) -> Vec<NodeId> {
+        relays(&self.node_ids()).to_vec()
+    }
+
     /// Returns whether this node is known to be one of those of its zone that read from origins, with or
     /// without followers.
     pub(crate) fn reads_from_origins(&self, own: &NodeId) -> bool {
@@ -237,8 +242,7 @@
         relays.iter().filter(|(id, _)| id > own).cloned().collect()
     }
 
-    /// Returns the nodes of the zone, sorted.
-    pub(crate) fn node_ids(&self) -> Vec<NodeId> {
+    fn node_ids(&self) -> Vec<NodeId> {
         lock(&self.nodes).iter().map(|(id, _)| id.clone()).collect()
     }
 
--- a/crates/gateway/src/streams/mod.rs
+++ b/crates/gateway/src/streams/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! A stream may be taken up by its caller at any node. Each node records the streams that it begins, and where
 //! several versions may serve, it gives the record to two [`keepers`] of its zone before the first event goes
-//! out. [`published`] makes the versions that may have begun streams known to nodes that start. See
+//! out. These are among the nodes that read from origins. [`saved`] makes their records outlast them, and
+//! [`published`] makes the versions that may have begun streams known to nodes that start. See
 //! `yuccapass_decisions::gateway::stream_origin`.
 
 pub(crate) mod published;
+pub(crate) mod saved;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -32,6 +34,9 @@
 /// a node that starts changes the order.
 const ASKED_KEEPERS: usize = 3;
 
+/// Maximum number of records that wait to be saved. What is not saved stays known to its keepers only.
+const MAX_UNSAVED: usize = 2_048;
+
 /// How long the first event of a stream waits for a keeper. Without one the stream stays unknown to others.
 const KEEP_TIMEOUT_MS: u64 = 150;
 
@@ -43,6 +48,8 @@
 pub(crate) struct StreamTable {
     records: Sharded<StreamRecords>,
     history: Mutex<SoftwareHistory>,
+    // What this node keeps and has not saved.
+    unsaved: Mutex<Vec<StreamRecord>>,
     // Set once, if the node can call other nodes.
     transport: OnceLock<Arc<dyn PeerTransport>>,
 }
@@ -61,10 +68,26 @@
     /// Keeps streams that another node has begun.
     pub(crate) fn keep(&self, shared: &Shared, records: Vec<StreamRecord>) {
         for record in records {
-            self.record(shared, record);
+            self.record(shared, record.clone());
+            self.save_later(shared, record);
+        }
+    }
+
+    /// Notes that a record is to be saved, if this node may be a keeper.
+    fn save_later(&self, shared: &Shared, record: StreamRecord) {
+        if shared.relay.reads_from_origins(&shared.options.node) {
+            let mut unsaved = self.unsaved.lock().unwrap_or_else(PoisonError::into_inner);
+            if unsaved.len() < MAX_UNSAVED {
+                unsaved.push(record);
+            }
         }
     }
 
+    /// Takes the records that are to be saved.
+    fn take_unsaved(&self) -> Vec<StreamRecord> {
+        std::mem::take(&mut *self.unsaved.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     fn record(&self, shared: &Shared, record: StreamRecord) {
         let now = shared.now();
         let id = record.id.clone();
@@ -108,7 +131,11 @@
         let StreamOrigin { service, software } = &record.origin;
         let is_sole = self.history().sole_version(service, shared.now()) == Some(software);
         self.record(shared, record.clone());
-        let Some(transport) = self.transport.get().filter(|_| !is_sole) else { return };
+        if is_sole {
+            return;
+        }
+        self.save_later(shared, record.clone());
+        let Some(transport) = self.transport.get() else { return };
         let (kept, is_kept) = bounded(KEEPERS);
         for (_, address) in keepers_of(shared, &record.id, KEEPERS) {
             let (transport, kept) = (Arc::clone(transport), kept.clone());
@@ -177,7 +204,7 @@
 
 /// Returns the other nodes of the zone that keep a stream.
 fn keepers_of(shared: &Shared, id: &RequestId, count: usize) -> Vec<(NodeId, SocketAddr)> {
-    let mut nodes = shared.relay.node_ids();
+    let mut nodes = shared.relay.origin_readers();
     nodes.retain(|node| *node != shared.options.node);
     let addressed = |node: NodeId| shared.relay.address(&node).map(|address| (node, address));
     keepers(id, &nodes, count).into_iter().filter_map(addressed).collect()
