gateway: streams that go on come before new ones of their organisation

Cause: a stream that goes on had the priority of a new one. Its caller has less time left, and its prompt has to be read again, so it lost to new ones at endpoints that are full. Change: a stream that goes on has the priority of the most urgent route of its organisation. Weighed: the most urgent priority of all (the same result, but it would go before more urgent organisations).

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -23,6 +23,9 @@
 /// fit into the ten priorities that engines support.
 const ROUTE_PRIORITIES: u8 = 3;
 
+/// The most urgent priority of a route.
+const MOST_URGENT: Priority = Priority::new(0);
+
 /// The least urgent priority that engines support.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -65,6 +68,9 @@
     pub(crate) organisation: Option<&'a OrganisationId>,
     pub(crate) is_isolated: bool,
     pub(crate) priority: Priority,
+    /// Its priority if it goes on with a stream: before all of its organisation that begin, since its caller has
+    /// waited already, has less time left and loses what it has.
+    pub(crate) resumed_priority: Priority,
     // The regions in which it may be served, by the configuration that admitted it.
     regions: AllowedRegions,
     // The version of the software that began the stream, once it has begun.
@@ -207,6 +213,7 @@
         organisation: organisation_id,
         is_isolated: organisation.is_some_and(|(_, organisation)| organisation.is_isolated),
         priority: combined_priority(organisation_priority, route.priority),
+        resumed_priority: combined_priority(organisation_priority, MOST_URGENT),
         regions,
         software,
         arrived_at: request.arrived_at,
--- a/crates/gateway/src/request_message.rs
+++ b/crates/gateway/src/request_message.rs
@@ -44,11 +44,15 @@
         };
         shared.stores.plan(&directory, &transfer, shared.now())
     });
+    let priority = match resume_after {
+        Some(_) => request.resumed_priority,
+        None => request.priority,
+    };
     let forwarding = Forwarding {
         endpoint: &target.id,
         organisation: request.organisation,
         remaining_ms: request.deadline.remaining_ms(shared.now()),
-        priority: request.route.kind.is_streaming().then_some(request.priority),
+        priority: request.route.kind.is_streaming().then_some(priority),
         namespace: namespace.as_ref(),
         weights,
         transfers: transfers.as_ref(),
