watches: a wait at the service ends when a relay is followed

Followers that had just found a relay read a large configuration from the key-value service all the same. Cause: a watch that a node had sent before it followed a relay went on, for up to 1.8 s for the operator settings and 5 s for the endpoints, and brought the whole value of each change. Change: beginning to follow a relay ends the watches that wait; what they would bring comes from the relay.

--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -97,6 +97,8 @@
     // Sorted by id; the nodes that accept connections of other nodes.
     nodes: Mutex<Vec<(NodeId, SocketAddr)>>,
     is_following: AtomicBool,
+    // Wakes the tasks that wait at their origins when this node begins to follow a relay.
+    at_origins: Mutex<Vec<Sender<()>>>,
     // Wakes the requests of followers that wait for urgent changes.
     held_requests: Mutex<Vec<Sender<()>>>,
 }
@@ -196,6 +198,20 @@
         NextRead::Origin
     }
 
+    /// Waits until this node follows a relay.
+    pub(crate) async fn following(&self) {
+        let (sender, receiver) = bounded::<()>(1);
+        {
+            let mut at_origins = lock(&self.at_origins);
+            at_origins.retain(|waiting| !waiting.is_closed());
+            at_origins.push(sender);
+        }
+        if !self.is_following.load(Ordering::Acquire) {
+            // The receiver only ever closes.
+            let _ = receiver.recv().await;
+        }
+    }
+
     /// Replaces the nodes of the zone that accept connections of other nodes.
     pub(crate) fn replace_nodes(&self, mut nodes: Vec<(NodeId, SocketAddr)>) {
         nodes.sort();
@@ -269,6 +285,10 @@
     /// at once. Returns whether that has changed.
     fn set_following(&self, is_following: bool) -> bool {
         let was_following = self.is_following.swap(is_following, Ordering::AcqRel);
+        if is_following && !was_following {
+            // Dropping the senders wakes the receivers.
+            lock(&self.at_origins).clear();
+        }
         if was_following && !is_following {
             for follower in lock(&self.followers).values() {
                 // If the channel is full, the task wakes up anyway.
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -11,6 +11,7 @@
 
 use std::sync::Arc;
 
+use futures::future::{Either, select};
 use yuccapass_decisions::gateway::relay::{
     Crossing, EraStep, OriginRead, OutageEnds, RelayItem, RelayedEntry, TopicClass,
 };
@@ -192,7 +193,7 @@
             };
             match next_read {
                 NextRead::Relayed(changes) => self.follow(changes).await,
-                NextRead::Origin => match self.read_origin().await {
+                NextRead::Origin => match self.read_origin_unless_led().await {
                     Ok(()) => {}
                     // A late answer of an ended era was not used; the service answers.
                     Err(error) if error.kind() == PlatformErrorKind::Restored => {
@@ -205,6 +206,21 @@
         }
     }
 
+    /// Reads from the origin. A wait for changes there ends when this node begins to follow a relay: a change
+    /// would otherwise come twice, once with its whole value.
+    async fn read_origin_unless_led(&mut self) -> Result<(), PlatformError> {
+        if self.subscription.is_none() || self.revision.is_none() {
+            return self.read_origin().await;
+        }
+        let shared = Arc::clone(&self.shared);
+        let reading = std::pin::pin!(self.read_origin());
+        let following = std::pin::pin!(shared.relay.following());
+        match select(reading, following).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Ok(()),
+        }
+    }
+
     /// Lists the keys, or waits for their changes if they are known.
     async fn read_origin(&mut self) -> Result<(), PlatformError> {
         match self.revision {
