--- a/crates/decisions/src/gateway/stream_origin/records.rs
+++ b/crates/decisions/src/gateway/stream_origin/records.rs
@@ -5,7 +5,7 @@
 use super::{REMEMBER_MS, StreamOrigin, StreamRecord};
 
 /// Maximum number of records. What is not recorded is unknown, which is safe.
-const MAX_RECORDS: usize = 4_096;
+const MAX_RECORDS: usize = 1_024;
 
 /// Period of forgetting old records.
 const FORGET_PERIOD_MS: u64 = 5_000;
