watches: a follower still reads what its relay does not send

Callers would have had settings that come late: a follower whose relay cannot send a topic reads it from the key-value service, and that read was dropped at once. A watch was ended whenever the node follows a relay, not only when it begins to. Change: only a watch that began while the node followed none ends when it begins to follow one.

--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -183,7 +183,7 @@
         epoch: u64,
         after: u64,
     ) -> NextRead {
-        while self.is_following.load(Ordering::Acquire) {
+        while self.is_following() {
             let receiving = subscription.updates.recv();
             match async_std::future::timeout(UPDATE_TIMEOUT, receiving).await {
                 Ok(Ok(Delivery::Changes(request, changes))) => {
@@ -198,6 +198,11 @@
         NextRead::Origin
     }
 
+    /// Returns whether this node follows a relay.
+    pub(crate) fn is_following(&self) -> bool {
+        self.is_following.load(Ordering::Acquire)
+    }
+
     /// Waits until this node follows a relay.
     pub(crate) async fn following(&self) {
         let (sender, receiver) = bounded::<()>(1);
@@ -206,7 +211,7 @@
             at_origins.retain(|waiting| !waiting.is_closed());
             at_origins.push(sender);
         }
-        if !self.is_following.load(Ordering::Acquire) {
+        if !self.is_following() {
             // The receiver only ever closes.
             let _ = receiver.recv().await;
         }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -209,7 +209,9 @@
     /// Reads from the origin. A wait for changes there ends when this node begins to follow a relay: a change
     /// would otherwise come twice, once with its whole value.
     async fn read_origin_unless_led(&mut self) -> Result<(), PlatformError> {
-        if self.subscription.is_none() || self.revision.is_none() {
+        // A follower reads here what its relay does not send.
+        let has_no_choice = self.subscription.is_none() || self.shared.relay.is_following();
+        if has_no_choice || self.revision.is_none() {
             return self.read_origin().await;
         }
         let shared = Arc::clone(&self.shared);
