--- a/crates/decisions/src/gateway/relay/mod.rs
+++ b/crates/decisions/src/gateway/relay/mod.rs
@@ -8,6 +8,8 @@
 //!
 //! * [`RelayTopics`] is what a node has read from its origins, and its answers to followers.
 //! * [`ChangeLog`] has the recent changes that a relay has read from an origin.
+//! * [`HeldTopics`] has all that a node knows of its topics. A node that starts gets the list of a topic from
+//!   one of its [`list_sources`].
 //! * [`HeldValues`] has the large values that a node knows. A relay sends references to them.
 //! * [`EncodedValues`] and [`ValueTransfer`] are the two ends of the transfer of such a value.
 //! * [`RelaySources`] decides whether a node reads from the origin or follows a relay.
@@ -20,6 +22,7 @@
 //! origin itself. A relay passes on only what it read from the origin itself, so an age cannot be
 //! lost on the way.
 
+mod contents;
 mod eras;
 mod held_values;
 mod log;
@@ -31,11 +34,12 @@
 use smol_str::SmolStr;
 use yuccapass_types::{Bytes, Instant};
 
+pub use contents::{HeldTopics, KnownPosition, ListOffer};
 pub use eras::EraStep;
 pub use held_values::{HeldValues, LARGE_VALUE, RelayedReference, ValueDigest};
 pub use log::ChangeLog;
 pub use outage_ends::OutageEnds;
-pub use sources::{ChangeSource, RelaySources, is_relayed, relay_count, relays};
+pub use sources::{ChangeSource, RelaySources, is_relayed, list_sources, relay_count, relays};
 pub use topics::{Crossing, OriginRead, RelayTopics, TopicClass, TopicRequest, TopicUpdate};
 pub use value_transfer::{
     EncodedValues, MAX_PIECE, TransferStep, ValuePiece, ValueRequest, ValueTransfer,
--- a/crates/decisions/src/gateway/relay/sources.rs
+++ b/crates/decisions/src/gateway/relay/sources.rs
@@ -50,6 +50,29 @@
     &nodes[..relay_count(nodes.len())]
 }
 
+/// Number of nodes after the relays that are asked for a list. All relays may have started just now.
+const MAX_OTHER_SOURCES: usize = 2;
+
+/// Returns the nodes that one which starts asks for the list of a topic, in this order: the relays, beginning with
+/// its own, and a few more. `nodes` are the registered nodes of the zone, sorted.
+pub fn list_sources(own: &NodeId, nodes: &[NodeId]) -> Vec<NodeId> {
+    if !is_relayed(nodes.len()) {
+        return Vec::new();
+    }
+    let (relays, others) = nodes.split_at(relay_count(nodes.len()));
+    let (before, after) = relays.split_at(first_relay(own, relays));
+    let others = others.iter().filter(|node| *node != own).take(MAX_OTHER_SOURCES);
+    after.iter().chain(before).filter(|node| *node != own).chain(others).cloned().collect()
+}
+
+/// Returns the position of the relay that a node asks first: the followers are divided among the relays by a
+/// hash of their ids.
+fn first_relay(own: &NodeId, relays: &[NodeId]) -> usize {
+    let mut hasher = DefaultHasher::new();
+    own.as_str().hash(&mut hasher);
+    (hasher.finish() % relays.len() as u64) as usize
+}
+
 /// The choice of one node between its relays and the origin.
 #[derive(Debug, Clone)]
 pub struct RelaySources {
@@ -70,11 +93,7 @@
         if relays.is_empty() || relays.contains(&self.own) {
             return ChangeSource::Origin;
         }
-        // The followers are divided among the relays by a hash of their ids.
-        let mut hasher = DefaultHasher::new();
-        self.own.as_str().hash(&mut hasher);
-        let first = (hasher.finish() % relays.len() as u64) as usize;
-        let (before, after) = relays.split_at(first);
+        let (before, after) = relays.split_at(first_relay(&self.own, relays));
         let usable = after.iter().chain(before).find(|relay| !self.avoided.contains_key(relay));
         usable.map_or(ChangeSource::Origin, |relay| ChangeSource::Relay(relay.clone()))
     }
--- a/crates/decisions/tests/gateway_relay.rs
+++ b/crates/decisions/tests/gateway_relay.rs
@@ -6,8 +6,9 @@
 use proptest::test_runner::RngSeed;
 use relay_model::{Guard, Model};
 use yuccapass_decisions::gateway::relay::{
-    ChangeLog, ChangeSource, Crossing, EraStep, OriginRead, OutageEnds, RelayItem, RelaySources,
-    RelayTopics, RelayedEntry, TopicClass, TopicRequest, confirmed_at, relay_count, relays,
+    ChangeLog, ChangeSource, Crossing, EraStep, HeldTopics, KnownPosition, OriginRead, OutageEnds,
+    RelayItem, RelaySources, RelayTopics, RelayedEntry, TopicClass, TopicRequest, ValueDigest,
+    confirmed_at, list_sources, relay_count, relays,
 };
 use yuccapass_types::{Bytes, Instant, NodeId};
 
@@ -516,3 +517,69 @@
     assert!(replies > 5, "{replies} replies");
     assert_eq!(request.after, 40);
 }
+
+fn known(end: u64, confirmed_at: Instant) -> KnownPosition {
+    KnownPosition { epoch: 1, end, confirmed_at }
+}
+
+fn named(key: &str, value: Option<&str>, revision: u64) -> RelayedEntry {
+    RelayedEntry { key: key.into(), value: value.map(|value| value.as_bytes().to_vec()), revision }
+}
+
+/// Guards against a list for nodes that start that misses a change, claims one that it does not have, or is
+/// encoded anew for each of them.
+#[test]
+fn offered_list_has_all_changes_up_to_its_position() {
+    // Arrange
+    let topic = smol_str::SmolStr::from("keys:op/");
+    let mut topics = HeldTopics::default();
+    let mut encoded: Vec<Vec<RelayedEntry>> = Vec::new();
+    let mut offer = |topics: &mut HeldTopics, now| {
+        let hold = |entries: Vec<RelayedEntry>| {
+            encoded.push(entries);
+            ValueDigest::of(&encoded.len().to_le_bytes())
+        };
+        topics.offer(&topic, hold, now).map(|offer| (offer.end, offer.age_ms, offer.digest))
+    };
+    let number = |number: usize| ValueDigest::of(&number.to_le_bytes());
+
+    // Act
+    let unknown = offer(&mut topics, at(900));
+    let listed = [named("op/a", Some("1"), 3), named("op/b", Some("1"), 4)];
+    topics.replace(topic.clone(), known(10, at(1_000)), &listed);
+    let first = offer(&mut topics, at(1_200));
+    topics.apply(&topic, known(10, at(2_000)), &[]);
+    let unchanged = offer(&mut topics, at(2_100));
+    let changes = [named("op/a", Some("2"), 11), named("op/b", None, 12)];
+    topics.apply(&topic, known(12, at(2_500)), &changes);
+    let soon_after = offer(&mut topics, at(2_600));
+    let later = offer(&mut topics, at(3_600));
+
+    // Assert
+    assert_eq!(unknown, None);
+    assert_eq!(first, Some((10, 200, number(1))));
+    assert_eq!(unchanged, Some((10, 100, number(1))));
+    assert_eq!(soon_after, Some((10, 600, number(1))));
+    assert_eq!(later, Some((12, 1_100, number(2))));
+    assert_eq!(encoded, [listed.to_vec(), vec![named("op/a", Some("2"), 11)]]);
+}
+
+/// Guards against nodes that start and ask themselves, or nobody but relays that have started as well.
+#[test]
+fn lists_come_from_the_relays_and_then_from_others() {
+    // Arrange
+    let nodes = nodes(10);
+
+    // Act
+    let of_follower = list_sources(&nodes[3], &nodes);
+    let of_relay = list_sources(&nodes[0], &nodes);
+    let of_small_zone = list_sources(&nodes[0], &nodes[..4]);
+
+    // Assert
+    let mut relays = of_follower[..2].to_vec();
+    relays.sort();
+    assert_eq!(relays, nodes[..2]);
+    assert_eq!(of_follower[2..], [nodes[2].clone(), nodes[4].clone()]);
+    assert_eq!(of_relay, [nodes[1].clone(), nodes[2].clone(), nodes[3].clone()]);
+    assert_eq!(of_small_zone, []);
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -130,6 +130,10 @@
             &adapter.key_value,
             Arc::clone(&adapter.engine_protocol),
         );
+        // The watches ask other nodes first.
+        if let Some(listener) = peer_listener {
+            start_relay(&shared, listener);
+        }
         watch::start(&shared, &adapter.key_value, &adapter.entry_decoder, &swap_leader);
         membership::start(&shared, &adapter.key_value, &swap_leader);
         crash_evidence::start(&shared, &adapter.key_value);
@@ -146,9 +150,6 @@
         task::spawn(part_crashes::run(Arc::clone(&shared)));
         task::spawn(readiness::serve(Arc::clone(&shared), admin_listener));
         task::spawn(accept(Arc::clone(&shared), callers));
-        if let Some(listener) = peer_listener {
-            start_relay(&shared, listener);
-        }
         log::info!(
             node = shared.options.node.as_str(), zone = shared.options.zone.as_str();
             "the gateway has started"
@@ -192,6 +193,7 @@
     let transport =
         Arc::new(TcpTransport::new(Arc::clone(&local_node), TransportConfig::default()));
     shared.streams.set_transport(transport.clone());
+    shared.relay.set_transport(transport.clone());
     let handler = Arc::new(RelayHandler { shared: Arc::clone(shared) });
     let config = ListenerConfig::default().max_connections(shared.connection_shares().peers);
     let shared = Arc::clone(shared);
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -5,28 +5,32 @@
 //! relay's updates instead. [`server`] answers followers from what was published, and [`client`]
 //! asks a relay for all topics at once. See `yuccapass_decisions::gateway::relay`. The same messages
 //! carry what the nodes of the zone have outstanding, see [`room`], and the pieces of large values, see
-//! [`values`].
+//! [`values`]. A node that starts gets its lists from other nodes of its zone, see [`listing`].
 //!
 //! [subscribes]: RelayTable::subscribe
 
 pub(crate) mod client;
+mod listing;
 pub(crate) mod room;
 pub(crate) mod server;
 pub(crate) mod values;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use async_std::channel::{Receiver, Sender, bounded};
 use smol_str::SmolStr;
 use yuccapass_decisions::gateway::relay::{
-    Crossing, EraStep, OriginRead, RelayItem, RelayTopics, TopicClass, TopicRequest, TopicUpdate,
-    is_relayed, relay_count, relays,
+    Crossing, EraStep, HeldTopics, KnownPosition, ListOffer, OriginRead, RelayItem, RelayTopics,
+    RelayedEntry, TopicClass, TopicRequest, TopicUpdate, is_relayed, list_sources, relay_count,
+    relays,
 };
+use yuccapass_peers::{PeerTransport, encode_list};
 use yuccapass_types::{Bytes, Instant, NodeId, SortedMap};
 
+pub(crate) use self::listing::{RelayedList, read_list};
 use self::values::{Resolution, ValueTable};
 
 /// Time without an update after which a task reads from the origin: a relay that does not reply is
@@ -78,6 +82,7 @@
 pub(crate) struct Subscription {
     topic: SmolStr,
     class: TopicClass,
+    max_age_ms: u64,
     updates: Receiver<Delivery>,
 }
 
@@ -93,6 +98,8 @@
 pub(crate) struct RelayTable {
     pub(crate) values: ValueTable,
     read: Mutex<RelayTopics>,
+    // All that this node knows of the topics of keys, from its origins or from relays.
+    held: Mutex<HeldTopics>,
     followers: Mutex<SortedMap<SmolStr, Follower>>,
     // Sorted by id; the nodes that accept connections of other nodes.
     nodes: Mutex<Vec<(NodeId, SocketAddr)>>,
@@ -101,6 +108,10 @@
     at_origins: Mutex<Vec<Sender<()>>>,
     // Wakes the requests of followers that wait for urgent changes.
     held_requests: Mutex<Vec<Sender<()>>>,
+    // Wakes the tasks that wait until the nodes of the zone are known.
+    before_nodes: Mutex<Vec<Sender<()>>>,
+    // Set once, if the node can call other nodes.
+    transport: OnceLock<Arc<dyn PeerTransport>>,
 }
 
 impl RelayTable {
@@ -116,13 +127,63 @@
         let follower = Follower { position, class, max_age_ms, updates };
         lock(&self.followers).insert(topic.clone(), follower);
         lock(&self.read).set_class(topic.clone(), class);
-        Subscription { topic, class, updates: receiver }
+        Subscription { topic, class, max_age_ms, updates: receiver }
+    }
+
+    /// Sets the connections to other nodes.
+    pub(crate) fn set_transport(&self, transport: Arc<dyn PeerTransport>) {
+        // A second call would be an error of the start, and change nothing.
+        let _ = self.transport.set(transport);
     }
 
     /// Ends a subscription.
     pub(crate) fn unsubscribe(&self, subscription: &Subscription) {
         lock(&self.followers).remove(&subscription.topic);
         lock(&self.read).remove(&subscription.topic);
+        lock(&self.held).remove(&subscription.topic);
+    }
+
+    /// Holds the complete list of a topic, for nodes that start.
+    pub(crate) fn hold_list(
+        &self,
+        subscription: &Subscription,
+        position: KnownPosition,
+        entries: &[RelayedEntry],
+    ) {
+        lock(&self.held).replace(subscription.topic.clone(), position, entries);
+    }
+
+    /// Holds all changes of a topic up to a position.
+    pub(crate) fn hold_changes(
+        &self,
+        subscription: &Subscription,
+        position: KnownPosition,
+        changes: &[RelayedEntry],
+    ) {
+        lock(&self.held).apply(&subscription.topic, position, changes);
+    }
+
+    /// Offers the list of a topic to a node that starts.
+    fn offer_list(&self, topic: &SmolStr, now: Instant) -> Option<ListOffer> {
+        let hold = |entries| self.values.hold_list(topic, &encode_list(entries));
+        lock(&self.held).offer(topic, hold, now)
+    }
+
+    /// Returns the nodes of the zone that may have lists for this node, with their addresses.
+    fn list_sources(&self, own: &NodeId) -> Vec<(NodeId, SocketAddr)> {
+        let sources = list_sources(own, &self.node_ids());
+        let addressed = |node: NodeId| self.address(&node).map(|address| (node, address));
+        sources.into_iter().filter_map(addressed).collect()
+    }
+
+    /// Waits until the nodes of the zone are known.
+    async fn nodes_known(&self) {
+        let (sender, receiver) = bounded::<()>(1);
+        lock(&self.before_nodes).push(sender);
+        if lock(&self.nodes).is_empty() {
+            // The receiver only ever closes.
+            let _ = receiver.recv().await;
+        }
     }
 
     /// Sets the position up to which this node knows a topic.
@@ -221,6 +282,8 @@
     pub(crate) fn replace_nodes(&self, mut nodes: Vec<(NodeId, SocketAddr)>) {
         nodes.sort();
         *lock(&self.nodes) = nodes;
+        // Dropping the senders wakes the receivers.
+        lock(&self.before_nodes).clear();
     }
 
     /// Returns whether this node has followers.
@@ -396,6 +459,11 @@
     topic.starts_with(KEYS_TOPICS)
 }
 
+/// Returns the key under which the list of a topic is held and transferred.
+fn list_key(topic: &SmolStr) -> SmolStr {
+    smol_str::format_smolstr!("list:{topic}")
+}
+
 /// Returns the topic under which the bytes of a large value are counted.
 fn value_topic(key: &str) -> SmolStr {
     smol_str::format_smolstr!("value:{key}")
--- a/crates/gateway/src/relay/values.rs
+++ b/crates/gateway/src/relay/values.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use smol_str::SmolStr;
 use yuccapass_decisions::gateway::relay::{
     EncodedValues, HeldValues, LARGE_VALUE, RelayItem, RelayedReference, TransferStep, ValueDigest,
     ValuePiece, ValueRequest, ValueTransfer,
@@ -10,6 +11,11 @@
 use yuccapass_platform::{Entry, MAX_VALUE_BYTES};
 use yuccapass_types::{Bytes, NodeId};
 
+use super::list_key;
+
+/// Maximum size of the list of a topic: several times that of 3,000 endpoints.
+const MAX_LIST: Bytes = Bytes::new(8 << 20);
+
 /// What became of changes with references.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Resolution {
@@ -57,6 +63,28 @@
         }
     }
 
+    /// Holds the encoded list of a topic.
+    pub(super) fn hold_list(&self, topic: &SmolStr, list: &[u8]) -> ValueDigest {
+        lock(&self.held).hold(&list_key(topic), list)
+    }
+
+    /// Begins to transfer the list of a topic.
+    pub(super) fn list_transfer(
+        &self,
+        node: &NodeId,
+        topic: &SmolStr,
+        digest: ValueDigest,
+    ) -> ValueTransfer {
+        let reference = RelayedReference { key: list_key(topic), digest, revision: 0 };
+        ValueTransfer::new(node.clone(), &reference, &HeldValues::default())
+    }
+
+    /// Decodes the list of a topic; returns `None` if it is not the one with this digest.
+    pub(super) fn decode_list(&self, encoded: &[u8], digest: ValueDigest) -> Option<Vec<u8>> {
+        let list = self.codec.decode(None, encoded, MAX_LIST).ok()?;
+        (ValueDigest::of(&list) == digest).then_some(list)
+    }
+
     /// Holds the large values among changes, and replaces them with references.
     pub(super) fn refer(&self, items: Vec<(u64, RelayItem)>) -> Vec<(u64, RelayItem)> {
         lock(&self.held).refer(items)
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -13,7 +13,7 @@
 
 use futures::future::{Either, select};
 use yuccapass_decisions::gateway::relay::{
-    Crossing, EraStep, OriginRead, OutageEnds, RelayItem, RelayedEntry, TopicClass,
+    Crossing, EraStep, KnownPosition, OriginRead, OutageEnds, RelayItem, RelayedEntry, TopicClass,
 };
 use yuccapass_decisions::platform_budget::{Backoff, CallPurpose, CallRank};
 use yuccapass_http::sleep_until;
@@ -28,7 +28,7 @@
 use self::mirror::Mirror;
 pub(crate) use self::settings::start;
 use crate::metrics::ChangePath;
-use crate::relay::{NextRead, RelayedChanges, Subscription, keys_topic};
+use crate::relay::{NextRead, RelayedChanges, RelayedList, Subscription, keys_topic, read_list};
 use crate::state::Shared;
 
 /// Base and limit of the pauses between failed calls. Half of the base is the shortest pause; after
@@ -181,6 +181,12 @@
 
 impl PrefixWatcher {
     async fn run(mut self) {
+        if self.settings.class != TopicClass::Background
+            && let Some(subscription) = &self.subscription
+            && let Some(list) = read_list(&self.shared, subscription).await
+        {
+            self.apply_relayed_list(list);
+        }
         loop {
             // While a relay may lead this node into a later era, its position is the last one before.
             let position = self.revision.or(self.known.filter(|_| self.led_until.is_some()));
@@ -256,6 +262,7 @@
         let sizes = entries.iter().map(entry_size);
         self.record_read(ChangePath::FromOrigin, sizes, sent_at, revision);
         self.shared.relay.values.hold(&entries);
+        self.hold_list(&entries, revision, sent_at);
         self.handler.replace(&entries);
         self.handler.confirmed(sent_at);
         self.handler.record_known_until(sent_at);
@@ -379,6 +386,41 @@
         }
     }
 
+    /// Applies the list of another node of the zone.
+    fn apply_relayed_list(&mut self, list: RelayedList) {
+        let RelayedList { epoch, end, confirmed_at, entries } = list;
+        let entries: Vec<Entry> =
+            entries.into_iter().filter_map(|entry| entry_of(entry, epoch)).collect();
+        let revision = KeyValueRevision::new(end).in_era(StoreEra::new(epoch));
+        self.was_following = true;
+        let sizes = entries.iter().map(entry_size);
+        self.record_read(ChangePath::FromRelay, sizes, confirmed_at, revision);
+        self.shared.relay.values.hold(&entries);
+        self.hold_list(&entries, revision, confirmed_at);
+        self.handler.replace(&entries);
+        self.handler.confirmed(confirmed_at);
+        self.handler.record_known_until(confirmed_at);
+        // There is nothing to compare the list with.
+        drop(self.mirror.replace(&entries, revision));
+        self.record_known(&[], revision, confirmed_at);
+        if let Some(subscription) = &self.subscription {
+            self.shared.relay.set_position(subscription, epoch, end);
+        }
+    }
+
+    /// Holds a complete list for nodes that start.
+    fn hold_list(&self, entries: &[Entry], revision: KeyValueRevision, confirmed_at: Instant) {
+        let Some(subscription) = self.held_subscription() else { return };
+        let entries: Vec<RelayedEntry> = entries.iter().map(relayed_entry).collect();
+        self.shared.relay.hold_list(subscription, position(revision, confirmed_at), &entries);
+    }
+
+    /// Returns the subscription if all that is known is held for other nodes.
+    fn held_subscription(&self) -> Option<&Subscription> {
+        let is_held = self.settings.class != TopicClass::Background;
+        self.subscription.as_ref().filter(|_| is_held)
+    }
+
     /// Applies changes that a relay has read.
     fn apply_relayed(&mut self, relayed: RelayedChanges) {
         self.was_following = true;
@@ -403,7 +445,7 @@
         }
         self.handler.confirmed(relayed.confirmed_at);
         self.handler.record_known_until(relayed.confirmed_at);
-        self.record_known(&changes, end);
+        self.record_known(&changes, end, relayed.confirmed_at);
         if let Some(subscription) = &self.subscription {
             self.shared.relay.set_position(subscription, relayed.epoch, relayed.end);
         }
@@ -442,7 +484,7 @@
         changes: &[Change],
         sent_at: Instant,
     ) {
-        self.record_known(changes, to);
+        self.record_known(changes, to, sent_at);
         let items = changes.iter().map(relay_item).collect();
         if let Some(subscription) = &self.subscription {
             let read = origin_read(from, to, items, sent_at);
@@ -458,7 +500,7 @@
             _ => Some(self.mirror.replace(entries, revision)),
         };
         let before = self.known.filter(|known| known.era() < revision.era());
-        self.record_known(&[], revision);
+        self.record_known(&[], revision, sent_at);
         let Some(subscription) = &self.subscription else { return };
         let (read, now) = (origin_read(revision, revision, Vec::new(), sent_at), self.shared.now());
         match (before, differences) {
@@ -471,8 +513,18 @@
         }
     }
 
-    /// Records that all changes up to a revision are known.
-    fn record_known(&mut self, changes: &[Change], revision: KeyValueRevision) {
+    /// Records that all changes up to a revision are known, as the origin confirmed at `confirmed_at`.
+    fn record_known(
+        &mut self,
+        changes: &[Change],
+        revision: KeyValueRevision,
+        confirmed_at: Instant,
+    ) {
+        if let Some(subscription) = self.held_subscription() {
+            let changes: Vec<RelayedEntry> = changes.iter().map(relayed_change).collect();
+            let position = position(revision, confirmed_at);
+            self.shared.relay.hold_changes(subscription, position, &changes);
+        }
         if self.settings.class != TopicClass::Background {
             self.mirror.apply(changes);
         }
@@ -540,16 +592,38 @@
     }
 }
 
+fn position(revision: KeyValueRevision, confirmed_at: Instant) -> KnownPosition {
+    KnownPosition { epoch: revision.era().get(), end: revision.get(), confirmed_at }
+}
+
 /// Converts a change for the followers of this node.
 fn relay_item(change: &Change) -> (u64, RelayItem) {
+    (change.revision.get(), RelayItem::Entry(relayed_change(change)))
+}
+
+fn relayed_change(change: &Change) -> RelayedEntry {
     let (key, value) = changed_entry(change);
-    let revision = change.revision.get();
-    let entry = RelayedEntry {
+    RelayedEntry {
         key: key.as_str().into(),
         value: value.map(|value| value.as_bytes().to_vec()),
-        revision,
-    };
-    (revision, RelayItem::Entry(entry))
+        revision: change.revision.get(),
+    }
+}
+
+fn relayed_entry(entry: &Entry) -> RelayedEntry {
+    RelayedEntry {
+        key: entry.key.as_str().into(),
+        value: Some(entry.value.as_bytes().to_vec()),
+        revision: entry.mod_revision.get(),
+    }
+}
+
+/// Converts an entry of another node's list. One whose key or value is not valid is left out, as this node cannot
+/// have read it from the service either.
+fn entry_of(entry: RelayedEntry, era: u64) -> Option<Entry> {
+    let mod_revision = KeyValueRevision::new(entry.revision).in_era(StoreEra::new(era));
+    let value = Value::new(entry.value?).ok()?;
+    Some(Entry { key: entry.key.parse().ok()?, value, mod_revision, lease: None })
 }
 
 /// Converts a change of an era from a relay. One whose key or value is not valid is left out, as this node
--- a/crates/peers/src/convert/frame.rs
+++ b/crates/peers/src/convert/frame.rs
@@ -7,7 +7,8 @@
 use crate::error::DecodeError;
 use crate::message::{Frame, PeerMessage, Sender};
 use crate::wire::{
-    WireBody, WireFrame, WireOutcome, WireStreamAnswer, WireStreamQuery, WireStreamsKept,
+    WireBody, WireFrame, WireListAnswer, WireListQuery, WireOutcome, WireStreamAnswer,
+    WireStreamQuery, WireStreamsKept,
 };
 
 impl From<Frame> for WireFrame {
@@ -58,6 +59,12 @@
             PeerMessage::StreamFound(origin) => {
                 Self::StreamFound(WireStreamAnswer { origin: origin.map(Into::into) })
             }
+            PeerMessage::RequestList(topic) => {
+                Self::RequestList(WireListQuery { topic: topic.into() })
+            }
+            PeerMessage::ListOffered(offer) => {
+                Self::ListOffered(WireListAnswer { offer: offer.map(Into::into) })
+            }
         }
     }
 }
@@ -91,6 +98,10 @@
             WireBody::StreamFound(answer) => {
                 Self::StreamFound(answer.origin.map(TryInto::try_into).transpose()?)
             }
+            WireBody::RequestList(query) => Self::RequestList(query.topic.into()),
+            WireBody::ListOffered(answer) => {
+                Self::ListOffered(answer.offer.map(TryInto::try_into).transpose()?)
+            }
         })
     }
 }
--- a/crates/peers/src/convert/relay.rs
+++ b/crates/peers/src/convert/relay.rs
@@ -2,8 +2,8 @@
 
 use yuccapass_decisions::gateway::PartEvent;
 use yuccapass_decisions::gateway::relay::{
-    RelayItem, RelayedEntry, RelayedReference, TopicRequest, TopicUpdate, ValueDigest, ValuePiece,
-    ValueRequest,
+    ListOffer, RelayItem, RelayedEntry, RelayedReference, TopicRequest, TopicUpdate, ValueDigest,
+    ValuePiece, ValueRequest,
 };
 use yuccapass_types::Tokens;
 
@@ -11,7 +11,7 @@
 use crate::error::DecodeError;
 use crate::message::{RelayReply, RelayRequest};
 use crate::wire::{
-    WirePartEvent, WireRelayChange, WireRelayItem, WireRelayItems, WireRelayReply,
+    WireListOffer, WirePartEvent, WireRelayChange, WireRelayItem, WireRelayItems, WireRelayReply,
     WireRelayRequest, WireRelayedEntry, WireRelayedReference, WireTopicRequest, WireTopicUpdate,
     WireValuePiece, WireValueRequest,
 };
@@ -115,11 +115,7 @@
 impl From<RelayItem> for WireRelayItem {
     fn from(item: RelayItem) -> Self {
         let change = match item {
-            RelayItem::Entry(entry) => WireRelayChange::Entry(WireRelayedEntry {
-                key: entry.key.into(),
-                value: entry.value,
-                revision: entry.revision,
-            }),
+            RelayItem::Entry(entry) => WireRelayChange::Entry(entry.into()),
             RelayItem::Reference(reference) => WireRelayChange::Reference(WireRelayedReference {
                 key: reference.key.into(),
                 digest: reference.digest.as_bytes().to_vec(),
@@ -141,11 +137,7 @@
 
     fn try_from(wire: WireRelayItem) -> Result<Self, DecodeError> {
         Ok(match required("change", wire.change)? {
-            WireRelayChange::Entry(entry) => Self::Entry(RelayedEntry {
-                key: entry.key.into(),
-                value: entry.value,
-                revision: entry.revision,
-            }),
+            WireRelayChange::Entry(entry) => Self::Entry(entry.into()),
             WireRelayChange::Reference(reference) => Self::Reference(RelayedReference {
                 key: reference.key.into(),
                 digest: digest("digest", &reference.digest)?,
@@ -161,6 +153,42 @@
     }
 }
 
+impl From<RelayedEntry> for WireRelayedEntry {
+    fn from(entry: RelayedEntry) -> Self {
+        Self { key: entry.key.into(), value: entry.value, revision: entry.revision }
+    }
+}
+
+impl From<WireRelayedEntry> for RelayedEntry {
+    fn from(wire: WireRelayedEntry) -> Self {
+        Self { key: wire.key.into(), value: wire.value, revision: wire.revision }
+    }
+}
+
+impl From<ListOffer> for WireListOffer {
+    fn from(offer: ListOffer) -> Self {
+        Self {
+            epoch: offer.epoch,
+            end: offer.end,
+            age_ms: offer.age_ms,
+            digest: offer.digest.as_bytes().to_vec(),
+        }
+    }
+}
+
+impl TryFrom<WireListOffer> for ListOffer {
+    type Error = DecodeError;
+
+    fn try_from(wire: WireListOffer) -> Result<Self, DecodeError> {
+        Ok(Self {
+            epoch: wire.epoch,
+            end: wire.end,
+            age_ms: wire.age_ms,
+            digest: digest("digest", &wire.digest)?,
+        })
+    }
+}
+
 impl From<ValueRequest> for WireValueRequest {
     fn from(request: ValueRequest) -> Self {
         Self {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`PeerTransport`] sends messages; [`TcpTransport`] is its implementation over TCP.
 //! * [`ValueCodec`] encodes large values as the difference from earlier ones; [`ZstdCodec`] is its
 //!   implementation.
+//! * [`encode_list`] and [`decode_list`] are the encoding of the list of a topic as such a value.
 //! * [`serve`] accepts connections and passes each message to a [`PeerHandler`].
 //!
 //! On the wire a frame is a length of four bytes followed by a protobuf message. Deadlines are sent
@@ -15,6 +16,7 @@
 mod counters;
 mod error;
 mod incarnations;
+mod list_codec;
 mod listener;
 mod local_node;
 mod message;
@@ -24,6 +26,7 @@
 
 pub use counters::{PeerCounters, PeerTraffic};
 pub use error::{DecodeError, PeerError, PeerErrorKind};
+pub use list_codec::{decode_list, encode_list};
 pub use listener::{ListenerConfig, PeerHandler, serve};
 pub use local_node::LocalNode;
 pub use message::{
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -2,7 +2,10 @@
 
 use bytes::Bytes;
 use prost::Message;
-use yuccapass_decisions::gateway::relay::{TopicRequest, TopicUpdate, ValuePiece, ValueRequest};
+use smol_str::SmolStr;
+use yuccapass_decisions::gateway::relay::{
+    ListOffer, TopicRequest, TopicUpdate, ValuePiece, ValueRequest,
+};
 use yuccapass_decisions::gateway::zone_room::{OutstandingSummary, RoomReply};
 use yuccapass_decisions::gateway::{StreamOrigin, StreamRecord};
 use yuccapass_decisions::membership::Heartbeat;
@@ -138,6 +141,11 @@
     FindStream(RequestId),
     /// Reply to [`PeerMessage::FindStream`]; `None` if the stream is not known.
     StreamFound(Option<StreamOrigin>),
+    /// Asks for the complete list of a topic. Answered by [`PeerMessage::ListOffered`].
+    RequestList(SmolStr),
+    /// Reply to [`PeerMessage::RequestList`]; `None` if the topic was not listed. The list itself is
+    /// transferred as a value.
+    ListOffered(Option<ListOffer>),
 }
 
 /// The process that sent a frame.
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -15,7 +15,10 @@
     pub(crate) call: u64,
     #[prost(uint64, tag = "4")]
     pub(crate) remaining_ms: u64,
-    #[prost(oneof = "WireBody", tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(
+        oneof = "WireBody",
+        tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+    )]
     pub(crate) body: Option<WireBody>,
 }
 
@@ -51,6 +54,43 @@
     FindStream(WireStreamQuery),
     #[prost(message, tag = "19")]
     StreamFound(WireStreamAnswer),
+    #[prost(message, tag = "20")]
+    RequestList(WireListQuery),
+    #[prost(message, tag = "21")]
+    ListOffered(WireListAnswer),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireListQuery {
+    #[prost(string, tag = "1")]
+    pub(crate) topic: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireListAnswer {
+    /// Absent if the topic was not listed.
+    #[prost(message, optional, tag = "1")]
+    pub(crate) offer: Option<WireListOffer>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireListOffer {
+    #[prost(uint64, tag = "1")]
+    pub(crate) epoch: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) end: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) age_ms: u64,
+    /// 16 bytes.
+    #[prost(bytes = "vec", tag = "4")]
+    pub(crate) digest: Vec<u8>,
+}
+
+/// The encoded list of a topic.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireList {
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) entries: Vec<WireRelayedEntry>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -108,6 +108,7 @@
     messages.extend(relay_messages(number, body));
     messages.extend(zone_room_messages(number));
     messages.extend(stream_messages(number));
+    messages.extend(list_messages(number));
     messages
 }
 
@@ -128,6 +129,17 @@
     ]
 }
 
+/// Creates the messages about the list of a topic.
+fn list_messages(number: u64) -> Vec<PeerMessage> {
+    let digest = ValueDigest::of(&number.to_le_bytes());
+    let offer = ListOffer { epoch: number, end: number, age_ms: number, digest };
+    vec![
+        PeerMessage::RequestList("keys:op/".into()),
+        PeerMessage::ListOffered(None),
+        PeerMessage::ListOffered(Some(offer)),
+    ]
+}
+
 /// Creates a request of a follower, and a reply with all kinds of items.
 fn relay_messages(number: u64, body: &[u8]) -> [PeerMessage; 2] {
     let topic = || "keys:op/".into();
--- a/crates/yuccapassd/src/fleet/peer_handler.rs
+++ b/crates/yuccapassd/src/fleet/peer_handler.rs
@@ -56,7 +56,9 @@
             | PeerMessage::KeepStreams(_)
             | PeerMessage::StreamsKept
             | PeerMessage::FindStream(_)
-            | PeerMessage::StreamFound(_) => None,
+            | PeerMessage::StreamFound(_)
+            | PeerMessage::RequestList(_)
+            | PeerMessage::ListOffered(_) => None,
         }
     }
 }
