--- a/crates/decisions/src/gateway/relay/mod.rs
+++ b/crates/decisions/src/gateway/relay/mod.rs
@@ -39,7 +39,9 @@
 pub use held_values::{HeldValues, LARGE_VALUE, RelayedReference, ValueDigest};
 pub use log::ChangeLog;
 pub use outage_ends::OutageEnds;
-pub use sources::{ChangeSource, RelaySources, is_relayed, list_sources, relay_count, relays};
+pub use sources::{
+    ChangeSource, RelayFailure, RelaySources, is_relayed, list_sources, relay_count, relays,
+};
 pub use topics::{Crossing, OriginRead, RelayTopics, TopicClass, TopicRequest, TopicUpdate};
 pub use value_transfer::{
     EncodedValues, MAX_PIECE, TransferStep, ValuePiece, ValueRequest, ValueTransfer,
--- a/crates/decisions/src/gateway/relay/sources.rs
+++ b/crates/decisions/src/gateway/relay/sources.rs
@@ -15,12 +15,22 @@
 /// nodes save are not worth a longer way of each change.
 const MAX_DIRECT_NODES: usize = 4;
 
-/// Minimum time for which a node does not ask a relay again that has failed.
-const AVOID_MS: u64 = 2_000;
-
-/// Maximum random time that is added to `AVOID_MS`, so that the followers of a failed relay do not
-/// all return to it at the same moment.
-const AVOID_SPREAD_MS: f64 = 2_000.0;
+/// Minimum time for which a node does not ask a relay again that has not replied. The same time at most is
+/// added to it at random, so that the followers of a failed relay do not all return to it at the same moment.
+const SILENT_AVOID_MS: u64 = 2_000;
+
+/// The same for a node that reads from the origin, after a relay replied that it knows nothing recent: it may do
+/// so with its next call.
+const OUTDATED_AVOID_MS: u64 = 250;
+
+/// Why a relay cannot be followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayFailure {
+    /// It did not reply in time.
+    Silent,
+    /// It replied, but knows nothing recent.
+    Outdated,
+}
 
 /// Where a node gets changes from.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -73,34 +83,73 @@
     (hasher.finish() % relays.len() as u64) as usize
 }
 
+/// For how long a relay is not asked again.
+#[derive(Debug, Clone, Copy)]
+struct Avoidance {
+    until: Deadline,
+    // The same while this node reads from the origin.
+    at_origin_until: Deadline,
+}
+
 /// The choice of one node between its relays and the origin.
+///
+/// A node goes to the origin only once all relays have failed. There it soon asks those again that have replied.
 #[derive(Debug, Clone)]
 pub struct RelaySources {
     own: NodeId,
-    avoided: SortedMap<NodeId, Deadline>,
+    avoided: SortedMap<NodeId, Avoidance>,
+    is_at_origin: bool,
 }
 
 impl RelaySources {
     /// Creates the state of a node that has not asked any relay.
     pub fn new(own: NodeId) -> Self {
-        Self { own, avoided: SortedMap::new() }
+        Self { own, avoided: SortedMap::new(), is_at_origin: false }
     }
 
     /// Chooses where to get changes from. `nodes` are the registered nodes of the zone, sorted.
     pub fn choose(&mut self, nodes: &[NodeId], now: Instant) -> ChangeSource {
-        self.avoided.retain(|_, until| !until.has_passed(now));
+        self.avoided.retain(|_, avoidance| !avoidance.until.has_passed(now));
         let relays = relays(nodes);
         if relays.is_empty() || relays.contains(&self.own) {
             return ChangeSource::Origin;
         }
         let (before, after) = relays.split_at(first_relay(&self.own, relays));
-        let usable = after.iter().chain(before).find(|relay| !self.avoided.contains_key(relay));
-        usable.map_or(ChangeSource::Origin, |relay| ChangeSource::Relay(relay.clone()))
+        let is_usable = |relay: &&NodeId| {
+            self.avoided.get(relay).is_none_or(|avoidance| {
+                self.is_at_origin && avoidance.at_origin_until.has_passed(now)
+            })
+        };
+        match after.iter().chain(before).find(is_usable) {
+            Some(relay) => ChangeSource::Relay(relay.clone()),
+            None => {
+                self.is_at_origin = true;
+                ChangeSource::Origin
+            }
+        }
+    }
+
+    /// Records that a relay is followed.
+    pub fn record_success(&mut self, relay: &NodeId) {
+        self.avoided.remove(relay);
+        self.is_at_origin = false;
     }
 
-    /// Records that a relay did not reply in time, or knows nothing recent. `random` is from 0 to 1.
-    pub fn record_failure(&mut self, relay: NodeId, random: f64, now: Instant) {
-        let avoid_ms = AVOID_MS + (random * AVOID_SPREAD_MS) as u64;
-        self.avoided.insert(relay, Deadline::after_ms(now, avoid_ms));
+    /// Records that a relay cannot be followed. `random` is from 0 to 1.
+    pub fn record_failure(
+        &mut self,
+        relay: NodeId,
+        failure: RelayFailure,
+        random: f64,
+        now: Instant,
+    ) {
+        let after_ms =
+            |base_ms: u64| Deadline::after_ms(now, base_ms + (random * base_ms as f64) as u64);
+        let until = after_ms(SILENT_AVOID_MS);
+        let at_origin_until = match failure {
+            RelayFailure::Silent => until,
+            RelayFailure::Outdated => after_ms(OUTDATED_AVOID_MS),
+        };
+        self.avoided.insert(relay, Avoidance { until, at_origin_until });
     }
 }
--- a/crates/decisions/tests/gateway_relay.rs
+++ b/crates/decisions/tests/gateway_relay.rs
@@ -7,8 +7,8 @@
 use relay_model::{Guard, Model};
 use yuccapass_decisions::gateway::relay::{
     ChangeLog, ChangeSource, Crossing, EraStep, HeldTopics, KnownPosition, OriginRead, OutageEnds,
-    RelayItem, RelaySources, RelayTopics, RelayedEntry, TopicClass, TopicRequest, ValueDigest,
-    confirmed_at, list_sources, relay_count, relays,
+    RelayFailure, RelayItem, RelaySources, RelayTopics, RelayedEntry, TopicClass, TopicRequest,
+    ValueDigest, confirmed_at, list_sources, relay_count, relays,
 };
 use yuccapass_types::{Bytes, Instant, NodeId};
 
@@ -142,10 +142,10 @@
     let ChangeSource::Relay(first) = sources.choose(&nodes, at(0)) else { panic!("no relay") };
 
     // Act
-    sources.record_failure(first.clone(), 0.5, at(0));
+    sources.record_failure(first.clone(), RelayFailure::Silent, 0.5, at(0));
     let second = sources.choose(&nodes, at(100));
     if let ChangeSource::Relay(relay) = &second {
-        sources.record_failure(relay.clone(), 0.5, at(100));
+        sources.record_failure(relay.clone(), RelayFailure::Silent, 0.5, at(100));
     }
     let third = sources.choose(&nodes, at(200));
     let later = sources.choose(&nodes, at(10_000));
@@ -156,6 +156,31 @@
     assert_eq!(later, ChangeSource::Relay(first));
 }
 
+/// Guards against followers that stay without a relay for seconds after all relays have lost the origin for a
+/// moment: a change in that time would cross the links between regions once for each of them.
+#[test]
+fn relay_without_recent_knowledge_is_asked_again_soon() {
+    // Arrange
+    let nodes = nodes(10);
+    let mut sources = RelaySources::new(nodes[7].clone());
+    let fail = |sources: &mut RelaySources, failure, now| {
+        let ChangeSource::Relay(relay) = sources.choose(&nodes, now) else { panic!("no relay") };
+        sources.record_failure(relay.clone(), failure, 1.0, now);
+        relay
+    };
+
+    // Act
+    let outdated = fail(&mut sources, RelayFailure::Outdated, at(0));
+    let silent = fail(&mut sources, RelayFailure::Silent, at(700));
+    let then = sources.choose(&nodes, at(700));
+    let soon = sources.choose(&nodes, at(1_200));
+
+    // Assert: the origin is read before a relay is asked again, and at the same time.
+    assert_ne!(outdated, silent);
+    assert_eq!(then, ChangeSource::Origin);
+    assert_eq!(soon, ChangeSource::Relay(outdated));
+}
+
 /// Guards against a follower that misses changes: those that its relay has not read, or that are
 /// too many or too large for a reply, have to come from the origin.
 #[test]
--- a/crates/decisions/tests/relay_model/mod.rs
+++ b/crates/decisions/tests/relay_model/mod.rs
@@ -5,8 +5,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use yuccapass_decisions::gateway::relay::{
-    ChangeSource, EraStep, OriginRead, RelayItem, RelaySources, RelayTopics, RelayedEntry,
-    TopicRequest, TopicUpdate,
+    ChangeSource, EraStep, OriginRead, RelayFailure, RelayItem, RelaySources, RelayTopics,
+    RelayedEntry, TopicRequest, TopicUpdate,
 };
 use yuccapass_types::{Bytes, Instant, NodeId};
 
@@ -73,11 +73,6 @@
     pub origin_lists: u64,
 }
 
-enum Pending {
-    Origin { sent_at: Instant },
-    Relay(PendingRequest),
-}
-
 struct PendingRequest {
     relay: usize,
     sent_at: Instant,
@@ -98,8 +93,14 @@
     known: Vec<u64>,
     confirmed_at: Option<Instant>,
     list_at: Instant,
+    /// Whether the node waits for its relay and does not read from the origin.
+    is_following: bool,
     was_following: bool,
-    pending: Option<Pending>,
+    /// Whether the relay does not send the changes, so that they are read from the origin.
+    needs_origin: bool,
+    /// When the call to the origin was sent that is not answered yet.
+    origin_sent_at: Option<Instant>,
+    relay_request: Option<PendingRequest>,
     frozen_until: Instant,
     dead_until: Instant,
     cut_until: Instant,
@@ -119,8 +120,11 @@
             known: Vec::new(),
             confirmed_at: None,
             list_at: now,
+            is_following: false,
             was_following: false,
-            pending: None,
+            needs_origin: false,
+            origin_sent_at: None,
+            relay_request: None,
             frozen_until: now,
             dead_until: now,
             cut_until: now,
@@ -268,11 +272,20 @@
         }
     }
 
+    /// A node asks its relays, and reads from the origin at the same time unless it follows one.
     fn step(&mut self, number: usize) {
-        match self.nodes[number].pending.take() {
-            None => self.send(number),
-            Some(Pending::Origin { sent_at }) => self.await_origin(number, sent_at),
-            Some(Pending::Relay(request)) => self.await_relay(number, request),
+        match self.nodes[number].relay_request.take() {
+            None => self.ask_relay(number),
+            Some(request) => self.await_relay(number, request),
+        }
+        let node = &self.nodes[number];
+        if node.is_following && !node.needs_origin && node.position.is_some() {
+            self.nodes[number].origin_sent_at = None;
+            return;
+        }
+        match self.nodes[number].origin_sent_at.take() {
+            None => self.call_origin(number),
+            Some(sent_at) => self.await_origin(number, sent_at),
         }
     }
 
@@ -281,32 +294,30 @@
         nodes.map(|node| node.id.clone()).collect()
     }
 
-    fn send(&mut self, number: usize) {
-        let zone_nodes = self.zone_nodes(self.nodes[number].zone);
+    fn call_origin(&mut self, number: usize) {
         let now = self.now;
         let node = &mut self.nodes[number];
         if node.position.is_none() && now < node.list_at {
             return;
         }
-        let source = match node.position {
-            // The first list always comes from the origin.
-            None => ChangeSource::Origin,
-            Some(_) => node.sources.choose(&zone_nodes, now),
+        node.origin_sent_at = Some(now);
+        self.report.origin_calls += 1;
+    }
+
+    /// Asks the relay of a node that has listed; the first list always comes from the origin.
+    fn ask_relay(&mut self, number: usize) {
+        let zone_nodes = self.zone_nodes(self.nodes[number].zone);
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        let Some(after) = node.position else { return };
+        let ChangeSource::Relay(relay) = node.sources.choose(&zone_nodes, now) else {
+            node.is_following = false;
+            return;
         };
-        let (epoch, after) = (node.era, node.position.unwrap_or_default());
-        self.nodes[number].pending = Some(match source {
-            ChangeSource::Origin => {
-                self.report.origin_calls += 1;
-                Pending::Origin { sent_at: now }
-            }
-            ChangeSource::Relay(relay) => Pending::Relay(PendingRequest {
-                relay: self.nodes.iter().position(|node| node.id == relay).unwrap(),
-                sent_at: now,
-                request: TopicRequest { topic: topic(), epoch, after },
-                received_at: None,
-                reply: None,
-            }),
-        });
+        let request = TopicRequest { topic: topic(), epoch: node.era, after };
+        let relay = self.nodes.iter().position(|node| node.id == relay).unwrap();
+        self.nodes[number].relay_request =
+            Some(PendingRequest { relay, sent_at: now, request, received_at: None, reply: None });
     }
 
     fn await_origin(&mut self, number: usize, sent_at: Instant) {
@@ -323,12 +334,12 @@
         if node.cut_until > self.now {
             // The call ends at its deadline without an answer.
             if waited_ms < watch_ms {
-                self.nodes[number].pending = Some(Pending::Origin { sent_at });
+                self.nodes[number].origin_sent_at = Some(sent_at);
             }
             return;
         }
         if !has_answer && waited_ms < watch_ms {
-            self.nodes[number].pending = Some(Pending::Origin { sent_at });
+            self.nodes[number].origin_sent_at = Some(sent_at);
             return;
         }
         let epoch = self.named_era();
@@ -351,7 +362,7 @@
         let now = self.now;
         let node = &mut self.nodes[number];
         node.topics.record_read(&topic(), read, now);
-        node.was_following = false;
+        (node.was_following, node.needs_origin) = (false, false);
         node.era = epoch;
         if is_list {
             node.known.clear();
@@ -366,6 +377,7 @@
         let list_at = later(self.now, pause_ms);
         let node = &mut self.nodes[number];
         (node.position, node.list_at) = (None, list_at);
+        (node.is_following, node.origin_sent_at) = (false, None);
     }
 
     fn await_relay(&mut self, number: usize, mut pending: PendingRequest) {
@@ -384,26 +396,35 @@
                     EraStep::Apply => {}
                     // The relays of the model list without telling what is different.
                     EraStep::Cross | EraStep::ListAgain => return self.list_again(number),
-                    EraStep::Refuse => return self.fail(number, pending.relay),
+                    EraStep::Refuse => {
+                        return self.fail(number, pending.relay, RelayFailure::Outdated);
+                    }
                 }
-                self.nodes[number].was_following = true;
-                if let Some(items) = &update.items {
-                    let ids = ids_of(items.iter());
-                    self.nodes[number].era = update.epoch;
-                    self.apply(number, &ids, update.end, confirmed_at);
-                } else {
-                    self.report.origin_calls += 1;
-                    self.nodes[number].pending = Some(Pending::Origin { sent_at: now });
+                let relay = self.nodes[pending.relay].id.clone();
+                let node = &mut self.nodes[number];
+                node.sources.record_success(&relay);
+                (node.is_following, node.was_following) = (true, true);
+                let is_for_position = node.position == Some(pending.request.after)
+                    && node.era == pending.request.epoch;
+                match &update.items {
+                    Some(items) if is_for_position => {
+                        node.needs_origin = false;
+                        node.era = update.epoch;
+                        let ids = ids_of(items.iter());
+                        self.apply(number, &ids, update.end, confirmed_at);
+                    }
+                    Some(_) => {}
+                    None => node.needs_origin = true,
                 }
                 return;
             }
-            return self.fail(number, pending.relay);
+            return self.fail(number, pending.relay, RelayFailure::Outdated);
         }
         if now.ms_since(pending.sent_at) > RELAY_TIMEOUT_MS && self.guard != Guard::WithoutTimeout {
-            return self.fail(number, pending.relay);
+            return self.fail(number, pending.relay, RelayFailure::Silent);
         }
         self.serve(&mut pending);
-        self.nodes[number].pending = Some(Pending::Relay(pending));
+        self.nodes[number].relay_request = Some(pending);
     }
 
     /// Lets the relay receive a request, and reply to it.
@@ -428,12 +449,12 @@
         }
     }
 
-    fn fail(&mut self, number: usize, relay: usize) {
+    fn fail(&mut self, number: usize, relay: usize, failure: RelayFailure) {
         let random = self.random.random_range(0.0..1.0);
         let relay = self.nodes[relay].id.clone();
         let now = self.now;
-        self.nodes[number].sources.record_failure(relay, random, now);
-        self.nodes[number].was_following = true;
+        self.nodes[number].sources.record_failure(relay, failure, random, now);
+        self.nodes[number].was_following |= self.nodes[number].is_following;
     }
 
     fn apply(&mut self, number: usize, ids: &[u64], end: u64, confirmed_at: Instant) {
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -5,7 +5,7 @@
 
 use async_std::task;
 use yuccapass_decisions::gateway::relay::{
-    ChangeSource, RelayItem, RelaySources, TopicClass, TopicRequest,
+    ChangeSource, RelayFailure, RelayItem, RelaySources, TopicClass, TopicRequest,
 };
 use yuccapass_peers::{PeerMessage, PeerTransport, RelayReply, RelayRequest};
 use yuccapass_types::{Bytes, Deadline, Instant, NodeId};
@@ -38,10 +38,15 @@
                 task::sleep(CHECK_PERIOD).await;
             }
             ChangeSource::Relay(relay) => {
-                if follow_once(&shared, &*transport, &relay).await {
-                    set_following(&shared, Some(&relay));
-                } else {
-                    sources.record_failure(relay, rand::random(), shared.now());
+                match follow_once(&shared, &*transport, &relay).await {
+                    Ok(()) => {
+                        sources.record_success(&relay);
+                        set_following(&shared, Some(&relay));
+                    }
+                    Err(failure) => {
+                        log::debug!(relay = relay.as_str(), failure:?; "a relay is not followed");
+                        sources.record_failure(relay, failure, rand::random(), shared.now());
+                    }
                 }
                 task::sleep(REQUEST_PAUSE).await;
             }
@@ -57,9 +62,13 @@
     }
 }
 
-/// Asks a relay for all topics; returns whether what it knows is recent.
-async fn follow_once(shared: &Shared, transport: &dyn PeerTransport, relay: &NodeId) -> bool {
-    let Some(address) = shared.relay.address(relay) else { return false };
+/// Asks a relay for all topics, and passes on what it knows if that is recent.
+async fn follow_once(
+    shared: &Shared,
+    transport: &dyn PeerTransport,
+    relay: &NodeId,
+) -> Result<(), RelayFailure> {
+    let address = shared.relay.address(relay).ok_or(RelayFailure::Silent)?;
     let requests = shared.relay.requests();
     let sent_at = shared.now();
     let outstanding = shared.zone_room.follower_summary(shared, relay);
@@ -87,13 +96,16 @@
                 if let (Some(sent), Some(room)) = (sent, &reply.outstanding) {
                     shared.zone_room.record_reply(shared, relay, (sent, reply.held_ms), room);
                 }
-                deliver(shared, relay, requests, reply, sent_at)
+                match deliver(shared, relay, requests, reply, sent_at) {
+                    true => Ok(()),
+                    false => Err(RelayFailure::Outdated),
+                }
             }
-            _ => false,
+            _ => Err(RelayFailure::Silent),
         },
         Err(error) => {
             log::debug!(relay = relay.as_str(), error:%; "a relay did not reply");
-            false
+            Err(RelayFailure::Silent)
         }
     }
 }
