--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,11 +8,10 @@
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
-use crate::attempt::{
-    AttemptLimit, AttemptOutcome, BufferedAnswer, FailedAttempt, Target, attempt,
-};
+use crate::attempt::{AttemptLimit, AttemptOutcome, FailedAttempt, Target, attempt};
 use crate::choice::{NeededRoom, choose};
 use crate::events::EventSplitter;
+use crate::received::BufferedAnswer;
 use crate::state::Shared;
 use crate::waiting::enter;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod protocol;
 mod published_evidence;
 mod readiness;
+mod received;
 mod registration;
 mod relay;
 mod request_message;
