--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -5,8 +5,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use yuccapass_decisions::gateway::relay::{
-    RelayItem, RelayedEntry, RelayedReference, TopicRequest, TopicUpdate, ValueDigest, ValuePiece,
-    ValueRequest,
+    ListOffer, RelayItem, RelayedEntry, RelayedReference, TopicRequest, TopicUpdate, ValueDigest,
+    ValuePiece, ValueRequest,
 };
 use yuccapass_decisions::gateway::zone_room::{
     EndpointKey, EndpointUse, OutstandingSum, OutstandingSummary, RoomReply, RoomStamp,
