--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -15,6 +15,8 @@
 //! * [`endpoint_tracker`]: load and failures of one endpoint.
 //! * [`fleet`]: how many nodes share the limits that apply to all of them together.
 //! * [`link_share`]: this node's share of a store's link.
+//! * [`own_links`]: whether this node itself still reaches the endpoints, and [`neighbours`], one of which serves its
+//!   requests if it does not.
 //! * [`next_step`]: whether an attempt is retried, and what the caller gets otherwise.
 //! * [`part_store`]: the prompt parts in a store, and when they may be fetched and saved.
 //! * [`placement`]: which endpoint runs a request.
@@ -44,7 +46,9 @@
 pub mod endpoint_tracker;
 pub mod fleet;
 pub mod link_share;
+pub mod neighbours;
 pub mod next_step;
+pub mod own_links;
 mod paced_turns;
 pub mod part_store;
 pub mod placement;
@@ -83,7 +87,9 @@
 };
 pub use fleet::FleetSize;
 pub use link_share::LinkShare;
+pub use neighbours::{Neighbour, Neighbours};
 pub use next_step::{AttemptFailure, AttemptSummary, NextStep, Refusal};
+pub use own_links::{OwnLinks, SampleResult};
 pub use part_store::{PartEvent, PartEvents, StoreContents, TransferTiming};
 pub use placement::{
     Candidate, CandidateSpeed, Distance, ExpectedTime, ExpectedTimeAffinity, LeastLoaded,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -146,6 +146,11 @@
     outcome: &AttemptOutcome,
 ) {
     let now = shared.now();
+    if let AttemptOutcome::Failed(failed) = outcome
+        && matches!(failed.failure, AttemptFailure::Broken | AttemptFailure::Silent)
+    {
+        shared.links.record_broken(now);
+    }
     let is_outdated = shared.directory().outdated(&target.record, request.model()).is_some();
     let record = |tracker: &mut EndpointTracker| match outcome {
         AttemptOutcome::Answered(..) => tracker.record_success(now),
@@ -215,8 +220,14 @@
 ) -> AttemptOutcome {
     let (mut connection, is_reused) =
         match shared.endpoints.connect(&target.id, &target.record, request.deadline).await {
-            Ok(connection) => connection,
+            Ok((connection, is_reused)) => {
+                if !is_reused {
+                    shared.links.record_connection(true, shared.now());
+                }
+                (connection, is_reused)
+            }
             Err(error) => {
+                shared.links.record_connection(false, shared.now());
                 return AttemptOutcome::Failed(FailedAttempt::new(AttemptFailure::NotSent, error));
             }
         };
@@ -252,6 +263,7 @@
         }
     };
     let now = shared.now();
+    shared.links.record_heard(now);
     outstanding.record_begun(received.info.load, !received.info.is_not_run);
     if let Some(weights) = received.info.weights {
         record_weights(shared, request, target, weights);
@@ -305,6 +317,12 @@
             directory.outdated(record, request.model()).map(|outdated| outdated.deadlines.bound_end)
         };
         let now = shared.now();
+        if shared.links.are_lost()
+            && request.route.kind.may_run_again()
+            && !shared.links.is_heard(now)
+        {
+            return Err(WaitEnd::Unreachable);
+        }
         let wait_ms = bound_end.map_or(BOUND_CHECK_PERIOD_MS, |end| {
             end.remaining_ms(now).saturating_sub(CANCEL_MARGIN_MS)
         });
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -172,11 +172,14 @@
         Ok(connection)
     }
 
-    /// Checks whether an endpoint accepts a connection, which is kept for another request.
+    /// Checks whether an endpoint accepts a connection, which is kept for another request. Returns whether it
+    /// does.
     ///
     /// The kernel notices a silent peer only after seconds, and only whole ones.
-    pub(crate) async fn check(&self, id: &EndpointId, record: &EndpointRecord) {
-        let is_reachable = match self.open(id, record, Deadline::NEVER).await {
+    pub(crate) async fn check(&self, id: &EndpointId, record: &EndpointRecord) -> bool {
+        let opened = self.open(id, record, Deadline::NEVER).await;
+        let is_accepted = opened.is_ok();
+        let is_reachable = match opened {
             Ok(connection) => {
                 let expiry = Deadline::after_ms(self.clock.now(), DEFAULT_IDLE_MS);
                 self.keep_idle(id, record, IdleConnection { connection, expiry });
@@ -190,6 +193,15 @@
         }
         let now = self.clock.now();
         self.with_tracker(id, record, |tracker| tracker.record_check(is_reachable, now));
+        is_accepted
+    }
+
+    /// Returns whether there is an open connection for a request.
+    pub(crate) fn has_idle(&self, id: &EndpointId, record: &EndpointRecord) -> bool {
+        let now = self.clock.now();
+        self.with(id, record, |endpoint| {
+            endpoint.idle.iter().any(|idle| !idle.expiry.has_passed(now))
+        })
     }
 
     /// Keeps an idle connection for another request, if the endpoint keeps it open after this
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,6 +10,7 @@
 use crate::answer::AnswerWriter;
 use crate::attempt::{AttemptLimit, AttemptOutcome, FailedAttempt, Target, attempt};
 use crate::choice::{NeededRoom, choose};
+use crate::detour;
 use crate::events::EventSplitter;
 use crate::received::BufferedAnswer;
 use crate::state::Shared;
@@ -63,18 +64,29 @@
     request: &Admitted<'_>,
     answer: &mut AnswerWriter,
 ) -> RequestOutcome {
-    shared.count_request(request.service);
     let mut attempts = Attempts::default();
     let mut events = EventSplitter::default();
-    let mut next_target = match enter(shared, request).await {
-        Ok(target) => target,
-        Err(refusal) => return refuse(shared, request, answer, refusal).await,
+    let mut next_target = match detour::is_wanted(shared, request) {
+        true => None,
+        false => {
+            shared.count_request(request.service);
+            match enter(shared, request).await {
+                Ok(target) => target,
+                Err(refusal) => return refuse(shared, request, answer, refusal).await,
+            }
+        }
     };
     if !request.regions(shared).may_be_used(shared) {
         let refusal = Refusal::not_run(ResultCode::PlatformUnavailable);
         return refuse(shared, request, answer, refusal).await;
     }
     loop {
+        if detour::is_wanted(shared, request) {
+            next_target = on_open_connection(shared, request, &attempts.tried);
+            if next_target.is_none() {
+                return forward_through_node(shared, request, attempts, events, answer).await;
+            }
+        }
         let Some(target) = take_turn(shared, request, next_target, &attempts.tried) else {
             return refuse(shared, request, answer, no_endpoint_refusal(&attempts)).await;
         };
@@ -91,7 +103,8 @@
         request.message.may_have_run.store(attempts.may_have_run, Ordering::Release);
         next_target = choose(shared, request, &attempts.tried, NeededRoom::Preferred)
             .filter(|_| request.regions(shared).may_be_used(shared));
-        let step = decide(shared, request, &attempts, &failed, answer, next_target.is_some());
+        let has_other = next_target.is_some() || detour::is_wanted(shared, request);
+        let step = decide(shared, request, &attempts, &failed, answer, has_other);
         log_attempt(shared, request, &target, &attempts, &failed, step);
         match step {
             NextStep::Retry if request.is_blocked(shared) => {
@@ -105,6 +118,42 @@
     }
 }
 
+/// Chooses an endpoint to which there is an open connection, if these live on while no new ones can be opened.
+fn on_open_connection(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    tried: &[EndpointId],
+) -> Option<Target> {
+    if !shared.links.is_heard(shared.now()) {
+        return None;
+    }
+    choose(shared, request, tried, NeededRoom::None)
+        .filter(|target| shared.endpoints.has_idle(&target.id, &target.record))
+}
+
+/// Sends a request through another node, as this one has lost its links to the endpoints.
+async fn forward_through_node(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    mut attempts: Attempts,
+    mut events: EventSplitter,
+    answer: &mut AnswerWriter,
+) -> RequestOutcome {
+    let failed = match detour::detour(shared, request, &mut events, answer).await {
+        AttemptOutcome::Answered(status) => return RequestOutcome::Answered(status),
+        AttemptOutcome::CallerGone => return RequestOutcome::CallerGone,
+        AttemptOutcome::Failed(failed) => failed,
+    };
+    attempts.record(failed.failure);
+    request.message.may_have_run.store(attempts.may_have_run, Ordering::Release);
+    match decide(shared, request, &attempts, &failed, answer, false) {
+        NextStep::Refuse(refusal) => refuse(shared, request, answer, refusal).await,
+        NextStep::PassOn => send_answer(shared, request, answer, failed.answer).await,
+        // Without another endpoint nothing is tried again.
+        NextStep::BreakOff | NextStep::Retry => RequestOutcome::BrokenOff,
+    }
+}
+
 /// Takes the right to send the request to the chosen endpoint, or chooses another one if that was taken by
 /// another request meanwhile.
 fn take_turn(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod clock;
 mod crash_evidence;
 mod crashes;
+mod detour;
 mod endpoints;
 mod events;
 mod exchange;
@@ -42,6 +43,7 @@
 pub mod node;
 mod notices;
 pub mod options;
+mod own_links;
 mod part_crashes;
 pub mod protocol;
 mod published_evidence;
@@ -62,7 +64,7 @@
 pub use node::{GatewayError, GatewayNode};
 pub use options::{AnswerLimits, Capabilities, GatewayOptions, ProcessLimits, RequestQueue};
 pub use protocol::{
-    CallerRequest, DecodeError, EndpointAnswer, EngineProtocol, EntryChange, EntryDecoder,
+    CallerRequest, DecodeError, Detour, EndpointAnswer, EngineProtocol, EntryChange, EntryDecoder,
     Forwarding, InvalidRequest, OrderOutcome, PartStoreProtocol, Protocol, RolloutRequest,
     RolloutState, RolloutStatus, StatusEncoder, WeightOrder,
 };
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -107,13 +107,16 @@
     shared.metrics.record_node_count(after);
 }
 
-/// Records which nodes of the zone may be relays.
+/// Records which nodes of the zone may be relays, and through which nodes requests may be sent.
 fn read_entries(shared: &Shared, entries: &[Entry]) {
     let mut zone_nodes = Vec::new();
+    let mut neighbours = Vec::new();
     for entry in entries {
         let Some(node) = node_of(&entry.key) else { continue };
         match serde_json::from_slice::<NodeEntry>(entry.value.as_bytes()) {
             Ok(node_entry) => {
+                let is_other = node != shared.options.node;
+                neighbours.extend(node_entry.neighbour(&node).filter(|_| is_other));
                 let address = node_entry.address_in(&shared.options.zone);
                 zone_nodes.extend(address.map(|address| (node, address)));
             }
@@ -126,6 +129,7 @@
         }
     }
     shared.relay.replace_nodes(zone_nodes);
+    shared.detours.replace(neighbours);
 }
 
 fn node_of(key: &Key) -> Option<NodeId> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -67,6 +67,8 @@
     platform_calls: Counter<u64>,
     change_bytes: Counter<u64>,
     following: Gauge<u64>,
+    lost_links: Gauge<u64>,
+    detours: Counter<u64>,
     nodes: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
@@ -225,6 +227,14 @@
                 "yuccapass_gateway_following",
                 "1 if this node gets changes from a relay of its zone, 0 if it reads them itself.",
             ),
+            lost_links: gauge(
+                "yuccapass_gateway_lost_links",
+                "1 if this node cannot open connections to any endpoint, 0 otherwise.",
+            ),
+            detours: counter(
+                "yuccapass_gateway_detours",
+                "Requests that another node has served for this one.",
+            ),
             change_bytes: counter(
                 "yuccapass_gateway_change_bytes",
                 "Bytes of changes, by topic and by the way they took.",
@@ -382,6 +392,16 @@
         self.following.record(u64::from(is_following), &[]);
     }
 
+    /// Records whether this node has lost its links to the endpoints.
+    pub(crate) fn record_own_links(&self, are_lost: bool) {
+        self.lost_links.record(u64::from(are_lost), &[]);
+    }
+
+    /// Records a request that another node has served.
+    pub(crate) fn record_detour(&self) {
+        self.detours.add(1, &[]);
+    }
+
     /// Records the size of changes of a topic that this node has received or sent.
     pub(crate) fn record_change_bytes(&self, topic: &str, path: ChangePath, size: Bytes) {
         if size > Bytes::default() {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,7 +24,8 @@
 use crate::state::{Placements, Shared};
 use crate::swap_leader::SwapLeader;
 use crate::{
-    crash_evidence, crashes, membership, part_crashes, readiness, rollouts, stores, streams, watch,
+    crash_evidence, crashes, membership, own_links, part_crashes, readiness, rollouts, stores,
+    streams, watch,
 };
 
 /// How long new requests are served after a stop signal: the load balancer sends some until it has
@@ -146,6 +147,7 @@
             Arc::clone(&swap_leader),
         ));
         task::spawn(Arc::clone(&swap_leader).run());
+        task::spawn(own_links::run(Arc::clone(&shared)));
         task::spawn(crashes::run(Arc::clone(&shared)));
         task::spawn(part_crashes::run(Arc::clone(&shared)));
         task::spawn(readiness::serve(Arc::clone(&shared), admin_listener));
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -39,6 +39,8 @@
     pub max_output_tokens: Option<Tokens>,
     /// The caller's estimate of the length of the output, which may be far off.
     pub output_hint_tokens: Option<Tokens>,
+    /// Whether another node sends the request, which has lost its links to the endpoints.
+    pub is_detoured: bool,
 }
 
 /// The error for a caller's header with an invalid value.
@@ -72,6 +74,19 @@
     pub resume_after: Option<&'a str>,
 }
 
+/// What the headers of a request tell another node that is to serve it.
+#[derive(Debug, Clone, Copy)]
+pub struct Detour<'a> {
+    /// The node that sends it.
+    pub node: &'a NodeId,
+    /// Time until the deadline of the request, in milliseconds.
+    pub remaining_ms: u64,
+    /// Id of the event after which the stream is to continue.
+    pub resume_after: Option<&'a str>,
+    /// The caller's id for the attempt that brought the first event of that stream.
+    pub resumed: Option<&'a RequestId>,
+}
+
 /// The contents of the head of an endpoint's answer.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointAnswer {
@@ -109,6 +124,9 @@
         out: &mut Vec<u8>,
     );
 
+    /// Writes the header lines of a request to another node: those of the caller, and those for `detour`.
+    fn write_detour_headers(&self, head: &RequestHead, detour: &Detour<'_>, out: &mut Vec<u8>);
+
     /// Decodes the head of an endpoint's answer.
     fn endpoint_answer(&self, head: &ResponseHead) -> EndpointAnswer;
 
--- a/crates/gateway/src/received.rs
+++ b/crates/gateway/src/received.rs
@@ -234,6 +234,9 @@
             }
         };
         heard_at = shared.now();
+        if source.endpoint().is_some() {
+            shared.links.record_heard(heard_at);
+        }
         let is_last = part.is_none();
         let whole_events = match part {
             Some(bytes) => match events.push(bytes) {
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use yuccapass_decisions::gateway::Neighbour;
 use yuccapass_decisions::platform_budget::{LeaseHolder, LeaseStep, LeaseTerms, RequestTime};
 use yuccapass_http::sleep_until;
 use yuccapass_platform::{
     Key, KeyValue, KeyValueClient, LeaseId, LeaseTtl, PlatformClient, PlatformError,
     PlatformErrorKind, Transaction, Value, Write,
 };
-use yuccapass_types::{Deadline, FencingNumber, Incarnation, ZoneId};
+use yuccapass_types::{Deadline, FencingNumber, Incarnation, NodeId, ZoneId};
 
 use crate::state::Shared;
 
@@ -38,9 +39,17 @@
     // Absent in entries of versions that had no relays.
     zone: Option<ZoneId>,
     peer_address: Option<SocketAddr>,
+    // Absent in entries of versions that send no requests through other nodes.
+    caller_address: Option<SocketAddr>,
 }
 
 impl NodeEntry {
+    /// Returns the node for others that send requests through it.
+    pub(crate) fn neighbour(&self, node: &NodeId) -> Option<Neighbour> {
+        let (zone, address) = (self.zone.clone()?, self.caller_address?);
+        Some(Neighbour { node: node.clone(), zone, address })
+    }
+
     /// Returns the node's address for other nodes if it is in `zone`.
     pub(crate) fn address_in(&self, zone: &ZoneId) -> Option<SocketAddr> {
         self.peer_address.filter(|_| self.zone.as_ref() == Some(zone))
@@ -142,6 +151,7 @@
             incarnation: self.shared.options.incarnation,
             zone: Some(self.shared.options.zone.clone()),
             peer_address: self.shared.options.peer_address,
+            caller_address: Some(self.shared.options.caller_address),
         };
         let json = serde_json::to_vec(&entry).map_err(|error| invalid(&error))?;
         let value = Value::new(json).map_err(|error| invalid(&error))?;
--- a/crates/gateway/src/request_message.rs
+++ b/crates/gateway/src/request_message.rs
@@ -58,6 +58,17 @@
         transfers: transfers.as_ref(),
         resume_after: resume_after.map(|id| id.as_str()),
     };
+    let head = &request.message.head;
+    let write = |out: &mut Vec<u8>| shared.protocol.write_request_headers(head, &forwarding, out);
+    message_with_headers(request, write)
+}
+
+/// Encodes a request with the header lines that `write_headers` writes, without a body that is written by
+/// itself.
+pub(crate) fn message_with_headers(
+    request: &Admitted<'_>,
+    write_headers: impl FnOnce(&mut Vec<u8>),
+) -> Vec<u8> {
     let head = &request.message.head;
     let body = &request.message.body;
     let attached_body = if is_separate(body) { &[] } else { &body[..] };
@@ -66,11 +77,10 @@
     message.put_slice(b" ");
     message.put_slice(head.target.as_bytes());
     message.put_slice(b" HTTP/1.1\r\n");
-    shared.protocol.write_request_headers(head, &forwarding, &mut message);
-    let has_body =
-        !request.message.body.is_empty() || !matches!(head.method.as_str(), "GET" | "HEAD");
+    write_headers(&mut message);
+    let has_body = !body.is_empty() || !matches!(head.method.as_str(), "GET" | "HEAD");
     if has_body {
-        message.put_slice(format!("content-length: {}\r\n", request.message.body.len()).as_bytes());
+        message.put_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
     }
     message.put_slice(b"\r\n");
     message.put_slice(attached_body);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,10 +16,12 @@
 
 use crate::caller_memory::CallerMemory;
 use crate::crashes::CrashTracker;
+use crate::detour::DetourTable;
 use crate::endpoints::EndpointTable;
 use crate::metrics::Metrics;
 use crate::notices::NoticeTable;
 use crate::options::GatewayOptions;
+use crate::own_links::LinkTable;
 use crate::part_crashes::PartCrashTracker;
 use crate::protocol::Protocol;
 use crate::relay::RelayTable;
@@ -54,6 +56,8 @@
     pub(crate) waiting: WaitingTable,
     pub(crate) rollouts: RolloutTable,
     pub(crate) streams: StreamTable,
+    pub(crate) links: LinkTable,
+    pub(crate) detours: DetourTable,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
     configuration: RwLock<ConfigurationHolder>,
@@ -104,6 +108,8 @@
             ),
             rollouts: RolloutTable::new(&options),
             streams: StreamTable::default(),
+            links: LinkTable::default(),
+            detours: DetourTable::default(),
             crashes: CrashTracker::new(options.node.clone(), options.incarnation),
             part_crashes: PartCrashTracker::default(),
             metrics,
