--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! If the connection of a request breaks, or nothing is heard from the endpoint until the time of the
 //! request is over, the node probes whether the endpoint still accepts connections. If it does not, the
-//! request becomes a suspect. A request that was a suspect in several crashes, and was not answered in
+//! request becomes a suspect, unless most other endpoints cannot be reached either. A request that was a suspect in several crashes, and was not answered in
 //! between, is blocked for a while. `crash_evidence` shares the counts and the blocks with the other
 //! nodes.
 
@@ -22,6 +22,7 @@
 use yuccapass_types::{Incarnation, Instant, NodeId, OrganisationId};
 
 use crate::admission::{Admitted, ReadRequest};
+use crate::own_links;
 use crate::state::Shared;
 
 /// Number of crashes after which a request is blocked. The platform allows three.
@@ -211,11 +212,14 @@
     let connecting = TcpStream::connect(broken.endpoint);
     let outcome = future::timeout(Duration::from_millis(PROBE_TIMEOUT_MS), connecting).await;
     let fingerprint = broken.fingerprint.to_bits();
+    let is_accepted = matches!(outcome, Ok(Ok(_)));
+    let is_path_broken =
+        !is_accepted && own_links::are_paths_broken(&shared, broken.endpoint).await;
     let is_answered = !shared.crashes.with(|guard| guard.end_probe(broken.fingerprint));
-    if is_answered || matches!(outcome, Ok(Ok(_))) {
+    if is_answered || is_accepted || is_path_broken {
         log::info!(
             request_id = broken.request_id.as_str(), fingerprint, endpoint:% = broken.endpoint,
-            is_answered;
+            is_answered, is_path_broken;
             "an attempt that ended without an answer is no sign of a crash"
         );
         return;
--- a/crates/gateway/src/own_links.rs
+++ b/crates/gateway/src/own_links.rs
@@ -1,5 +1,6 @@
 //! Finds out whether this node itself still reaches the endpoints, see `yuccapass_decisions::gateway::own_links`.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -95,11 +96,14 @@
     }
 }
 
+/// Returns whether the paths to endpoints are broken, so that the failure of one of them does not show that its
+/// process has ended: most others, without the one at this address, cannot be reached either.
+pub(crate) async fn are_paths_broken(shared: &Arc<Shared>, excluded: SocketAddr) -> bool {
+    shared.links.are_lost() || sample(shared, Some(excluded)).await.shows_broken_paths()
+}
+
 /// Connects to a few endpoints at once, without the one at this address.
-pub(crate) async fn sample(
-    shared: &Arc<Shared>,
-    excluded: Option<std::net::SocketAddr>,
-) -> SampleResult {
+async fn sample(shared: &Arc<Shared>, excluded: Option<SocketAddr>) -> SampleResult {
     let directory = shared.directory();
     let ready: Vec<(&EndpointId, &EndpointRecord)> = directory
         .endpoints()
--- a/crates/gateway/src/part_crashes.rs
+++ b/crates/gateway/src/part_crashes.rs
@@ -3,7 +3,7 @@
 //!
 //! If the connection of a request breaks or is silent before its answer has ended, the node probes whether the
 //! endpoint's process has ended. Only a refused connection shows that: after a loss of power or of
-//! the network, connecting times out.
+//! the network, connecting times out. Where most other endpoints refuse connections as well, the paths are broken.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -21,6 +21,7 @@
 use yuccapass_types::{Deadline, Instant, PromptPartId, Sharded, SortedMap};
 
 use crate::attempt::Target;
+use crate::own_links;
 use crate::state::Shared;
 
 /// Timeout for connecting to an endpoint that may have crashed.
@@ -221,9 +222,10 @@
         Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
     };
+    let is_path_broken = is_refused && own_links::are_paths_broken(&shared, address).await;
     let tracker = &shared.part_crashes;
     let prompts = lock(&tracker.probed).remove(&process).unwrap_or_default();
-    if !is_refused {
+    if !is_refused || is_path_broken {
         return;
     }
     let now = shared.now();
