--- a/crates/gateway/src/received.rs
+++ b/crates/gateway/src/received.rs
@@ -72,8 +72,11 @@
         Either::Left((Ok(()), reading)) => reading.await,
         // The endpoint may have answered before it closed the connection.
         Either::Left((Err(source), reading)) => match reading.await {
-            Ok(received) => Ok(Received { is_request_written: false, ..received }),
-            Err(_) => Err(MessageError::Io { source }),
+            // The writer has taken the error of a reset connection, so reading would end as after a close.
+            Ok(received) if received.framing != Framing::UntilClose => {
+                Ok(Received { is_request_written: false, ..received })
+            }
+            Ok(_) | Err(_) => Err(MessageError::Io { source }),
         },
         Either::Right((received, _writing)) => {
             received.map(|received| Received { is_request_written: false, ..received })
