--- a/crates/http/src/message/head.rs
+++ b/crates/http/src/message/head.rs
@@ -1,5 +1,7 @@
 //! The head of a request or response.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Bytes, BytesMut};
 use smol_str::SmolStr;
 
@@ -22,6 +24,9 @@
     "upgrade",
 ];
 
+/// The valid status codes (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// Header fields in the order in which they arrived.
 #[derive(Debug, Clone, Default)]
 pub struct HeaderList {
@@ -156,6 +161,9 @@
         let (Some(code), true) = (response.code, status.is_complete()) else {
             return Err(MessageError::malformed("the status line is incomplete"));
         };
+        if !STATUS_CODES.contains(&code) {
+            return Err(MessageError::malformed(format!("the status {code} is not valid")));
+        }
         Ok(Some(Self {
             status: code,
             reason: SmolStr::new(response.reason.unwrap_or_default()),
