--- a/crates/decisions/src/gateway/own_links.rs
+++ b/crates/decisions/src/gateway/own_links.rs
@@ -1,6 +1,6 @@
 //! Whether a node itself still reaches the endpoints.
 //!
-//! A node that is partitioned from all endpoints sees each of them fail by itself. Before it believes that it has
+//! A node that is partitioned from the endpoints sees each of them fail by itself. Before it believes that it has
 //! lost its own links, it connects to a sample of them at once.
 
 use yuccapass_types::{Deadline, Instant};
@@ -37,12 +37,19 @@
     pub fn shows_broken_paths(self) -> bool {
         self.failed > 2 * self.reached
     }
+
+    /// Returns whether most were reached.
+    fn shows_sound_paths(self) -> bool {
+        self.reached > self.failed
+    }
 }
 
 /// What a node believes of its links to the endpoints.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct OwnLinks {
     is_lost: bool,
+    // Whether the last sample reached any endpoint.
+    reaches_some: bool,
     heard_at: Option<Instant>,
     // Connections that could not be opened since one was.
     failed_connections: u32,
@@ -57,11 +64,16 @@
         self.heard_at = Some(now);
     }
 
-    /// Returns whether new connections to endpoints cannot be opened.
+    /// Returns whether connections to most endpoints cannot be opened.
     pub fn are_lost(&self) -> bool {
         self.is_lost
     }
 
+    /// Returns whether the links are lost to most endpoints, but not to all.
+    pub fn reach_some(&self) -> bool {
+        self.is_lost && self.reaches_some
+    }
+
     /// Returns whether connections that are open live on.
     pub fn is_heard(&self, now: Instant) -> bool {
         self.heard_at.is_some_and(|at| now.ms_since(at) <= HEARD_MS)
@@ -105,15 +117,20 @@
         true
     }
 
-    /// Records the result of the sample; returns whether what the node believes has changed. Without endpoints
-    /// it shows nothing.
+    /// Records the result of the sample; returns whether the links are lost now and were not before, or the other
+    /// way round. Without endpoints it shows nothing, and neither does one that reached about a half.
     pub fn end_sample(&mut self, result: SampleResult) -> bool {
         self.is_sampling = false;
         let was_lost = self.is_lost;
         if result.reached + result.failed > 0 {
-            self.is_lost = result.reached == 0;
+            self.reaches_some = result.reached > 0;
             self.failed_connections = 0;
         }
+        if result.shows_broken_paths() {
+            self.is_lost = true;
+        } else if result.shows_sound_paths() {
+            self.is_lost = false;
+        }
         self.is_lost != was_lost
     }
 }
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -7,10 +7,12 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use yuccapass_decisions::gateway::{AttemptFailure, EndpointRecord, Neighbour, Neighbours};
+use yuccapass_decisions::gateway::{
+    AttemptFailure, EndpointRecord, Neighbour, Neighbours, Refusal,
+};
 use yuccapass_http::message::{Connection, ResponseHead};
 use yuccapass_http::with_deadline;
-use yuccapass_types::{Deadline, NodeId, RequestId, SortedMap};
+use yuccapass_types::{Deadline, NodeId, RequestId, ResultCode, SortedMap};
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
@@ -33,6 +35,13 @@
 /// Maximum number of nodes that are tried for a request.
 const MAX_NODES: usize = 3;
 
+/// The status with which a node that has lost its links too refuses a request of another one (RFC 9110, section
+/// 15.5.20).
+const MISDIRECTED: u16 = 421;
+
+/// The error answer of such a node. The other one may know a third node that serves the request.
+pub(crate) const REFUSAL: Refusal = Refusal::without_retry(MISDIRECTED, ResultCode::NoEndpoint);
+
 type IdleConnections = SortedMap<SocketAddr, Vec<(Connection, Deadline)>>;
 
 /// The other nodes, and the connections to them.
@@ -86,13 +95,14 @@
 
 /// Returns whether a request goes through another node now. One that has come from another node does not.
 pub(crate) fn is_wanted(shared: &Shared, request: &Admitted<'_>) -> bool {
-    shared.links.are_lost() && !request.caller.is_detoured
+    shared.links.are_lost() && request.caller.detoured_runs.is_none()
 }
 
-/// Sends a request through other nodes, until one of them has taken it.
+/// Sends a request, which `runs` attempts may have run, through other nodes until one of them has taken it.
 pub(crate) async fn detour(
     shared: &Shared,
     request: &Admitted<'_>,
+    runs: u32,
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
 ) -> AttemptOutcome {
@@ -101,7 +111,7 @@
     while tried.len() < MAX_NODES && !request.deadline.has_passed(shared.now()) {
         let Some(neighbour) = choose(shared, request, &tried) else { break };
         tried.push(neighbour.node.clone());
-        let outcome = attempt(shared, request, &neighbour, events, answer).await;
+        let outcome = attempt(shared, request, runs, &neighbour, events, answer).await;
         let AttemptOutcome::Failed(next) = outcome else {
             shared.metrics.record_detour();
             return outcome;
@@ -111,9 +121,6 @@
             failure:? = next.failure, detail = next.detail.as_str();
             "another node did not serve a request"
         );
-        if matches!(next.failure, AttemptFailure::NotSent | AttemptFailure::NotRun) {
-            lock(&shared.detours.neighbours).avoid(neighbour.node, shared.now());
-        }
         let may_have_run = !next.failure.is_not_run();
         failed = next;
         if may_have_run {
@@ -133,9 +140,14 @@
     lock(&shared.detours.neighbours).choose(distance, tried, rand::random(), shared.now())
 }
 
+fn avoid(shared: &Shared, neighbour: &Neighbour) {
+    lock(&shared.detours.neighbours).avoid(neighbour.node.clone(), shared.now());
+}
+
 async fn attempt(
     shared: &Shared,
     request: &Admitted<'_>,
+    runs: u32,
     neighbour: &Neighbour,
     events: &mut EventSplitter,
     answer: &mut AnswerWriter,
@@ -146,10 +158,13 @@
         Some(connection) => (connection, true),
         None => match open(shared, neighbour.address, request.deadline).await {
             Ok(connection) => (connection, false),
-            Err(error) => return not_sent(error.to_string()),
+            Err(error) => {
+                avoid(shared, neighbour);
+                return not_sent(error.to_string());
+            }
         },
     };
-    let message = detour_message(shared, request, events);
+    let message = detour_message(shared, request, runs, events);
     let separate_body = match is_separate(&request.message.body) {
         true => &request.message.body[..],
         false => &[],
@@ -165,6 +180,9 @@
     };
     let source = NodeSource { address: neighbour.address };
     if !received.info.is_signed {
+        if received.head.status == MISDIRECTED {
+            avoid(shared, neighbour);
+        }
         let failure = refusal_failure(&received);
         let detail = format!("refused by a node, status {}", received.head.status);
         return AttemptOutcome::Failed(FailedAttempt::new(failure, detail));
@@ -200,7 +218,12 @@
 }
 
 /// Encodes the caller's request for another node.
-fn detour_message(shared: &Shared, request: &Admitted<'_>, events: &EventSplitter) -> Vec<u8> {
+fn detour_message(
+    shared: &Shared,
+    request: &Admitted<'_>,
+    runs: u32,
+    events: &EventSplitter,
+) -> Vec<u8> {
     let caller = request.caller;
     let begun = events.last_id();
     // A stream that has begun here goes on like one that its caller takes up.
@@ -210,7 +233,7 @@
         None => caller.resumed.as_ref(),
     };
     let detour = Detour {
-        node: &shared.options.node,
+        runs,
         remaining_ms: request.deadline.remaining_ms(shared.now()),
         resume_after: begun.or(caller.resume_after.as_ref()).map(|id| id.as_str()),
         resumed,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,8 +3,10 @@
 use std::sync::atomic::Ordering;
 
 use yuccapass_decisions::gateway::next_step::next_step;
-use yuccapass_decisions::gateway::{AttemptFailure, AttemptSummary, NextStep, Refusal};
-use yuccapass_types::{Deadline, EndpointId, RequestId, ResultCode, SoftwareVersion};
+use yuccapass_decisions::gateway::{
+    AttemptFailure, AttemptSummary, EndpointTracker, NextStep, Refusal,
+};
+use yuccapass_types::{Deadline, EndpointId, Instant, RequestId, ResultCode, SoftwareVersion};
 
 use crate::admission::Admitted;
 use crate::answer::AnswerWriter;
@@ -24,6 +26,10 @@
 /// to be sent again.
 const MIN_PATIENCE_MS: u64 = 300;
 
+/// How long ago an endpoint has begun an answer at most whose open connections are used while no new ones can be
+/// opened.
+const RECENT_ANSWER_MS: u64 = 400;
+
 /// The outcome of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RequestOutcome {
@@ -44,9 +50,16 @@
     run: u32,
     may_have_run: bool,
     tried: Vec<EndpointId>,
+    // Whether other nodes were asked to serve the request.
+    has_asked_nodes: bool,
 }
 
 impl Attempts {
+    /// The attempts that another node has made before, `runs` of which may have run the request.
+    fn before(runs: u32) -> Self {
+        Self { sent: runs, run: runs, may_have_run: runs > 0, ..Self::default() }
+    }
+
     fn record(&mut self, failure: AttemptFailure) {
         if failure != AttemptFailure::NotSent {
             self.sent += 1;
@@ -64,28 +77,33 @@
     request: &Admitted<'_>,
     answer: &mut AnswerWriter,
 ) -> RequestOutcome {
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts::before(request.caller.detoured_runs.unwrap_or(0));
     let mut events = EventSplitter::default();
-    let mut next_target = match detour::is_wanted(shared, request) {
-        true => None,
-        false => {
-            shared.count_request(request.service);
-            match enter(shared, request).await {
-                Ok(target) => target,
-                Err(refusal) => return refuse(shared, request, answer, refusal).await,
-            }
-        }
+    let is_detoured = request.caller.detoured_runs.is_some();
+    if is_detoured && shared.links.are_lost() {
+        return refuse(shared, request, answer, detour::REFUSAL).await;
+    }
+    // The request counts at the node that serves it.
+    if let Some(outcome) =
+        forward_through_node(shared, request, &mut attempts, &mut events, answer).await
+    {
+        return outcome;
+    }
+    shared.count_request(request.service);
+    let mut next_target = match enter(shared, request).await {
+        Ok(target) => target,
+        Err(refusal) => return refuse(shared, request, answer, refusal).await,
     };
     if !request.regions(shared).may_be_used(shared) {
         let refusal = Refusal::not_run(ResultCode::PlatformUnavailable);
         return refuse(shared, request, answer, refusal).await;
     }
     loop {
-        if detour::is_wanted(shared, request) {
-            next_target = on_open_connection(shared, request, &attempts.tried);
-            if next_target.is_none() {
-                return forward_through_node(shared, request, attempts, events, answer).await;
-            }
+        if !attempts.tried.is_empty()
+            && let Some(outcome) =
+                forward_through_node(shared, request, &mut attempts, &mut events, answer).await
+        {
+            return outcome;
         }
         let Some(target) = take_turn(shared, request, next_target, &attempts.tried) else {
             return refuse(shared, request, answer, no_endpoint_refusal(&attempts)).await;
@@ -118,40 +136,51 @@
     }
 }
 
-/// Chooses an endpoint to which there is an open connection, if these live on while no new ones can be opened.
-fn on_open_connection(
-    shared: &Shared,
-    request: &Admitted<'_>,
-    tried: &[EndpointId],
-) -> Option<Target> {
-    if !shared.links.is_heard(shared.now()) {
-        return None;
-    }
-    choose(shared, request, tried, NeededRoom::None)
-        .filter(|target| shared.endpoints.has_idle(&target.id, &target.record))
-}
-
-/// Sends a request through another node, as this one has lost its links to the endpoints.
+/// Sends a request through another node if this one has lost its links to the endpoints. Returns `None` if it has
+/// not, or if no other node has taken the request and this one may reach an endpoint itself.
 async fn forward_through_node(
     shared: &Shared,
     request: &Admitted<'_>,
-    mut attempts: Attempts,
-    mut events: EventSplitter,
+    attempts: &mut Attempts,
+    events: &mut EventSplitter,
     answer: &mut AnswerWriter,
-) -> RequestOutcome {
-    let failed = match detour::detour(shared, request, &mut events, answer).await {
-        AttemptOutcome::Answered(status) => return RequestOutcome::Answered(status),
-        AttemptOutcome::CallerGone => return RequestOutcome::CallerGone,
+) -> Option<RequestOutcome> {
+    if !detour::is_wanted(shared, request)
+        || attempts.has_asked_nodes
+        || has_open_connection(shared, request, &attempts.tried)
+    {
+        return None;
+    }
+    attempts.has_asked_nodes = true;
+    let failed = match detour::detour(shared, request, attempts.run, events, answer).await {
+        AttemptOutcome::Answered(status) => return Some(RequestOutcome::Answered(status)),
+        AttemptOutcome::CallerGone => return Some(RequestOutcome::CallerGone),
         AttemptOutcome::Failed(failed) => failed,
     };
+    if failed.failure.is_not_run() && shared.links.reach_some() {
+        request.message.may_have_run.store(attempts.may_have_run, Ordering::Release);
+        return None;
+    }
     attempts.record(failed.failure);
     request.message.may_have_run.store(attempts.may_have_run, Ordering::Release);
-    match decide(shared, request, &attempts, &failed, answer, false) {
+    Some(match decide(shared, request, attempts, &failed, answer, false) {
         NextStep::Refuse(refusal) => refuse(shared, request, answer, refusal).await,
         NextStep::PassOn => send_answer(shared, request, answer, failed.answer).await,
         // Without another endpoint nothing is tried again.
         NextStep::BreakOff | NextStep::Retry => RequestOutcome::BrokenOff,
-    }
+    })
+}
+
+/// Returns whether the request can go to an endpoint on a connection that is open, and lives on while no new
+/// ones can be opened.
+fn has_open_connection(shared: &Shared, request: &Admitted<'_>, tried: &[EndpointId]) -> bool {
+    let since = Instant::from_ms(shared.now().as_ms().saturating_sub(RECENT_ANSWER_MS));
+    let is_open = |target: &Target| {
+        let answers = |tracker: &mut EndpointTracker| tracker.has_answered_since(since);
+        shared.endpoints.with_tracker(&target.id, &target.record, answers)
+            && shared.endpoints.has_idle(&target.id, &target.record)
+    };
+    choose(shared, request, tried, NeededRoom::None).is_some_and(|target| is_open(&target))
 }
 
 /// Takes the right to send the request to the chosen endpoint, or chooses another one if that was taken by
--- a/crates/gateway/src/own_links.rs
+++ b/crates/gateway/src/own_links.rs
@@ -29,11 +29,16 @@
 }
 
 impl LinkTable {
-    /// Returns whether new connections to endpoints cannot be opened.
+    /// Returns whether connections to most endpoints cannot be opened.
     pub(crate) fn are_lost(&self) -> bool {
         self.are_lost.load(Ordering::Acquire)
     }
 
+    /// Returns whether the links are lost to most endpoints, but not to all.
+    pub(crate) fn reach_some(&self) -> bool {
+        self.links().reach_some()
+    }
+
     /// Returns whether connections to endpoints that are open live on.
     pub(crate) fn is_heard(&self, now: Instant) -> bool {
         self.links().is_heard(now)
@@ -84,8 +89,11 @@
             continue;
         }
         let result = sample(&shared, None).await;
-        if shared.links.links().end_sample(result) {
-            let are_lost = result.reached == 0;
+        let (has_changed, are_lost) = {
+            let mut links = shared.links.links();
+            (links.end_sample(result), links.are_lost())
+        };
+        if has_changed {
             shared.links.are_lost.store(are_lost, Ordering::Release);
             shared.metrics.record_own_links(are_lost);
             log::warn!(
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -39,8 +39,9 @@
     pub max_output_tokens: Option<Tokens>,
     /// The caller's estimate of the length of the output, which may be far off.
     pub output_hint_tokens: Option<Tokens>,
-    /// Whether another node sends the request, which has lost its links to the endpoints.
-    pub is_detoured: bool,
+    /// How many attempts may have run the request, if it comes from another node that has lost its links to the
+    /// endpoints; `None` if it comes from its caller.
+    pub detoured_runs: Option<u32>,
 }
 
 /// The error for a caller's header with an invalid value.
@@ -77,8 +78,8 @@
 /// What the headers of a request tell another node that is to serve it.
 #[derive(Debug, Clone, Copy)]
 pub struct Detour<'a> {
-    /// The node that sends it.
-    pub node: &'a NodeId,
+    /// How many attempts may have run the request before.
+    pub runs: u32,
     /// Time until the deadline of the request, in milliseconds.
     pub remaining_ms: u64,
     /// Id of the event after which the stream is to continue.
