--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -101,7 +101,9 @@
 pub use route::{Priority, PromptPart, Route, RouteKind, WeightedService};
 pub use settings_validity::{SettingsBounds, SettingsValidity};
 pub use store_polling::StorePollSettings;
-pub use stream_origin::{SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, keepers};
+pub use stream_origin::{
+    SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, TakeUpEvidence, keepers,
+};
 pub use swap::{EngineReport, SwapLimits, SwapPlan, SwapStep, candidate_delay_ms};
 pub use takeover::{Handover, Takeover};
 pub use target_bounds::{TargetBounds, TargetDeadlines};
--- a/crates/decisions/src/gateway/stream_origin/mod.rs
+++ b/crates/decisions/src/gateway/stream_origin/mod.rs
@@ -7,14 +7,18 @@
 //!   [`keepers`].
 //! * [`SoftwareHistory`] has the versions that may have begun the streams that are not recorded.
 //!
+//! * [`TakeUpEvidence`] has what shows that a node which knows one version is not out of step.
+//!
 //! If several versions may have begun a stream that nobody knows, it cannot go on.
 
+mod evidence;
 mod history;
 mod keepers;
 mod records;
 
 use yuccapass_types::{RequestId, ServiceId, SoftwareVersion};
 
+pub use evidence::TakeUpEvidence;
 pub use history::SoftwareHistory;
 pub use keepers::keepers;
 pub use records::StreamRecords;
--- a/crates/decisions/tests/gateway_stream_origin.rs
+++ b/crates/decisions/tests/gateway_stream_origin.rs
@@ -1,7 +1,7 @@
 //! Tests of the versions that may have begun streams, and of the records of streams.
 
 use yuccapass_decisions::gateway::{
-    SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, keepers,
+    SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, TakeUpEvidence, keepers,
 };
 use yuccapass_types::{Instant, NodeId, RequestId, ServiceId, SoftwareVersion};
 
@@ -159,3 +159,27 @@
         assert!(kept_by.iter().all(is_asked), "{kept_by:?} and {asked:?}");
     }
 }
+
+/// Guards against a node that goes on with a stream by what it knew before the stream began, or because one of
+/// several nodes agrees.
+#[test]
+fn a_stream_goes_on_only_by_recent_knowledge() {
+    // Arrange
+    let evidence = || TakeUpEvidence::new(at(1_000));
+    let with = |nodes: &[bool], confirmed_ms: Option<u64>| {
+        let mut evidence = evidence();
+        nodes.iter().for_each(|agrees| evidence.record_node(*agrees));
+        if let Some(ms) = confirmed_ms {
+            evidence.record_confirmation(at(ms));
+        }
+        evidence.is_sufficient()
+    };
+
+    // Act
+    let by_confirmation = [with(&[], None), with(&[], Some(999)), with(&[], Some(1_000))];
+    let by_nodes = [with(&[true], None), with(&[true, false], None), with(&[false], Some(1_100))];
+
+    // Assert
+    assert_eq!(by_confirmation, [false, false, true]);
+    assert_eq!(by_nodes, [true, false, true]);
+}
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -10,8 +10,8 @@
 };
 use yuccapass_http::message::RequestHead;
 use yuccapass_types::{
-    Deadline, Instant, ModelId, OrganisationId, ResultCode, Revision, ServiceId, SoftwareVersion,
-    ZoneId,
+    Deadline, Instant, ModelId, OrganisationId, RequestId, ResultCode, Revision, ServiceId,
+    SoftwareVersion, ZoneId,
 };
 
 use crate::caller_memory::CallerClaim;
@@ -189,7 +189,7 @@
         && route.kind == (RouteKind::Streaming { is_resumable: true });
     let (service, software) = match goes_on {
         true => {
-            let (service, software) = resumed_service(shared, route, origin)
+            let (service, software) = resumed_service(route, origin)
                 .ok_or(Refusal::without_retry(503, ResultCode::StreamOriginUnknown))?;
             (service, OnceLock::from(software))
         }
@@ -224,18 +224,44 @@
 /// Returns the service and the version of its software that go on with a stream, or `None` if several may have
 /// begun it.
 fn resumed_service<'a>(
-    shared: &Shared,
     route: &'a Route,
     origin: Option<&StreamOrigin>,
 ) -> Option<(&'a ServiceId, Option<SoftwareVersion>)> {
-    let mut services =
-        route.services.iter().filter(|part| part.weight > 0).map(|part| &part.service);
-    if let Some(origin) = origin {
-        let service = services.find(|service| **service == origin.service)?;
-        return Some((service, origin.software.clone()));
+    let origin = origin?;
+    let service = services_of(route).find(|service| **service == origin.service)?;
+    Some((service, origin.software.clone()))
+}
+
+fn services_of(route: &Route) -> impl Iterator<Item = &ServiceId> {
+    route.services.iter().filter(|part| part.weight > 0).map(|part| &part.service)
+}
+
+/// Returns where the stream has begun that a caller takes up, or `None` if it takes none up or several services or
+/// versions may have begun it.
+pub(crate) async fn resumed_origin(
+    shared: &Shared,
+    configuration: &Configuration,
+    request: &ReadRequest,
+    caller: &CallerRequest,
+) -> Option<StreamOrigin> {
+    caller.resume_after.as_ref()?;
+    let route = configuration.route(host(&request.head), request.head.path())?;
+    if route.kind != (RouteKind::Streaming { is_resumable: true }) {
+        return None;
+    }
+    let id = caller.resumed.as_ref();
+    if let Some(id) = id
+        && let Some(origin) = shared.streams.find_origin(shared, id).await
+    {
+        return Some(origin);
     }
+    let mut services = services_of(route);
     let service = services.next().filter(|_| services.next().is_none())?;
-    Some((service, shared.streams.sole_version(shared, service)?))
+    let own_id: Option<RequestId> = caller.id.parse().ok();
+    let id = id.or(own_id.as_ref())?;
+    let streams = &shared.streams;
+    let sole = streams.confirmed_sole_version(shared, service, id, request.arrived_at).await?;
+    Some(StreamOrigin { service: service.clone(), software: sole })
 }
 
 fn may_be_used(shared: &Shared, regions: &AllowedRegions) -> bool {
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -12,7 +12,7 @@
 use yuccapass_http::with_deadline;
 use yuccapass_types::{Bytes as Size, Deadline, ResultCode};
 
-use crate::admission::{ReadRequest, admit, host};
+use crate::admission::{ReadRequest, admit, host, resumed_origin};
 use crate::answer::AnswerWriter;
 use crate::caller_memory::{BodyBuffer, CallerClaim, OpenConnection};
 use crate::forward::{RequestOutcome, forward};
@@ -407,10 +407,7 @@
         let refusal = Refusal::not_run(ResultCode::PlatformUnavailable);
         return refuse(shared, request, &caller, refusal, answer).await;
     };
-    let origin = match caller.resumed.as_ref().filter(|_| caller.resume_after.is_some()) {
-        Some(id) => shared.streams.find_origin(shared, id).await,
-        None => None,
-    };
+    let origin = resumed_origin(shared, &configuration, request, &caller).await;
     let admitted = match admit(shared, &configuration, request, &caller, origin.as_ref()) {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(shared, request, &caller, refusal, answer).await,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -139,6 +139,11 @@
         membership::start(&shared, &adapter.key_value, &swap_leader);
         crash_evidence::start(&shared, &adapter.key_value);
         streams::published::start(&shared, &adapter.key_value);
+        streams::sole_version::start(
+            &shared,
+            &adapter.key_value,
+            adapter.entry_decoder.endpoint_prefix(),
+        );
         streams::saved::start(&shared, &adapter.key_value);
         rollouts::start(&shared, &adapter.key_value, &adapter.status_encoder, &swap_leader);
         task::spawn(stores::poll_stores(
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -194,6 +194,13 @@
         }
     }
 
+    /// Returns the position up to which this node knows a topic, or `None` before it was listed.
+    pub(crate) fn position(&self, topic: &SmolStr) -> Option<(u64, u64)> {
+        let followers = lock(&self.followers);
+        let position = &followers.get(topic)?.position;
+        (position.after > 0).then_some((position.epoch, position.after))
+    }
+
     /// Publishes what was read from the origin, and sets the position of the topic.
     pub(crate) fn publish(&self, subscription: &Subscription, read: OriginRead, now: Instant) {
         self.set_position(subscription, read.epoch, read.to);
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -40,6 +40,10 @@
             PeerMessage::FindStream(id) => {
                 Some(PeerMessage::StreamFound(self.shared.streams.known_origin(&self.shared, &id)))
             }
+            PeerMessage::RequestSoleVersion(service) => {
+                let sole = self.shared.streams.sole_version(&self.shared, &service);
+                Some(PeerMessage::SoleVersion(sole))
+            }
             PeerMessage::RequestList(topic) => {
                 let offer = self.shared.relay.offer_list(&topic, self.shared.now());
                 Some(PeerMessage::ListOffered(offer))
--- a/crates/gateway/src/streams/mod.rs
+++ b/crates/gateway/src/streams/mod.rs
@@ -3,11 +3,13 @@
 //! A stream may be taken up by its caller at any node. Each node records the streams that it begins, and where
 //! several versions may serve, it gives the record to two [`keepers`] of its zone before the first event goes
 //! out. These are among the nodes that read from origins. [`saved`] makes their records outlast them, and
-//! [`published`] makes the versions that may have begun streams known to nodes that start. See
+//! [`published`] makes the versions that may have begun streams known to nodes that start, and [`sole_version`] keeps a
+//! node that is out of step from going on by what it knew before. See
 //! `yuccapass_decisions::gateway::stream_origin`.
 
 pub(crate) mod published;
 pub(crate) mod saved;
+pub(crate) mod sole_version;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -25,6 +27,7 @@
     Deadline, NodeId, RequestId, ServiceId, Sharded, SoftwareVersion, SortedMap,
 };
 
+use self::sole_version::EndpointCheck;
 use crate::state::Shared;
 
 /// Number of nodes that keep the record of a stream besides the one that begins it.
@@ -52,6 +55,8 @@
     unsaved: Mutex<Vec<StreamRecord>>,
     // Set once, if the node can call other nodes.
     transport: OnceLock<Arc<dyn PeerTransport>>,
+    // Set once, when the node starts.
+    endpoint_check: OnceLock<EndpointCheck>,
 }
 
 impl StreamTable {
--- a/crates/peers/src/convert/frame.rs
+++ b/crates/peers/src/convert/frame.rs
@@ -7,8 +7,8 @@
 use crate::error::DecodeError;
 use crate::message::{Frame, PeerMessage, Sender};
 use crate::wire::{
-    WireBody, WireFrame, WireListAnswer, WireListQuery, WireOutcome, WireStreamAnswer,
-    WireStreamQuery, WireStreamsKept,
+    WireBody, WireFrame, WireListAnswer, WireListQuery, WireOutcome, WireServiceQuery,
+    WireSoleVersion, WireStreamAnswer, WireStreamQuery, WireStreamsKept,
 };
 
 impl From<Frame> for WireFrame {
@@ -65,6 +65,13 @@
             PeerMessage::ListOffered(offer) => {
                 Self::ListOffered(WireListAnswer { offer: offer.map(Into::into) })
             }
+            PeerMessage::RequestSoleVersion(service) => {
+                Self::RequestSoleVersion(WireServiceQuery { service: service.to_string() })
+            }
+            PeerMessage::SoleVersion(sole) => Self::SoleVersion(WireSoleVersion {
+                is_sole: sole.is_some(),
+                software: sole.flatten().map(|software| software.to_string()),
+            }),
         }
     }
 }
@@ -102,6 +109,15 @@
             WireBody::ListOffered(answer) => {
                 Self::ListOffered(answer.offer.map(TryInto::try_into).transpose()?)
             }
+            WireBody::RequestSoleVersion(query) => {
+                Self::RequestSoleVersion(parse_id("service", &query.service)?)
+            }
+            WireBody::SoleVersion(answer) => {
+                let software = answer.software.as_deref();
+                let software =
+                    software.map(|software| parse_id("software", software)).transpose()?;
+                Self::SoleVersion(answer.is_sole.then_some(software))
+            }
         })
     }
 }
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -11,7 +11,9 @@
 use yuccapass_decisions::membership::Heartbeat;
 use yuccapass_decisions::permits::{PermitId, PermitReply};
 use yuccapass_decisions::quorum::{AttemptId, OutcomeState, VoteKey, VoteReply, VoteRequest};
-use yuccapass_types::{EndpointId, Incarnation, NodeId, RequestId, Revision};
+use yuccapass_types::{
+    EndpointId, Incarnation, NodeId, RequestId, Revision, ServiceId, SoftwareVersion,
+};
 
 use crate::error::DecodeError;
 use crate::wire::WireFrame;
@@ -146,6 +148,11 @@
     /// Reply to [`PeerMessage::RequestList`]; `None` if the topic was not listed. The list itself is
     /// transferred as a value.
     ListOffered(Option<ListOffer>),
+    /// Asks which version of a service's software has begun all streams that are not known. Answered by
+    /// [`PeerMessage::SoleVersion`].
+    RequestSoleVersion(ServiceId),
+    /// Reply to [`PeerMessage::RequestSoleVersion`]; `None` if there may be several, or the sender does not know.
+    SoleVersion(Option<Option<SoftwareVersion>>),
 }
 
 /// The process that sent a frame.
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -17,7 +17,7 @@
     pub(crate) remaining_ms: u64,
     #[prost(
         oneof = "WireBody",
-        tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub(crate) body: Option<WireBody>,
 }
@@ -58,6 +58,25 @@
     RequestList(WireListQuery),
     #[prost(message, tag = "21")]
     ListOffered(WireListAnswer),
+    #[prost(message, tag = "22")]
+    RequestSoleVersion(WireServiceQuery),
+    #[prost(message, tag = "23")]
+    SoleVersion(WireSoleVersion),
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireServiceQuery {
+    #[prost(string, tag = "1")]
+    pub(crate) service: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireSoleVersion {
+    #[prost(bool, tag = "1")]
+    pub(crate) is_sole: bool,
+    /// Absent if the endpoints name no version.
+    #[prost(string, optional, tag = "2")]
+    pub(crate) software: Option<String>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -126,6 +126,10 @@
         PeerMessage::FindStream(id.clone()),
         PeerMessage::StreamFound(None),
         PeerMessage::StreamFound(Some(origin(Some("v1")))),
+        PeerMessage::RequestSoleVersion("ledger".parse().unwrap()),
+        PeerMessage::SoleVersion(None),
+        PeerMessage::SoleVersion(Some(None)),
+        PeerMessage::SoleVersion(Some(Some("v1".parse().unwrap()))),
     ]
 }
 
--- a/crates/yuccapassd/src/fleet/peer_handler.rs
+++ b/crates/yuccapassd/src/fleet/peer_handler.rs
@@ -58,7 +58,9 @@
             | PeerMessage::FindStream(_)
             | PeerMessage::StreamFound(_)
             | PeerMessage::RequestList(_)
-            | PeerMessage::ListOffered(_) => None,
+            | PeerMessage::ListOffered(_)
+            | PeerMessage::RequestSoleVersion(_)
+            | PeerMessage::SoleVersion(_) => None,
         }
     }
 }
