--- a/crates/decisions/src/gateway/endpoint_notices.rs
+++ b/crates/decisions/src/gateway/endpoint_notices.rs
@@ -21,12 +21,17 @@
     pub is_leaving: bool,
     /// For how long the endpoint wants nothing from this node, which it has turned away.
     pub pause_ms: Option<u64>,
+    /// The requests a second that the endpoint can turn away for want of room without ending; `None` if it is not
+    /// brittle.
+    pub max_rejections_per_s: Option<u32>,
+    /// Whether the endpoint has turned the request away for want of room, or reports that it has none.
+    pub is_full: bool,
 }
 
 impl EndpointNotice {
     /// Returns whether the answer says nothing that binds a node.
     pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+        Self { is_full: false, ..*self } == Self::default()
     }
 }
 
@@ -66,10 +71,46 @@
     }
 }
 
+/// Share of the rejections that a brittle endpoint bears which all nodes together risk. The rest is for requests
+/// that were on their way when it became full.
+const RISKED_REJECTIONS: f64 = 0.5;
+
+/// An endpoint that ends if it has to turn too many requests away.
+#[derive(Debug, Clone, Copy)]
+struct Brittle {
+    // The rate at which all nodes together may send requests while it is full.
+    rate: RequestRate,
+    // When it was last said.
+    named_at: Instant,
+    is_full: bool,
+    share: RateShare,
+}
+
+impl Brittle {
+    fn new(max_rejections_per_s: u32, named_at: Instant, is_full: bool) -> Self {
+        Self {
+            rate: risked_rate(max_rejections_per_s),
+            named_at,
+            is_full,
+            share: RateShare::default(),
+        }
+    }
+
+    fn may_send(&mut self, nodes: u32, random: f64, now: Instant) -> bool {
+        !self.is_full || self.share.may_send(self.rate, nodes, random, now)
+    }
+}
+
+fn risked_rate(max_rejections_per_s: u32) -> RequestRate {
+    let rate = f64::from(max_rejections_per_s) * RISKED_REJECTIONS;
+    RequestRate::from_per_s(rate).unwrap_or_default()
+}
+
 /// What this node has learned from the answers of one process of an endpoint.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EndpointNotices {
     limit: Option<NamedLimit>,
+    brittle: Option<Brittle>,
     // Limits named before this have ended.
     unlimited_at: Option<Instant>,
     // A process that leaves does not come back.
@@ -80,6 +121,7 @@
 impl EndpointNotices {
     /// Records what an answer says that has arrived at `now` to a request sent at `sent_at`.
     pub fn record(&mut self, notice: &EndpointNotice, sent_at: Instant, now: Instant) {
+        self.record_brittle(notice, sent_at, now);
         self.is_leaving |= notice.is_leaving;
         self.pause_end = self.pause_end.filter(|end| !end.has_passed(now));
         let pause_end = notice.pause_ms.map(|ms| Deadline::after_ms(now, ms.min(MAX_PAUSE_MS)));
@@ -99,6 +141,19 @@
         }
     }
 
+    fn record_brittle(&mut self, notice: &EndpointNotice, sent_at: Instant, now: Instant) {
+        let is_full = notice.is_full;
+        match (notice.max_rejections_per_s, &mut self.brittle) {
+            (Some(max), Some(known)) => {
+                (known.rate, known.named_at, known.is_full) = (risked_rate(max), now, is_full);
+            }
+            (Some(max), None) => self.brittle = Some(Brittle::new(max, now, is_full)),
+            // An answer that was on its way when the endpoint became brittle does not end that.
+            (None, Some(known)) if sent_at > known.named_at => self.brittle = None,
+            (None, _) => {}
+        }
+    }
+
     /// Records what `nodes` other nodes of the zone know of the endpoint's limit, as of an instant.
     pub fn record_zone_use(&mut self, used: &LimitUse, nodes: u32, as_of: Instant) {
         let named_at = Instant::from_ms(as_of.as_ms().saturating_sub(used.named_age_ms));
@@ -127,7 +182,10 @@
 
     /// Returns whether nothing binds this node.
     pub fn is_empty(&self) -> bool {
-        self.limit.is_none() && !self.is_leaving && self.pause_end.is_none()
+        self.limit.is_none()
+            && self.brittle.is_none()
+            && !self.is_leaving
+            && self.pause_end.is_none()
     }
 
     /// Returns whether this node may send a request to the endpoint now. `nodes` is the number of nodes
@@ -136,7 +194,11 @@
         self.drop_old_hearsay(now);
         let has_turn = |limit: &mut NamedLimit| limit.may_send(nodes, random, now);
         let is_paused = self.pause_end.is_some_and(|end| !end.has_passed(now));
-        !self.is_leaving && !is_paused && self.limit.as_mut().is_none_or(has_turn)
+        let has_room = |brittle: &mut Brittle| brittle.may_send(nodes, random, now);
+        !self.is_leaving
+            && !is_paused
+            && self.limit.as_mut().is_none_or(has_turn)
+            && self.brittle.as_mut().is_none_or(has_room)
     }
 
     /// Takes the right to send a request now; returns `false` if there is none.
@@ -146,6 +208,9 @@
         if let Some(limit) = self.limit.as_mut().filter(|_| may_send) {
             limit.record_sent(now);
         }
+        if let Some(brittle) = self.brittle.as_mut().filter(|known| may_send && known.is_full) {
+            brittle.share.record_sent();
+        }
         may_send
     }
 
--- a/crates/decisions/src/gateway/endpoint_tracker.rs
+++ b/crates/decisions/src/gateway/endpoint_tracker.rs
@@ -20,6 +20,13 @@
     pub slowdown: Option<Slowdown>,
 }
 
+impl LoadReport {
+    /// Returns whether requests wait, or nearly all slots are taken.
+    pub fn is_nearly_full(&self) -> bool {
+        self.waiting > 0 || u64::from(self.running) * 10 >= u64::from(self.slots) * 9
+    }
+}
+
 /// What a node knows of the load of an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct KnownLoad {
