--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -133,6 +133,9 @@
 fn choose(shared: &Shared, request: &Admitted<'_>, tried: &[NodeId]) -> Option<Neighbour> {
     let directory = shared.directory();
     let regions = request.regions(shared);
+    if !regions.may_be_used(shared) {
+        return None;
+    }
     let distance = |zone: &_| {
         let is_allowed = regions.allowed.contains(directory.region(zone));
         is_allowed.then(|| shared.distance(&directory, zone))
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -172,19 +172,12 @@
         Ok(connection)
     }
 
-    /// Checks whether an endpoint accepts a connection, which is kept for another request. Returns whether it
-    /// does.
+    /// Checks whether an endpoint is reachable.
     ///
     /// The kernel notices a silent peer only after seconds, and only whole ones.
-    pub(crate) async fn check(&self, id: &EndpointId, record: &EndpointRecord) -> bool {
-        let opened = self.open(id, record, Deadline::NEVER).await;
-        let is_accepted = opened.is_ok();
-        let is_reachable = match opened {
-            Ok(connection) => {
-                let expiry = Deadline::after_ms(self.clock.now(), DEFAULT_IDLE_MS);
-                self.keep_idle(id, record, IdleConnection { connection, expiry });
-                true
-            }
+    pub(crate) async fn check(&self, id: &EndpointId, record: &EndpointRecord) {
+        let is_reachable = match self.open_idle(id, record).await {
+            Ok(()) => true,
             // The host has answered. If the process had ended, it would have closed the connection.
             Err(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
         };
@@ -193,7 +186,22 @@
         }
         let now = self.clock.now();
         self.with_tracker(id, record, |tracker| tracker.record_check(is_reachable, now));
-        is_accepted
+    }
+
+    /// Opens a connection, which is kept for a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint does not accept a connection in time.
+    pub(crate) async fn open_idle(
+        &self,
+        id: &EndpointId,
+        record: &EndpointRecord,
+    ) -> std::io::Result<()> {
+        let connection = self.open(id, record, Deadline::NEVER).await?;
+        let expiry = Deadline::after_ms(self.clock.now(), DEFAULT_IDLE_MS);
+        self.keep_idle(id, record, IdleConnection { connection, expiry });
+        Ok(())
     }
 
     /// Returns whether there is an open connection for a request.
--- a/crates/gateway/src/own_links.rs
+++ b/crates/gateway/src/own_links.rs
@@ -120,7 +120,7 @@
         .collect();
     let checks = ready.sample(&mut rand::rng(), SAMPLE).map(|(id, record)| {
         let (shared, id, record) = (Arc::clone(shared), (*id).clone(), (*record).clone());
-        task::spawn(async move { shared.endpoints.check(&id, &record).await })
+        task::spawn(async move { shared.endpoints.open_idle(&id, &record).await.is_ok() })
     });
     let checks: Vec<_> = checks.collect();
     let count = checks.len();
