--- a/crates/http/src/message/connection.rs
+++ b/crates/http/src/message/connection.rs
@@ -18,6 +18,10 @@
 /// Size up to which the buffer of a connection grows in usual use: a head that came in two reads.
 const USUAL_BUFFER_BYTES: usize = 2 * READ_BYTES;
 
+/// Period of the keep-alive probes; the kernel accepts only whole seconds. Where a user timeout is set, it ends the
+/// probes, whatever their count, when one of them is due.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Limits the bytes that the kernel holds for each connection that a listener accepts later.
 ///
 /// # Errors
@@ -61,9 +65,10 @@
     pub fn set_dead_peer_timeout(&self, timeout_ms: u64) -> std::io::Result<()> {
         let socket = SockRef::from(&self.stream);
         let timeout = Duration::from_millis(timeout_ms);
-        // The kernel accepts only whole seconds for probes.
-        let probe = Duration::from_secs(timeout_ms.div_ceil(1_000).max(1));
-        let keepalive = TcpKeepalive::new().with_time(probe).with_interval(probe).with_retries(2);
+        let keepalive = TcpKeepalive::new()
+            .with_time(PROBE_PERIOD)
+            .with_interval(PROBE_PERIOD)
+            .with_retries(u32::try_from(timeout_ms.div_ceil(1_000)).unwrap_or(u32::MAX).max(1));
         socket.set_tcp_keepalive(&keepalive)?;
         socket.set_tcp_user_timeout(Some(timeout))
     }
--- a/crates/http/tests/message.rs
+++ b/crates/http/tests/message.rs
@@ -1,10 +1,12 @@
 //! Tests of messages that are forwarded byte by byte.
 
 use std::net::Shutdown;
+use std::time::Duration;
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task::block_on;
 use futures::{AsyncWriteExt, FutureExt};
+use socket2::SockRef;
 use yuccapass_http::message::{BodyReader, Connection, Framing, MessageError};
 
 const HEAD_LIMIT_BYTES: usize = 16 << 10;
@@ -126,3 +128,24 @@
         assert_eq!(names, ["Host"]);
     });
 }
+
+/// Guards against connections that are given up while a sound peer is silent for a second or so, or long after one
+/// that has gone: the user timeout ends the probes, so their period adds to it.
+#[test]
+fn a_silent_peer_is_given_up_after_the_timeout_and_a_probe() {
+    block_on(async {
+        // Arrange
+        let (connection, _peer) = connected().await;
+
+        // Act
+        connection.set_dead_peer_timeout(2_500).expect("the connection is open");
+
+        // Assert
+        let stream = connection.writer();
+        let socket = SockRef::from(&stream);
+        let period = Duration::from_secs(1);
+        assert_eq!(socket.tcp_user_timeout().unwrap(), Some(Duration::from_millis(2_500)));
+        assert_eq!(socket.tcp_keepalive_time().unwrap(), period);
+        assert_eq!(socket.tcp_keepalive_interval().unwrap(), period);
+    });
+}
--- a/crates/yuccapassd/src/gateway.rs
+++ b/crates/yuccapassd/src/gateway.rs
@@ -167,8 +167,8 @@
     pub endpoints_per_swap: u32,
 
     /// Time without an acknowledgement after which a connection to an endpoint is given up, in
-    /// milliseconds.
-    #[arg(long, env = "YUCCAPASS_SILENCE_MS", default_value_t = 1_000)]
+    /// milliseconds. A sound endpoint may be silent for a second or so.
+    #[arg(long, env = "YUCCAPASS_SILENCE_MS", default_value_t = 2_500)]
     pub silence_ms: u64,
 
     /// Most bytes in the head of an endpoint's answer.
