--- a/crates/gateway/src/part_crashes.rs
+++ b/crates/gateway/src/part_crashes.rs
@@ -42,6 +42,15 @@
 /// The parts of a prompt without the last one, which belongs to the request alone.
 type SharedParts = Vec<PromptPartId>;
 
+/// What is known of an endpoint while it is probed.
+#[derive(Default)]
+struct Probed {
+    // The prompts that broke there.
+    prompts: Vec<SharedParts>,
+    // The parts on which an answer has ended since.
+    answered: Vec<PromptPartId>,
+}
+
 /// Tracks parts of prompts that may crash endpoints.
 pub(crate) struct PartCrashTracker {
     guard: Mutex<PartGuard>,
@@ -49,8 +58,9 @@
     statuses: Sharded<SortedMap<PromptPartId, PartStatus>>,
     // Usually 0, and then no request looks at the statuses.
     status_count: AtomicUsize,
-    // The prompts that broke at each endpoint that is being probed.
-    probed: Mutex<SortedMap<CrashedProcess, Vec<SharedParts>>>,
+    probed: Mutex<SortedMap<CrashedProcess, Probed>>,
+    // Usually 0, and then an answer need not wait for the lock.
+    probed_count: AtomicUsize,
     broken: (Sender<BrokenEndpoint>, Receiver<BrokenEndpoint>),
     changed: (Sender<()>, Receiver<()>),
 }
@@ -62,6 +72,7 @@
             statuses: Sharded::default(),
             status_count: AtomicUsize::new(0),
             probed: Mutex::default(),
+            probed_count: AtomicUsize::new(0),
             broken: bounded(MAX_WAITING_PROBES),
             changed: bounded(1),
         }
@@ -89,7 +100,7 @@
         };
         let mut probed = lock(&self.probed);
         let is_new = !probed.contains_key(&process);
-        let prompts = probed.get_or_insert_with(process.clone(), Vec::new);
+        let prompts = &mut probed.get_or_insert_with(process.clone(), Probed::default).prompts;
         if prompts.len() < MAX_PROMPTS {
             prompts.push(prompt);
         }
@@ -97,10 +108,28 @@
         if is_new && self.broken.0.try_send(broken).is_err() {
             probed.remove(&process);
         }
+        self.probed_count.store(probed.len(), Ordering::Release);
+    }
+
+    /// Ends the probe of an endpoint.
+    fn take_probed(&self, process: &CrashedProcess) -> Probed {
+        let mut probed = lock(&self.probed);
+        let taken = probed.remove(process).unwrap_or_default();
+        self.probed_count.store(probed.len(), Ordering::Release);
+        taken
     }
 
     /// Records that an answer on these parts has ended whole.
     pub(crate) fn record_answer(&self, parts: &[PromptPart], now: Instant) {
+        if self.probed_count.load(Ordering::Acquire) > 0 {
+            for probed in lock(&self.probed).values_mut() {
+                for part in shared(parts) {
+                    if let Err(position) = probed.answered.binary_search(&part.id) {
+                        probed.answered.insert(position, part.id.clone());
+                    }
+                }
+            }
+        }
         if !self.any_status(parts, |status| status == PartStatus::Suspect) {
             return;
         }
@@ -222,14 +251,18 @@
         Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
     };
+    // Crashes at almost the same time are one group, so the time of the sample must not count.
+    let crashed_at = shared.now();
     let is_path_broken = is_refused && own_links::are_paths_broken(&shared, address).await;
     let tracker = &shared.part_crashes;
-    let prompts = lock(&tracker.probed).remove(&process).unwrap_or_default();
+    let Probed { prompts, answered } = tracker.take_probed(&process);
     if !is_refused || is_path_broken {
         return;
     }
-    let now = shared.now();
-    tracker.change(now, |guard| guard.record_crash(&process, &prompts, now));
+    tracker.change(shared.now(), |guard| {
+        guard.record_crash(&process, &prompts, crashed_at);
+        guard.record_answer(answered.iter());
+    });
     log::info!(
         endpoint = process.endpoint.as_str(), prompts = prompts.len(),
         suspected_parts = tracker.counts().0;
