--- a/crates/decisions/src/gateway/own_links.rs
+++ b/crates/decisions/src/gateway/own_links.rs
@@ -34,10 +34,15 @@
 
 impl SampleResult {
     /// Returns whether so few were reached that the paths are more likely broken than the endpoints gone.
-    pub fn shows_broken_paths(self) -> bool {
+    fn shows_broken_paths(self) -> bool {
         self.failed > 2 * self.reached
     }
 
+    /// Returns whether none was reached, so that the failure of another endpoint does not show that it has ended.
+    pub fn reaches_none(self) -> bool {
+        self.failed > 0 && self.reached == 0
+    }
+
     /// Returns whether most were reached.
     fn shows_sound_paths(self) -> bool {
         self.reached > self.failed
--- a/crates/gateway/src/own_links.rs
+++ b/crates/gateway/src/own_links.rs
@@ -105,9 +105,10 @@
 }
 
 /// Returns whether the paths to endpoints are broken, so that the failure of one of them does not show that its
-/// process has ended: most others, without the one at this address, cannot be reached either.
+/// process has ended: none of the others, without the one at this address, can be reached either. A request that
+/// crashes endpoints leaves some.
 pub(crate) async fn are_paths_broken(shared: &Arc<Shared>, excluded: SocketAddr) -> bool {
-    shared.links.are_lost() || sample(shared, Some(excluded)).await.shows_broken_paths()
+    sample(shared, Some(excluded)).await.reaches_none()
 }
 
 /// Connects to a few endpoints at once, without the one at this address.
