--- /dev/null
+++ b/review/harness-2/src/cases.rs
@@ -0,0 +1,479 @@
+//! The cases.
+
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::client::{Request, last_event, send};
+use crate::gateway::{Gateway, SIGKILL, SIGTERM};
+use crate::http::Message;
+use crate::record::Record;
+use crate::replica::{Order, Replica, Settings, Work};
+use crate::store::Store;
+
+/// What breaks the rule, one line each; or why the case could not run.
+type Outcome = Result<Vec<String>, String>;
+
+const ZONES: [&str; 3] = ["brum-jq", "notts-lace", "wolves-ring"];
+
+/// The zones of the gateways, as in the small site `mhsa-yuccapass`.
+const GATEWAYS: [usize; 8] = [0, 0, 0, 0, 1, 1, 2, 2];
+
+/// Time after which the platform sends the connections of clients to the gateways of other zones.
+const NEXT_ZONES: Duration = Duration::from_millis(2_200);
+
+/// Limit for a gateway to become ready.
+const START_LIMIT: Duration = Duration::from_secs(15);
+
+pub fn run(case: &str, is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
+    match case {
+        "second-term" => second_term(is_disturbed, folder, record),
+        "isolated-later" => isolated_later(is_disturbed, folder, record),
+        "zone-streams" => zone_streams(is_disturbed, folder, record),
+        "first-holder" => first_holder(is_disturbed, folder, record),
+        _ => Err(format!("there is no case {case}")),
+    }
+}
+
+struct Route {
+    name: &'static str,
+    kind: &'static str,
+    service: &'static str,
+    timeout_ms: u64,
+    target_ms: u64,
+    max_attempts: u32,
+    is_sticky: bool,
+    is_resumable: bool,
+}
+
+#[derive(Clone, Copy)]
+struct Tenant {
+    name: &'static str,
+    key: &'static str,
+    is_isolated: bool,
+}
+
+const TENANTS: [Tenant; 2] = [
+    Tenant { name: "framers", key: "key-of-framers", is_isolated: false },
+    Tenant { name: "workshops", key: "key-of-workshops", is_isolated: false },
+];
+
+const ROUTES: [Route; 3] = [
+    Route {
+        name: "ledger-book",
+        kind: "non_idempotent",
+        service: "member-ledger",
+        timeout_ms: 800,
+        target_ms: 150,
+        max_attempts: 1,
+        is_sticky: false,
+        is_resumable: false,
+    },
+    Route {
+        name: "alloy-query",
+        kind: "streaming",
+        service: "bench-adviser",
+        timeout_ms: 12_000,
+        target_ms: 400,
+        max_attempts: 1,
+        is_sticky: true,
+        is_resumable: false,
+    },
+    Route {
+        name: "dossier-review",
+        kind: "streaming",
+        service: "bench-adviser",
+        timeout_ms: 15_000,
+        target_ms: 800,
+        max_attempts: 2,
+        is_sticky: true,
+        is_resumable: true,
+    },
+];
+
+fn configuration(version: u64, tenants: &[Tenant]) -> String {
+    let routes = ROUTES.iter().map(|route| {
+        format!(
+            r#"{{"name":"{0}","host":"h.example","prefix":"/{0}/","kind":"{1}","timeout_ms":{2},"target_latency_ms":{3},"priority":1,"service":"{4}","max_attempts":{5},"public":false,"sticky":{6},"resumable":{7},"gap_aim_ms":250,"allowed_regions":[]}}"#,
+            route.name,
+            route.kind,
+            route.timeout_ms,
+            route.target_ms,
+            route.service,
+            route.max_attempts,
+            route.is_sticky,
+            route.is_resumable
+        )
+    });
+    let tenants = tenants.iter().map(|tenant| {
+        format!(
+            r#"{{"name":"{}","api_keys":["{}"],"priority":1,"isolated":{},"allowed_regions":[]}}"#,
+            tenant.name, tenant.key, tenant.is_isolated
+        )
+    });
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"bench-adviser","health_path":"/healthz","max_conns":370,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":13.0,"engine":{{"slots":64,"kv_capacity":144184,"kv_bytes":18432,"link_mbps":550000.0,"moves":true,"backups":true,"managed":true,"stride":6,"max_inflight":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{{"name":"moe"}}]}}}},{{"name":"member-ledger","health_path":"/healthz","max_conns":110,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{}]}}"#,
+        routes.collect::<Vec<_>>().join(","),
+        tenants.collect::<Vec<_>>().join(",")
+    )
+}
+
+/// A small deployment.
+struct Deployment {
+    store: Arc<Store>,
+    ledgers: Vec<Arc<Replica>>,
+    engines: Vec<Arc<Replica>>,
+    orders: Arc<Mutex<Vec<Order>>>,
+    gateways: Vec<Gateway>,
+}
+
+struct Size {
+    /// The zone of each gateway.
+    gateways: &'static [usize],
+    /// The version of the software of each engine.
+    engines: &'static [&'static str],
+    engine_work: Work,
+    ledger_work: Work,
+    swap: Duration,
+    first_era: u64,
+}
+
+impl Deployment {
+    /// Starts the store and the replicas; the gateways follow with `start_gateways`.
+    fn start(size: &Size, record: &Arc<Record>) -> Self {
+        let store = Store::start(record, size.first_era);
+        store.put("op/config", &configuration(2, &TENANTS));
+        let orders: Arc<Mutex<Vec<Order>>> = Arc::default();
+        let start = |settings| Replica::start(settings, &store, record, &orders);
+        let ledgers = (0..3).map(|number| {
+            start(Settings {
+                id: format!("i-ledger{number}"),
+                service: "member-ledger",
+                zone: ZONES[number],
+                software: "v1",
+                slots: 6,
+                work: size.ledger_work,
+                model: None,
+                swap: size.swap,
+            })
+        });
+        let ledgers = ledgers.collect();
+        let engines = size.engines.iter().enumerate().map(|(number, software)| {
+            start(Settings {
+                id: format!("i-engine{number:02}"),
+                service: "bench-adviser",
+                zone: ZONES[number % ZONES.len()],
+                software,
+                slots: 64,
+                work: size.engine_work,
+                model: Some("moe"),
+                swap: size.swap,
+            })
+        });
+        let engines = engines.collect();
+        Self { store, ledgers, engines, orders, gateways: Vec::new() }
+    }
+
+    fn start_gateways(
+        &mut self,
+        size: &Size,
+        folder: &Path,
+        record: &Arc<Record>,
+    ) -> Result<(), String> {
+        for (number, &zone) in size.gateways.iter().enumerate() {
+            let zone = ZONES[zone];
+            let name = format!("frontend-{zone}-{number}");
+            let gateway = Gateway::start(&name, zone, self.store.open(), folder, record);
+            self.gateways.push(gateway.map_err(|error| format!("a gateway: {error}"))?);
+        }
+        let is_ready = |gateway: &Gateway| gateway.wait_until_ready(START_LIMIT);
+        match self.gateways.iter().all(is_ready) {
+            true => Ok(()),
+            false => Err("a gateway is not ready".to_owned()),
+        }
+    }
+
+    /// Returns whether a replica has begun to run a request.
+    fn has_run(&self, id: &str) -> bool {
+        let replicas = self.ledgers.iter().chain(&self.engines);
+        replicas.flat_map(|replica| replica.runs()).any(|run| run.request == id)
+    }
+}
+
+/// Sends requests at once, and returns the answers with their ids.
+fn send_all(
+    requests: Vec<Request>,
+    address: std::net::SocketAddr,
+    record: &Arc<Record>,
+) -> Vec<thread::JoinHandle<(String, Option<Message>)>> {
+    let send_one = |request: Request| {
+        let record = Arc::clone(record);
+        thread::spawn(move || {
+            let answer = send(address, &request, &record);
+            (request.id, answer)
+        })
+    };
+    requests.into_iter().map(send_one).collect()
+}
+
+fn prompt(parts: &str) -> String {
+    format!("Model-Id: moe\r\nToken-Count: 1460,80\r\nPrefix-Hash: {parts}\r\n")
+}
+
+/// LOST: a gateway that stops as planned gets SIGTERM once more.
+fn second_term(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
+    let size = Size {
+        gateways: &GATEWAYS,
+        engines: &["v1"; 9],
+        engine_work: Work::Stream { events: 30, gap_ms: 100 },
+        ledger_work: Work::Answer { ms: 300 },
+        swap: Duration::from_millis(760),
+        first_era: 1,
+    };
+    let mut deployment = Deployment::start(&size, record);
+    deployment.start_gateways(&size, folder, record)?;
+    thread::sleep(Duration::from_secs(3));
+    let address = deployment.gateways[0].callers;
+    let key = TENANTS[0].key;
+    let probe = send(address, &Request::new("probe", "/ledger-book/1", key, 1_500), record);
+    if probe.is_none_or(|answer| answer.status() != 200) {
+        return Err("the deployment does not serve in calm".to_owned());
+    }
+    let streams = (0..8).map(|number| {
+        let request = Request::new(&format!("stream-{number}"), "/alloy-query/1", key, 12_000);
+        Request { more: prompt(&format!("aa{number}:800,bb{number}:200")), ..request }
+    });
+    let mut sent = send_all(streams.collect(), address, record);
+    thread::sleep(Duration::from_millis(500));
+    deployment.gateways[0].signal(SIGTERM);
+    thread::sleep(Duration::from_millis(800));
+    let bookings =
+        (0..8).map(|number| Request::new(&format!("book-{number}"), "/ledger-book/1", key, 1_500));
+    sent.extend(send_all(bookings.collect(), address, record));
+    thread::sleep(Duration::from_millis(150));
+    if is_disturbed {
+        deployment.gateways[0].signal(SIGTERM);
+    }
+    let mut broken = Vec::new();
+    for answer in sent {
+        let Ok((id, answer)) = answer.join() else { return Err("a client failed".to_owned()) };
+        let is_whole = answer.as_ref().is_some_and(|answer| answer.is_complete);
+        if !is_whole && deployment.has_run(&id) {
+            broken.push(format!("{id} was passed on to a replica and got no complete answer"));
+        }
+    }
+    Ok(broken)
+}
+
+/// WALL: a tenant becomes isolated while the cache holds what it made before.
+fn isolated_later(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
+    let size = Size {
+        gateways: &GATEWAYS,
+        engines: &["v1"; 9],
+        engine_work: Work::Stream { events: 3, gap_ms: 20 },
+        ledger_work: Work::Answer { ms: 15 },
+        swap: Duration::from_millis(760),
+        first_era: 1,
+    };
+    let mut deployment = Deployment::start(&size, record);
+    deployment.start_gateways(&size, folder, record)?;
+    thread::sleep(Duration::from_secs(3));
+    let address = deployment.gateways[0].callers;
+    let ask = |id: &str, tenant: &Tenant, parts: String| {
+        let request = Request::new(id, "/alloy-query/1", tenant.key, 12_000);
+        let answer = send(address, &Request { more: prompt(&parts), ..request }, record);
+        answer.is_some_and(|answer| answer.status() == 200 && answer.is_complete)
+    };
+    let [framers, workshops] = &TENANTS;
+    for number in 0..6 {
+        let parts = format!("5c{number}:800,0a{number}:200");
+        if !ask(&format!("before-{number}"), framers, parts) {
+            return Err("the deployment does not serve in calm".to_owned());
+        }
+    }
+    let mut isolated = None;
+    if is_disturbed {
+        let changed = [Tenant { is_isolated: true, ..TENANTS[0] }, TENANTS[1]];
+        deployment.store.put("op/config", &configuration(7, &changed));
+        record
+            .line(format!("store: version 7 is acknowledged, tenant {} is isolated", framers.name));
+        isolated = Some(framers.name);
+    }
+    // Longer than `config_apply_ms`.
+    thread::sleep(Duration::from_millis(4_000));
+    for number in 0..6 {
+        let parts = format!("5c{number}:800,0b{number}:200");
+        ask(&format!("after-{number}"), workshops, parts);
+    }
+    let runs = deployment.engines.iter().flat_map(|replica| replica.runs());
+    let after = runs.filter(|run| run.request.starts_with("after-"));
+    let mut broken = Vec::new();
+    let mut used = 0;
+    for run in after {
+        for (part, maker) in &run.found {
+            used += 1;
+            let is_wall = |name: &str| isolated == Some(name);
+            if *maker != run.tenant && (is_wall(maker) || is_wall(&run.tenant)) {
+                broken.push(format!(
+                    "{} of tenant {} used part {part}, which a request of tenant {maker} made",
+                    run.request, run.tenant
+                ));
+            }
+        }
+    }
+    record.line(format!("{used} cached parts were used after the change"));
+    Ok(broken)
+}
+
+/// LOST: all gateways of a zone end while two versions of the engines' software serve.
+fn zone_streams(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
+    const EVENTS: u32 = 40;
+    let size = Size {
+        gateways: &GATEWAYS,
+        engines: &["v1", "v1", "v1", "v1", "v1", "v2", "v2", "v2", "v2"],
+        engine_work: Work::Stream { events: EVENTS, gap_ms: 100 },
+        ledger_work: Work::Answer { ms: 15 },
+        swap: Duration::from_millis(760),
+        first_era: 1,
+    };
+    let mut deployment = Deployment::start(&size, record);
+    deployment.start_gateways(&size, folder, record)?;
+    // The gateways that stay are in touch.
+    thread::sleep(Duration::from_secs(6));
+    let addresses = |zone: usize| -> Vec<_> {
+        let of_zone =
+            deployment.gateways.iter().zip(&GATEWAYS).filter(|(_, known)| **known == zone);
+        of_zone.map(|(gateway, _)| gateway.callers).collect()
+    };
+    let (leaving, staying) = (addresses(1), addresses(2));
+    let stream = |id: &str, number: usize, more: &str| {
+        let key = TENANTS[number % TENANTS.len()].key;
+        let request = Request::new(id, "/dossier-review/1", key, 15_000);
+        let parts = format!("5c{number}:800,0a{number}:200");
+        Request { more: prompt(&parts) + more, ..request }
+    };
+    let take_up = |number: usize| {
+        let id = format!("first-{number}");
+        let (at, request) = (leaving[number % leaving.len()], stream(&id, number, ""));
+        let (next, record) = (staying[number % staying.len()], Arc::clone(record));
+        let headers = move |last: u32| format!("Last-Event-Id: {last}\r\nResumes: {id}\r\n");
+        let again = move |last: u32| stream(&format!("again-{number}"), number, &headers(last));
+        let work = move || {
+            let answer = send(at, &request, &record)?;
+            let last = last_event(&answer);
+            if answer.status() != 200 || answer.is_complete || last == 0 {
+                return None;
+            }
+            // The platform sends new connections to the next zones once it has missed two answers.
+            thread::sleep(NEXT_ZONES);
+            let answer = send(next, &again(last), &record);
+            let goes_on = answer.is_some_and(|answer| {
+                answer.status() == 200 && answer.is_complete && last_event(&answer) == EVENTS
+            });
+            Some(goes_on)
+        };
+        thread::spawn(work)
+    };
+    let first: Vec<_> = (0..24).map(take_up).collect();
+    thread::sleep(Duration::from_millis(1_500));
+    if is_disturbed {
+        for (gateway, _) in
+            deployment.gateways.iter().zip(&GATEWAYS).filter(|(_, zone)| **zone == 1)
+        {
+            gateway.signal(SIGKILL);
+        }
+    }
+    let new: Vec<Request> =
+        (0..24).map(|number| stream(&format!("new-{number}"), number, "")).collect();
+    let mut begun = 0;
+    let answers: Vec<_> = new
+        .into_iter()
+        .enumerate()
+        .flat_map(|(number, request)| {
+            send_all(vec![request], staying[number % staying.len()], record)
+        })
+        .collect();
+    let new = answers.len();
+    for answer in answers {
+        let (_, answer) = answer.join().map_err(|_| "a client failed")?;
+        begun += usize::from(answer.is_some_and(|answer| last_event(&answer) > 0));
+    }
+    let mut taken_up = Vec::new();
+    for client in first {
+        taken_up.extend(client.join().map_err(|_| "a client failed")?);
+    }
+    let gone_on = taken_up.iter().filter(|goes_on| **goes_on).count();
+    let text = format!(
+        "of {} streams that clients took up again, {gone_on} went on; of {new} new ones {begun} began",
+        taken_up.len()
+    );
+    record.line(&text);
+    let share = |count: usize, all: usize| count as f64 / all as f64;
+    let is_broken =
+        taken_up.len() >= 12 && share(gone_on, taken_up.len()) < share(begun, new) / 2.0;
+    Ok(if is_broken { vec![text] } else { Vec::new() })
+}
+
+/// ONE: the store comes back from a copy that is older than the first holder.
+fn first_holder(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
+    const LEASE_MS: u64 = 3_000;
+    let size = Size {
+        gateways: &GATEWAYS,
+        engines: &["v1"; 18],
+        engine_work: Work::Stream { events: 3, gap_ms: 20 },
+        ledger_work: Work::Answer { ms: 15 },
+        swap: Duration::from_millis(1_100),
+        first_era: 0,
+    };
+    let mut deployment = Deployment::start(&size, record);
+    let copy = deployment.store.copy();
+    record.line("store: a copy is made");
+    deployment.start_gateways(&size, folder, record)?;
+    thread::sleep(Duration::from_secs(4));
+    deployment.store.put("op/version/moe", r#"{"model":"moe","version":2}"#);
+    record.line("store: version 2 of the weights is acknowledged");
+    let accepted = || {
+        let orders = deployment.orders.lock().expect("no thread fails with the lock");
+        orders.iter().filter(|order| order.status == 202).count()
+    };
+    // The leader has ordered a third of the engines, and orders the next ones in a second.
+    for _ in 0..200 {
+        if accepted() >= 6 {
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    if accepted() < 6 {
+        return Err("nobody ordered new weights".to_owned());
+    }
+    if is_disturbed {
+        thread::sleep(Duration::from_millis(300));
+        record.line("store: is away and comes back from the copy");
+        deployment.store.come_back_from(&copy, Duration::from_millis(200));
+        record.line("store: is back");
+    }
+    thread::sleep(Duration::from_secs(12));
+    let orders = deployment.orders.lock().expect("no thread fails with the lock").clone();
+    let versions: Vec<u64> = deployment.engines.iter().map(|engine| engine.version()).collect();
+    record.line(format!("versions at the end: {versions:?}"));
+    let mut broken = Vec::new();
+    for (position, earlier) in orders.iter().enumerate() {
+        let near = orders[position..]
+            .iter()
+            .find(|later| later.holder != earlier.holder && later.at_ms - earlier.at_ms < LEASE_MS);
+        if let Some(later) = near {
+            broken.push(format!(
+                "{} ordered {} with token {}, and {} ordered {} with token {} only {} ms later",
+                earlier.holder,
+                earlier.replica,
+                earlier.fencing,
+                later.holder,
+                later.replica,
+                later.fencing,
+                later.at_ms - earlier.at_ms
+            ));
+        }
+    }
+    Ok(broken)
+}
