review: case 8, the last tenant is taken away

Cause: a configuration with an empty list of tenants counts as one that needs no keys. Case: the operator takes away two tenants, one after the other; requests with their keys and with one that was never held follow 7 s later.

--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -7,7 +7,7 @@
 
 use crate::client::{Request, last_event, send};
 use crate::gateway::{Gateway, SIGKILL, SIGTERM};
-use crate::http::Message;
+use crate::http::{Message, free_address};
 use crate::record::Record;
 use crate::replica::{Order, Replica, Settings, Work};
 use crate::store::Store;
@@ -31,6 +31,8 @@
         "second-term" => second_term(is_disturbed, folder, record),
         "isolated-later" => isolated_later(is_disturbed, folder, record),
         "zone-streams" => zone_streams(is_disturbed, folder, record),
+        "last-tenant" => last_tenant(is_disturbed, folder, record),
+        "unframed-crash" => unframed_crash(is_disturbed, record, folder),
         "first-holder" => first_holder(is_disturbed, folder, record),
         _ => Err(format!("there is no case {case}")),
     }
@@ -415,6 +417,141 @@
     Ok(if is_broken { vec![text] } else { Vec::new() })
 }
 
+/// CONFIG and ROUTE: the operator takes the keys of all tenants away, one tenant after the other.
+fn last_tenant(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
+    let size = Size {
+        gateways: &GATEWAYS,
+        engines: &["v1"; 9],
+        engine_work: Work::Stream { events: 3, gap_ms: 20 },
+        ledger_work: Work::Answer { ms: 15 },
+        swap: Duration::from_millis(760),
+        first_era: 1,
+    };
+    let mut deployment = Deployment::start(&size, record);
+    deployment.start_gateways(&size, folder, record)?;
+    thread::sleep(Duration::from_secs(3));
+    let ask = |id: &str, key: &str| {
+        let request = Request::new(id, "/ledger-book/1", key, 1_500);
+        send(deployment.gateways[0].callers, &request, record).map_or(0, |answer| answer.status())
+    };
+    let [framers, workshops] = &TENANTS;
+    if ask("before-framers", framers.key) != 200 || ask("before-workshops", workshops.key) != 200 {
+        return Err("the deployment does not serve in calm".to_owned());
+    }
+    if ask("before-stranger", "key-of-nobody") != 401 {
+        return Err("a key that no configuration holds is not refused in calm".to_owned());
+    }
+    if is_disturbed {
+        deployment.store.put("op/config", &configuration(7, &TENANTS[1..]));
+        record.line("store: version 7 is acknowledged, tenant framers and its key are gone");
+        // Longer than `revoke_ms`.
+        thread::sleep(Duration::from_secs(7));
+        let status = ask("framers-gone", framers.key);
+        record.line(format!("with one tenant left, the key of framers gets {status}"));
+        deployment.store.put("op/config", &configuration(9, &[]));
+        record.line("store: version 9 is acknowledged, tenant workshops and its key are gone");
+    }
+    thread::sleep(Duration::from_secs(7));
+    let keys = [framers.key, workshops.key, "key-of-nobody"];
+    let mut broken = Vec::new();
+    for (number, gateway) in deployment.gateways.iter().enumerate() {
+        for key in keys {
+            let id = format!("after-{number}-{key}");
+            let request = Request::new(&id, "/ledger-book/1", key, 1_500);
+            send(gateway.callers, &request, record);
+            let is_held = !is_disturbed && key != "key-of-nobody";
+            if deployment.has_run(&id) && !is_held {
+                broken.push(format!("{id} has run, though its key is not held"));
+            }
+        }
+    }
+    Ok(broken)
+}
+
+/// A replica that is a process of its own, which ends when this is dropped.
+struct ReplicaProcess(std::process::Child);
+
+impl Drop for ReplicaProcess {
+    fn drop(&mut self) {
+        // It fails only if the process has ended.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// ORDER: a replica ends between two events of streams that have neither a length nor chunks.
+fn unframed_crash(is_disturbed: bool, record: &Arc<Record>, folder: &Path) -> Outcome {
+    const EVENTS: u32 = 30;
+    let size = Size {
+        gateways: &GATEWAYS,
+        engines: &[],
+        engine_work: Work::Answer { ms: 15 },
+        ledger_work: Work::Answer { ms: 15 },
+        swap: Duration::from_millis(760),
+        first_era: 1,
+    };
+    let mut deployment = Deployment::start(&size, record);
+    let program = std::env::current_exe().map_err(|error| error.to_string())?;
+    let mut engines = Vec::new();
+    for number in 0..9 {
+        let (id, address) = (format!("i-engine{number:02}"), free_address());
+        let settings = [address.to_string(), id.clone(), EVENTS.to_string(), "100".to_owned()];
+        let process = std::process::Command::new(&program)
+            .arg("unframed-replica")
+            .args(settings)
+            .stdin(std::process::Stdio::null())
+            .spawn()
+            .map_err(|error| error.to_string())?;
+        record.line(format!("replica {id} starts at {address} (process {})", process.id()));
+        engines.push(ReplicaProcess(process));
+        let (store, zone) = (Arc::clone(&deployment.store), ZONES[number % ZONES.len()]);
+        // Its entry is written for it.
+        thread::spawn(move || {
+            for beat in 1.. {
+                let entry = format!(
+                    r#"{{"service":"bench-adviser","address":"{address}","zone":"{zone}","version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"stage":"colocated","models":[{{"name":"moe","version":1,"adapters":[]}}],"sequence":{beat},"born":1780000000000}}"#
+                );
+                store.put(&format!("servers/{id}"), &entry);
+                thread::sleep(Duration::from_millis(1_200));
+            }
+        });
+    }
+    deployment.start_gateways(&size, folder, record)?;
+    thread::sleep(Duration::from_secs(5));
+    let streams: Vec<Request> = (0..24)
+        .map(|number| {
+            let key = TENANTS[number % TENANTS.len()].key;
+            let request = Request::new(&format!("stream-{number}"), "/alloy-query/1", key, 12_000);
+            Request { more: prompt(&format!("5c{number}:800,0a{number}:200")), ..request }
+        })
+        .collect();
+    let sent: Vec<_> = streams
+        .into_iter()
+        .enumerate()
+        .flat_map(|(number, request)| {
+            let gateway = &deployment.gateways[number % deployment.gateways.len()];
+            send_all(vec![request], gateway.callers, record)
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1_550));
+    if is_disturbed {
+        for engine in engines.drain(..2) {
+            record.line(format!("replica process {} is killed", engine.0.id()));
+            drop(engine);
+        }
+    }
+    let mut broken = Vec::new();
+    for answer in sent {
+        let (id, answer) = answer.join().map_err(|_| "a client failed")?;
+        let Some(answer) = answer else { continue };
+        let last = last_event(&answer);
+        if answer.status() == 200 && answer.is_complete && last < EVENTS {
+            broken.push(format!("{id} ended as complete after event {last} of {EVENTS}"));
+        }
+    }
+    Ok(broken)
+}
+
 /// ONE: the store comes back from a copy that is older than the first holder.
 fn first_holder(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
     const LEASE_MS: u64 = 3_000;
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -22,6 +22,11 @@
 
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
+    if std::env::args().nth(1).as_deref() == Some("unframed-replica") {
+        let settings: Vec<String> = arguments.skip(1).collect();
+        let _ = replica::serve_unframed(&settings);
+        return ExitCode::from(2);
+    }
     let (Some(case), Some(folder)) = (arguments.next(), arguments.next()) else {
         eprintln!("usage: review-harness-2 CASE FOLDER");
         return ExitCode::from(2);
--- a/review/harness-2/src/replica.rs
+++ b/review/harness-2/src/replica.rs
@@ -292,6 +292,44 @@
     }
 }
 
+/// Serves streams that have neither a length nor chunks, as a process of its own. `settings` are its address, its id,
+/// the number of events and the pause before each in milliseconds.
+pub fn serve_unframed(settings: &[String]) -> Option<()> {
+    let [address, id, events, gap_ms] = settings else { return None };
+    let listener = std::net::TcpListener::bind(address).ok()?;
+    let (id, events, gap_ms) = (id.clone(), events.parse::<u32>().ok()?, gap_ms.parse().ok()?);
+    serve(listener, move |mut peer| {
+        while let Some(request) = peer.read(false, None) {
+            if request.header("Expect-Instance").is_some_and(|expected| expected != id) {
+                let head = format!("Instance-Id: {id}\r\nNot-Executed: 1\r\n");
+                if !send(&mut peer, 421, &head, "") {
+                    return;
+                }
+                continue;
+            }
+            let name = request.header("Request-Id").unwrap_or_default();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\nServer-Stamp: {id}.{name}\r\n\
+                 Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
+                 Connection: close\r\n\r\n"
+            );
+            if peer.write(head.as_bytes()).is_err() {
+                return;
+            }
+            for number in 1..=events {
+                std::thread::sleep(Duration::from_millis(gap_ms));
+                if peer.write(format!("id: {number}\ndata: t{number}\n\n").as_bytes()).is_err() {
+                    return;
+                }
+            }
+            return;
+        }
+    });
+    loop {
+        std::thread::park();
+    }
+}
+
 fn send(peer: &mut Peer, status: u16, headers: &str, body: &str) -> bool {
     let text =
         format!("HTTP/1.1 {status} x\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
