--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 cd "$folder/../.." || exit 2
 harness=target/review-2/release/review-harness-2
 [ -x "$harness" ] && [ -x target/release/yuccapassd ] || exit 2
-exec "$harness" zone-streams "$folder"
+exec "$harness" last-tenant "$folder"
