review: case 8, a zone that is out of step goes on with streams of another version

Case: the store turns a zone away while replicas of another version join; streams begin elsewhere and are taken up in that zone.

--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -31,6 +32,7 @@
         "second-term" => second_term(is_disturbed, folder, record),
         "isolated-later" => isolated_later(is_disturbed, folder, record),
         "zone-streams" => zone_streams(is_disturbed, folder, record),
+        "zone-out-of-step" => zone_out_of_step(is_disturbed, folder, record),
         "last-tenant" => last_tenant(is_disturbed, folder, record),
         "unframed-crash" => unframed_crash(is_disturbed, record, folder),
         "first-holder" => first_holder(is_disturbed, folder, record),
@@ -47,6 +49,7 @@
     max_attempts: u32,
     is_sticky: bool,
     is_resumable: bool,
+    is_public: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -61,7 +64,7 @@
     Tenant { name: "workshops", key: "key-of-workshops", is_isolated: false },
 ];
 
-const ROUTES: [Route; 3] = [
+const ROUTES: [Route; 4] = [
     Route {
         name: "ledger-book",
         kind: "non_idempotent",
@@ -71,6 +74,7 @@
         max_attempts: 1,
         is_sticky: false,
         is_resumable: false,
+        is_public: false,
     },
     Route {
         name: "alloy-query",
@@ -81,6 +85,7 @@
         max_attempts: 1,
         is_sticky: true,
         is_resumable: false,
+        is_public: false,
     },
     Route {
         name: "dossier-review",
@@ -91,13 +96,26 @@
         max_attempts: 2,
         is_sticky: true,
         is_resumable: true,
+        is_public: false,
+    },
+    // The same for everybody.
+    Route {
+        name: "dossier-open",
+        kind: "streaming",
+        service: "bench-adviser",
+        timeout_ms: 15_000,
+        target_ms: 800,
+        max_attempts: 2,
+        is_sticky: true,
+        is_resumable: true,
+        is_public: true,
     },
 ];
 
 fn configuration(version: u64, tenants: &[Tenant]) -> String {
     let routes = ROUTES.iter().map(|route| {
         format!(
-            r#"{{"name":"{0}","host":"h.example","prefix":"/{0}/","kind":"{1}","timeout_ms":{2},"target_latency_ms":{3},"priority":1,"service":"{4}","max_attempts":{5},"public":false,"sticky":{6},"resumable":{7},"gap_aim_ms":250,"allowed_regions":[]}}"#,
+            r#"{{"name":"{0}","host":"h.example","prefix":"/{0}/","kind":"{1}","timeout_ms":{2},"target_latency_ms":{3},"priority":1,"service":"{4}","max_attempts":{5},"public":{8},"sticky":{6},"resumable":{7},"gap_aim_ms":250,"allowed_regions":[]}}"#,
             route.name,
             route.kind,
             route.timeout_ms,
@@ -105,7 +123,8 @@
             route.service,
             route.max_attempts,
             route.is_sticky,
-            route.is_resumable
+            route.is_resumable,
+            route.is_public
         )
     });
     let tenants = tenants.iter().map(|tenant| {
@@ -141,6 +160,13 @@
     first_era: u64,
 }
 
+/// The machines that the store turns away for a while.
+#[derive(Default)]
+struct TurnedAway {
+    zone: usize,
+    is_on: Arc<AtomicBool>,
+}
+
 impl Deployment {
     /// Starts the store and the replicas; the gateways follow with `start_gateways`.
     fn start(size: &Size, record: &Arc<Record>) -> Self {
@@ -182,11 +208,26 @@
         size: &Size,
         folder: &Path,
         record: &Arc<Record>,
+    ) -> Result<(), String> {
+        self.start_gateways_turned_away(size, &TurnedAway::default(), folder, record)
+    }
+
+    /// The same with a zone that the store can turn away.
+    fn start_gateways_turned_away(
+        &mut self,
+        size: &Size,
+        turned_away: &TurnedAway,
+        folder: &Path,
+        record: &Arc<Record>,
     ) -> Result<(), String> {
         for (number, &zone) in size.gateways.iter().enumerate() {
+            let store = match zone == turned_away.zone {
+                true => self.store.open_for_some(&turned_away.is_on),
+                false => self.store.open(),
+            };
             let zone = ZONES[zone];
             let name = format!("frontend-{zone}-{number}");
-            let gateway = Gateway::start(&name, zone, self.store.open(), folder, record);
+            let gateway = Gateway::start(&name, zone, store, folder, record);
             self.gateways.push(gateway.map_err(|error| format!("a gateway: {error}"))?);
         }
         let is_ready = |gateway: &Gateway| gateway.wait_until_ready(START_LIMIT);
@@ -417,6 +458,105 @@
     Ok(if is_broken { vec![text] } else { Vec::new() })
 }
 
+/// ORDER: a zone that the store turns away goes on with streams of a version that it has not heard of.
+fn zone_out_of_step(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
+    const EVENTS: u32 = 40;
+    let size = Size {
+        gateways: &GATEWAYS,
+        engines: &["v1"; 5],
+        engine_work: Work::Stream { events: EVENTS, gap_ms: 100 },
+        ledger_work: Work::Answer { ms: 15 },
+        swap: Duration::from_millis(760),
+        first_era: 1,
+    };
+    let mut deployment = Deployment::start(&size, record);
+    let turned_away = TurnedAway { zone: 2, ..TurnedAway::default() };
+    deployment.start_gateways_turned_away(&size, &turned_away, folder, record)?;
+    thread::sleep(Duration::from_secs(6));
+    let addresses = |zone: usize| -> Vec<_> {
+        let of_zone =
+            deployment.gateways.iter().zip(&GATEWAYS).filter(|(_, known)| **known == zone);
+        of_zone.map(|(gateway, _)| gateway.callers).collect()
+    };
+    let (leaving, staying) = (addresses(1), addresses(2));
+    if is_disturbed {
+        turned_away.is_on.store(true, Ordering::SeqCst);
+        record.line("store: gives the machines of wolves-ring no answers");
+    }
+    thread::sleep(Duration::from_millis(100));
+    let joined: Vec<_> = (5..9)
+        .map(|number| {
+            let settings = Settings {
+                id: format!("i-engine{number:02}"),
+                service: "bench-adviser",
+                zone: ZONES[number % ZONES.len()],
+                software: "v2",
+                slots: 64,
+                work: size.engine_work,
+                model: Some("moe"),
+                swap: size.swap,
+            };
+            Replica::start(settings, &deployment.store, record, &deployment.orders)
+        })
+        .collect();
+    record.line("four replicas of v2 have joined");
+    thread::sleep(Duration::from_millis(900));
+    let stream = |id: &str, number: usize, more: &str| {
+        let request = Request::new(id, "/dossier-open/1", TENANTS[0].key, 15_000);
+        let parts = format!("5c{number}:800,0a{number}:200");
+        Request { more: prompt(&parts) + more, ..request }
+    };
+    let version_of = |answer: &Message| {
+        let stamp = answer.header("Server-Stamp").unwrap_or_default();
+        let is_new = joined.iter().any(|replica| stamp.starts_with(&replica.settings.id));
+        if is_new { "v2" } else { "v1" }
+    };
+    // Returns the first answer, and the one to the client's second try.
+    let client = |number: usize| {
+        let id = format!("first-{number}");
+        let (at, request) = (leaving[number % leaving.len()], stream(&id, number, ""));
+        let (next, record) = (staying[number % staying.len()], Arc::clone(record));
+        let headers = move |last: u32| format!("Last-Event-Id: {last}\r\nResumes: {id}\r\n");
+        let again = move |last: u32| stream(&format!("again-{number}"), number, &headers(last));
+        thread::spawn(move || {
+            let first = send(at, &request, &record)?;
+            let last = last_event(&first);
+            if first.status() != 200 || first.is_complete || last == 0 {
+                return None;
+            }
+            thread::sleep(NEXT_ZONES);
+            let second = send(next, &again(last), &record)?;
+            (last_event(&second) > last).then_some((first, second))
+        })
+    };
+    let clients: Vec<_> = (0..24).map(client).collect();
+    thread::sleep(Duration::from_millis(1_000));
+    if is_disturbed {
+        for (gateway, _) in
+            deployment.gateways.iter().zip(&GATEWAYS).filter(|(_, zone)| **zone == 1)
+        {
+            gateway.signal(SIGKILL);
+        }
+        // The store turns the machines away for 9 s.
+        let is_on = Arc::clone(&turned_away.is_on);
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(7_000));
+            is_on.store(false, Ordering::SeqCst);
+        });
+    }
+    let mut mixed = Vec::new();
+    for (number, client) in clients.into_iter().enumerate() {
+        let Some((first, second)) = client.join().map_err(|_| "a client failed")? else { continue };
+        let (begun, gone_on) = (version_of(&first), version_of(&second));
+        record.line(format!("stream {number} began at {begun} and went on at {gone_on}"));
+        if begun != gone_on {
+            mixed.push(format!("stream {number} holds events of {begun} and of {gone_on}"));
+        }
+    }
+    // The rule allows two.
+    Ok(if mixed.len() > 2 { mixed } else { Vec::new() })
+}
+
 /// CONFIG and ROUTE: the operator takes the keys of all tenants away, one tenant after the other.
 fn last_tenant(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
     let size = Size {
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -108,9 +108,14 @@
 
     /// Opens another address of the store.
     pub fn open(self: &Arc<Self>) -> SocketAddr {
+        self.open_for_some(&Arc::default())
+    }
+
+    /// Opens another address of the store, which gives no answers while `turns_away` is true.
+    pub fn open_for_some(self: &Arc<Self>, turns_away: &Arc<AtomicBool>) -> SocketAddr {
         let (listener, address) = listen();
-        let store = Arc::clone(self);
-        serve(listener, move |peer| store.connection(peer));
+        let (store, turns_away) = (Arc::clone(self), Arc::clone(turns_away));
+        serve(listener, move |peer| store.connection(peer, &turns_away));
         address
     }
 
@@ -157,8 +162,13 @@
         self.is_away.store(false, Ordering::SeqCst);
     }
 
-    fn connection(&self, mut peer: Peer) {
+    fn connection(&self, mut peer: Peer, turns_away: &AtomicBool) {
         while let Some(request) = peer.read(false, None) {
+            if turns_away.load(Ordering::SeqCst) {
+                // Nothing further comes on a connection on which an answer was lost.
+                while peer.read(false, None).is_some() {}
+                return;
+            }
             let era = self.with(|state| state.era);
             let answer = match self.is_away.load(Ordering::SeqCst) {
                 true => Answer::Send(503, "{}".to_owned()),
@@ -170,6 +180,10 @@
             if now_era != era {
                 return;
             }
+            if turns_away.load(Ordering::SeqCst) {
+                while peer.read(false, None).is_some() {}
+                return;
+            }
             let text = format!(
                 "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
                  Content-Length: {}\r\n\r\n{body}",
