--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -33,6 +33,8 @@
         "isolated-later" => isolated_later(is_disturbed, folder, record),
         "zone-streams" => zone_streams(is_disturbed, folder, record),
         "zone-out-of-step" => zone_out_of_step(is_disturbed, folder, record),
+        "late-homes" => late_homes(is_disturbed, folder, record),
+        "restored-keys" => restored_keys(is_disturbed, folder, record),
         "last-tenant" => last_tenant(is_disturbed, folder, record),
         "unframed-crash" => unframed_crash(is_disturbed, record, folder),
         "first-holder" => first_holder(is_disturbed, folder, record),
@@ -557,6 +559,96 @@
     Ok(if mixed.len() > 2 { mixed } else { Vec::new() })
 }
 
+/// HOME: machines that the store turns away send requests to regions that a newer configuration doesn't allow.
+fn late_homes(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
+    let size = Size {
+        gateways: &GATEWAYS,
+        engines: &["v1"; 9],
+        engine_work: Work::Stream { events: 3, gap_ms: 20 },
+        ledger_work: Work::Answer { ms: 15 },
+        swap: Duration::from_millis(760),
+        first_era: 1,
+    };
+    let mut deployment = Deployment::start(&size, record);
+    let turned_away = TurnedAway { zone: 2, ..TurnedAway::default() };
+    deployment.start_gateways_turned_away(&size, &turned_away, folder, record)?;
+    thread::sleep(Duration::from_secs(6));
+    if is_disturbed {
+        turned_away.is_on.store(true, Ordering::SeqCst);
+        record.line("store: gives the machines of wolves-ring no answers");
+    }
+    thread::sleep(Duration::from_millis(200));
+    let changed = configuration(7, &TENANTS);
+    let open = changed.find(r#""name":"dossier-open""#).ok_or("there is no such route")?;
+    let (before, route) = changed.split_at(open);
+    let route = route.replacen(r#""allowed_regions":[]"#, r#""allowed_regions":["east-mids"]"#, 1);
+    deployment.store.put("op/config", &format!("{before}{route}"));
+    record.line("store: version 7 is acknowledged, dossier-open is served in east-mids only");
+    thread::sleep(Duration::from_secs(4));
+    let mut broken = Vec::new();
+    let of_zone = deployment.gateways.iter().zip(&GATEWAYS).filter(|(_, zone)| **zone == 2);
+    for (number, (gateway, _)) in of_zone.enumerate() {
+        for repeat in 0..6 {
+            let id = format!("after-{number}-{repeat}");
+            let request = Request::new(&id, "/dossier-open/1", TENANTS[0].key, 15_000);
+            let parts = format!("5c{repeat}:800,0a{repeat}:200");
+            send(gateway.callers, &Request { more: prompt(&parts), ..request }, record);
+            for engine in &deployment.engines {
+                let has_run = engine.runs().iter().any(|run| run.request == id);
+                if has_run && engine.settings.zone != "notts-lace" {
+                    broken.push(format!("{id} has run in {}", engine.settings.zone));
+                }
+            }
+        }
+    }
+    turned_away.is_on.store(false, Ordering::SeqCst);
+    Ok(broken)
+}
+
+/// CONFIG: a gateway starts while the store comes back from a copy that still has a key which was taken away.
+fn restored_keys(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
+    const REMOVED: usize = 4;
+    let size = Size {
+        gateways: &GATEWAYS,
+        engines: &["v1"; 9],
+        engine_work: Work::Stream { events: 3, gap_ms: 20 },
+        ledger_work: Work::Answer { ms: 15 },
+        swap: Duration::from_millis(760),
+        first_era: 1,
+    };
+    let mut deployment = Deployment::start(&size, record);
+    deployment.start_gateways(&size, folder, record)?;
+    thread::sleep(Duration::from_secs(5));
+    let copy = deployment.store.copy();
+    deployment.store.put("op/config", &configuration(7, &TENANTS[1..]));
+    record.line("store: version 7 is acknowledged, tenant framers and its key are gone");
+    thread::sleep(Duration::from_secs(7));
+    if is_disturbed {
+        let name = deployment.gateways[REMOVED].name.clone();
+        deployment.gateways[REMOVED].signal(SIGKILL);
+        drop(deployment.gateways.remove(REMOVED));
+        record.line("store: is away and comes back from a copy of 7 s ago");
+        let (store, away) = (Arc::clone(&deployment.store), Duration::from_millis(500));
+        thread::spawn(move || store.come_back_from(&copy, away, Duration::from_secs(1)));
+        thread::sleep(Duration::from_millis(300));
+        let address = deployment.store.open();
+        let started = Gateway::start(&name, ZONES[GATEWAYS[REMOVED]], address, folder, record);
+        let started = started.map_err(|error| format!("a gateway: {error}"))?;
+        deployment.gateways.insert(REMOVED, started);
+    }
+    let mut broken = Vec::new();
+    for number in 0..80 {
+        thread::sleep(Duration::from_millis(50));
+        let request =
+            Request::new(&format!("after-{number}"), "/ledger-book/1", TENANTS[0].key, 1_500);
+        send(deployment.gateways[REMOVED].callers, &request, record);
+        if deployment.has_run(&request.id) {
+            broken.push(format!("{} has run with a key that was taken away", request.id));
+        }
+    }
+    Ok(broken)
+}
+
 /// CONFIG and ROUTE: the operator takes the keys of all tenants away, one tenant after the other.
 fn last_tenant(is_disturbed: bool, folder: &Path, record: &Arc<Record>) -> Outcome {
     let size = Size {
@@ -727,7 +819,7 @@
     if is_disturbed {
         thread::sleep(Duration::from_millis(300));
         record.line("store: is away and comes back from the copy");
-        deployment.store.come_back_from(&copy, Duration::from_millis(200));
+        deployment.store.come_back_from(&copy, Duration::from_millis(200), Duration::ZERO);
         record.line("store: is back");
     }
     thread::sleep(Duration::from_secs(12));
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -136,13 +136,13 @@
         Copy(self.with(|state| state.clone()))
     }
 
-    /// Is away for a moment and comes back from the copy. What the operator and the replicas wrote is written again;
-    /// what the system wrote since is gone, and all leases are.
-    pub fn come_back_from(&self, copy: &Copy, away: Duration) {
+    /// Is away for a moment and comes back from the copy. What the operator and the replicas wrote is written again, the
+    /// configuration `later` than the rest; what the system wrote since is gone, and all leases are.
+    pub fn come_back_from(&self, copy: &Copy, away: Duration, later: Duration) {
         self.is_away.store(true, Ordering::SeqCst);
         std::thread::sleep(away);
         let is_others = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
-        self.with(|state| {
+        let configuration = self.with(|state| {
             let outside: Vec<(String, Vec<u8>)> = state
                 .items
                 .iter()
@@ -153,13 +153,26 @@
             let next_lease = copy.0.next_lease;
             *state = State { era, next_lease, leases: BTreeMap::new(), ..copy.0.clone() };
             state.items.retain(|_, item| item.lease == 0);
+            let mut configuration = None;
             for (key, value) in outside {
-                if state.items.get(&key).map(|item| &item.value) != Some(&value) {
+                if key == "op/config" {
+                    configuration = Some(value);
+                } else if state.items.get(&key).map(|item| &item.value) != Some(&value) {
                     state.put(&key, value, 0);
                 }
             }
+            configuration
         });
         self.is_away.store(false, Ordering::SeqCst);
+        std::thread::sleep(later);
+        self.with(|state| {
+            let known = state.items.get("op/config").map(|item| item.value.clone());
+            if let Some(configuration) =
+                configuration.filter(|wanted| known.as_ref() != Some(wanted))
+            {
+                state.put("op/config", configuration, 0);
+            }
+        });
     }
 
     fn connection(&self, mut peer: Peer, turns_away: &AtomicBool) {
