Review: check of case 10 as written, limits in the claims, processes ended on a hang

Cause: case 10 asked for a whole stream where the rule asks whether it goes on; second tries of clients had a fresh deadline; the claims of cases 8 and 10 gave no dose for killed machines; a script that hung left its processes. Change: a stream goes on if it gets an event after the last one of its client; second tries send the time that is left; case 8 turns machines away for less than 9 s in all; the harness ends every process it started.

--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -4,10 +4,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::client::{Request, last_event, send};
-use crate::gateway::{Gateway, SIGKILL, SIGTERM};
+use crate::gateway::{Gateway, SIGKILL, SIGTERM, note_ended, note_started};
 use crate::http::{Message, free_address};
 use crate::record::Record;
 use crate::replica::{Order, Replica, Settings, Work};
@@ -405,6 +405,7 @@
         let headers = move |last: u32| format!("Last-Event-Id: {last}\r\nResumes: {id}\r\n");
         let again = move |last: u32| stream(&format!("again-{number}"), number, &headers(last));
         let work = move || {
+            let begun_at = Instant::now();
             let answer = send(at, &request, &record)?;
             let last = last_event(&answer);
             if answer.status() != 200 || answer.is_complete || last == 0 {
@@ -412,10 +413,9 @@
             }
             // The platform sends new connections to the next zones once it has missed two answers.
             thread::sleep(NEXT_ZONES);
-            let answer = send(next, &again(last), &record);
-            let goes_on = answer.is_some_and(|answer| {
-                answer.status() == 200 && answer.is_complete && last_event(&answer) == EVENTS
-            });
+            let answer = send(next, &again(last).with_time_left(begun_at), &record);
+            let goes_on =
+                answer.is_some_and(|answer| answer.status() == 200 && last_event(&answer) > last);
             Some(goes_on)
         };
         thread::spawn(work)
@@ -521,13 +521,14 @@
         let headers = move |last: u32| format!("Last-Event-Id: {last}\r\nResumes: {id}\r\n");
         let again = move |last: u32| stream(&format!("again-{number}"), number, &headers(last));
         thread::spawn(move || {
+            let begun_at = Instant::now();
             let first = send(at, &request, &record)?;
             let last = last_event(&first);
             if first.status() != 200 || first.is_complete || last == 0 {
                 return None;
             }
             thread::sleep(NEXT_ZONES);
-            let second = send(next, &again(last), &record)?;
+            let second = send(next, &again(last).with_time_left(begun_at), &record)?;
             (last_event(&second) > last).then_some((first, second))
         })
     };
@@ -539,11 +540,12 @@
         {
             gateway.signal(SIGKILL);
         }
-        // The store turns the machines away for 9 s.
-        let is_on = Arc::clone(&turned_away.is_on);
+        // The store turns the machines away for less than 9 s in all.
+        let (is_on, record) = (Arc::clone(&turned_away.is_on), Arc::clone(record));
         thread::spawn(move || {
-            thread::sleep(Duration::from_millis(7_000));
+            thread::sleep(Duration::from_millis(6_700));
             is_on.store(false, Ordering::SeqCst);
+            record.line("store: answers the machines of wolves-ring again");
         });
     }
     let mut mixed = Vec::new();
@@ -708,6 +710,7 @@
         // It fails only if the process has ended.
         let _ = self.0.kill();
         let _ = self.0.wait();
+        note_ended(self.0.id());
     }
 }
 
@@ -734,6 +737,7 @@
             .stdin(std::process::Stdio::null())
             .spawn()
             .map_err(|error| error.to_string())?;
+        note_started(process.id());
         record.line(format!("replica {id} starts at {address} (process {})", process.id()));
         engines.push(ReplicaProcess(process));
         let (store, zone) = (Arc::clone(&deployment.store), ZONES[number % ZONES.len()]);
--- a/review/harness-2/src/client.rs
+++ b/review/harness-2/src/client.rs
@@ -24,6 +24,12 @@
         Self { id, path, key, deadline_ms, more: String::new() }
     }
 
+    /// Leaves only what is left of the client's time since it began.
+    pub fn with_time_left(self, begun_at: Instant) -> Self {
+        let spent_ms = begun_at.elapsed().as_millis() as u64;
+        Self { deadline_ms: self.deadline_ms.saturating_sub(spent_ms), ..self }
+    }
+
     fn text(&self) -> String {
         let body = format!("body of {}", self.id);
         format!(
--- a/review/harness-2/src/gateway.rs
+++ b/review/harness-2/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::http::{Message, Peer, free_address};
@@ -16,6 +16,27 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// The processes that were started and have not been waited for.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Notes a process that was started.
+pub fn note_started(id: u32) {
+    STARTED.lock().expect("no thread fails with the lock").push(id);
+}
+
+/// Notes a process that has ended and was waited for.
+pub fn note_ended(id: u32) {
+    STARTED.lock().expect("no thread fails with the lock").retain(|known| *known != id);
+}
+
+/// Kills the processes that are left, if a case did not end by itself.
+pub fn kill_all_started() {
+    for id in STARTED.lock().expect("no thread fails with the lock").drain(..) {
+        // SAFETY: the process is a child of this one that was not waited for, so its id is its own.
+        unsafe { kill(id as i32, SIGKILL) };
+    }
+}
+
 /// A gateway; its process is killed when this is dropped.
 pub struct Gateway {
     pub name: String,
@@ -71,6 +92,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        note_started(process.id());
         record.line(format!("gateway {name} starts (process {})", process.id()));
         Ok(Self { name: name.to_owned(), callers, admin, process, record: Arc::clone(record) })
     }
@@ -108,5 +130,6 @@
         // It fails only if the process has ended.
         let _ = self.process.kill();
         let _ = self.process.wait();
+        note_ended(self.process.id());
     }
 }
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -46,6 +46,7 @@
         let _ = sender.send(cases::run(&case, is_disturbed, &case_folder, &case_record));
     });
     let outcome = receiver.recv_timeout(LIMIT).unwrap_or(Err("the case did not end".to_owned()));
+    gateway::kill_all_started();
     let _ = std::fs::remove_dir_all(&temporary);
     let (text, code) = match outcome {
         Ok(broken) if broken.is_empty() => ("the rule held".to_owned(), 0),
