streams: a keeper in another zone outlasts the loss of a zone

Cause: the keepers of a stream's record were chosen in the zone of the node that began it, and a take-up asked keepers of its own zone only.

Ruled out: reading what the lost zone's keepers have saved in the key-value service: it misses the last half second, and nothing is saved while the service is away.

Change: one more keeper, in another zone, chosen by rendezvous hashing of the stream's id. A take-up asks nodes of up to three other zones too while several versions may have begun the stream; while one serves nothing passes between zones. Records are handed over to all keepers at once, since the nodes of a lost zone do not answer.

It works because the record is at a node outside the failed zone before the first event goes out.

--- a/crates/decisions/src/gateway/stream_origin/keepers.rs
+++ b/crates/decisions/src/gateway/stream_origin/keepers.rs
@@ -1,20 +1,85 @@
 //! Which nodes keep the record of a stream besides the one that has begun it.
+//!
+//! Some are in the zone of the node that has begun it, and some in another zone, so that the record outlasts the
+//! loss of either. All choices are made by rendezvous hashing, which differs for each stream and is the same on all
+//! nodes.
 
 use std::cmp::Reverse;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use yuccapass_types::{NodeId, RequestId};
+use yuccapass_types::{NodeId, RequestId, SortedMap, ZoneId};
 
-/// Returns the first nodes, at most `count`, in an order that differs for each stream and is the same on all
-/// nodes.
-pub fn keepers(id: &RequestId, nodes: &[NodeId], count: usize) -> Vec<NodeId> {
-    let rank = |node: &NodeId| {
+use crate::gateway::relay::relays;
+
+/// Number of keepers in the zone of the node that begins a stream.
+const ZONE_KEEPERS: usize = 2;
+
+/// Number of keepers in another zone.
+const REMOTE_KEEPERS: usize = 1;
+
+/// Number of nodes of a zone that are asked for a stream beyond those that keep one. Nodes read at different
+/// times which others there are, and one that starts changes the order.
+const MORE_ASKED: usize = 1;
+
+/// Number of other zones that are asked for a stream. The keeper is in the first one that is not the zone of the
+/// node that has begun the stream, and nodes may differ about one zone that has just been lost or has returned.
+const ASKED_ZONES: usize = 3;
+
+/// The nodes of a zone that may keep streams, sorted by id.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneNodes {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Its nodes.
+    pub nodes: Vec<NodeId>,
+}
+
+impl ZoneNodes {
+    /// Returns the nodes of each zone that may keep streams, sorted by zone, of all registered nodes.
+    pub fn of_registered(registered: impl IntoIterator<Item = (ZoneId, NodeId)>) -> Vec<Self> {
+        let mut by_zone: SortedMap<ZoneId, Vec<NodeId>> = SortedMap::new();
+        for (zone, node) in registered {
+            by_zone.get_or_insert_with(zone, Vec::new).push(node);
+        }
+        let of_zone = |(zone, mut nodes): (ZoneId, Vec<NodeId>)| {
+            nodes.sort();
+            Self { zone, nodes: relays(&nodes).to_vec() }
+        };
+        by_zone.into_entries().map(of_zone).collect()
+    }
+}
+
+/// Returns the nodes that keep a stream which begins at a node of a zone. `zone_nodes` are the others of its zone
+/// that may keep streams, and `other_zones` those of the other zones.
+pub fn keepers(id: &RequestId, zone_nodes: &[NodeId], other_zones: &[ZoneNodes]) -> Vec<NodeId> {
+    let remote = ranked(id, other_zones, |other| other.zone.as_str()).into_iter().take(1);
+    let remote = remote.flat_map(|other| first_nodes(id, &other.nodes, REMOTE_KEEPERS));
+    first_nodes(id, zone_nodes, ZONE_KEEPERS).into_iter().chain(remote).collect()
+}
+
+/// Returns the nodes of its own zone that a node asks for a stream.
+pub fn asked_in_zone(id: &RequestId, zone_nodes: &[NodeId]) -> Vec<NodeId> {
+    first_nodes(id, zone_nodes, ZONE_KEEPERS + MORE_ASKED)
+}
+
+/// Returns the nodes of other zones that a node asks for a stream.
+pub fn asked_elsewhere(id: &RequestId, other_zones: &[ZoneNodes]) -> Vec<NodeId> {
+    let zones = ranked(id, other_zones, |other| other.zone.as_str()).into_iter().take(ASKED_ZONES);
+    zones.flat_map(|other| first_nodes(id, &other.nodes, REMOTE_KEEPERS + MORE_ASKED)).collect()
+}
+
+fn first_nodes(id: &RequestId, nodes: &[NodeId], count: usize) -> Vec<NodeId> {
+    ranked(id, nodes, NodeId::as_str).into_iter().take(count).cloned().collect()
+}
+
+/// Sorts nodes or zones by the hash of their names and the id of a stream.
+fn ranked<'a, T>(id: &RequestId, items: &'a [T], name: impl Fn(&T) -> &str) -> Vec<&'a T> {
+    let rank = |item: &T| {
         let mut hasher = DefaultHasher::new();
-        (node.as_str(), id.as_str()).hash(&mut hasher);
+        (name(item), id.as_str()).hash(&mut hasher);
         hasher.finish()
     };
-    let mut ranked: Vec<(Reverse<u64>, &NodeId)> =
-        nodes.iter().map(|node| (Reverse(rank(node)), node)).collect();
-    ranked.sort();
-    ranked.into_iter().take(count).map(|(_, node)| node.clone()).collect()
+    let mut ranked: Vec<&T> = items.iter().collect();
+    ranked.sort_by_cached_key(|item| (Reverse(rank(item)), name(item).to_owned()));
+    ranked
 }
--- a/crates/decisions/src/gateway/stream_origin/mod.rs
+++ b/crates/decisions/src/gateway/stream_origin/mod.rs
@@ -20,7 +20,7 @@
 
 pub use evidence::TakeUpEvidence;
 pub use history::SoftwareHistory;
-pub use keepers::keepers;
+pub use keepers::{ZoneNodes, asked_elsewhere, asked_in_zone, keepers};
 pub use records::StreamRecords;
 
 /// How long callers may take up a stream after it has begun, and how long a version that has left may be the
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -17,6 +17,7 @@
 use crate::caller_memory::CallerClaim;
 use crate::protocol::CallerRequest;
 use crate::state::Shared;
+use crate::streams::Asked;
 use crate::waiting::QueuedWork;
 
 /// Number of route priorities that are kept apart within an organisation priority. Three of them
@@ -250,8 +251,11 @@
         return None;
     }
     let id = caller.resumed.as_ref();
+    // Streams of a service with one version are kept by nobody.
+    let is_mixed = |service| shared.streams.sole_version(shared, service).is_none();
+    let asked = if services_of(route).any(is_mixed) { Asked::AllZones } else { Asked::Zone };
     if let Some(id) = id
-        && let Some(origin) = shared.streams.find_origin(shared, id).await
+        && let Some(origin) = shared.streams.find_origin(shared, id, asked).await
     {
         return Some(origin);
     }
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -107,9 +107,11 @@
     shared.metrics.record_node_count(after);
 }
 
-/// Records which nodes of the zone may be relays, and through which nodes requests may be sent.
+/// Records which nodes of the zone may be relays, which nodes of the other zones may keep streams, and through
+/// which nodes requests may be sent.
 fn read_entries(shared: &Shared, entries: &[Entry]) {
     let mut zone_nodes = Vec::new();
+    let mut other_nodes = Vec::new();
     let mut neighbours = Vec::new();
     for entry in entries {
         let Some(node) = node_of(&entry.key) else { continue };
@@ -117,8 +119,13 @@
             Ok(node_entry) => {
                 let is_other = node != shared.options.node;
                 neighbours.extend(node_entry.neighbour(&node).filter(|_| is_other));
-                let address = node_entry.address_in(&shared.options.zone);
-                zone_nodes.extend(address.map(|address| (node, address)));
+                match node_entry.peer() {
+                    Some((zone, address)) if zone == shared.options.zone => {
+                        zone_nodes.push((node, address));
+                    }
+                    Some((zone, address)) => other_nodes.push((zone, node, address)),
+                    None => {}
+                }
             }
             Err(error) => {
                 log::debug!(
@@ -128,6 +135,7 @@
             }
         }
     }
+    shared.streams.replace_other_nodes(other_nodes);
     shared.relay.replace_nodes(zone_nodes);
     shared.detours.replace(neighbours);
 }
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -50,9 +50,9 @@
         Some(Neighbour { node: node.clone(), zone, address })
     }
 
-    /// Returns the node's address for other nodes if it is in `zone`.
-    pub(crate) fn address_in(&self, zone: &ZoneId) -> Option<SocketAddr> {
-        self.peer_address.filter(|_| self.zone.as_ref() == Some(zone))
+    /// Returns the node's zone and its address for other nodes, if it accepts their connections.
+    pub(crate) fn peer(self) -> Option<(ZoneId, SocketAddr)> {
+        Some((self.zone?, self.peer_address?))
     }
 }
 
--- a/crates/gateway/src/streams/mod.rs
+++ b/crates/gateway/src/streams/mod.rs
@@ -1,12 +1,13 @@
 //! Which version of a service's software began a stream, so that only that version goes on with it.
 //!
 //! A stream may be taken up by its caller at any node. Each node records the streams that it begins, and where
-//! several versions may serve, it gives the record to two [`keepers`] of its zone before the first event goes
-//! out. These are among the nodes that read from origins. [`saved`] makes their records outlast them, and
-//! [`published`] makes the versions that may have begun streams known to nodes that start, and [`sole_version`] keeps a
+//! several versions may serve, it gives the record to its [`keepers`], two in its zone and one in another, before
+//! the first event goes out. These are among the nodes that read from origins. [`saved`] makes their records outlast
+//! them, and [`published`] makes the versions that may have begun streams known to nodes that start, and [`sole_version`] keeps a
 //! node that is out of step from going on by what it knew before. See
 //! `yuccapass_decisions::gateway::stream_origin`.
 
+mod other_zones;
 pub(crate) mod published;
 pub(crate) mod saved;
 pub(crate) mod sole_version;
@@ -17,26 +18,22 @@
 use async_std::channel::bounded;
 use async_std::task;
 use futures::StreamExt;
+use futures::future::join_all;
 use futures::stream::FuturesUnordered;
 use yuccapass_decisions::gateway::{
-    RouteKind, SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, keepers,
+    RouteKind, SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, asked_elsewhere,
+    asked_in_zone, keepers,
 };
 use yuccapass_http::with_deadline;
 use yuccapass_peers::{MAX_STREAM_RECORDS, PeerMessage, PeerTransport};
 use yuccapass_types::{
-    Deadline, NodeId, RequestId, ServiceId, Sharded, SoftwareVersion, SortedMap,
+    Deadline, NodeId, RequestId, ServiceId, Sharded, SoftwareVersion, SortedMap, ZoneId,
 };
 
+use self::other_zones::OtherZones;
 use self::sole_version::EndpointCheck;
 use crate::state::Shared;
 
-/// Number of nodes that keep the record of a stream besides the one that begins it.
-const KEEPERS: usize = 2;
-
-/// Number of nodes that are asked for a stream. One more, because the nodes of a zone are read every 2 s, and
-/// a node that starts changes the order.
-const ASKED_KEEPERS: usize = 3;
-
 /// Maximum number of records that wait to be saved. What is not saved stays known to its keepers only.
 const MAX_UNSAVED: usize = 2_048;
 
@@ -46,11 +43,21 @@
 /// How long the keepers of a stream are waited for when its caller takes it up.
 const FIND_TIMEOUT_MS: u64 = 300;
 
+/// Which nodes are asked for a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Asked {
+    /// Nodes of the zone of this node.
+    Zone,
+    /// Nodes of other zones too.
+    AllZones,
+}
+
 /// The streams that this node has begun or keeps, and the versions that may have begun others.
 #[derive(Default)]
 pub(crate) struct StreamTable {
     records: Sharded<StreamRecords>,
     history: Mutex<SoftwareHistory>,
+    other_zones: OtherZones,
     // What this node keeps and has not saved.
     unsaved: Mutex<Vec<StreamRecord>>,
     // Set once, if the node can call other nodes.
@@ -66,6 +73,11 @@
         let _ = self.transport.set(transport);
     }
 
+    /// Replaces the nodes of other zones that accept connections of this one.
+    pub(crate) fn replace_other_nodes(&self, nodes: Vec<(ZoneId, NodeId, SocketAddr)>) {
+        self.other_zones.replace(nodes);
+    }
+
     fn history(&self) -> MutexGuard<'_, SoftwareHistory> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -105,18 +117,20 @@
         self.records.with(id, |records| records.origin(id, now).cloned())
     }
 
-    /// Returns where a stream has begun, if this node or one of its keepers knows it.
+    /// Returns where a stream has begun, if this node or one of the nodes that are asked knows it.
     pub(crate) async fn find_origin(
         &self,
         shared: &Shared,
         id: &RequestId,
+        asked: Asked,
     ) -> Option<StreamOrigin> {
         if let Some(origin) = self.known_origin(shared, id) {
             return Some(origin);
         }
         let transport = self.transport.get()?;
         let deadline = Deadline::after_ms(shared.now(), FIND_TIMEOUT_MS);
-        let mut calls: FuturesUnordered<_> = keepers_of(shared, id, ASKED_KEEPERS)
+        let mut calls: FuturesUnordered<_> = self
+            .asked(shared, id, asked)
             .into_iter()
             .map(|(_, address)| {
                 transport.call(address, PeerMessage::FindStream(id.clone()), deadline)
@@ -141,8 +155,9 @@
         }
         self.save_later(shared, record.clone());
         let Some(transport) = self.transport.get() else { return };
-        let (kept, is_kept) = bounded(KEEPERS);
-        for (_, address) in keepers_of(shared, &record.id, KEEPERS) {
+        let keepers = self.keepers(shared, &record.id);
+        let (kept, is_kept) = bounded(keepers.len().max(1));
+        for (_, address) in keepers {
             let (transport, kept) = (Arc::clone(transport), kept.clone());
             let deadline = Deadline::after_ms(shared.now(), KEEP_TIMEOUT_MS);
             let message = PeerMessage::KeepStreams(vec![record.clone()]);
@@ -163,6 +178,28 @@
         }
     }
 
+    /// Returns the nodes that keep a stream which begins at this one.
+    fn keepers(&self, shared: &Shared, id: &RequestId) -> Vec<(NodeId, SocketAddr)> {
+        let nodes = keepers(id, &zone_keepers(shared), &self.other_zones.zones());
+        self.addressed(shared, nodes)
+    }
+
+    /// Returns the nodes that are asked for a stream.
+    fn asked(&self, shared: &Shared, id: &RequestId, asked: Asked) -> Vec<(NodeId, SocketAddr)> {
+        let mut nodes = asked_in_zone(id, &zone_keepers(shared));
+        if asked == Asked::AllZones {
+            nodes.extend(asked_elsewhere(id, &self.other_zones.zones()));
+        }
+        self.addressed(shared, nodes)
+    }
+
+    fn addressed(&self, shared: &Shared, nodes: Vec<NodeId>) -> Vec<(NodeId, SocketAddr)> {
+        let address =
+            |node: &NodeId| shared.relay.address(node).or_else(|| self.other_zones.address(node));
+        let addressed = |node: NodeId| address(&node).map(|address| (node, address));
+        nodes.into_iter().filter_map(addressed).collect()
+    }
+
     /// Returns the version that has begun all streams of a service that are not known, or `None` if there may
     /// be several.
     pub(crate) fn sole_version(
@@ -193,11 +230,11 @@
             all
         });
         for record in records {
-            for keeper in keepers_of(shared, &record.id, KEEPERS) {
+            for keeper in self.keepers(shared, &record.id) {
                 by_keeper.get_or_insert_with(keeper, Vec::new).push(record.clone());
             }
         }
-        for ((_, address), records) in by_keeper.into_entries() {
+        let hand_over = |((_, address), records): (_, Vec<StreamRecord>)| async move {
             for part in records.chunks(MAX_STREAM_RECORDS) {
                 let deadline = Deadline::after_ms(shared.now(), FIND_TIMEOUT_MS);
                 let message = PeerMessage::KeepStreams(part.to_vec());
@@ -205,16 +242,17 @@
                     log::debug!(error:%; "a keeper did not take the streams that run");
                 }
             }
-        }
+        };
+        // At once, so that the keepers of a zone that is lost delay none of the others.
+        join_all(by_keeper.into_entries().map(hand_over)).await;
     }
 }
 
-/// Returns the other nodes of the zone that keep a stream.
-fn keepers_of(shared: &Shared, id: &RequestId, count: usize) -> Vec<(NodeId, SocketAddr)> {
+/// Returns the other nodes of the zone that may keep streams.
+fn zone_keepers(shared: &Shared) -> Vec<NodeId> {
     let mut nodes = shared.relay.origin_readers();
     nodes.retain(|node| *node != shared.options.node);
-    let addressed = |node: NodeId| shared.relay.address(&node).map(|address| (node, address));
-    keepers(id, &nodes, count).into_iter().filter_map(addressed).collect()
+    nodes
 }
 
 /// Returns the services whose streams callers may take up. Sorted.
--- a/crates/gateway/src/streams/sole_version.rs
+++ b/crates/gateway/src/streams/sole_version.rs
@@ -20,7 +20,7 @@
 };
 use yuccapass_types::{Deadline, Instant, RequestId, ServiceId, SoftwareVersion};
 
-use super::{ASKED_KEEPERS, StreamTable, keepers_of};
+use super::{Asked, StreamTable};
 use crate::relay::keys_topic;
 use crate::state::Shared;
 
@@ -117,7 +117,8 @@
     ) {
         let Some(transport) = self.transport.get() else { return };
         let deadline = Deadline::after_ms(shared.now(), CHECK_TIMEOUT_MS);
-        let mut calls: FuturesUnordered<_> = keepers_of(shared, id, ASKED_KEEPERS)
+        let mut calls: FuturesUnordered<_> = self
+            .asked(shared, id, Asked::Zone)
             .into_iter()
             .map(|(_, address)| {
                 let message = PeerMessage::RequestSoleVersion(service.clone());
