streams: nodes that are out of step together do not confirm each other

Cause: if the service gives no answer, a node asked others of its zone, and one that agreed was evidence enough. Nodes that are cut off for the same reason agree about what they have missed.

Ruled out: that the zone has heard of the second version; in the test it is registered after the zone was turned away. Records of the streams in other zones help where there are some, and do not make the agreement right.

Change: a node that is asked confirms its endpoints at the service first and says whether it could (new field of SoleVersion; old nodes don't set it). Evidence is one node that has confirmed, or agreement in each zone that has other nodes, with none that differs. Other zones are asked for the stream's record too, and a keeper counts the version of a stream that it is given.

The check of TakeUpEvidence in gateway_stream_origin takes statements of zones in place of yes and no; each of its former cases stands.

--- a/crates/decisions/src/gateway/stream_origin/evidence.rs
+++ b/crates/decisions/src/gateway/stream_origin/evidence.rs
@@ -1,20 +1,45 @@
 //! Whether a node may go on with a stream that nobody knows, by the versions that it knows.
 
-use yuccapass_types::Instant;
+use yuccapass_types::{Instant, SoftwareVersion, ZoneId};
+
+/// What a node says about the streams of a service that are not known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionStatement {
+    /// The version that has begun all of them; `None` if there may be several, or the node does not know.
+    pub sole: Option<Option<SoftwareVersion>>,
+    /// Whether the node has confirmed, since it was asked, that it knows all endpoints.
+    pub is_confirmed: bool,
+}
 
 /// What shows that a node is not out of step when a caller takes a stream up.
-#[derive(Debug, Clone, Copy)]
+///
+/// Nodes that agree may be out of step for the same reason, as those of a zone that is cut off together. So either
+/// one of them has confirmed what it knows, or nodes of all zones agree: one that knew another version would have
+/// begun its streams in one of these zones, and given their records to nodes of two zones.
+#[derive(Debug, Clone)]
 pub struct TakeUpEvidence {
     arrived_at: Instant,
     is_confirmed: bool,
+    is_confirmed_elsewhere: bool,
+    has_differing: bool,
+    // The zones with other nodes, none of which has agreed yet. Sorted.
+    silent_zones: Vec<ZoneId>,
     agreeing: u32,
-    differing: u32,
 }
 
 impl TakeUpEvidence {
-    /// Creates the evidence for a request that arrived at this instant.
-    pub fn new(arrived_at: Instant) -> Self {
-        Self { arrived_at, is_confirmed: false, agreeing: 0, differing: 0 }
+    /// Creates the evidence for a request that arrived at this instant, at a node that knows others in these zones.
+    pub fn new(arrived_at: Instant, mut zones: Vec<ZoneId>) -> Self {
+        zones.sort();
+        zones.dedup();
+        Self {
+            arrived_at,
+            is_confirmed: false,
+            is_confirmed_elsewhere: false,
+            has_differing: false,
+            silent_zones: zones,
+            agreeing: 0,
+        }
     }
 
     /// Records that all endpoints were known at an instant. The stream has begun before the request arrived, so a
@@ -23,16 +48,28 @@
         self.is_confirmed |= at >= self.arrived_at;
     }
 
-    /// Records whether another node knows the same version, and no other.
-    pub fn record_node(&mut self, agrees: bool) {
-        match agrees {
-            true => self.agreeing += 1,
-            false => self.differing += 1,
+    /// Records what a node of a zone says, which was asked after the request had arrived. `sole` is the version
+    /// that this node knows.
+    pub fn record_statement(
+        &mut self,
+        zone: &ZoneId,
+        statement: &VersionStatement,
+        sole: &Option<SoftwareVersion>,
+    ) {
+        if statement.sole.as_ref() != Some(sole) {
+            self.has_differing = true;
+            return;
+        }
+        self.agreeing += 1;
+        self.is_confirmed_elsewhere |= statement.is_confirmed;
+        if let Ok(position) = self.silent_zones.binary_search(zone) {
+            self.silent_zones.remove(position);
         }
     }
 
     /// Returns whether the node may go on with the stream.
     pub fn is_sufficient(&self) -> bool {
-        self.is_confirmed || (self.agreeing > 0 && self.differing == 0)
+        let agree_all = self.agreeing > 0 && self.silent_zones.is_empty();
+        self.is_confirmed || (!self.has_differing && (self.is_confirmed_elsewhere || agree_all))
     }
 }
--- a/crates/decisions/src/gateway/stream_origin/history.rs
+++ b/crates/decisions/src/gateway/stream_origin/history.rs
@@ -2,7 +2,7 @@
 
 use yuccapass_types::{Deadline, Instant, ServiceId, SoftwareVersion, SortedMap};
 
-use super::REMEMBER_MS;
+use super::{REMEMBER_MS, StreamOrigin};
 
 type Software = Option<SoftwareVersion>;
 
@@ -58,6 +58,19 @@
         }
     }
 
+    /// Records the version that has begun a stream at another node. This node may not have heard of it.
+    pub fn record_begun(&mut self, origin: &StreamOrigin, now: Instant) {
+        let known = self.services.get_or_insert_with(origin.service.clone(), Default::default);
+        let until = Deadline::after_ms(now, REMEMBER_MS);
+        // A version that serves counts until it has left.
+        match known.versions.get_mut(&origin.software) {
+            Some(counts_until) => *counts_until = counts_until.map(|_| until),
+            None => {
+                known.versions.insert(origin.software.clone(), Some(until));
+            }
+        }
+    }
+
     /// Replaces all published versions. One that does not serve may have left just before.
     pub fn replace_published(&mut self, published: Vec<(ServiceId, Vec<Software>)>, now: Instant) {
         self.is_read = true;
--- a/crates/decisions/src/gateway/stream_origin/keepers.rs
+++ b/crates/decisions/src/gateway/stream_origin/keepers.rs
@@ -68,6 +68,16 @@
     zones.flat_map(|other| first_nodes(id, &other.nodes, REMOTE_KEEPERS + MORE_ASKED)).collect()
 }
 
+/// Returns the nodes of each of some zones that a node asks for the versions that it does not know. They would
+/// keep the stream if it had begun there, or would keep it for another zone.
+pub fn asked_in_each(id: &RequestId, zones: &[ZoneNodes]) -> Vec<ZoneNodes> {
+    let asked = |known: &ZoneNodes| ZoneNodes {
+        zone: known.zone.clone(),
+        nodes: first_nodes(id, &known.nodes, ZONE_KEEPERS + MORE_ASKED),
+    };
+    zones.iter().map(asked).collect()
+}
+
 fn first_nodes(id: &RequestId, nodes: &[NodeId], count: usize) -> Vec<NodeId> {
     ranked(id, nodes, NodeId::as_str).into_iter().take(count).cloned().collect()
 }
--- a/crates/decisions/src/gateway/stream_origin/mod.rs
+++ b/crates/decisions/src/gateway/stream_origin/mod.rs
@@ -6,7 +6,6 @@
 //! * [`StreamRecords`] has the origins of streams that have begun, at the node that began them and at its
 //!   [`keepers`].
 //! * [`SoftwareHistory`] has the versions that may have begun the streams that are not recorded.
-//!
 //! * [`TakeUpEvidence`] has what shows that a node which knows one version is not out of step.
 //!
 //! If several versions may have begun a stream that nobody knows, it cannot go on.
@@ -18,9 +17,9 @@
 
 use yuccapass_types::{RequestId, ServiceId, SoftwareVersion};
 
-pub use evidence::TakeUpEvidence;
+pub use evidence::{TakeUpEvidence, VersionStatement};
 pub use history::SoftwareHistory;
-pub use keepers::{ZoneNodes, asked_elsewhere, asked_in_zone, keepers};
+pub use keepers::{ZoneNodes, asked_elsewhere, asked_in_each, asked_in_zone, keepers};
 pub use records::StreamRecords;
 
 /// How long callers may take up a stream after it has begun, and how long a version that has left may be the
--- a/crates/decisions/tests/gateway_stream_origin.rs
+++ b/crates/decisions/tests/gateway_stream_origin.rs
@@ -1,8 +1,8 @@
 //! Tests of the versions that may have begun streams, and of the records of streams.
 
 use yuccapass_decisions::gateway::{
-    SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, TakeUpEvidence, ZoneNodes,
-    asked_elsewhere, asked_in_zone, keepers,
+    SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, TakeUpEvidence, VersionStatement,
+    ZoneNodes, asked_elsewhere, asked_in_zone, keepers,
 };
 use yuccapass_types::{Instant, NodeId, RequestId, ServiceId, SoftwareVersion, ZoneId};
 
@@ -202,26 +202,99 @@
     assert_eq!(kept_by.iter().filter(|node| zones[0].nodes.contains(node)).count(), 2);
 }
 
+/// What a node says that knows one version, and perhaps has confirmed that it knows all.
+fn says(version: &str, is_confirmed: bool) -> VersionStatement {
+    VersionStatement { sole: Some(software(version)), is_confirmed }
+}
+
+/// Returns whether a node that knows v1 may go on with a stream at 1 s: other nodes are in these zones, and some say
+/// something.
+fn may_go_on(zones: &[&str], said: &[(&str, VersionStatement)], confirmed_ms: Option<u64>) -> bool {
+    let zones = zones.iter().map(|zone| zone.parse().unwrap()).collect();
+    let mut evidence = TakeUpEvidence::new(at(1_000), zones);
+    for (zone, statement) in said {
+        evidence.record_statement(&zone.parse().unwrap(), statement, &software("v1"));
+    }
+    if let Some(ms) = confirmed_ms {
+        evidence.record_confirmation(at(ms));
+    }
+    evidence.is_sufficient()
+}
+
 /// Guards against a node that goes on with a stream by what it knew before the stream began, or because one of
 /// several nodes agrees.
 #[test]
 fn a_stream_goes_on_only_by_recent_knowledge() {
     // Arrange
-    let evidence = || TakeUpEvidence::new(at(1_000));
-    let with = |nodes: &[bool], confirmed_ms: Option<u64>| {
-        let mut evidence = evidence();
-        nodes.iter().for_each(|agrees| evidence.record_node(*agrees));
-        if let Some(ms) = confirmed_ms {
-            evidence.record_confirmation(at(ms));
-        }
-        evidence.is_sufficient()
-    };
+    let (same, other) = (|| ("own", says("v1", false)), || ("own", says("v2", false)));
+    let several = || ("own", VersionStatement { sole: None, is_confirmed: false });
 
     // Act
-    let by_confirmation = [with(&[], None), with(&[], Some(999)), with(&[], Some(1_000))];
-    let by_nodes = [with(&[true], None), with(&[true, false], None), with(&[false], Some(1_100))];
+    let by_confirmation = [None, Some(999), Some(1_000)].map(|ms| may_go_on(&["own"], &[], ms));
+    let by_nodes = [
+        may_go_on(&["own"], &[same()], None),
+        may_go_on(&["own"], &[same(), other()], None),
+        may_go_on(&["own"], &[same(), several()], None),
+        may_go_on(&["own"], &[other()], Some(1_100)),
+    ];
 
     // Assert
     assert_eq!(by_confirmation, [false, false, true]);
-    assert_eq!(by_nodes, [true, false, true]);
+    assert_eq!(by_nodes, [true, false, false, true]);
+}
+
+/// Guards against nodes that are out of step together, as those of a zone that is cut off, and confirm each other.
+#[test]
+fn nodes_of_one_zone_do_not_confirm_each_other_while_others_are_silent() {
+    // Arrange
+    let zones = ["own", "second", "third"];
+    let same = |zone| (zone, says("v1", false));
+
+    // Act
+    let own_only = may_go_on(&zones, &[same("own"), same("own")], None);
+    let without_third = may_go_on(&zones, &[same("own"), same("second")], None);
+    let all_zones = may_go_on(&zones, &[same("own"), same("second"), same("third")], None);
+    let no_others = may_go_on(&[], &[], None);
+
+    // Assert
+    assert_eq!([own_only, without_third, all_zones, no_others], [false, false, true, false]);
+}
+
+/// Guards against streams that are refused although a node has confirmed what it knows, and against a node that is
+/// believed although another one knows more.
+#[test]
+fn one_node_that_is_in_step_is_enough() {
+    // Arrange
+    let zones = ["own", "second", "third"];
+    let in_step = ("second", says("v1", true));
+
+    // Act
+    let confirmed = may_go_on(&zones, std::slice::from_ref(&in_step), None);
+    let differing = may_go_on(&zones, &[in_step, ("third", says("v2", false))], None);
+
+    // Assert
+    assert_eq!([confirmed, differing], [true, false]);
+}
+
+/// Guards against a keeper that knows one version although it keeps a stream of another one.
+#[test]
+fn a_kept_stream_shows_that_its_version_has_begun_streams() {
+    // Arrange
+    let mut history = new_history();
+    observe(&mut history, &["v1"], 0);
+    let origin = |name| StreamOrigin { service: service(), software: software(name) };
+
+    // Act
+    history.record_begun(&origin("v1"), at(500));
+    let of_own_version = sole(&history, 500);
+    history.record_begun(&origin("v2"), at(1_000));
+    observe(&mut history, &["v1"], 2_000);
+    let of_another = sole(&history, 2_000);
+    observe(&mut history, &["v1"], 1_000 + LATER_MS);
+    let later = sole(&history, 1_000 + LATER_MS);
+
+    // Assert
+    assert_eq!(of_own_version, Some(software("v1")));
+    assert_eq!(of_another, None);
+    assert_eq!(later, Some(software("v1")));
 }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -263,9 +263,7 @@
     let service = services.next().filter(|_| services.next().is_none())?;
     let own_id: Option<RequestId> = caller.id.parse().ok();
     let id = id.or(own_id.as_ref())?;
-    let streams = &shared.streams;
-    let sole = streams.confirmed_sole_version(shared, service, id, request.arrived_at).await?;
-    Some(StreamOrigin { service: service.clone(), software: sole })
+    shared.streams.unrecorded_origin(shared, service, id, request.arrived_at).await
 }
 
 fn may_be_used(shared: &Shared, regions: &AllowedRegions) -> bool {
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -41,8 +41,8 @@
                 Some(PeerMessage::StreamFound(self.shared.streams.known_origin(&self.shared, &id)))
             }
             PeerMessage::RequestSoleVersion(service) => {
-                let sole = self.shared.streams.sole_version(&self.shared, &service);
-                Some(PeerMessage::SoleVersion(sole))
+                let statement = self.shared.streams.statement(&self.shared, &service).await;
+                Some(PeerMessage::SoleVersion(statement))
             }
             PeerMessage::RequestList(topic) => {
                 let offer = self.shared.relay.offer_list(&topic, self.shared.now());
--- a/crates/gateway/src/streams/mod.rs
+++ b/crates/gateway/src/streams/mod.rs
@@ -85,11 +85,17 @@
     /// Keeps streams that another node has begun.
     pub(crate) fn keep(&self, shared: &Shared, records: Vec<StreamRecord>) {
         for record in records {
-            self.record(shared, record.clone());
-            self.save_later(shared, record);
+            self.save_later(shared, record.clone());
+            self.record_kept(shared, record);
         }
     }
 
+    /// Records a stream that another node has begun, or an earlier process of this one.
+    fn record_kept(&self, shared: &Shared, record: StreamRecord) {
+        self.history().record_begun(&record.origin, shared.now());
+        self.record(shared, record);
+    }
+
     /// Notes that a record is to be saved, if this node may be a keeper.
     fn save_later(&self, shared: &Shared, record: StreamRecord) {
         if shared.relay.reads_from_origins(&shared.options.node) {
@@ -248,7 +254,7 @@
     }
 }
 
-/// Returns the other nodes of the zone that may keep streams.
+/// Returns the other nodes of the zone of this one that may keep streams.
 fn zone_keepers(shared: &Shared) -> Vec<NodeId> {
     let mut nodes = shared.relay.origin_readers();
     nodes.retain(|node| *node != shared.options.node);
--- a/crates/gateway/src/streams/saved.rs
+++ b/crates/gateway/src/streams/saved.rs
@@ -130,7 +130,7 @@
         let records: Vec<StreamRecord> = entries.iter().flat_map(decoded).collect();
         log::info!(keys = entries.len(), streams = records.len(); "the records of streams were read");
         for record in records {
-            self.shared.streams.record(&self.shared, record);
+            self.shared.streams.record_kept(&self.shared, record);
         }
         Ok(())
     }
--- a/crates/peers/src/convert/frame.rs
+++ b/crates/peers/src/convert/frame.rs
@@ -1,5 +1,6 @@
 //! Conversion of frames.
 
+use yuccapass_decisions::gateway::VersionStatement;
 use yuccapass_types::Incarnation;
 
 use super::votes::{outcome_from_wire, vote_from_wire, vote_to_wire};
@@ -68,10 +69,13 @@
             PeerMessage::RequestSoleVersion(service) => {
                 Self::RequestSoleVersion(WireServiceQuery { service: service.to_string() })
             }
-            PeerMessage::SoleVersion(sole) => Self::SoleVersion(WireSoleVersion {
-                is_sole: sole.is_some(),
-                software: sole.flatten().map(|software| software.to_string()),
-            }),
+            PeerMessage::SoleVersion(VersionStatement { sole, is_confirmed }) => {
+                Self::SoleVersion(WireSoleVersion {
+                    is_sole: sole.is_some(),
+                    software: sole.flatten().map(|software| software.to_string()),
+                    is_confirmed,
+                })
+            }
         }
     }
 }
@@ -116,7 +120,8 @@
                 let software = answer.software.as_deref();
                 let software =
                     software.map(|software| parse_id("software", software)).transpose()?;
-                Self::SoleVersion(answer.is_sole.then_some(software))
+                let sole = answer.is_sole.then_some(software);
+                Self::SoleVersion(VersionStatement { sole, is_confirmed: answer.is_confirmed })
             }
         })
     }
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -7,13 +7,11 @@
     ListOffer, TopicRequest, TopicUpdate, ValuePiece, ValueRequest,
 };
 use yuccapass_decisions::gateway::zone_room::{OutstandingSummary, RoomReply};
-use yuccapass_decisions::gateway::{StreamOrigin, StreamRecord};
+use yuccapass_decisions::gateway::{StreamOrigin, StreamRecord, VersionStatement};
 use yuccapass_decisions::membership::Heartbeat;
 use yuccapass_decisions::permits::{PermitId, PermitReply};
 use yuccapass_decisions::quorum::{AttemptId, OutcomeState, VoteKey, VoteReply, VoteRequest};
-use yuccapass_types::{
-    EndpointId, Incarnation, NodeId, RequestId, Revision, ServiceId, SoftwareVersion,
-};
+use yuccapass_types::{EndpointId, Incarnation, NodeId, RequestId, Revision, ServiceId};
 
 use crate::error::DecodeError;
 use crate::wire::WireFrame;
@@ -151,8 +149,8 @@
     /// Asks which version of a service's software has begun all streams that are not known. Answered by
     /// [`PeerMessage::SoleVersion`].
     RequestSoleVersion(ServiceId),
-    /// Reply to [`PeerMessage::RequestSoleVersion`]; `None` if there may be several, or the sender does not know.
-    SoleVersion(Option<Option<SoftwareVersion>>),
+    /// Reply to [`PeerMessage::RequestSoleVersion`].
+    SoleVersion(VersionStatement),
 }
 
 /// The process that sent a frame.
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -77,6 +77,9 @@
     /// Absent if the endpoints name no version.
     #[prost(string, optional, tag = "2")]
     pub(crate) software: Option<String>,
+    /// Absent, which is `false`, from nodes that do not confirm what they know.
+    #[prost(bool, tag = "3")]
+    pub(crate) is_confirmed: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -12,7 +12,7 @@
     EndpointKey, EndpointUse, OutstandingSum, OutstandingSummary, RoomReply, RoomStamp,
     SummaryScope,
 };
-use yuccapass_decisions::gateway::{PartEvent, StreamOrigin, StreamRecord};
+use yuccapass_decisions::gateway::{PartEvent, StreamOrigin, StreamRecord, VersionStatement};
 use yuccapass_decisions::membership::{
     CrashCount, Heartbeat, HeartbeatCounter, LoadSummary, OrganisationUsage, Row, RowState,
 };
@@ -120,6 +120,8 @@
     };
     let id: RequestId = format!("r-{number}").parse().unwrap();
     let record = |software| StreamRecord { id: id.clone(), origin: origin(software) };
+    let statement =
+        |sole, is_confirmed| PeerMessage::SoleVersion(VersionStatement { sole, is_confirmed });
     vec![
         PeerMessage::KeepStreams(vec![record(None), record(Some("v1.1"))]),
         PeerMessage::StreamsKept,
@@ -127,9 +129,9 @@
         PeerMessage::StreamFound(None),
         PeerMessage::StreamFound(Some(origin(Some("v1")))),
         PeerMessage::RequestSoleVersion("ledger".parse().unwrap()),
-        PeerMessage::SoleVersion(None),
-        PeerMessage::SoleVersion(Some(None)),
-        PeerMessage::SoleVersion(Some(Some("v1".parse().unwrap()))),
+        statement(None, false),
+        statement(Some(None), true),
+        statement(Some(Some("v1".parse().unwrap())), true),
     ]
 }
 
