streams: a keeper may accept a record later than the first event waits

Cause: the call to a keeper ended with the time for which the first event of the stream waits (150 ms). A keeper on a busy node or behind a slow link then never got the record, although callers take streams up later.

Change: the call may take a second; the first event waits as before.

--- a/crates/gateway/src/streams/mod.rs
+++ b/crates/gateway/src/streams/mod.rs
@@ -37,9 +37,12 @@
 /// Maximum number of records that wait to be saved. What is not saved stays known to its keepers only.
 const MAX_UNSAVED: usize = 2_048;
 
-/// How long the first event of a stream waits for a keeper. Without one the stream stays unknown to others.
+/// How long the first event of a stream waits for a keeper. Without one the stream may stay unknown to others.
 const KEEP_TIMEOUT_MS: u64 = 150;
 
+/// How long a keeper may take to accept a record. Callers take a stream up later than that.
+const KEEP_CALL_TIMEOUT_MS: u64 = 1_000;
+
 /// How long the keepers of a stream are waited for when its caller takes it up.
 const FIND_TIMEOUT_MS: u64 = 300;
 
@@ -165,7 +168,7 @@
         let (kept, is_kept) = bounded(keepers.len().max(1));
         for (_, address) in keepers {
             let (transport, kept) = (Arc::clone(transport), kept.clone());
-            let deadline = Deadline::after_ms(shared.now(), KEEP_TIMEOUT_MS);
+            let deadline = Deadline::after_ms(shared.now(), KEEP_CALL_TIMEOUT_MS);
             let message = PeerMessage::KeepStreams(vec![record.clone()]);
             task::spawn(async move {
                 match transport.call(address, message, deadline).await {
