watch: a part of the missed changes confirms no keys

Cause: the key-value service answers a watch with about 1 MB at a time, and an answer with changes was taken for all changes up to the call, so the older half of a long history confirmed the keys.

Ruled out: serving before anything was read; the node answers 503 until then.

--- a/crates/gateway/src/streams/sole_version.rs
+++ b/crates/gateway/src/streams/sole_version.rs
@@ -97,7 +97,9 @@
             let watching = self.key_value.watch(&request, wait);
             match with_deadline(&*shared.clock, limit, watching).await.ok()?.ok()? {
                 WatchOutcome::NoChanges { .. } => return Some(sent_at),
-                WatchOutcome::Changes(_) if !limit.has_passed(shared.now()) => {
+                WatchOutcome::Changes(_) | WatchOutcome::PartialChanges(_)
+                    if !limit.has_passed(shared.now()) =>
+                {
                     let pause = Deadline::after_ms(shared.now(), APPLY_PAUSE_MS);
                     sleep_until(&*shared.clock, pause).await;
                 }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -141,6 +141,8 @@
         listing: None,
         revision: None,
         known: None,
+        confirmed_at: None,
+        is_behind: false,
         mirror: Mirror::default(),
         is_restored: false,
         led_until: None,
@@ -165,6 +167,10 @@
     revision: Option<KeyValueRevision>,
     // The revision of what is known; it stays while the keys are listed again.
     known: Option<KeyValueRevision>,
+    // When the origin confirmed that what is known has no gaps.
+    confirmed_at: Option<Instant>,
+    // Whether the last answer may have left out later changes.
+    is_behind: bool,
     // What is known; empty for a background topic, whose followers list the keys themselves.
     mirror: Mirror,
     // Whether the service has come back from an older copy since the keys were listed.
@@ -276,7 +282,8 @@
         let sent_at = self.shared.now();
         let is_relay = self.shared.relay.may_have_followers(&self.shared.options.node);
         let needs_answer = self.was_following || self.outage.is_some();
-        let watch_ms = match (needs_answer, self.settings.relay_watch_ms) {
+        let is_short = needs_answer || self.is_behind;
+        let watch_ms = match (is_short, self.settings.relay_watch_ms) {
             (true, _) => FIRST_WATCH_MS,
             (false, Some(relay_watch_ms)) if is_relay => relay_watch_ms,
             _ => self.settings.watch_ms,
@@ -295,8 +302,9 @@
             }
             _ => sent_at,
         };
+        self.is_behind = matches!(outcome, WatchOutcome::PartialChanges(_));
         let (changes, newest) = match outcome {
-            WatchOutcome::Changes(changes) => {
+            WatchOutcome::Changes(changes) | WatchOutcome::PartialChanges(changes) => {
                 let newest = changes.iter().map(|change| change.revision).fold(revision, Ord::max);
                 (changes, newest)
             }
@@ -326,6 +334,12 @@
             self.record_read(ChangePath::FromOrigin, sizes, sent_at, newest);
             self.handler.change(&changes);
         }
+        if self.is_behind {
+            // Without an earlier confirmation there would be no revision to watch from.
+            let confirmed_at = self.confirmed_at.unwrap_or_default();
+            self.publish(revision, newest, &changes, confirmed_at);
+            return Ok(());
+        }
         self.handler.confirmed(sent_at);
         self.handler.record_known_until(known_until);
         self.publish(revision, newest, &changes, sent_at);
@@ -529,6 +543,7 @@
             self.mirror.apply(changes);
         }
         (self.revision, self.known) = (Some(revision), Some(revision));
+        self.confirmed_at = Some(confirmed_at);
         // Pages that were read before a relay led this node on are older than what it knows now.
         self.listing = None;
         self.led_until = None;
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -157,6 +157,8 @@
 pub enum WatchOutcome {
     /// Changes, in order. The next watch starts after the revision of the last one.
     Changes(Vec<Change>),
+    /// The same, but there may be later changes from before the watch was sent.
+    PartialChanges(Vec<Change>),
     /// Nothing changed before the deadline.
     NoChanges {
         /// The service's revision, if the service reported it; the next watch may start after it.
--- a/crates/yuccapassd/src/fleet/platform_watch.rs
+++ b/crates/yuccapassd/src/fleet/platform_watch.rs
@@ -70,7 +70,7 @@
             WatchRequest { range: KeyRange::Exact(manifest_key()), from: revision.next() };
         let deadline = Deadline::after_ms(fetcher.clock.now(), WATCH_TIMEOUT_MS);
         match watcher.watch(&request, deadline).await? {
-            WatchOutcome::Changes(changes) => {
+            WatchOutcome::Changes(changes) | WatchOutcome::PartialChanges(changes) => {
                 revision = changes.last().map_or(revision, |change| change.revision);
                 offer_newest(fetcher, &changes).await;
             }
