cache: the shared namespace depends on the isolated organisations

Cause: only the requests of the isolated organisation got another namespace. The one that all others share still held what it had left there.

Change: Configuration::cache_partition names the partition of an isolated organisation, and for all others one that differs for each set of isolated organisations. While none is isolated nothing changes.

--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use snafu::Snafu;
 use yuccapass_types::{
     Bytes, KeyHash, OrganisationId, RegionId, Revision, ServiceId, SortedMap, Tokens,
@@ -11,6 +11,12 @@
 
 use super::route::{Priority, Route};
 
+/// What the names of shared cache partitions begin with, to tell them from ids of organisations.
+const SHARED_PARTITION_PREFIX: &str = "-";
+
+/// Hexadecimal digits of the digest in such a name.
+const PARTITION_DIGITS: usize = 24;
+
 /// Limits on the requests and connections of callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -114,6 +120,8 @@
     limits: CallerLimits,
     is_region_bound: bool,
     has_bound_prompts: bool,
+    // The cache partition of all organisations that are not isolated, while others are.
+    shared_partition: Option<SmolStr>,
 }
 
 impl Configuration {
@@ -149,6 +157,11 @@
         by_host
             .values_mut()
             .for_each(|routes| routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len())));
+        let isolated = organisations
+            .iter()
+            .flat_map(SortedMap::iter)
+            .filter_map(|(id, known)| known.is_isolated.then_some(id));
+        let shared_partition = shared_partition(isolated);
         let keys = organisations.as_ref().map(index_keys).transpose()?.unwrap_or_default();
         Ok(Self {
             revision,
@@ -159,6 +172,7 @@
             limits,
             is_region_bound,
             has_bound_prompts,
+            shared_partition,
         })
     }
 
@@ -203,6 +217,21 @@
         self.organisations.as_ref()?.get(id)
     }
 
+    /// Returns what keeps the cached prompt parts of an organisation, or of requests without one, apart from those of
+    /// others; `None` if there is no need.
+    ///
+    /// An isolated organisation has its own partition, which is its id. The others share one that differs for each
+    /// set of isolated organisations: what one of these has cached before it was isolated is found by nobody.
+    pub fn cache_partition<'a>(
+        &'a self,
+        organisation: Option<&'a OrganisationId>,
+    ) -> Option<&'a str> {
+        let isolated = organisation
+            .filter(|id| self.organisation(id).is_some_and(|known| known.is_isolated))
+            .map(OrganisationId::as_str);
+        isolated.or(self.shared_partition.as_deref())
+    }
+
     /// Returns the stores of prompt parts.
     pub fn stores(&self) -> impl Iterator<Item = (&ServiceId, &PartStore)> {
         self.services.iter().filter_map(|(id, service)| Some((id, service.store.as_ref()?)))
@@ -229,6 +258,17 @@
     }
 }
 
+/// Returns the name of the cache partition that all but these organisations share.
+fn shared_partition<'a>(isolated: impl Iterator<Item = &'a OrganisationId>) -> Option<SmolStr> {
+    let mut hasher = blake3::Hasher::new();
+    for id in isolated {
+        // No id contains a zero byte.
+        hasher.update(id.as_str().as_bytes()).update(&[0]);
+    }
+    let digest = (hasher.count() > 0).then(|| hasher.finalize().to_hex())?;
+    Some(format_smolstr!("{SHARED_PARTITION_PREFIX}{}", &digest[..PARTITION_DIGITS]))
+}
+
 fn check_route(route: &Route) -> Result<(), InvalidConfiguration> {
     let fail = |problem| Err(InvalidConfiguration { problem });
     if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
--- a/crates/decisions/tests/gateway_soundness.rs
+++ b/crates/decisions/tests/gateway_soundness.rs
@@ -94,6 +94,43 @@
     assert_eq!(with_empty_list, [false, false, true]);
 }
 
+/// Guards against a cache partition that holds what an organisation left there before it was isolated.
+#[test]
+fn cache_partitions_change_with_the_isolated_organisations() {
+    // Arrange
+    let with_isolated = |isolated: &[&str]| {
+        let organisation = |name: &&str| Organisation {
+            keys: Vec::new(),
+            priority: None,
+            is_isolated: isolated.contains(name),
+            allowed_regions: Vec::new(),
+        };
+        let names = ["a", "b", "c"];
+        let organisations = names.iter().map(|name| (id(name), organisation(name))).collect();
+        let (services, limits) = (SortedMap::new(), CallerLimits::default());
+        Configuration::new(Revision::new(1), Vec::new(), services, Some(organisations), limits)
+            .expect("the fixture is valid")
+    };
+    let partition = |isolated: &[&str], name: Option<&str>| {
+        let name = name.map(id);
+        with_isolated(isolated).cache_partition(name.as_ref()).map(str::to_owned)
+    };
+
+    // Act
+    let sets: [&[&str]; 4] = [&[], &["a"], &["b"], &["a", "b"]];
+    let mut shared: Vec<_> = sets.iter().map(|set| partition(set, Some("c"))).collect();
+    let without_organisation: Vec<_> = sets.iter().map(|set| partition(set, None)).collect();
+
+    // Assert
+    assert_eq!(shared, without_organisation);
+    assert_eq!(shared[0], None);
+    assert_eq!(partition(&["a"], Some("a")).as_deref(), Some("a"));
+    assert_eq!(partition(&["b"], Some("a")), shared[2]);
+    shared.sort();
+    shared.dedup();
+    assert_eq!(shared.len(), sets.len());
+}
+
 /// Guards against a configuration in which two organisations have the same key.
 #[test]
 fn a_shared_key_is_invalid() {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -67,7 +67,8 @@
     pub(crate) route: &'a Route,
     pub(crate) service: &'a ServiceId,
     pub(crate) organisation: Option<&'a OrganisationId>,
-    pub(crate) is_isolated: bool,
+    /// What keeps its cached prompt parts apart from those of others.
+    pub(crate) cache_partition: Option<&'a str>,
     pub(crate) priority: Priority,
     /// Its priority if it goes on with a stream: before all of its organisation that begin, since its caller has
     /// waited already, has less time left and loses what it has.
@@ -212,7 +213,7 @@
         route,
         service,
         organisation: organisation_id,
-        is_isolated: organisation.is_some_and(|(_, organisation)| organisation.is_isolated),
+        cache_partition: configuration.cache_partition(organisation_id),
         priority: combined_priority(organisation_priority, route.priority),
         resumed_priority: combined_priority(organisation_priority, MOST_URGENT),
         regions,
--- a/crates/gateway/src/request_message.rs
+++ b/crates/gateway/src/request_message.rs
@@ -88,18 +88,17 @@
 }
 
 /// Returns the cache namespace of a request. Each revision of the weights has its own, so that
-/// stored parts are never used with other weights, and so has each isolated organisation.
+/// stored parts are never used with other weights, and so has each cache partition.
 fn cache_namespace(
     request: &Admitted<'_>,
     weights: Option<WeightRevision>,
 ) -> Option<CacheNamespace> {
-    let organisation = request.organisation.filter(|_| request.is_isolated);
-    match (weights, organisation) {
+    match (weights, request.cache_partition) {
         (None, None) => None,
-        (None, Some(organisation)) => organisation.as_str().parse().ok(),
+        (None, Some(partition)) => partition.parse().ok(),
         (Some(weights), None) => cache_namespace_prefix(weights).parse().ok(),
-        (Some(weights), Some(organisation)) => {
-            format!("{}-{organisation}", cache_namespace_prefix(weights)).parse().ok()
+        (Some(weights), Some(partition)) => {
+            format!("{}-{partition}", cache_namespace_prefix(weights)).parse().ok()
         }
     }
 }
