streams: keepers in two other zones outlast the loss of most nodes

Cause: only the relays of a zone keep streams, two of about 14 nodes there. Most of the 12 keepers of the deployment can end together, and with two keepers in one zone and one elsewhere more than half of the streams then have none.

Ruled out: keepers among all nodes, which would connect each node to each other one; reading the saved records at each take-up, which is megabytes on a large deployment.

Change: one keeper in each of two other zones, at one message more for each stream that begins while two versions serve. Four other zones are asked.

--- a/crates/decisions/src/gateway/stream_origin/keepers.rs
+++ b/crates/decisions/src/gateway/stream_origin/keepers.rs
@@ -1,7 +1,7 @@
 //! Which nodes keep the record of a stream besides the one that has begun it.
 //!
-//! Some are in the zone of the node that has begun it, and some in another zone, so that the record outlasts the
-//! loss of either. All choices are made by rendezvous hashing, which differs for each stream and is the same on all
+//! Some are in the zone of the node that has begun it, and some in other zones, so that the record outlasts the
+//! loss of any one, and of many nodes at once. All choices are made by rendezvous hashing, which differs for each stream and is the same on all
 //! nodes.
 
 use std::cmp::Reverse;
@@ -14,16 +14,20 @@
 /// Number of keepers in the zone of the node that begins a stream.
 const ZONE_KEEPERS: usize = 2;
 
-/// Number of keepers in another zone.
+/// Number of other zones in which a stream has a keeper.
+const KEEPER_ZONES: usize = 2;
+
+/// Number of keepers in each of them.
 const REMOTE_KEEPERS: usize = 1;
 
 /// Number of nodes of a zone that are asked for a stream beyond those that keep one. Nodes read at different
 /// times which others there are, and one that starts changes the order.
 const MORE_ASKED: usize = 1;
 
-/// Number of other zones that are asked for a stream. The keeper is in the first one that is not the zone of the
-/// node that has begun the stream, and nodes may differ about one zone that has just been lost or has returned.
-const ASKED_ZONES: usize = 3;
+/// Number of other zones that are asked for a stream. The zones of its keepers are the first ones without that of the
+/// node that has begun it, which counts here, and nodes may differ about a zone that has just been lost or has
+/// returned.
+const ASKED_ZONES: usize = KEEPER_ZONES + 2;
 
 /// The nodes of a zone that may keep streams, sorted by id.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -52,7 +56,8 @@
 /// Returns the nodes that keep a stream which begins at a node of a zone. `zone_nodes` are the others of its zone
 /// that may keep streams, and `other_zones` those of the other zones.
 pub fn keepers(id: &RequestId, zone_nodes: &[NodeId], other_zones: &[ZoneNodes]) -> Vec<NodeId> {
-    let remote = ranked(id, other_zones, |other| other.zone.as_str()).into_iter().take(1);
+    let remote =
+        ranked(id, other_zones, |other| other.zone.as_str()).into_iter().take(KEEPER_ZONES);
     let remote = remote.flat_map(|other| first_nodes(id, &other.nodes, REMOTE_KEEPERS));
     first_nodes(id, zone_nodes, ZONE_KEEPERS).into_iter().chain(remote).collect()
 }
--- a/crates/decisions/tests/gateway_stream_origin.rs
+++ b/crates/decisions/tests/gateway_stream_origin.rs
@@ -1,5 +1,8 @@
 //! Tests of the versions that may have begun streams, and of the records of streams.
 
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use yuccapass_decisions::gateway::{
     SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, TakeUpEvidence, VersionStatement,
     ZoneNodes, asked_elsewhere, asked_in_zone, keepers,
@@ -138,11 +141,11 @@
     assert_eq!(records.all(at(LATER_MS)).count(), 1);
 }
 
-/// Creates the registered nodes of three zones, nine in each.
+/// Creates the registered nodes of five zones, nine in each.
 fn registered() -> Vec<(ZoneId, NodeId)> {
     let node = |number: usize| (format!("zone-{}", number / 9), format!("node-{number}"));
     let parsed = |(zone, node): (String, String)| (zone.parse().unwrap(), node.parse().unwrap());
-    (0..27).map(node).map(parsed).collect()
+    (0..45).map(node).map(parsed).collect()
 }
 
 /// Returns the nodes that may keep streams, as a node knows them: the others of its zone, and those of other zones.
@@ -158,10 +161,10 @@
 #[test]
 fn keepers_are_the_same_from_all_nodes() {
     let all = registered();
-    for number in 0..600 {
+    for number in 0..1_000 {
         // Arrange
         let id: RequestId = format!("r{number}").parse().unwrap();
-        let (begun, taken_up) = (&all[number % 27], &all[(number / 27 + 1 + number) % 27]);
+        let (begun, taken_up) = (&all[number % 45], &all[(number / 45 + 1 + number) % 45]);
         let (zone_nodes, other_zones) = known_to(&begun.1, &begun.0);
         let (own_nodes, others) = known_to(&taken_up.1, &taken_up.0);
 
@@ -169,11 +172,11 @@
         let kept_by = keepers(&id, &zone_nodes, &other_zones);
         let asked = [asked_in_zone(&id, &own_nodes), asked_elsewhere(&id, &others)].concat();
 
-        // Assert: the keeper in another zone is asked by all nodes, and those of the zone by its nodes. The
+        // Assert: the keepers in other zones are asked by all nodes, and those of the zone by its nodes. The
         // asking node may be one of them.
         let is_asked = |keeper: &NodeId| asked.contains(keeper) || *keeper == taken_up.1;
         let is_remote = |keeper: &&NodeId| !zone_nodes.contains(keeper);
-        assert_eq!(kept_by.iter().filter(is_remote).count(), 1);
+        assert_eq!(kept_by.iter().filter(is_remote).count(), 2);
         assert!(kept_by.iter().filter(is_remote).all(is_asked), "{kept_by:?} and {asked:?}");
         if begun.0 == taken_up.0 {
             assert!(kept_by.iter().all(is_asked), "{kept_by:?} and {asked:?}");
@@ -183,7 +186,7 @@
 
 /// Guards against records that are lost with one zone, and against questions that grow with the zones.
 #[test]
-fn a_stream_is_kept_in_two_zones_and_looked_for_in_four() {
+fn a_stream_is_kept_in_three_zones_and_looked_for_in_five() {
     // Arrange
     let zone = |number: usize| ZoneNodes {
         zone: format!("zone-{number}").parse().unwrap(),
@@ -198,10 +201,46 @@
     let asked = [asked_in_zone(&id, &zones[0].nodes), asked_elsewhere(&id, &zones[1..])].concat();
 
     // Assert
-    assert_eq!((kept_by.len(), alone.len(), asked.len()), (3, 2, 9));
+    assert_eq!((kept_by.len(), alone.len(), asked.len()), (4, 2, 11));
     assert_eq!(kept_by.iter().filter(|node| zones[0].nodes.contains(node)).count(), 2);
 }
 
+/// Guards against records that are lost with most of the nodes that keep them, over all zones: of the streams that
+/// callers take up, half as many have to go on as new ones begin.
+#[test]
+fn records_outlast_the_loss_of_most_keepers() {
+    // Arrange: six zones with two nodes that may keep streams.
+    const LOST: usize = 10;
+    let zone = |number: usize| ZoneNodes {
+        zone: format!("zone-{number}").parse().unwrap(),
+        nodes: (0..2).map(|node| format!("node-{number}-{node}").parse().unwrap()).collect(),
+    };
+    let zones: Vec<ZoneNodes> = (0..6).map(zone).collect();
+    let all: Vec<NodeId> = zones.iter().flat_map(|known| known.nodes.clone()).collect();
+    let mut random = StdRng::seed_from_u64(1);
+    let (mut known, mut streams) = (0, 0);
+
+    // Act
+    for round in 0..100 {
+        let mut left = all.clone();
+        left.shuffle(&mut random);
+        left.truncate(all.len() - LOST);
+        for number in 0..30 {
+            let id: RequestId = format!("r{round}-{number}").parse().unwrap();
+            let (own, others): (Vec<_>, Vec<_>) =
+                (0..6).partition(|&position| position == number % 6);
+            let others: Vec<ZoneNodes> =
+                others.into_iter().map(|position| zones[position].clone()).collect();
+            let kept_by = keepers(&id, &zones[own[0]].nodes, &others);
+            known += usize::from(kept_by.iter().any(|keeper| left.contains(keeper)));
+            streams += 1;
+        }
+    }
+
+    // Assert
+    assert!(2 * known >= streams, "{known} of {streams}");
+}
+
 /// What a node says that knows one version, and perhaps has confirmed that it knows all.
 fn says(version: &str, is_confirmed: bool) -> VersionStatement {
     VersionStatement { sole: Some(software(version)), is_confirmed }
