streams: comments and pages about keepers

Cause: comments over 100 columns, and pages that speak of one keeper elsewhere. Result: no change of behaviour.

--- a/crates/decisions/src/gateway/stream_origin/evidence.rs
+++ b/crates/decisions/src/gateway/stream_origin/evidence.rs
@@ -14,8 +14,8 @@
 /// What shows that a node is not out of step when a caller takes a stream up.
 ///
 /// Nodes that agree may be out of step for the same reason, as those of a zone that is cut off together. So either
-/// one of them has confirmed what it knows, or nodes of all zones agree: one that knew another version would have
-/// begun its streams in one of these zones, and given their records to nodes of two zones.
+/// one of them has confirmed what it knows, or nodes of all zones agree: streams of another version would have begun
+/// in one of these zones, and nodes of up to three zones would have been given their records.
 #[derive(Debug, Clone)]
 pub struct TakeUpEvidence {
     arrived_at: Instant,
--- a/crates/decisions/src/gateway/stream_origin/keepers.rs
+++ b/crates/decisions/src/gateway/stream_origin/keepers.rs
@@ -1,8 +1,8 @@
 //! Which nodes keep the record of a stream besides the one that has begun it.
 //!
 //! Some are in the zone of the node that has begun it, and some in other zones, so that the record outlasts the
-//! loss of any one, and of many nodes at once. All choices are made by rendezvous hashing, which differs for each stream and is the same on all
-//! nodes.
+//! loss of a zone, and of many nodes at once. All choices are made by rendezvous hashing, which differs for each
+//! stream and is the same on all nodes.
 
 use std::cmp::Reverse;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -24,9 +24,8 @@
 /// times which others there are, and one that starts changes the order.
 const MORE_ASKED: usize = 1;
 
-/// Number of other zones that are asked for a stream. The zones of its keepers are the first ones without that of the
-/// node that has begun it, which counts here, and nodes may differ about a zone that has just been lost or has
-/// returned.
+/// Number of other zones that are asked for a stream: one more than the zones of its keepers, since the zone in which
+/// it began may come before them, and another one because nodes may differ about a zone that has just been lost.
 const ASKED_ZONES: usize = KEEPER_ZONES + 2;
 
 /// The nodes of a zone that may keep streams, sorted by id.
--- a/crates/gateway/src/streams/mod.rs
+++ b/crates/gateway/src/streams/mod.rs
@@ -2,10 +2,14 @@
 //!
 //! A stream may be taken up by its caller at any node. Each node records the streams that it begins, and where
 //! several versions may serve, it gives the record to its [`keepers`], two in its zone and two in others, before the
-//! first event goes out. These are among the nodes that read from origins. [`saved`] makes their records outlast
-//! them, and [`published`] makes the versions that may have begun streams known to nodes that start, and [`sole_version`] keeps a
-//! node that is out of step from going on by what it knew before. See
-//! `yuccapass_decisions::gateway::stream_origin`.
+//! first event goes out. These are among the nodes that read from origins.
+//!
+//! * [`other_zones`] has those of the other zones.
+//! * [`saved`] makes the records outlast their keepers.
+//! * [`published`] makes the versions that may have begun streams known to nodes that start.
+//! * [`sole_version`] keeps a node that is out of step from going on by what it knew before.
+//!
+//! See `yuccapass_decisions::gateway::stream_origin`.
 
 mod other_zones;
 pub(crate) mod published;
