streams: a node that knows no version neither agrees nor differs

Cause: a node that has just started while the key-value service is away knows no version, and said the same as one that knows several. Among up to three nodes of each zone one such node was enough to refuse a stream.

Change: SoftwareHistory::known_versions tells one version, several and none apart, and so does the statement to other nodes (a new field; an old node's statement without one version counts as several). A node that keeps a stream and has not read the published versions says several.

--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -102,8 +102,8 @@
 pub use settings_validity::{SettingsBounds, SettingsValidity};
 pub use store_polling::StorePollSettings;
 pub use stream_origin::{
-    SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, TakeUpEvidence, VersionStatement,
-    ZoneNodes, asked_elsewhere, asked_in_each, asked_in_zone, keepers,
+    KnownVersions, SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, TakeUpEvidence,
+    VersionStatement, ZoneNodes, asked_elsewhere, asked_in_each, asked_in_zone, keepers,
 };
 pub use swap::{EngineReport, SwapLimits, SwapPlan, SwapStep, candidate_delay_ms};
 pub use takeover::{Handover, Takeover};
--- a/crates/decisions/src/gateway/stream_origin/evidence.rs
+++ b/crates/decisions/src/gateway/stream_origin/evidence.rs
@@ -2,11 +2,22 @@
 
 use yuccapass_types::{Instant, SoftwareVersion, ZoneId};
 
-/// What a node says about the streams of a service that are not known.
+/// The versions that may have begun the streams of a service that are not recorded, as far as a node knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KnownVersions {
+    /// This one has begun all of them; `None` for endpoints that name no version.
+    Sole(Option<SoftwareVersion>),
+    /// Several, or another one than those that serve.
+    Several,
+    /// The node has not heard of any, as after its start.
+    Unknown,
+}
+
+/// What a node says about the streams of a service that are not recorded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionStatement {
-    /// The version that has begun all of them; `None` if there may be several, or the node does not know.
-    pub sole: Option<Option<SoftwareVersion>>,
+    /// The versions that may have begun them.
+    pub versions: KnownVersions,
     /// Whether the node has confirmed, since it was asked, that it knows all endpoints.
     pub is_confirmed: bool,
 }
@@ -56,9 +67,14 @@
         statement: &VersionStatement,
         sole: &Option<SoftwareVersion>,
     ) {
-        if statement.sole.as_ref() != Some(sole) {
-            self.has_differing = true;
-            return;
+        match &statement.versions {
+            KnownVersions::Sole(version) if version == sole => {}
+            // It neither agrees nor differs, and its zone stays silent if no other node agrees.
+            KnownVersions::Unknown => return,
+            KnownVersions::Sole(_) | KnownVersions::Several => {
+                self.has_differing = true;
+                return;
+            }
         }
         self.agreeing += 1;
         self.is_confirmed_elsewhere |= statement.is_confirmed;
--- a/crates/decisions/src/gateway/stream_origin/history.rs
+++ b/crates/decisions/src/gateway/stream_origin/history.rs
@@ -2,7 +2,7 @@
 
 use yuccapass_types::{Deadline, Instant, ServiceId, SoftwareVersion, SortedMap};
 
-use super::{REMEMBER_MS, StreamOrigin};
+use super::{KnownVersions, REMEMBER_MS, StreamOrigin};
 
 type Software = Option<SoftwareVersion>;
 
@@ -113,6 +113,18 @@
         (wanted != known.published).then_some(wanted)
     }
 
+    /// Returns the versions that may have begun the streams of a service.
+    pub fn known_versions(&self, service: &ServiceId, now: Instant) -> KnownVersions {
+        if let Some(sole) = self.sole_version(service, now) {
+            return KnownVersions::Sole(sole.clone());
+        }
+        let known = self.services.get(service);
+        match known.is_some_and(|known| known.may_have_begun(now).next().is_some()) {
+            true => KnownVersions::Several,
+            false => KnownVersions::Unknown,
+        }
+    }
+
     /// Returns the version that has begun all streams of a service, or `None` if there may be several.
     pub fn sole_version(&self, service: &ServiceId, now: Instant) -> Option<&Software> {
         let known = self.services.get(service).filter(|_| self.is_read)?;
--- a/crates/decisions/src/gateway/stream_origin/mod.rs
+++ b/crates/decisions/src/gateway/stream_origin/mod.rs
@@ -17,7 +17,7 @@
 
 use yuccapass_types::{RequestId, ServiceId, SoftwareVersion};
 
-pub use evidence::{TakeUpEvidence, VersionStatement};
+pub use evidence::{KnownVersions, TakeUpEvidence, VersionStatement};
 pub use history::SoftwareHistory;
 pub use keepers::{ZoneNodes, asked_elsewhere, asked_in_each, asked_in_zone, keepers};
 pub use records::StreamRecords;
--- a/crates/decisions/tests/gateway_stream_origin.rs
+++ b/crates/decisions/tests/gateway_stream_origin.rs
@@ -4,8 +4,8 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use yuccapass_decisions::gateway::{
-    SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, TakeUpEvidence, VersionStatement,
-    ZoneNodes, asked_elsewhere, asked_in_zone, keepers,
+    KnownVersions, SoftwareHistory, StreamOrigin, StreamRecord, StreamRecords, TakeUpEvidence,
+    VersionStatement, ZoneNodes, asked_elsewhere, asked_in_zone, keepers,
 };
 use yuccapass_types::{Instant, NodeId, RequestId, ServiceId, SoftwareVersion, ZoneId};
 
@@ -243,7 +243,7 @@
 
 /// What a node says that knows one version, and perhaps has confirmed that it knows all.
 fn says(version: &str, is_confirmed: bool) -> VersionStatement {
-    VersionStatement { sole: Some(software(version)), is_confirmed }
+    VersionStatement { versions: KnownVersions::Sole(software(version)), is_confirmed }
 }
 
 /// Returns whether a node that knows v1 may go on with a stream at 1 s: other nodes are in these zones, and some say
@@ -266,14 +266,14 @@
 fn a_stream_goes_on_only_by_recent_knowledge() {
     // Arrange
     let (same, other) = (|| ("own", says("v1", false)), || ("own", says("v2", false)));
-    let several = || ("own", VersionStatement { sole: None, is_confirmed: false });
+    let several = VersionStatement { versions: KnownVersions::Several, is_confirmed: false };
 
     // Act
     let by_confirmation = [None, Some(999), Some(1_000)].map(|ms| may_go_on(&["own"], &[], ms));
     let by_nodes = [
         may_go_on(&["own"], &[same()], None),
         may_go_on(&["own"], &[same(), other()], None),
-        may_go_on(&["own"], &[same(), several()], None),
+        may_go_on(&["own"], &[same(), ("own", several)], None),
         may_go_on(&["own"], &[other()], Some(1_100)),
     ];
 
@@ -315,6 +315,29 @@
     assert_eq!([confirmed, differing], [true, false]);
 }
 
+/// Guards against nodes that have just started and count as if they knew another version, or as if they agreed.
+#[test]
+fn a_node_that_knows_no_version_is_no_evidence() {
+    // Arrange
+    let zones = ["own", "second"];
+    let started = || VersionStatement { versions: KnownVersions::Unknown, is_confirmed: false };
+    let same = |zone| (zone, says("v1", false));
+    let known = |history: &SoftwareHistory, ms| history.known_versions(&service(), at(ms));
+    let mut of_started = SoftwareHistory::default();
+
+    // Act
+    let beside_others = may_go_on(&zones, &[("own", started()), same("own"), same("second")], None);
+    let alone_in_zone = may_go_on(&zones, &[same("own"), ("second", started())], None);
+    let at_start = known(&of_started, 0);
+    of_started
+        .record_begun(&StreamOrigin { service: service(), software: software("v2") }, at(100));
+    let with_record = known(&of_started, 100);
+
+    // Assert: one that keeps a stream does not know that there are no others.
+    assert_eq!([beside_others, alone_in_zone], [true, false]);
+    assert_eq!((at_start, with_record), (KnownVersions::Unknown, KnownVersions::Several));
+}
+
 /// Guards against a keeper that knows one version although it keeps a stream of another one.
 #[test]
 fn a_kept_stream_shows_that_its_version_has_begun_streams() {
--- a/crates/gateway/src/streams/sole_version.rs
+++ b/crates/gateway/src/streams/sole_version.rs
@@ -156,7 +156,9 @@
             _ => None,
         };
         let is_confirmed = confirmed_at.is_some_and(|at| at >= asked_at);
-        VersionStatement { sole: self.sole_version(shared, service), is_confirmed }
+        self.observe(shared, service);
+        let versions = self.history().known_versions(service, shared.now());
+        VersionStatement { versions, is_confirmed }
     }
 
     /// Returns the nodes of all zones that may keep streams, without this one.
--- a/crates/peers/src/convert/frame.rs
+++ b/crates/peers/src/convert/frame.rs
@@ -1,6 +1,6 @@
 //! Conversion of frames.
 
-use yuccapass_decisions::gateway::VersionStatement;
+use yuccapass_decisions::gateway::{KnownVersions, VersionStatement};
 use yuccapass_types::Incarnation;
 
 use super::votes::{outcome_from_wire, vote_from_wire, vote_to_wire};
@@ -69,12 +69,14 @@
             PeerMessage::RequestSoleVersion(service) => {
                 Self::RequestSoleVersion(WireServiceQuery { service: service.to_string() })
             }
-            PeerMessage::SoleVersion(VersionStatement { sole, is_confirmed }) => {
-                Self::SoleVersion(WireSoleVersion {
-                    is_sole: sole.is_some(),
-                    software: sole.flatten().map(|software| software.to_string()),
-                    is_confirmed,
-                })
+            PeerMessage::SoleVersion(VersionStatement { versions, is_confirmed }) => {
+                let is_sole = matches!(versions, KnownVersions::Sole(_));
+                let is_unknown = versions == KnownVersions::Unknown;
+                let software = match versions {
+                    KnownVersions::Sole(software) => software.map(|software| software.to_string()),
+                    KnownVersions::Several | KnownVersions::Unknown => None,
+                };
+                Self::SoleVersion(WireSoleVersion { is_sole, software, is_confirmed, is_unknown })
             }
         }
     }
@@ -120,8 +122,12 @@
                 let software = answer.software.as_deref();
                 let software =
                     software.map(|software| parse_id("software", software)).transpose()?;
-                let sole = answer.is_sole.then_some(software);
-                Self::SoleVersion(VersionStatement { sole, is_confirmed: answer.is_confirmed })
+                let versions = match (answer.is_sole, answer.is_unknown) {
+                    (true, _) => KnownVersions::Sole(software),
+                    (false, true) => KnownVersions::Unknown,
+                    (false, false) => KnownVersions::Several,
+                };
+                Self::SoleVersion(VersionStatement { versions, is_confirmed: answer.is_confirmed })
             }
         })
     }
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -80,6 +80,9 @@
     /// Absent, which is `false`, from nodes that do not confirm what they know.
     #[prost(bool, tag = "3")]
     pub(crate) is_confirmed: bool,
+    /// Absent from nodes that do not tell several versions from none.
+    #[prost(bool, tag = "4")]
+    pub(crate) is_unknown: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/peers/tests/messages.rs
+++ b/crates/peers/tests/messages.rs
@@ -12,7 +12,9 @@
     EndpointKey, EndpointUse, OutstandingSum, OutstandingSummary, RoomReply, RoomStamp,
     SummaryScope,
 };
-use yuccapass_decisions::gateway::{PartEvent, StreamOrigin, StreamRecord, VersionStatement};
+use yuccapass_decisions::gateway::{
+    KnownVersions, PartEvent, StreamOrigin, StreamRecord, VersionStatement,
+};
 use yuccapass_decisions::membership::{
     CrashCount, Heartbeat, HeartbeatCounter, LoadSummary, OrganisationUsage, Row, RowState,
 };
@@ -120,8 +122,9 @@
     };
     let id: RequestId = format!("r-{number}").parse().unwrap();
     let record = |software| StreamRecord { id: id.clone(), origin: origin(software) };
-    let statement =
-        |sole, is_confirmed| PeerMessage::SoleVersion(VersionStatement { sole, is_confirmed });
+    let statement = |versions, is_confirmed| {
+        PeerMessage::SoleVersion(VersionStatement { versions, is_confirmed })
+    };
     vec![
         PeerMessage::KeepStreams(vec![record(None), record(Some("v1.1"))]),
         PeerMessage::StreamsKept,
@@ -129,9 +132,10 @@
         PeerMessage::StreamFound(None),
         PeerMessage::StreamFound(Some(origin(Some("v1")))),
         PeerMessage::RequestSoleVersion("ledger".parse().unwrap()),
-        statement(None, false),
-        statement(Some(None), true),
-        statement(Some(Some("v1".parse().unwrap())), true),
+        statement(KnownVersions::Unknown, false),
+        statement(KnownVersions::Several, false),
+        statement(KnownVersions::Sole(None), true),
+        statement(KnownVersions::Sole(Some("v1".parse().unwrap())), true),
     ]
 }
 
