key-value service: an item that cannot be decoded does not end a list

Callers saw: after all processes were restarted beside an entry of another writer among the replicas, almost no request was served.

Cause: the client of the key-value service took the place of the next page from the last entry that it could decode. `Key` refuses a blank and control characters, so a page that held nothing else had no next one. The list ended there although the service had said that there was more, without an error, and what was read so far replaced all that was known.

Change: the place of the next page is a `PageCursor`, taken from the last item of the page whether or not it can be decoded.

Why it works: a list now ends only where the service says that it does, and every item leads to the next page.

--- a/crates/gateway/src/watch/listing.rs
+++ b/crates/gateway/src/watch/listing.rs
@@ -1,7 +1,8 @@
 //! Lists of keys that are read page by page.
 
 use yuccapass_platform::{
-    Entry, Key, KeyRange, KeyValue, KeyValueClient, KeyValueRevision, PlatformError, RangeRequest,
+    Entry, Key, KeyRange, KeyValue, KeyValueClient, KeyValueRevision, PageCursor, PlatformError,
+    RangeRequest,
 };
 use yuccapass_types::{Deadline, Instant};
 
@@ -26,7 +27,7 @@
     pub(super) entries: Vec<Entry>,
     // Timeout for reading one page.
     pub(super) page_timeout_ms: u64,
-    next: Option<Key>,
+    next: Option<PageCursor>,
     has_first: bool,
 }
 
--- a/crates/platform/src/http_key_value.rs
+++ b/crates/platform/src/http_key_value.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
 use futures::{AsyncBufRead, AsyncBufReadExt};
 use yuccapass_http::with_deadline;
 use yuccapass_types::{Clock, Deadline};
 
 use crate::error::{Effect, PlatformError, PlatformErrorKind};
-use crate::ids::{Key, KeyValueRevision, LeaseId, LeaseTtl, Value};
+use crate::ids::{Key, KeyValueRevision, LeaseId, LeaseTtl, PageCursor, Value};
 use crate::key_value::{
     Change, ChangeKind, Compare, Entry, GetResponse, KeyRange, KeyValue, LeaseGrant, Page,
     RangeRequest, Transaction, TransactionOutcome, WatchOutcome, WatchRequest, Write,
@@ -48,7 +50,11 @@
     ) -> Result<Page, PlatformError> {
         let (mut key, range_end) = bounds(&request.range);
         if let Some(start) = &request.start {
-            key = bytes_of(start);
+            key = Base64Bytes(
+                BASE64
+                    .decode(start.as_str())
+                    .map_err(|error| protocol_error(&error.to_string()))?,
+            );
         }
         let revision = request.revision.unwrap_or_default().get();
         // One more than requested: its key is the start of the next page.
@@ -56,10 +62,11 @@
         let body = wire::RangeBody { key, range_end, limit, revision };
         let answer: wire::RangeAnswer =
             self.transport.post(Effect::Read, "/v3/kv/range", &body, deadline).await?;
-        let mut entries: Vec<Entry> =
-            answer.kvs.into_iter().map(entry_of).collect::<Result<_, _>>()?;
-        let next = entries.get(request.limit as usize).map(|entry| entry.key.clone());
-        entries.truncate(request.limit as usize);
+        let mut kvs = answer.kvs;
+        let next = kvs.get(request.limit as usize);
+        let next = next.map(|kv| PageCursor::new(BASE64.encode(&kv.key.0)));
+        kvs.truncate(request.limit as usize);
+        let entries = kvs.into_iter().map(entry_of).collect::<Result<_, _>>()?;
         Ok(Page { revision: KeyValueRevision::new(answer.header.revision), entries, next })
     }
 
--- a/crates/platform/src/ids.rs
+++ b/crates/platform/src/ids.rs
@@ -1,5 +1,6 @@
 //! Checked keys, values, revisions and lease ids.
 
+use std::convert::Infallible;
 use std::fmt;
 use std::str::FromStr;
 
@@ -64,6 +65,41 @@
     }
 }
 
+/// Where the next page of a range begins.
+///
+/// The text is meant for the client that returned it. It need not be a valid [`Key`]: other writers may use
+/// names that this system does not.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct PageCursor(SmolStr);
+
+impl PageCursor {
+    /// Creates a cursor with a text that its client can read.
+    pub fn new(text: impl Into<SmolStr>) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for PageCursor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for PageCursor {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        Ok(Self::new(text))
+    }
+}
+
 /// A value of at most [`MAX_VALUE_BYTES`].
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Value(Vec<u8>);
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -5,7 +5,7 @@
 use yuccapass_types::Deadline;
 
 use crate::error::PlatformError;
-use crate::ids::{Key, KeyValueRevision, LeaseId, LeaseTtl, StoreEra, Value};
+use crate::ids::{Key, KeyValueRevision, LeaseId, LeaseTtl, PageCursor, StoreEra, Value};
 
 /// A stored key with its value.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -43,8 +43,8 @@
 pub struct RangeRequest {
     /// The range.
     pub range: KeyRange,
-    /// First key of the page; the start of the range if absent.
-    pub start: Option<Key>,
+    /// Where the page begins, as the page before it says; at the start of the range if absent.
+    pub start: Option<PageCursor>,
     /// Maximum number of entries in the page. A response of more than 8 MiB fails, so a range with
     /// large values needs a small limit.
     pub limit: u32,
@@ -59,10 +59,10 @@
 pub struct Page {
     /// The service's revision at the time of the response.
     pub revision: KeyValueRevision,
-    /// The entries.
+    /// The entries. Those that cannot be decoded are left out, so there may be none.
     pub entries: Vec<Entry>,
-    /// First key of the next page, if there is one.
-    pub next: Option<Key>,
+    /// Where the next page begins; `None` if this is the last one.
+    pub next: Option<PageCursor>,
 }
 
 /// A condition of a transaction.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -29,7 +29,9 @@
 pub use error::{PlatformError, PlatformErrorKind};
 pub use http_key_value::HttpKeyValue;
 pub use idempotent_transaction::{IdempotentTransaction, SettleOutcome};
-pub use ids::{Key, KeyValueRevision, LeaseId, LeaseTtl, MAX_VALUE_BYTES, StoreEra, Value, VmId};
+pub use ids::{
+    Key, KeyValueRevision, LeaseId, LeaseTtl, MAX_VALUE_BYTES, PageCursor, StoreEra, Value, VmId,
+};
 pub use key_value::{
     Change, ChangeKind, Compare, Entry, GetResponse, KeyRange, KeyValue, LeaseGrant, Page,
     RangeRequest, Transaction, TransactionOutcome, WatchOutcome, WatchRequest, Write,
