key-value service: a part that cannot be decoded is not the end of a history

Callers saw: a key that had been withdrawn worked again, on a node that had missed changes among which were many entries that it cannot decode.

The service answers a watch with about 1 MB at a time. If none of the events of such a part could be decoded, the answer counted as one without changes, which confirms that the settings are in force as they are.

Evidence: a node that misses 20 entries with a blank in their names and then a configuration without a key. Before the change it served that key with 200 from the first answer on until the rest was read; a scripted history of 500 such events gave `NoChanges` at a revision 396 later than its last event. After it no 200 for that key.

Change: an answer that may be cut off is partial whatever can be decoded of it, and names the revision to go on from, that of its last event.

Why it works: settings are confirmed only by an answer after which nothing else can follow.

--- a/crates/gateway/src/streams/sole_version.rs
+++ b/crates/gateway/src/streams/sole_version.rs
@@ -97,7 +97,7 @@
             let watching = self.key_value.watch(&request, wait);
             match with_deadline(&*shared.clock, limit, watching).await.ok()?.ok()? {
                 WatchOutcome::NoChanges { .. } => return Some(sent_at),
-                WatchOutcome::Changes(_) | WatchOutcome::PartialChanges(_)
+                WatchOutcome::Changes(_) | WatchOutcome::PartialChanges { .. }
                     if !limit.has_passed(shared.now()) =>
                 {
                     let pause = Deadline::after_ms(shared.now(), APPLY_PAUSE_MS);
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -302,12 +302,15 @@
             }
             _ => sent_at,
         };
-        self.is_behind = matches!(outcome, WatchOutcome::PartialChanges(_));
+        self.is_behind = matches!(outcome, WatchOutcome::PartialChanges { .. });
         let (changes, newest) = match outcome {
-            WatchOutcome::Changes(changes) | WatchOutcome::PartialChanges(changes) => {
+            WatchOutcome::Changes(changes) => {
                 let newest = changes.iter().map(|change| change.revision).fold(revision, Ord::max);
                 (changes, newest)
             }
+            WatchOutcome::PartialChanges { changes, revision: newest } => {
+                (changes, revision.max(newest))
+            }
             WatchOutcome::NoChanges { revision: newest } => {
                 (Vec::new(), revision.max(newest.unwrap_or(revision)))
             }
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -157,8 +157,14 @@
 pub enum WatchOutcome {
     /// Changes, in order. The next watch starts after the revision of the last one.
     Changes(Vec<Change>),
-    /// The same, but there may be later changes from before the watch was sent.
-    PartialChanges(Vec<Change>),
+    /// The same, but there may be later changes from before the watch was sent. The next watch starts after
+    /// `revision`: changes that cannot be decoded are left out, so it may be later than the last one.
+    PartialChanges {
+        /// The changes.
+        changes: Vec<Change>,
+        /// Revision up to which there are no others.
+        revision: KeyValueRevision,
+    },
     /// Nothing changed before the deadline.
     NoChanges {
         /// The service's revision, if the service reported it; the next watch may start after it.
--- a/crates/yuccapassd/src/fleet/platform_watch.rs
+++ b/crates/yuccapassd/src/fleet/platform_watch.rs
@@ -70,10 +70,14 @@
             WatchRequest { range: KeyRange::Exact(manifest_key()), from: revision.next() };
         let deadline = Deadline::after_ms(fetcher.clock.now(), WATCH_TIMEOUT_MS);
         match watcher.watch(&request, deadline).await? {
-            WatchOutcome::Changes(changes) | WatchOutcome::PartialChanges(changes) => {
+            WatchOutcome::Changes(changes) => {
                 revision = changes.last().map_or(revision, |change| change.revision);
                 offer_newest(fetcher, &changes).await;
             }
+            WatchOutcome::PartialChanges { changes, revision: newest } => {
+                revision = revision.max(newest);
+                offer_newest(fetcher, &changes).await;
+            }
             WatchOutcome::NoChanges { .. } => return Ok(()),
             WatchOutcome::Compacted | WatchOutcome::Restored { .. } => {
                 revision = read_manifest(fetcher, &reader).await?;
