platform client: a key of another writer does not hide the others

Callers would see: what nodes read from the system's own store client fails while a key stands there that is not valid here.

One key that is not a valid `Key`, since it has a blank, a control character or bytes that are no text, failed the whole page, conflict or line of a watch. A page that begins where it was asked to begin would have been read without end.

Evidence: the stand-in of that protocol with four such keys between two valid ones, one key in a page. Before the change the list failed with Protocol; after it six pages and a watch give the two valid keys. The daemon that uses this client reads and watches single keys of its own today, so no caller has met this.

Change: items are decoded one by one, and those that cannot be are logged and left out. The place of the next page is the key's bytes as base64, whatever they are, and must be behind the start of the page.

Why it works: no key decides about another one, and the place of the list rises with each page.

--- a/crates/platform/src/http_key_value.rs
+++ b/crates/platform/src/http_key_value.rs
@@ -50,12 +50,9 @@
     ) -> Result<Page, PlatformError> {
         let (mut key, range_end) = bounds(&request.range);
         if let Some(start) = &request.start {
-            key = Base64Bytes(
-                BASE64
-                    .decode(start.as_str())
-                    .map_err(|error| protocol_error(&error.to_string()))?,
-            );
+            key = key_at(start)?;
         }
+        let first = key.0.clone();
         let revision = request.revision.unwrap_or_default().get();
         // One more than requested: its key is the start of the next page.
         let limit = u64::from(request.limit) + 1;
@@ -64,9 +61,12 @@
             self.transport.post(Effect::Read, "/v3/kv/range", &body, deadline).await?;
         let mut kvs = answer.kvs;
         let next = kvs.get(request.limit as usize);
+        if next.is_some_and(|kv| kv.key.0 <= first) {
+            return Err(protocol_error("a page does not lead on to the next one"));
+        }
         let next = next.map(|kv| PageCursor::new(BASE64.encode(&kv.key.0)));
         kvs.truncate(request.limit as usize);
-        let entries = kvs.into_iter().map(entry_of).collect::<Result<_, _>>()?;
+        let entries = readable(kvs, entry_of);
         Ok(Page { revision: KeyValueRevision::new(answer.header.revision), entries, next })
     }
 
@@ -84,7 +84,7 @@
         }
         let ranges = answer.responses.into_iter().filter_map(|response| response.response_range);
         let kvs = ranges.flat_map(|range| range.kvs);
-        let entries = kvs.map(entry_of).collect::<Result<_, _>>()?;
+        let entries = readable(kvs, entry_of);
         Ok(TransactionOutcome::Conflict { revision, entries })
     }
 
@@ -173,7 +173,8 @@
     }
 }
 
-/// Decodes a line of a watch that started at `from`; returns `None` if the line has no outcome.
+/// Decodes a line of a watch that started at `from`; returns `None` if the line has no outcome. Changes of
+/// keys that are not valid here are left out.
 ///
 /// # Errors
 ///
@@ -196,11 +197,20 @@
     if result.created && revision.next() < from {
         return Ok(Some(WatchOutcome::Restored { revision }));
     }
-    if result.events.is_empty() {
-        return Ok(None);
-    }
-    let changes = result.events.into_iter().map(change_of).collect::<Result<_, _>>()?;
-    Ok(Some(WatchOutcome::Changes(changes)))
+    let changes = readable(result.events, change_of);
+    Ok((!changes.is_empty()).then_some(WatchOutcome::Changes(changes)))
+}
+
+/// Decodes items one by one, and skips those that cannot be decoded: other writers may use keys that are not
+/// valid here.
+fn readable<W, T>(
+    items: impl IntoIterator<Item = W>,
+    decode: impl Fn(W) -> Result<T, PlatformError>,
+) -> Vec<T> {
+    let skip = |error: &PlatformError| {
+        log::warn!(error:%; "an item of the platform could not be decoded");
+    };
+    items.into_iter().filter_map(|item| decode(item).inspect_err(skip).ok()).collect()
 }
 
 fn change_of(event: wire::EventBody) -> Result<Change, PlatformError> {
@@ -260,6 +270,13 @@
     }
 }
 
+/// Returns the first key of a page. It may be any bytes, so the cursor has it as base64.
+fn key_at(start: &PageCursor) -> Result<Base64Bytes, PlatformError> {
+    let bytes =
+        BASE64.decode(start.as_str()).map_err(|error| protocol_error(&error.to_string()))?;
+    Ok(Base64Bytes(bytes))
+}
+
 fn bytes_of(key: &Key) -> Base64Bytes {
     Base64Bytes(key.as_str().as_bytes().to_vec())
 }
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -6,10 +6,15 @@
 use async_std::net::TcpListener;
 use async_std::task::{self, block_on};
 use futures::future::join;
+use http_types::Method;
 use yuccapass_decisions::platform_budget::settle_write::Settled;
 use yuccapass_decisions::platform_budget::{CallRank, LeaseTerms};
 use yuccapass_decisions::rollout::{Plan, Progress, Target, WriteOutcome};
-use yuccapass_http::{RejectReason, ServerConfig, StopController, serve, stop_pair};
+use yuccapass_http::{
+    ClientConfig, ConnectionChoice, HttpClient, RejectReason, ServerConfig, StopController, serve,
+    stop_pair,
+};
+use yuccapass_platform::wire::{Base64Bytes, PutBody};
 use yuccapass_platform::{
     Change, ChangeKind, Compare, HttpKeyValue, HttpVmList, IdempotentTransaction, Key, KeyRange,
     KeyValue, KeyValueClient, KeyValueRevision, LeaseLock, LeaseTtl, LockStatus, PlatformClient,
@@ -74,6 +79,17 @@
         }
     }
 
+    /// Sets a key as another writer does.
+    fn put_bytes(&self, key: Vec<u8>) {
+        let put = PutBody { key: Base64Bytes(key), ..PutBody::default() };
+        let body = serde_json::to_vec(&put).unwrap();
+        let client = HttpClient::new(self.address, ClientConfig::default(), self.clock.clone());
+        let mut request = client.request(Method::Post, "/v3/kv/put");
+        request.set_body(body);
+        let sending = client.send(request, ConnectionChoice::New, self.limit());
+        assert!(block_on(sending).unwrap().response().status().is_success());
+    }
+
     fn watch(&self, from: u64) -> WatchOutcome {
         let range = KeyRange::Prefix(key("z/"));
         let request = WatchRequest { range, from: KeyValueRevision::new(from) };
@@ -132,6 +148,61 @@
     assert_eq!(second.next, None);
 }
 
+/// Guards against a key that is not valid here and that hides all others in lists and watches.
+#[test]
+fn keys_of_other_writers_do_not_hide_the_others() {
+    // Arrange
+    let standin = start_default();
+    let odd_keys = ["z/a b", "z/a\u{1}b", "z/\u{e9}"].map(|name| name.as_bytes().to_vec());
+    let not_text = vec![b'z', b'/', 0xff];
+    standin.put("z/a");
+    for key in odd_keys.into_iter().chain([not_text]) {
+        standin.put_bytes(key);
+    }
+    standin.put("z/i");
+    let key_value = standin.key_value();
+    let range = KeyRange::Prefix(key("z/"));
+    let mut request =
+        RangeRequest { range, start: None, limit: 1, revision: None, may_be_stale: false };
+
+    // Act
+    let mut listed = Vec::new();
+    let mut pages = 0;
+    loop {
+        let page = block_on(key_value.range(&request, standin.limit())).unwrap();
+        listed.extend(page.entries.into_iter().map(|entry| entry.key));
+        pages += 1;
+        request.start = page.next;
+        if request.start.is_none() {
+            break;
+        }
+    }
+    let watched = standin.watch(1);
+
+    // Assert
+    assert_eq!((listed, pages), (vec![key("z/a"), key("z/i")], 6));
+    let WatchOutcome::Changes(changes) = watched else { panic!("{watched:?}") };
+    assert_eq!(changes.len(), 2);
+}
+
+/// Guards against a list that goes on without end, since its next page begins where it does.
+#[test]
+fn a_page_that_does_not_lead_on_is_an_error() {
+    // Arrange
+    let standin = start_default();
+    standin.put("z/1");
+    let key_value = standin.key_value();
+    let range = KeyRange::Prefix(key("z/1"));
+    let request =
+        RangeRequest { range, start: None, limit: 0, revision: None, may_be_stale: false };
+
+    // Act
+    let page = block_on(key_value.range(&request, standin.limit()));
+
+    // Assert
+    assert_eq!(page.map_err(|error| error.kind()), Err(PlatformErrorKind::Protocol));
+}
+
 /// Guards against two writers that both succeed in changing the same revision.
 #[test]
 fn of_two_concurrent_writers_one_wins_and_the_other_sees_the_change() {
