VM list: a VM that cannot be decoded does not hide the others

Operators would see: new work for VMs that are about to stop, and nodes that find no others, while one row of the platform's VM list is not as expected.

Cause: the class of the incident, in the list of VMs: all rows were decoded together.

Evidence: found by reading; not seen at a platform. With five kinds of odd rows before a valid one, decoding failed before the change, and gives the valid one after it.

Change: rows are decoded one by one by serde_with's `VecSkipError`. A row that is left out counts like a VM that the list does not name; the list may be out of date anyway.

Why it works: no row decides about another one.

--- a/crates/platform/src/vm_list.rs
+++ b/crates/platform/src/vm_list.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
+use serde_with::{VecSkipError, serde_as};
 use yuccapass_types::{Clock, Deadline, ZoneId};
 
 use crate::error::PlatformError;
@@ -34,10 +35,12 @@
     pub state: VmState,
 }
 
-/// The platform's VMs; the list may be out of date.
+/// The platform's VMs; the list may be out of date. VMs that cannot be decoded are left out.
+#[serde_as]
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmListing {
     /// The VMs.
+    #[serde_as(deserialize_as = "VecSkipError<_>")]
     pub vms: Vec<Vm>,
 }
 
--- a/crates/platform/tests/wire.rs
+++ b/crates/platform/tests/wire.rs
@@ -95,3 +95,27 @@
         assert_eq!(end, expected);
     }
 }
+
+/// Guards against a VM that cannot be decoded and hides all others.
+#[test]
+fn a_vm_that_cannot_be_decoded_does_not_hide_the_others() {
+    let odd_vms = [
+        r#"{"id":"a b","address":"10.0.0.1:1","zone":"w1","state":"live"}"#,
+        r#"{"id":"a","address":"nowhere","zone":"w1","state":"live"}"#,
+        r#"{"id":"a","address":"10.0.0.1:1","zone":"w1","state":"parked"}"#,
+        r#"{"id":"a","address":"10.0.0.1:1","zone":"w1"}"#,
+        "null",
+    ];
+    for odd in odd_vms {
+        // Arrange
+        let sound = r#"{"id":"b","address":"10.0.0.2:1","zone":"w1","state":"leaving"}"#;
+        let list = format!(r#"{{"vms":[{odd},{sound}]}}"#);
+
+        // Act
+        let listing: VmListing = serde_json::from_str(&list).unwrap();
+
+        // Assert
+        let ids: Vec<String> = listing.vms.iter().map(|vm| vm.id.to_string()).collect();
+        assert_eq!(ids, ["b"], "{odd}");
+    }
+}
