settings: logs name the revision that admits a request, and when keys are confirmed again

The logs could not tell whether the keys were confirmed too early, or a request was admitted by an earlier configuration than the one that was confirmed.

Change: `a request was answered` and `a stream goes on` name the revision by which the request was admitted, and `the API keys are confirmed again` names the revision and the age of the confirmation.

The log leaves out lines under load, so not each request can be told apart.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -62,8 +62,8 @@
 pub(crate) struct Admitted<'a> {
     pub(crate) message: &'a ReadRequest,
     pub(crate) caller: &'a CallerRequest,
-    // The revision of the configuration that admitted it.
-    revision: Revision,
+    /// The revision of the configuration that admitted it.
+    pub(crate) revision: Revision,
     pub(crate) route: &'a Route,
     pub(crate) service: &'a ServiceId,
     pub(crate) organisation: Option<&'a OrganisationId>,
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -418,7 +418,8 @@
     match outcome {
         RequestOutcome::Answered(status) => log::log!(
             answered_level(&caller, age_ms > admitted.route.timeout_ms / 2),
-            request_id = caller.id.as_str(), route = admitted.route.id.as_str(), status, age_ms,
+            request_id = caller.id.as_str(), route = admitted.route.id.as_str(),
+            revision = admitted.revision.get(), status, age_ms,
             organisation = admitted.organisation.map(|id| id.as_str());
             "a request was answered"
         ),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -332,6 +332,7 @@
     log::info!(
         request_id = caller.id.as_str(),
         resumed = caller.resumed.as_ref().map(RequestId::as_str),
+        revision = request.revision.get(),
         after_event = event.as_str(),
         is_within_answer = events.last_id().is_some(),
         endpoint = target.id.as_str(),
--- a/crates/gateway/src/watch/settings.rs
+++ b/crates/gateway/src/watch/settings.rs
@@ -249,7 +249,20 @@
     }
 
     fn confirmed(&self, sent_at: Instant) {
-        self.shared.settings_validity().confirm(sent_at);
+        let now = self.shared.now();
+        let (were_valid, are_valid) = {
+            let mut validity = self.shared.settings_validity();
+            let were_valid = validity.are_keys_valid(now);
+            validity.confirm(sent_at);
+            (were_valid, validity.are_keys_valid(now))
+        };
+        if are_valid && !were_valid {
+            let revision = self.shared.configuration().map_or(0, |known| known.revision().get());
+            log::info!(
+                revision, age_ms = now.ms_since(sent_at);
+                "the API keys are confirmed again"
+            );
+        }
     }
 
     fn record_known_until(&self, at: Instant) {
