settings: a request is checked against the configuration that is confirmed

Cause: a node took the configuration when a request arrived, and asked whether the settings were confirmed only once it had found out which version began the stream, which may take 0.8 s. If the node read the missed configurations meanwhile, their confirmation counted for the earlier one, by which the key was checked. The regions of a request were read and confirmed at two instants in the same way, a few instructions apart. The class: a value and its confirmation that are read at two instants.

Change: OperatorSettings holds the configuration and its confirmation under one lock and gives both out as one value, ConfirmedConfiguration. Admission checks a request against that value, taken again after the origin of a stream was looked for; the regions of a request carry the confirmation that was taken with them. Nothing else gives out the confirmation.

Why it works: the confirmation that a check uses was recorded before its configuration was replaced, so any change that it covers is in that configuration.

--- a/crates/decisions/src/gateway/configuration.rs
+++ b/crates/decisions/src/gateway/configuration.rs
@@ -299,29 +299,3 @@
     }
     Ok(pairs.into_iter().collect())
 }
-
-/// The newest configuration that this process has read.
-///
-/// A read may return an outdated document, for example from a replica that lags, so a configuration
-/// is never replaced by one with a smaller revision.
-#[derive(Debug, Clone, Default)]
-pub struct ConfigurationHolder {
-    current: Option<std::sync::Arc<Configuration>>,
-}
-
-impl ConfigurationHolder {
-    /// Replaces the configuration if this one is newer; returns whether it was replaced.
-    pub fn offer(&mut self, configuration: Configuration) -> bool {
-        let known = self.current.as_ref().map(|current| current.revision);
-        let is_newer = known.is_none_or(|known| known < configuration.revision);
-        if is_newer {
-            self.current = Some(std::sync::Arc::new(configuration));
-        }
-        is_newer
-    }
-
-    /// Returns the current configuration, if one was read.
-    pub fn current(&self) -> Option<&std::sync::Arc<Configuration>> {
-        self.current.as_ref()
-    }
-}
--- a/crates/decisions/src/gateway/mod.rs
+++ b/crates/decisions/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 //! * [`own_links`]: whether this node itself still reaches the endpoints, and [`neighbours`], one of which serves its
 //!   requests if it does not.
 //! * [`next_step`]: whether an attempt is retried, and what the caller gets otherwise.
+//! * [`operator_settings`]: the configuration of a node, with the confirmation that it is the newest.
 //! * [`part_store`]: the prompt parts in a store, and when they may be fetched and saved.
 //! * [`placement`]: which endpoint runs a request.
 //! * [`rate_share`]: this node's share of a request rate that all nodes may send together.
@@ -48,6 +49,7 @@
 pub mod link_share;
 pub mod neighbours;
 pub mod next_step;
+pub mod operator_settings;
 pub mod own_links;
 mod paced_turns;
 pub mod part_store;
@@ -75,8 +77,8 @@
     Shortage,
 };
 pub use configuration::{
-    CallerLimits, Configuration, ConfigurationHolder, EngineSpec, InvalidConfiguration, KeyVerdict,
-    Organisation, PartStore, Service,
+    CallerLimits, Configuration, EngineSpec, InvalidConfiguration, KeyVerdict, Organisation,
+    PartStore, Service,
 };
 pub use demand_share::{DemandShare, LimitUse};
 pub use directory::{Directory, EndpointRecord, EndpointState};
@@ -89,6 +91,7 @@
 pub use link_share::LinkShare;
 pub use neighbours::{Neighbour, Neighbours};
 pub use next_step::{AttemptFailure, AttemptSummary, NextStep, Refusal};
+pub use operator_settings::{ConfirmedConfiguration, OperatorSettings};
 pub use own_links::{OwnLinks, SampleResult};
 pub use part_store::{PartEvent, PartEvents, StoreContents, TransferTiming};
 pub use placement::{
--- a/crates/decisions/src/gateway/settings_validity.rs
+++ b/crates/decisions/src/gateway/settings_validity.rs
@@ -21,7 +21,7 @@
 /// A read of the operators' settings shows all changes made before the read was sent. So if a
 /// request arrives within a bound after that instant, any change that the read missed is younger
 /// than the bound, and acting by the earlier settings is still allowed.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub struct SettingsValidity {
     bounds: SettingsBounds,
     confirmed_at: Option<Instant>,
--- a/crates/decisions/tests/gateway_soundness.rs
+++ b/crates/decisions/tests/gateway_soundness.rs
@@ -8,15 +8,19 @@
 use rand::{RngExt, SeedableRng};
 use yuccapass_decisions::gateway::next_step::next_step;
 use yuccapass_decisions::gateway::{
-    AttemptFailure, AttemptSummary, CallerLimits, Configuration, ConfigurationHolder,
-    EndpointTracker, EndpointTrackerSettings, FleetSize, KeyVerdict, NextStep, Organisation,
-    RetryLimits, RetryShare, Route, RouteKind, SettingsBounds, SettingsValidity,
+    AttemptFailure, AttemptSummary, CallerLimits, Configuration, ConfirmedConfiguration,
+    EndpointTracker, EndpointTrackerSettings, FleetSize, KeyVerdict, NextStep, OperatorSettings,
+    Organisation, RetryLimits, RetryShare, Route, RouteKind, SettingsBounds, SettingsValidity,
 };
 use yuccapass_types::{Instant, KeyHash, NodeId, RequestRate, Revision, SortedMap};
 
 const REVOKE_BOUND_MS: u64 = 5_000;
 
 const APPLY_BOUND_MS: u64 = 4_000;
+
+const BOUNDS: SettingsBounds =
+    SettingsBounds { revoke_ms: Some(REVOKE_BOUND_MS), apply_ms: APPLY_BOUND_MS };
+
 const RESUMABLE: RouteKind = RouteKind::Streaming { is_resumable: true };
 
 fn configuration(revision: u64, keys: &[(&str, &[&str])]) -> Configuration {
@@ -157,13 +161,37 @@
 /// Guards against an outdated read that replaces a newer configuration.
 #[test]
 fn a_configuration_never_goes_back() {
-    let mut holder = ConfigurationHolder::default();
+    let mut settings = OperatorSettings::new(BOUNDS);
 
     let taken: Vec<bool> =
-        [4, 7, 5, 7].map(|revision| holder.offer(configuration(revision, &[]))).to_vec();
+        [4, 7, 5, 7].map(|revision| settings.offer(configuration(revision, &[]))).to_vec();
 
     assert_eq!(taken, [true, true, false, false]);
-    assert_eq!(holder.current().map(|current| current.revision()), Some(Revision::new(7)));
+    let current = settings.current().map(|current| current.configuration().revision());
+    assert_eq!(current, Some(Revision::new(7)));
+}
+
+/// Guards against a request that is checked against one configuration by the confirmation of a later one.
+#[test]
+fn a_configuration_keeps_its_own_confirmation() {
+    // Arrange
+    let mut settings = OperatorSettings::new(BOUNDS);
+    settings.offer(configuration(4, &[("org", &["k1", "k2"])]));
+    settings.confirm(at(0));
+    let earlier = settings.current().expect("a configuration was read");
+
+    // Act
+    settings.offer(configuration(5, &[("org", &["k1"])]));
+    let unconfirmed = settings.current().expect("a configuration was read");
+    settings.confirm(at(20_000));
+    let confirmed = settings.current().expect("a configuration was read");
+
+    // Assert
+    let view = |known: &ConfirmedConfiguration| {
+        let are_valid = known.validity().are_keys_valid(at(20_000));
+        (known.configuration().revision().get(), are_valid)
+    };
+    assert_eq!([&earlier, &unconfirmed, &confirmed].map(view), [(4, false), (5, false), (5, true)]);
 }
 
 /// Guards against a share of the limits that rises after the key-value service came back from a copy, because
@@ -311,8 +339,7 @@
     bound_ms: u64,
     is_valid: fn(&SettingsValidity, Instant) -> bool,
 ) -> Result<(), TestCaseError> {
-    let bounds = SettingsBounds { revoke_ms: Some(REVOKE_BOUND_MS), apply_ms: APPLY_BOUND_MS };
-    let mut validity = SettingsValidity::new(bounds);
+    let mut validity = SettingsValidity::new(BOUNDS);
     let (mut now, mut newest_read) = (0_u64, None::<u64>);
     for reading in readings {
         match *reading {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,12 +1,12 @@
 //! Checks a caller's request against the configuration.
 
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use yuccapass_decisions::gateway::{
-    AllowedRegions, Configuration, EndpointRecord, KeyVerdict, Priority, Refusal, Route, RouteKind,
-    StreamOrigin, StreamRecord,
+    AllowedRegions, Configuration, ConfirmedConfiguration, EndpointRecord, KeyVerdict, Priority,
+    Refusal, Route, RouteKind, SettingsValidity, StreamOrigin, StreamRecord,
 };
 use yuccapass_http::message::RequestHead;
 use yuccapass_types::{
@@ -47,14 +47,16 @@
     /// The revision of the configuration that names them.
     pub(crate) revision: Revision,
     pub(crate) allowed: AllowedRegions,
+    /// How long they may be relied on.
+    pub(crate) validity: SettingsValidity,
 }
 
 impl RequestRegions {
-    /// Returns whether the request may be sent by these regions now: all are allowed, or the settings that
-    /// name them are confirmed. A node that has not confirmed them in time may have missed that others are
-    /// allowed.
-    pub(crate) fn may_be_used(&self, shared: &Shared) -> bool {
-        may_be_used(shared, &self.allowed)
+    /// Returns whether the request may be sent by these regions at `now`: all are allowed, or the settings
+    /// that name them are confirmed. A node that has not confirmed them in time may have missed that others
+    /// are allowed.
+    pub(crate) fn may_be_used(&self, now: Instant) -> bool {
+        !self.allowed.is_bound() || self.validity.are_regions_valid(now)
     }
 }
 
@@ -62,8 +64,8 @@
 pub(crate) struct Admitted<'a> {
     pub(crate) message: &'a ReadRequest,
     pub(crate) caller: &'a CallerRequest,
-    /// The revision of the configuration that admitted it.
-    pub(crate) revision: Revision,
+    // The configuration that admitted it, with its confirmation then.
+    settings: &'a ConfirmedConfiguration,
     pub(crate) route: &'a Route,
     pub(crate) service: &'a ServiceId,
     pub(crate) organisation: Option<&'a OrganisationId>,
@@ -94,19 +96,28 @@
         self.caller.model.as_ref()
     }
 
+    /// Returns the revision of the configuration that admitted the request.
+    pub(crate) fn revision(&self) -> Revision {
+        self.settings.configuration().revision()
+    }
+
     /// Returns the regions in which the request may be served, by the newest configuration: it may have
     /// waited, or been sent before, since it was admitted.
     pub(crate) fn regions(&self, shared: &Shared) -> RequestRegions {
-        let newest = shared.configuration().filter(|newest| newest.revision() > self.revision);
-        newest.and_then(|newest| self.regions_in(&newest)).unwrap_or_else(|| RequestRegions {
-            revision: self.revision,
-            allowed: self.regions.clone(),
-        })
+        let newest = shared.settings();
+        let newest = newest.as_ref().unwrap_or(self.settings);
+        let is_later = newest.configuration().revision() > self.revision();
+        let allowed = is_later.then(|| self.regions_in(newest.configuration())).flatten();
+        let (revision, allowed) = match allowed {
+            Some(allowed) => (newest.configuration().revision(), allowed),
+            None => (self.revision(), self.regions.clone()),
+        };
+        RequestRegions { revision, allowed, validity: newest.validity() }
     }
 
     /// Returns the regions by another configuration, or `None` if it has no longer the organisation, or
     /// another route for the request: the request still goes to the service of the earlier one.
-    fn regions_in(&self, configuration: &Configuration) -> Option<RequestRegions> {
+    fn regions_in(&self, configuration: &Configuration) -> Option<AllowedRegions> {
         let head = &self.message.head;
         let route = configuration.route(host(head), head.path())?;
         if route.id != self.route.id {
@@ -116,14 +127,14 @@
             Some(id) => Some(configuration.organisation(id)?),
             None => None,
         };
-        let allowed = AllowedRegions::of_request(route, organisation);
-        Some(RequestRegions { revision: configuration.revision(), allowed })
+        Some(AllowedRegions::of_request(route, organisation))
     }
 
     /// Returns whether the request may be sent to an endpoint in this zone now.
     pub(crate) fn may_be_sent_to(&self, shared: &Shared, zone: &ZoneId) -> bool {
         let regions = self.regions(shared);
-        regions.may_be_used(shared) && regions.allowed.contains(shared.directory().region(zone))
+        regions.may_be_used(shared.now())
+            && regions.allowed.contains(shared.directory().region(zone))
     }
 
     /// Returns whether an endpoint may go on with the stream: it has the version of the software that began
@@ -151,26 +162,25 @@
     }
 }
 
-/// Checks a request and chooses its service.
+/// Checks a request against a configuration and chooses its service.
 ///
 /// # Errors
 ///
 /// Returns the error answer for a request that must not be forwarded.
 pub(crate) fn admit<'a>(
     shared: &Shared,
-    configuration: &'a Arc<Configuration>,
+    settings: &'a ConfirmedConfiguration,
     request: &'a ReadRequest,
     caller: &'a CallerRequest,
     origin: Option<&StreamOrigin>,
 ) -> Result<Admitted<'a>, Refusal> {
+    let (configuration, validity) = (settings.configuration(), settings.validity());
     let head = &request.head;
     let route = configuration
         .route(host(head), head.path())
         .ok_or(Refusal::without_retry(404, ResultCode::NotFound))?;
     let verdict = configuration.verify_key(route, caller.key);
-    if verdict != KeyVerdict::NotRequired
-        && !shared.settings_validity().are_keys_valid(request.arrived_at)
-    {
+    if verdict != KeyVerdict::NotRequired && !validity.are_keys_valid(request.arrived_at) {
         // The organisations and their keys may have changed since they were last confirmed.
         return Err(Refusal::not_run(ResultCode::PlatformUnavailable));
     }
@@ -184,7 +194,7 @@
         return Err(Refusal::blocked(ResultCode::RequestBlocked));
     }
     let regions = AllowedRegions::of_request(route, organisation.map(|(_, known)| known));
-    if !may_be_used(shared, &regions) {
+    if regions.is_bound() && !validity.are_regions_valid(shared.now()) {
         return Err(Refusal::not_run(ResultCode::PlatformUnavailable));
     }
     let goes_on = caller.resume_after.is_some()
@@ -209,7 +219,7 @@
         queued: shared.waiting.queued_work(service, spec, route, caller),
         message: request,
         caller,
-        revision: configuration.revision(),
+        settings,
         route,
         service,
         organisation: organisation_id,
@@ -267,10 +277,6 @@
     shared.streams.unrecorded_origin(shared, service, id, request.arrived_at).await
 }
 
-fn may_be_used(shared: &Shared, regions: &AllowedRegions) -> bool {
-    !regions.is_bound() || shared.settings_validity().are_regions_valid(shared.now())
-}
-
 fn is_blocked(
     shared: &Shared,
     request: &ReadRequest,
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -403,12 +403,14 @@
         let refusal = Refusal::not_run(ResultCode::Stopping);
         return refuse(shared, request, &caller, refusal, answer).await;
     }
-    let Some(configuration) = shared.configuration() else {
+    let Some(settings) = shared.settings() else {
         let refusal = Refusal::not_run(ResultCode::PlatformUnavailable);
         return refuse(shared, request, &caller, refusal, answer).await;
     };
-    let origin = resumed_origin(shared, &configuration, request, &caller).await;
-    let admitted = match admit(shared, &configuration, request, &caller, origin.as_ref()) {
+    let origin = resumed_origin(shared, settings.configuration(), request, &caller).await;
+    // The settings may have changed while the origin was looked for.
+    let settings = shared.settings().unwrap_or(settings);
+    let admitted = match admit(shared, &settings, request, &caller, origin.as_ref()) {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(shared, request, &caller, refusal, answer).await,
     };
@@ -419,7 +421,7 @@
         RequestOutcome::Answered(status) => log::log!(
             answered_level(&caller, age_ms > admitted.route.timeout_ms / 2),
             request_id = caller.id.as_str(), route = admitted.route.id.as_str(),
-            revision = admitted.revision.get(), status, age_ms,
+            revision = admitted.revision().get(), status, age_ms,
             organisation = admitted.organisation.map(|id| id.as_str());
             "a request was answered"
         ),
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -133,7 +133,7 @@
 fn choose(shared: &Shared, request: &Admitted<'_>, tried: &[NodeId]) -> Option<Neighbour> {
     let directory = shared.directory();
     let regions = request.regions(shared);
-    if !regions.may_be_used(shared) {
+    if !regions.may_be_used(shared.now()) {
         return None;
     }
     let distance = |zone: &_| {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -94,7 +94,7 @@
         Ok(target) => target,
         Err(refusal) => return refuse(shared, request, answer, refusal).await,
     };
-    if !request.regions(shared).may_be_used(shared) {
+    if !request.regions(shared).may_be_used(shared.now()) {
         let refusal = Refusal::not_run(ResultCode::PlatformUnavailable);
         return refuse(shared, request, answer, refusal).await;
     }
@@ -120,7 +120,7 @@
         attempts.record(failed.failure);
         request.message.may_have_run.store(attempts.may_have_run, Ordering::Release);
         next_target = choose(shared, request, &attempts.tried, NeededRoom::Preferred)
-            .filter(|_| request.regions(shared).may_be_used(shared));
+            .filter(|_| request.regions(shared).may_be_used(shared.now()));
         let has_other = next_target.is_some() || detour::is_wanted(shared, request);
         let step = decide(shared, request, &attempts, &failed, answer, has_other);
         log_attempt(shared, request, &target, &attempts, &failed, step);
@@ -311,7 +311,7 @@
         return;
     }
     let now = shared.now();
-    let confirmed_at = shared.settings_validity().confirmed_at();
+    let confirmed_at = regions.validity.confirmed_at();
     log::info!(
         request_id = request.caller.id.as_str(),
         route = request.route.id.as_str(),
@@ -332,7 +332,7 @@
     log::info!(
         request_id = caller.id.as_str(),
         resumed = caller.resumed.as_ref().map(RequestId::as_str),
-        revision = request.revision.get(),
+        revision = request.revision().get(),
         after_event = event.as_str(),
         is_within_answer = events.last_id().is_some(),
         endpoint = target.id.as_str(),
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -77,9 +77,10 @@
 fn encode_metrics(shared: &Shared) -> Vec<u8> {
     let memory = &shared.caller_memory;
     shared.metrics.record_caller_use(memory.in_use(), memory.evictions());
-    if let Some(configuration) = shared.configuration() {
-        let confirmed_at = shared.settings_validity().confirmed_at();
-        shared.metrics.record_settings(configuration.revision(), confirmed_at, shared.now());
+    if let Some(settings) = shared.settings() {
+        let confirmed_at = settings.validity().confirmed_at();
+        let revision = settings.configuration().revision();
+        shared.metrics.record_settings(revision, confirmed_at, shared.now());
     }
     shared.metrics.encode()
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use yuccapass_decisions::gateway::{
-    CallerBudgetLimits, Configuration, ConfigurationHolder, ConnectionShares, Directory, Distance,
-    EndpointRecord, FleetSize, Placement, RetryShare, SettingsBounds, SettingsValidity,
+    CallerBudgetLimits, Configuration, ConfirmedConfiguration, ConnectionShares, Directory,
+    Distance, EndpointRecord, FleetSize, OperatorSettings, Placement, RetryShare, SettingsBounds,
 };
 use yuccapass_decisions::platform_budget::CallPurpose;
 use yuccapass_http::{StopController, StopSignal, sleep_until, stop_pair};
@@ -60,10 +60,9 @@
     pub(crate) detours: DetourTable,
     pub(crate) metrics: Metrics,
     pub(crate) placements: Placements,
-    configuration: RwLock<ConfigurationHolder>,
+    settings: RwLock<OperatorSettings>,
     // Copied on write, so that a request can read a consistent snapshot without holding the lock.
     directory: RwLock<Arc<Directory>>,
-    settings_validity: Mutex<SettingsValidity>,
     fleet: Mutex<FleetSize>,
     retry_shares: Sharded<SortedMap<ServiceId, RetryShare>>,
     stop_controller: Mutex<Option<StopController>>,
@@ -114,9 +113,8 @@
             part_crashes: PartCrashTracker::default(),
             metrics,
             placements,
-            configuration: RwLock::default(),
+            settings: RwLock::new(OperatorSettings::new(settings_bounds(&options))),
             directory: RwLock::new(Arc::new(Directory::new(options.zones.clone()))),
-            settings_validity: Mutex::new(SettingsValidity::new(settings_bounds(&options))),
             fleet: Mutex::new(FleetSize::new(options.node.clone())),
             retry_shares: Sharded::default(),
             stop_controller: Mutex::new(Some(controller)),
@@ -132,16 +130,21 @@
         self.clock.now()
     }
 
+    /// Returns the newest configuration with its confirmation.
+    pub(crate) fn settings(&self) -> Option<ConfirmedConfiguration> {
+        self.settings.read().unwrap_or_else(PoisonError::into_inner).current()
+    }
+
+    /// Returns the newest configuration, for what does not depend on its confirmation.
     pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
-        let holder = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
-        holder.current().cloned()
+        self.settings().map(|settings| Arc::clone(settings.configuration()))
     }
 
     /// Replaces the configuration if this one is newer; returns whether it was replaced.
     pub(crate) fn offer_configuration(&self, configuration: Configuration) -> bool {
         let is_replaced = {
-            let mut holder = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
-            holder.offer(configuration)
+            let mut settings = self.settings.write().unwrap_or_else(PoisonError::into_inner);
+            settings.offer(configuration)
         };
         if let Some(current) = self.configuration().filter(|_| is_replaced) {
             self.endpoints.set_engines(&current);
@@ -149,6 +152,19 @@
         is_replaced
     }
 
+    /// Records that a read sent at `sent_at` has returned the newest operator settings, which were offered.
+    /// Returns whether that has made the API keys valid.
+    pub(crate) fn confirm_settings(&self, sent_at: Instant) -> bool {
+        let now = self.now();
+        let mut settings = self.settings.write().unwrap_or_else(PoisonError::into_inner);
+        let are_valid = |settings: &OperatorSettings| {
+            settings.current().is_some_and(|known| known.validity().are_keys_valid(now))
+        };
+        let were_valid = are_valid(&settings);
+        settings.confirm(sent_at);
+        !were_valid && are_valid(&settings)
+    }
+
     pub(crate) fn directory(&self) -> Arc<Directory> {
         Arc::clone(&self.directory.read().unwrap_or_else(PoisonError::into_inner))
     }
@@ -182,10 +198,6 @@
         }
     }
 
-    pub(crate) fn settings_validity(&self) -> MutexGuard<'_, SettingsValidity> {
-        self.settings_validity.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     pub(crate) fn fleet(&self) -> MutexGuard<'_, FleetSize> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -227,8 +239,9 @@
     /// whose keys are valid.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping()
-            && self.configuration().is_some()
-            && self.settings_validity().are_keys_valid(self.now())
+            && self
+                .settings()
+                .is_some_and(|settings| settings.validity().are_keys_valid(self.now()))
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
--- a/crates/gateway/src/watch/settings.rs
+++ b/crates/gateway/src/watch/settings.rs
@@ -237,11 +237,11 @@
     }
 
     fn max_watch_ms(&self) -> Option<u64> {
-        if !self.shared.configuration()?.is_region_bound() {
+        let settings = self.shared.settings()?;
+        if !settings.configuration().is_region_bound() {
             return None;
         }
-        let now = self.shared.now();
-        Some(match self.shared.settings_validity().are_regions_valid(now) {
+        Some(match settings.validity().are_regions_valid(self.shared.now()) {
             true => operator_watch_ms(self.shared.options.apply_bound_ms, REGIONS_RESERVE_MS),
             // After a suspension, requests wait for the first confirmation.
             false => FIRST_WATCH_MS,
@@ -249,17 +249,10 @@
     }
 
     fn confirmed(&self, sent_at: Instant) {
-        let now = self.shared.now();
-        let (were_valid, are_valid) = {
-            let mut validity = self.shared.settings_validity();
-            let were_valid = validity.are_keys_valid(now);
-            validity.confirm(sent_at);
-            (were_valid, validity.are_keys_valid(now))
-        };
-        if are_valid && !were_valid {
+        if self.shared.confirm_settings(sent_at) {
             let revision = self.shared.configuration().map_or(0, |known| known.revision().get());
             log::info!(
-                revision, age_ms = now.ms_since(sent_at);
+                revision, age_ms = self.shared.now().ms_since(sent_at);
                 "the API keys are confirmed again"
             );
         }
