watch: what was read and its confirmation are passed on in one place

Four places passed on what was read, then its confirmation and then until when all changes are known; that a confirmation covers only what was passed on before hung on the order of lines in each.

Change: pass_on does both, with News for what was read and Confirmation for the two instants. A handler gets the confirmation in one call.

Result: no change of behaviour.

--- a/crates/gateway/src/rollouts/steps.rs
+++ b/crates/gateway/src/rollouts/steps.rs
@@ -7,11 +7,11 @@
 use yuccapass_decisions::gateway::version_rollout::RolloutProgress;
 use yuccapass_decisions::platform_budget::CallPurpose;
 use yuccapass_platform::{Change, ChangeKind, Entry, PlatformClient};
-use yuccapass_types::{Instant, ServiceId};
+use yuccapass_types::ServiceId;
 
 use super::{STEP_KEYS, name_in};
 use crate::state::Shared;
-use crate::watch::{WatchHandler, WatchSettings, watch_prefix};
+use crate::watch::{Confirmation, WatchHandler, WatchSettings, watch_prefix};
 
 /// How long one watch call waits while no order is under way.
 const IDLE_WATCH_MS: u64 = 5_000;
@@ -85,8 +85,8 @@
         }
     }
 
-    fn record_known_until(&self, at: Instant) {
-        self.shared.rollouts.confirm_steps(at);
+    fn confirmed(&self, confirmation: Confirmation) {
+        self.shared.rollouts.confirm_steps(confirmation.known_until);
     }
 
     fn max_watch_ms(&self) -> Option<u64> {
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -68,12 +68,8 @@
     /// Handles changes, in their order.
     fn change(&self, changes: &[Change]);
 
-    /// Handles the end of a call that was sent at `sent_at` and returned all changes up to then.
-    fn confirmed(&self, _sent_at: Instant) {}
-
-    /// Handles the end of a call after which all changes before `at` are known. A call that waited
-    /// without changes returns all changes up to the end of the wait.
-    fn record_known_until(&self, _at: Instant) {}
+    /// Handles the confirmation of what was passed on before.
+    fn confirmed(&self, _confirmation: Confirmation) {}
 
     /// Returns the longest time for which a watch call may wait now, if it is shorter than the usual one.
     fn max_watch_ms(&self) -> Option<u64> {
@@ -89,6 +85,32 @@
     fn recovered(&self, _since: Instant) {}
 }
 
+/// When it was confirmed that no changes of the watched keys are missing.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Confirmation {
+    /// When the call was sent that has returned all changes up to then.
+    pub(crate) sent_at: Instant,
+    /// All changes before this instant are known. A call that waited without changes returns all changes up to
+    /// the end of the wait.
+    pub(crate) known_until: Instant,
+}
+
+impl Confirmation {
+    /// The confirmation by a call that did not wait.
+    fn at(sent_at: Instant) -> Self {
+        Self { sent_at, known_until: sent_at }
+    }
+}
+
+/// What was read of the watched keys.
+#[derive(Debug, Clone, Copy)]
+enum News<'a> {
+    /// The complete list of entries.
+    List(&'a [Entry]),
+    /// Changes, in their order.
+    Changes(&'a [Change]),
+}
+
 /// Which keys are watched, and how.
 #[derive(Debug, Clone)]
 pub(crate) struct WatchSettings {
@@ -269,9 +291,7 @@
         self.record_read(ChangePath::FromOrigin, sizes, sent_at, revision);
         self.shared.relay.values.hold(&entries);
         self.hold_list(&entries, revision, sent_at);
-        self.handler.replace(&entries);
-        self.handler.confirmed(sent_at);
-        self.handler.record_known_until(sent_at);
+        self.pass_on(News::List(&entries), Some(Confirmation::at(sent_at)));
         self.publish_list(&entries, revision, sent_at);
         Ok(())
     }
@@ -335,16 +355,15 @@
         if !changes.is_empty() {
             let sizes = changes.iter().map(change_size);
             self.record_read(ChangePath::FromOrigin, sizes, sent_at, newest);
-            self.handler.change(&changes);
         }
+        let confirmation = Confirmation { sent_at, known_until };
+        self.pass_on(News::Changes(&changes), (!self.is_behind).then_some(confirmation));
         if self.is_behind {
             // Without an earlier confirmation there would be no revision to watch from.
             let confirmed_at = self.confirmed_at.unwrap_or_default();
             self.publish(revision, newest, &changes, confirmed_at);
             return Ok(());
         }
-        self.handler.confirmed(sent_at);
-        self.handler.record_known_until(known_until);
         self.publish(revision, newest, &changes, sent_at);
         if !changes.is_empty() && self.settings.pause_ms > 0 {
             let resume_at = Deadline::after_ms(self.shared.now(), self.settings.pause_ms);
@@ -414,9 +433,7 @@
         self.record_read(ChangePath::FromRelay, sizes, confirmed_at, revision);
         self.shared.relay.values.hold(&entries);
         self.hold_list(&entries, revision, confirmed_at);
-        self.handler.replace(&entries);
-        self.handler.confirmed(confirmed_at);
-        self.handler.record_known_until(confirmed_at);
+        self.pass_on(News::List(&entries), Some(Confirmation::at(confirmed_at)));
         // There is nothing to compare the list with.
         drop(self.mirror.replace(&entries, revision));
         self.record_known(&[], revision, confirmed_at);
@@ -425,6 +442,19 @@
         }
     }
 
+    /// Passes on what was read, and then its confirmation, if nothing is missing: a confirmation covers all that was
+    /// passed on before it.
+    fn pass_on(&self, news: News<'_>, confirmation: Option<Confirmation>) {
+        match news {
+            News::List(entries) => self.handler.replace(entries),
+            News::Changes([]) => {}
+            News::Changes(changes) => self.handler.change(changes),
+        }
+        if let Some(confirmation) = confirmation {
+            self.handler.confirmed(confirmation);
+        }
+    }
+
     /// Holds a complete list for nodes that start.
     fn hold_list(&self, entries: &[Entry], revision: KeyValueRevision, confirmed_at: Instant) {
         let Some(subscription) = self.held_subscription() else { return };
@@ -458,10 +488,8 @@
         if !changes.is_empty() {
             let sizes = changes.iter().map(change_size);
             self.record_read(ChangePath::FromRelay, sizes, relayed.confirmed_at, end);
-            self.handler.change(&changes);
         }
-        self.handler.confirmed(relayed.confirmed_at);
-        self.handler.record_known_until(relayed.confirmed_at);
+        self.pass_on(News::Changes(&changes), Some(Confirmation::at(relayed.confirmed_at)));
         self.record_known(&changes, end, relayed.confirmed_at);
         if let Some(subscription) = &self.subscription {
             self.shared.relay.set_position(subscription, relayed.epoch, relayed.end);
--- a/crates/gateway/src/watch/settings.rs
+++ b/crates/gateway/src/watch/settings.rs
@@ -12,7 +12,9 @@
     Deadline, EndpointId, Instant, ModelId, RolloutOrderId, SortedMap, WeightRevision, ZoneId,
 };
 
-use super::{FIRST_WATCH_MS, WatchHandler, WatchSettings, changed_entry, watch_prefix};
+use super::{
+    Confirmation, FIRST_WATCH_MS, WatchHandler, WatchSettings, changed_entry, watch_prefix,
+};
 use crate::protocol::{DecodeError, EntryChange, EntryDecoder};
 use crate::state::Shared;
 use crate::swap_leader::SwapLeader;
@@ -248,7 +250,9 @@
         })
     }
 
-    fn confirmed(&self, sent_at: Instant) {
+    fn confirmed(&self, Confirmation { sent_at, known_until }: Confirmation) {
+        self.target_bounds().confirm(known_until);
+        self.shared.rollouts.confirm_settings(known_until);
         if self.shared.confirm_settings(sent_at) {
             let revision = self.shared.configuration().map_or(0, |known| known.revision().get());
             log::info!(
@@ -257,11 +261,6 @@
             );
         }
     }
-
-    fn record_known_until(&self, at: Instant) {
-        self.target_bounds().confirm(at);
-        self.shared.rollouts.confirm_settings(at);
-    }
 }
 
 /// Applies the registrations of endpoints.
