watch: an answer with changes confirms no settings

Cause: an answer was taken for complete by its size. The platform's description names a limit for pages of a list, and none for answers to a watch: it says to continue from their revision. So no answer with changes shows that it is the last one.

Change: what was read is passed on at once, as before, and confirms nothing where a handler relies on confirmations (the operators' settings, steps of roll-outs). A watch of 1 ms follows, and confirms the settings if it returns no changes. The pause that groups changes comes after that call.

Cost: one more call at each node that reads from the service, or each relay, for each change of the operators' settings. Followers get changes as before, and their confirmation with the next reply.

Why it works: a watch returns as soon as one event exists, so an answer without events leaves none out.

--- a/crates/gateway/src/rollouts/steps.rs
+++ b/crates/gateway/src/rollouts/steps.rs
@@ -85,6 +85,10 @@
         }
     }
 
+    fn relies_on_confirmations(&self) -> bool {
+        true
+    }
+
     fn confirmed(&self, confirmation: Confirmation) {
         self.shared.rollouts.confirm_steps(confirmation.known_until);
     }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -46,6 +46,9 @@
 /// endpoint that leaves with that change would be kept as if it had lapsed in the outage.
 pub(super) const FIRST_WATCH_MS: u64 = 100;
 
+/// How long a watch call waits after an answer that may have left out later changes. It only shows whether there are any.
+const FOLLOWING_WATCH_MS: u64 = 1;
+
 /// Time by which the age of what a relay knows may exceed the wait of its calls: pauses between the
 /// calls, the calls themselves under load, and the time for which the relay holds requests.
 const RELAY_DELAY_MS: u64 = 1_000;
@@ -71,6 +74,13 @@
     /// Handles the confirmation of what was passed on before.
     fn confirmed(&self, _confirmation: Confirmation) {}
 
+    /// Returns whether what is known is used only while it is confirmed. An answer with changes then confirms
+    /// nothing: the service may have cut it off, whatever its size, and a short call follows that shows whether
+    /// there are more.
+    fn relies_on_confirmations(&self) -> bool {
+        false
+    }
+
     /// Returns the longest time for which a watch call may wait now, if it is shorter than the usual one.
     fn max_watch_ms(&self) -> Option<u64> {
         None
@@ -302,10 +312,11 @@
         let sent_at = self.shared.now();
         let is_relay = self.shared.relay.may_have_followers(&self.shared.options.node);
         let needs_answer = self.was_following || self.outage.is_some();
-        let is_short = needs_answer || self.is_behind;
-        let watch_ms = match (is_short, self.settings.relay_watch_ms) {
-            (true, _) => FIRST_WATCH_MS,
-            (false, Some(relay_watch_ms)) if is_relay => relay_watch_ms,
+        let was_behind = self.is_behind;
+        let watch_ms = match self.settings.relay_watch_ms {
+            _ if was_behind => FOLLOWING_WATCH_MS,
+            _ if needs_answer => FIRST_WATCH_MS,
+            Some(relay_watch_ms) if is_relay => relay_watch_ms,
             _ => self.settings.watch_ms,
         };
         let watch_ms = self.handler.max_watch_ms().map_or(watch_ms, |max_ms| watch_ms.min(max_ms));
@@ -322,7 +333,11 @@
             }
             _ => sent_at,
         };
-        self.is_behind = matches!(outcome, WatchOutcome::PartialChanges { .. });
+        self.is_behind = match outcome {
+            WatchOutcome::PartialChanges { .. } => true,
+            WatchOutcome::Changes(_) => self.handler.relies_on_confirmations(),
+            _ => false,
+        };
         let (changes, newest) = match outcome {
             WatchOutcome::Changes(changes) => {
                 let newest = changes.iter().map(|change| change.revision).fold(revision, Ord::max);
@@ -365,7 +380,7 @@
             return Ok(());
         }
         self.publish(revision, newest, &changes, sent_at);
-        if !changes.is_empty() && self.settings.pause_ms > 0 {
+        if (was_behind || !changes.is_empty()) && self.settings.pause_ms > 0 {
             let resume_at = Deadline::after_ms(self.shared.now(), self.settings.pause_ms);
             sleep_until(&*self.shared.clock, resume_at).await;
         }
--- a/crates/gateway/src/watch/settings.rs
+++ b/crates/gateway/src/watch/settings.rs
@@ -250,6 +250,10 @@
         })
     }
 
+    fn relies_on_confirmations(&self) -> bool {
+        true
+    }
+
     fn confirmed(&self, Confirmation { sent_at, known_until }: Confirmation) {
         self.target_bounds().confirm(known_until);
         self.shared.rollouts.confirm_settings(known_until);
--- a/crates/platform/src/key_value.rs
+++ b/crates/platform/src/key_value.rs
@@ -155,9 +155,10 @@
 /// How a watch ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchOutcome {
-    /// Changes, in order. The next watch starts after the revision of the last one.
+    /// Changes, in order. The next watch starts after the revision of the last one. A service may cut off an answer of
+    /// any size, so only `NoChanges` shows that no change from before the watch was sent is missing.
     Changes(Vec<Change>),
-    /// The same, but there may be later changes from before the watch was sent. The next watch starts after
+    /// The same, but there probably are later changes from before the watch was sent. The next watch starts after
     /// `revision`: changes that cannot be decoded are left out, so it may be later than the last one.
     PartialChanges {
         /// The changes.
