--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -46,7 +46,8 @@
 /// endpoint that leaves with that change would be kept as if it had lapsed in the outage.
 pub(super) const FIRST_WATCH_MS: u64 = 100;
 
-/// How long a watch call waits after an answer that may have left out later changes. It only shows whether there are any.
+/// How long a watch call waits after an answer that may have left out later changes. It only shows
+/// whether there are any.
 const FOLLOWING_WATCH_MS: u64 = 1;
 
 /// Time by which the age of what a relay knows may exceed the wait of its calls: pauses between the
