watch: a long history is read with the wait of before

Cause: the call after a part of a long history got the wait of the call that only looks for further changes, 1 ms in place of 100 ms. Its answer may be large and take time on a busy link, and would have been given up, or asked for twice, 0.1 s earlier than before.

Change: Gap says what an answer may have left out. After a probable cut the next call waits as before; after an answer with changes that is probably whole it waits 1 ms.

--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -46,8 +46,7 @@
 /// endpoint that leaves with that change would be kept as if it had lapsed in the outage.
 pub(super) const FIRST_WATCH_MS: u64 = 100;
 
-/// How long a watch call waits after an answer that may have left out later changes. It only shows
-/// whether there are any.
+/// How long a watch call waits that only shows whether an answer has left out later changes.
 const FOLLOWING_WATCH_MS: u64 = 1;
 
 /// Time by which the age of what a relay knows may exceed the wait of its calls: pauses between the
@@ -122,6 +121,17 @@
     Changes(&'a [Change]),
 }
 
+/// What an answer to a watch may have left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Gap {
+    /// Nothing, or nothing that matters to the handler until the next call.
+    None,
+    /// The service may have cut the answer off, as it may any with changes.
+    Possible,
+    /// The service has probably cut the answer off. The next one may be as large, and take time.
+    Likely,
+}
+
 /// Which keys are watched, and how.
 #[derive(Debug, Clone)]
 pub(crate) struct WatchSettings {
@@ -175,7 +185,7 @@
         revision: None,
         known: None,
         confirmed_at: None,
-        is_behind: false,
+        gap: Gap::None,
         mirror: Mirror::default(),
         is_restored: false,
         led_until: None,
@@ -202,8 +212,8 @@
     known: Option<KeyValueRevision>,
     // When the origin confirmed that what is known has no gaps.
     confirmed_at: Option<Instant>,
-    // Whether the last answer may have left out later changes.
-    is_behind: bool,
+    // What the last answer may have left out.
+    gap: Gap,
     // What is known; empty for a background topic, whose followers list the keys themselves.
     mirror: Mirror,
     // Whether the service has come back from an older copy since the keys were listed.
@@ -313,12 +323,13 @@
         let sent_at = self.shared.now();
         let is_relay = self.shared.relay.may_have_followers(&self.shared.options.node);
         let needs_answer = self.was_following || self.outage.is_some();
-        let was_behind = self.is_behind;
-        let watch_ms = match self.settings.relay_watch_ms {
-            _ if was_behind => FOLLOWING_WATCH_MS,
+        let gap_before = self.gap;
+        let watch_ms = match (gap_before, self.settings.relay_watch_ms) {
+            (Gap::Likely, _) => FIRST_WATCH_MS,
             _ if needs_answer => FIRST_WATCH_MS,
-            Some(relay_watch_ms) if is_relay => relay_watch_ms,
-            _ => self.settings.watch_ms,
+            (Gap::Possible, _) => FOLLOWING_WATCH_MS,
+            (Gap::None, Some(relay_watch_ms)) if is_relay => relay_watch_ms,
+            (Gap::None, _) => self.settings.watch_ms,
         };
         let watch_ms = self.handler.max_watch_ms().map_or(watch_ms, |max_ms| watch_ms.min(max_ms));
         let deadline = Deadline::after_ms(sent_at, watch_ms);
@@ -334,11 +345,12 @@
             }
             _ => sent_at,
         };
-        self.is_behind = match outcome {
-            WatchOutcome::PartialChanges { .. } => true,
-            WatchOutcome::Changes(_) => self.handler.relies_on_confirmations(),
-            _ => false,
+        self.gap = match outcome {
+            WatchOutcome::PartialChanges { .. } => Gap::Likely,
+            WatchOutcome::Changes(_) if self.handler.relies_on_confirmations() => Gap::Possible,
+            _ => Gap::None,
         };
+        let is_complete = self.gap == Gap::None;
         let (changes, newest) = match outcome {
             WatchOutcome::Changes(changes) => {
                 let newest = changes.iter().map(|change| change.revision).fold(revision, Ord::max);
@@ -373,15 +385,16 @@
             self.record_read(ChangePath::FromOrigin, sizes, sent_at, newest);
         }
         let confirmation = Confirmation { sent_at, known_until };
-        self.pass_on(News::Changes(&changes), (!self.is_behind).then_some(confirmation));
-        if self.is_behind {
+        self.pass_on(News::Changes(&changes), is_complete.then_some(confirmation));
+        if !is_complete {
             // Without an earlier confirmation there would be no revision to watch from.
             let confirmed_at = self.confirmed_at.unwrap_or_default();
             self.publish(revision, newest, &changes, confirmed_at);
             return Ok(());
         }
         self.publish(revision, newest, &changes, sent_at);
-        if (was_behind || !changes.is_empty()) && self.settings.pause_ms > 0 {
+        let has_changed = gap_before != Gap::None || !changes.is_empty();
+        if has_changed && self.settings.pause_ms > 0 {
             let resume_at = Deadline::after_ms(self.shared.now(), self.settings.pause_ms);
             sleep_until(&*self.shared.clock, resume_at).await;
         }
