tests: replies between nodes are counted before the counts are compared

Cause: the listener counts a reply once it was written. The caller may have read it by then, and the test compared the counts of both sides at once.

Change: the test stops the listener and waits for its end before it compares. All counts are compared as before, exactly.

--- a/crates/peers/tests/connections.rs
+++ b/crates/peers/tests/connections.rs
@@ -111,9 +111,14 @@
             assert_eq!(reply.sender.node.as_str(), "server");
         }
 
+        let idle_connections = transport.idle_connections();
+        // A reply is counted once it was written, and the caller may have read it by then.
+        server.stop.close();
+        server.running.await;
+
         // Assert
         let (sent, received) = (client_node.counters().traffic(), server.node.counters().traffic());
-        assert_eq!(transport.idle_connections(), 1);
+        assert_eq!(idle_connections, 1);
         assert_eq!((sent.sent_messages, sent.received_messages), (4, 3));
         assert_eq!((received.received_messages, received.received_bytes), (4, sent.sent_bytes));
         assert_eq!(received.sent_bytes, sent.received_bytes);
