key-value service: unanswered calls and outages are logged and counted

Cause: the log named only the first failure of a topic, so a node that keeps away from the service looks like one whose calls all fail. Change: a line for each call that was not answered, with the pause until the next probe, and one when calls pass again; a counter of unanswered calls by purpose. Result: no behaviour changes; the crate builds.

--- a/crates/decisions/src/platform_budget/mod.rs
+++ b/crates/decisions/src/platform_budget/mod.rs
@@ -18,5 +18,5 @@
 pub use budget::{CallBudget, CallDecision, CallKind, CallRank, FleetRates, Ticket};
 pub use lease_holder::{LeaseHolder, LeasePermit, LeaseStep, LeaseTerms, RequestTime};
 pub use newest_revision::{NewestRevision, Restoration, RevisionAtCall};
-pub use outage_gate::{OutageDecision, OutageGate};
+pub use outage_gate::{Outage, OutageDecision, OutageGate};
 pub use purpose::{CallPurpose, ParseCallPurposeError};
--- a/crates/decisions/src/platform_budget/outage_gate.rs
+++ b/crates/decisions/src/platform_budget/outage_gate.rs
@@ -31,10 +31,21 @@
     WaitUntil(Instant),
 }
 
+/// What a closed gate knows of the outage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Outage {
+    /// When the first call failed.
+    pub since: Instant,
+    /// The number of calls that have failed.
+    pub failures: u32,
+    /// When the next probe is due.
+    pub next_probe: Instant,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Up,
-    Down { since: Instant, backoff: Backoff, next_probe: Instant },
+    Down { outage: Outage, backoff: Backoff },
     Returning { at: Instant },
 }
 
@@ -74,6 +85,14 @@
         matches!(self.state, State::Down { .. })
     }
 
+    /// Returns what is known of the outage while the last recorded result is a failure.
+    pub fn outage(&self) -> Option<Outage> {
+        match self.state {
+            State::Down { outage, .. } => Some(outage),
+            _ => None,
+        }
+    }
+
     /// Decides whether a call may be made; during an outage a call that passes is a probe.
     pub fn admit(&mut self, rank: CallRank, now: Instant, random: &mut dyn Rng) -> OutageDecision {
         if rank == CallRank::Command {
@@ -82,19 +101,19 @@
         let probe_limit_ms = self.probe_limit_ms();
         match &mut self.state {
             State::Up => OutageDecision::Proceed,
-            State::Down { next_probe, .. } if !rank.shows_outage() => {
+            State::Down { outage, .. } if !rank.shows_outage() => {
                 let earliest = Deadline::after_ms(now, REPORT_WAIT_MS).instant();
-                OutageDecision::WaitUntil(earliest.max(*next_probe))
+                OutageDecision::WaitUntil(earliest.max(outage.next_probe))
             }
-            State::Down { next_probe, .. } if now >= *next_probe => {
+            State::Down { outage, .. } if now >= outage.next_probe => {
                 // No other call passes until the result of the probe is recorded or this delay is
                 // over. Without jitter, nodes whose probes time out together would probe together
                 // again.
                 let wait_ms = random.random_range(probe_limit_ms / 2..=probe_limit_ms);
-                *next_probe = Deadline::after_ms(now, wait_ms).instant();
+                outage.next_probe = Deadline::after_ms(now, wait_ms).instant();
                 OutageDecision::Proceed
             }
-            State::Down { next_probe, .. } => OutageDecision::WaitUntil(*next_probe),
+            State::Down { outage, .. } => OutageDecision::WaitUntil(outage.next_probe),
             State::Returning { at } if now < *at && rank != CallRank::Lease => {
                 OutageDecision::WaitUntil(*at)
             }
@@ -106,10 +125,10 @@
     pub fn record_success(&mut self, now: Instant, random: &mut dyn Rng) {
         match self.state {
             State::Up => {}
-            State::Down { since, .. } => {
+            State::Down { outage, .. } => {
                 let max_window_ms = u64::from(self.fleet_nodes) * RETURN_MS_PER_NODE;
                 // Few calls wait after a short failure, so the window is no longer than the failure.
-                let window_ms = max_window_ms.min(now.ms_since(since));
+                let window_ms = max_window_ms.min(now.ms_since(outage.since));
                 let delay_ms = random.random_range(0..=window_ms);
                 self.state = State::Returning { at: Deadline::after_ms(now, delay_ms).instant() };
             }
@@ -121,12 +140,13 @@
     /// Records that the platform did not answer.
     pub fn record_failure(&mut self, now: Instant, random: &mut dyn Rng) {
         let limit_ms = self.probe_limit_ms();
-        let (since, mut backoff) = match self.state {
-            State::Down { since, backoff, .. } => (since, backoff),
-            _ => (now, Backoff::new(PROBE_BASE_MS, limit_ms)),
+        let (since, failures, mut backoff) = match self.state {
+            State::Down { outage, backoff } => (outage.since, outage.failures, backoff),
+            _ => (now, 0, Backoff::new(PROBE_BASE_MS, limit_ms)),
         };
         let next_probe = Deadline::after_ms(now, backoff.next_delay_ms(random)).instant();
-        self.state = State::Down { since, backoff, next_probe };
+        let outage = Outage { since, failures: failures.saturating_add(1), next_probe };
+        self.state = State::Down { outage, backoff };
     }
 
     fn probe_limit_ms(&self) -> u64 {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,6 +65,7 @@
     caller_connections: Gauge<u64>,
     caller_evictions: Gauge<u64>,
     platform_calls: Counter<u64>,
+    unanswered_calls: Counter<u64>,
     change_bytes: Counter<u64>,
     following: Gauge<u64>,
     lost_links: Gauge<u64>,
@@ -223,6 +224,10 @@
                 "yuccapass_gateway_platform_calls",
                 "Calls to the platform's key-value service, by purpose.",
             ),
+            unanswered_calls: counter(
+                "yuccapass_gateway_unanswered_platform_calls",
+                "Calls to the platform's key-value service without a complete answer, by purpose.",
+            ),
             following: gauge(
                 "yuccapass_gateway_following",
                 "1 if this node gets changes from a relay of its zone, 0 if it reads them itself.",
@@ -387,6 +392,11 @@
         self.platform_calls.add(1, &[KeyValue::new("purpose", purpose.as_str())]);
     }
 
+    /// Records a call to the platform that was not answered.
+    pub(crate) fn record_unanswered_call(&self, purpose: CallPurpose) {
+        self.unanswered_calls.add(1, &[KeyValue::new("purpose", purpose.as_str())]);
+    }
+
     /// Records whether this node follows a relay.
     pub(crate) fn record_following(&self, is_following: bool) {
         self.following.record(u64::from(is_following), &[]);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -77,6 +77,10 @@
     fn record_call(&self, purpose: CallPurpose) {
         self.metrics.record_platform_call(purpose);
     }
+
+    fn record_unanswered(&self, purpose: CallPurpose) {
+        self.metrics.record_unanswered_call(purpose);
+    }
 }
 
 impl Shared {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -88,6 +88,9 @@
 pub trait CallObserver: Send + Sync {
     /// Records that a call is made.
     fn record_call(&self, purpose: CallPurpose);
+
+    /// Records that a call was made and not answered.
+    fn record_unanswered(&self, purpose: CallPurpose);
 }
 
 /// The node's access to the key-value service.
@@ -236,19 +239,41 @@
     }
 
     /// Reports the result of a call to the outage gate, and records the era of its answer.
-    fn record_result<T>(&self, rank: CallRank, result: &Result<T, PlatformError>) {
+    fn record_result<T>(
+        &self,
+        rank: CallRank,
+        purpose: CallPurpose,
+        result: &Result<T, PlatformError>,
+    ) {
         self.record_era();
+        let failure = result.as_ref().err().filter(|error| is_unanswered(error));
+        if let Some(observer) = self.observer.get().filter(|_| failure.is_some()) {
+            observer.record_unanswered(purpose);
+        }
         if !rank.shows_outage() {
             return;
         }
         let now = self.clock.now();
         let mut guard = self.lock();
         let State { gate, random, .. } = &mut *guard;
-        match result {
-            Err(error) if error.is_outage() || error.kind() == PlatformErrorKind::RateLimited => {
-                gate.record_failure(now, random);
-            }
-            _ => gate.record_success(now, random),
+        let before = gate.outage();
+        match failure {
+            Some(_) => gate.record_failure(now, random),
+            None => gate.record_success(now, random),
+        }
+        let after = gate.outage();
+        drop(guard);
+        if let (Some(error), Some(outage)) = (failure, after) {
+            log::info!(
+                purpose:%, error:%, failures = outage.failures,
+                next_probe_ms = outage.next_probe.ms_since(now);
+                "a call to the platform was not answered"
+            );
+        } else if let Some(outage) = before {
+            log::info!(
+                purpose:%, closed_ms = now.ms_since(outage.since), failures = outage.failures;
+                "calls to the platform are let through again"
+            );
         }
     }
 
@@ -290,6 +315,11 @@
     }
 }
 
+/// Returns whether a call was made and shows that the platform may be down.
+fn is_unanswered(error: &PlatformError) -> bool {
+    error.is_outage() || error.kind() == PlatformErrorKind::RateLimited
+}
+
 fn gate_closed() -> PlatformError {
     let detail = "the platform is down or has just returned";
     PlatformError::new(PlatformErrorKind::Unavailable, detail)
@@ -367,7 +397,7 @@
             let at_call = client.revision_at_call();
             let result = call(client.attempt_deadline(attempt_ms, deadline)).await;
             attempt_ms = attempt_ms.saturating_mul(2).min(client.max_attempt_ms());
-            client.record_result(self.rank, &result);
+            client.record_result(self.rank, self.purpose, &result);
             let error = match result {
                 Ok(answer) => {
                     if let Some(revision) = revision_of(&answer) {
@@ -377,10 +407,9 @@
                 }
                 Err(error) => error,
             };
-            let may_repeat = error.is_outage() || error.kind() == PlatformErrorKind::RateLimited;
             let delay_ms = client.with_random(|random| backoff.next_delay_ms(random));
             let resume_at = Deadline::after_ms(client.clock.now(), delay_ms);
-            if !may_repeat || deadline <= resume_at {
+            if !is_unanswered(&error) || deadline <= resume_at {
                 return Err(error);
             }
             sleep_until(&*client.clock, resume_at).await;
@@ -398,7 +427,7 @@
         self.wait_for_turn(CallKind::Write, deadline).await?;
         let client = &*self.client;
         let result = call(client.attempt_deadline(client.attempt_timeout_ms, deadline)).await;
-        client.record_result(self.rank, &result);
+        client.record_result(self.rank, self.purpose, &result);
         result
     }
 }
@@ -468,7 +497,7 @@
         }
         let _guard = WatchGuard(client);
         let result = client.inner.watch(request, deadline).await;
-        client.record_result(self.rank, &result);
+        client.record_result(self.rank, self.purpose, &result);
         // Where the service names eras, its answers have shown the restoration, and the revision may not be
         // one of its own.
         if let Ok(WatchOutcome::Restored { revision }) = &result
