membership: followers get the registrations as changes from their relays

Cause: each node listed all registrations every two seconds, so what the links between regions carry grew with the square of the number of nodes: 127 entries of about 300 bytes on the wire for each of 63 far nodes. On a link that is busy with configurations, connections to the service were not opened in time, relays counted as without the service, and requests were handled by an earlier configuration (CONFIG). Change: the registrations are a watched topic like the evidence about crashes; relays watch them, and followers hear of changes. Their calls have the rank of a watch, since who is a relay follows from them. A node that becomes a relay ends the long calls of before: it learns of it earlier than it did, while such a call is under way, and its followers would leave it. It removes most of the load; nothing bounds the readers yet.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -1,19 +1,23 @@
-//! Reads what the nodes publish in the platform's key-value service: their registrations, and the lock
+//! Follows what the nodes publish in the platform's key-value service: their registrations, and the lock
 //! for weight swaps.
+//!
+//! Followers get the registrations from their relays, as changes. If each node listed them, what the links between
+//! regions carry would grow with the square of the number of nodes.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use async_std::channel::{Receiver, Sender, bounded};
 use async_std::task;
 use yuccapass_decisions::gateway::relay::TopicClass;
 use yuccapass_decisions::platform_budget::{CallPurpose, CallRank};
 use yuccapass_http::sleep_until;
-use yuccapass_platform::{Change, ChangeKind, Entry, Key, PlatformClient};
-use yuccapass_types::{Deadline, NodeId};
+use yuccapass_platform::{Change, ChangeKind, Entry, Key, PlatformClient, Value};
+use yuccapass_types::{Deadline, NodeId, SortedMap};
 
 use crate::registration::{NODE_KEYS, NodeEntry, Registration};
 use crate::state::Shared;
 use crate::swap_leader::SwapLeader;
-use crate::watch::{WatchHandler, WatchSettings, read_all, watch_prefix};
+use crate::watch::{WatchHandler, WatchSettings, watch_prefix};
 
 /// Prefix of the keys of the lock for weight swaps.
 pub(crate) const SWAP_LOCK_PREFIX: &str = "yuccapass/weights/";
@@ -22,9 +26,14 @@
 /// other calls if the connection is silent.
 const SWAP_LOCK_WATCH_MS: u64 = 20_000;
 
-/// Period of reading the registrations of the nodes. It may be long, because the limits that depend
-/// on the number of nodes include a margin. A watch would cost a call of each node for each node
-/// that starts.
+/// How long one watch call for the registrations waits.
+const NODES_WATCH_MS: u64 = 5_000;
+
+/// Pause after a watch call that returned registrations, so that those of several nodes are returned together.
+const NODES_PAUSE_MS: u64 = 500;
+
+/// Period of counting the registered nodes. It may be long, because the limits that depend on the number of
+/// nodes include a margin.
 const NODES_PERIOD_MS: u64 = 2_000;
 
 /// Period until the other nodes are known.
@@ -51,7 +60,18 @@
         swap_lock_settings,
         handler,
     ));
-    task::spawn(count_nodes(Arc::clone(shared), Arc::clone(platform)));
+    let node_settings = WatchSettings {
+        prefix: NODE_KEYS.parse().expect("the prefix is a valid key"),
+        watch_ms: NODES_WATCH_MS,
+        relay_watch_ms: Some(NODES_WATCH_MS),
+        pause_ms: NODES_PAUSE_MS,
+        purpose: CallPurpose::Nodes,
+        class: TopicClass::Background,
+    };
+    let registrations = Arc::new(Registrations::default());
+    let handler = Arc::clone(&registrations) as Arc<dyn WatchHandler>;
+    task::spawn(watch_prefix(Arc::clone(shared), Arc::clone(platform), node_settings, handler));
+    task::spawn(count_nodes(Arc::clone(shared), Arc::clone(platform), registrations));
     let registration = Registration::new(
         Arc::clone(shared),
         Arc::clone(platform),
@@ -60,33 +80,84 @@
     task::spawn(registration.run());
 }
 
-/// Counts the registered nodes until the process ends.
-async fn count_nodes(shared: Arc<Shared>, platform: Arc<PlatformClient>) {
-    let prefix: Key = NODE_KEYS.parse().expect("the prefix is a valid key");
-    let reader = platform.key_value(CallRank::Refresh).with_purpose(CallPurpose::Nodes);
-    loop {
-        // Until the other nodes are known, a stale list could miss those that have just started.
-        let may_be_stale = shared.fleet().is_known();
-        let period_ms = if may_be_stale { NODES_PERIOD_MS } else { FIRST_NODES_PERIOD_MS };
-        let next = Deadline::after_ms(shared.now(), period_ms);
-        match read_all(&shared, &reader, &prefix, may_be_stale).await {
-            Ok(entries) => {
-                let now = shared.now();
-                shared.fleet().record_era(platform.era().get(), now);
-                let may_miss_relays = {
-                    let fleet = shared.fleet();
-                    fleet.is_known() && fleet.is_incomplete(now)
-                };
-                // With a list that misses most nodes, many would be relays and watch by themselves.
-                if !may_miss_relays {
-                    read_entries(&shared, &entries);
+/// The registrations of all nodes, as far as this node has read them.
+struct Registrations {
+    // `None` until they were listed.
+    entries: Mutex<Option<SortedMap<Key, Value>>>,
+    // The sender is dropped with the first list.
+    before_list: Mutex<Option<Sender<()>>>,
+    listed: Receiver<()>,
+}
+
+impl Default for Registrations {
+    fn default() -> Self {
+        let (sender, listed) = bounded(1);
+        Self { entries: Mutex::default(), before_list: Mutex::new(Some(sender)), listed }
+    }
+}
+
+impl Registrations {
+    /// Waits for the first list.
+    async fn first_list(&self) {
+        // The receiver only ever closes.
+        let _ = self.listed.recv().await;
+    }
+
+    fn entries(&self) -> SortedMap<Key, Value> {
+        lock(&self.entries).clone().unwrap_or_default()
+    }
+}
+
+impl WatchHandler for Registrations {
+    fn replace(&self, entries: &[Entry]) {
+        let listed = entries.iter().map(|entry| (entry.key.clone(), entry.value.clone()));
+        *lock(&self.entries) = Some(listed.collect());
+        drop(lock(&self.before_list).take());
+    }
+
+    fn change(&self, changes: &[Change]) {
+        let mut entries = lock(&self.entries);
+        let Some(entries) = &mut *entries else { return };
+        for change in changes {
+            match &change.kind {
+                ChangeKind::Put(entry) => {
+                    entries.insert(entry.key.clone(), entry.value.clone());
+                }
+                ChangeKind::Deleted(key) => {
+                    entries.remove(key);
                 }
-                let nodes = entries.iter().filter_map(|entry| node_of(&entry.key)).collect();
-                update_nodes(&shared, &platform, nodes);
             }
-            Err(error) => log::debug!(error:%; "the registered nodes could not be read"),
         }
-        sleep_until(&*shared.clock, next).await;
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts the registered nodes until the process ends.
+async fn count_nodes(
+    shared: Arc<Shared>,
+    platform: Arc<PlatformClient>,
+    registrations: Arc<Registrations>,
+) {
+    registrations.first_list().await;
+    loop {
+        let entries = registrations.entries();
+        let now = shared.now();
+        shared.fleet().record_era(platform.era().get(), now);
+        let may_miss_relays = {
+            let fleet = shared.fleet();
+            fleet.is_known() && fleet.is_incomplete(now)
+        };
+        // With a list that misses most nodes, many would be relays and watch by themselves.
+        if !may_miss_relays {
+            read_entries(&shared, &entries);
+        }
+        update_nodes(&shared, &platform, entries.keys().filter_map(node_of).collect());
+        let is_known = shared.fleet().is_known();
+        let period_ms = if is_known { NODES_PERIOD_MS } else { FIRST_NODES_PERIOD_MS };
+        sleep_until(&*shared.clock, Deadline::after_ms(now, period_ms)).await;
     }
 }
 
@@ -109,13 +180,13 @@
 
 /// Records which nodes of the zone may be relays, which nodes of the other zones may keep streams, and through
 /// which nodes requests may be sent.
-fn read_entries(shared: &Shared, entries: &[Entry]) {
+fn read_entries(shared: &Shared, entries: &SortedMap<Key, Value>) {
     let mut zone_nodes = Vec::new();
     let mut other_nodes = Vec::new();
     let mut neighbours = Vec::new();
-    for entry in entries {
-        let Some(node) = node_of(&entry.key) else { continue };
-        match serde_json::from_slice::<NodeEntry>(entry.value.as_bytes()) {
+    for (key, value) in entries.iter() {
+        let Some(node) = node_of(key) else { continue };
+        match serde_json::from_slice::<NodeEntry>(value.as_bytes()) {
             Ok(node_entry) => {
                 let is_other = node != shared.options.node;
                 neighbours.extend(node_entry.neighbour(&node).filter(|_| is_other));
@@ -136,7 +207,7 @@
         }
     }
     shared.streams.replace_other_nodes(other_nodes);
-    shared.relay.replace_nodes(zone_nodes);
+    shared.relay.replace_nodes(&shared.options.node, zone_nodes);
     shared.detours.replace(neighbours);
 }
 
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -104,7 +104,7 @@
     // Sorted by id; the nodes that accept connections of other nodes.
     nodes: Mutex<Vec<(NodeId, SocketAddr)>>,
     is_following: AtomicBool,
-    // Wakes the tasks that wait at their origins when this node begins to follow a relay.
+    // Wakes the tasks that wait at their origins when this node begins to follow a relay or becomes one.
     at_origins: Mutex<Vec<Sender<()>>>,
     // Wakes the requests of followers that wait for urgent changes.
     held_requests: Mutex<Vec<Sender<()>>>,
@@ -271,7 +271,7 @@
         self.is_following.load(Ordering::Acquire)
     }
 
-    /// Waits until this node follows a relay.
+    /// Waits until this node follows a relay or becomes one.
     pub(crate) async fn following(&self) {
         let (sender, receiver) = bounded::<()>(1);
         {
@@ -286,9 +286,14 @@
     }
 
     /// Replaces the nodes of the zone that accept connections of other nodes.
-    pub(crate) fn replace_nodes(&self, mut nodes: Vec<(NodeId, SocketAddr)>) {
+    pub(crate) fn replace_nodes(&self, own: &NodeId, mut nodes: Vec<(NodeId, SocketAddr)>) {
         nodes.sort();
+        let was_relay = self.is_relay(own);
         *lock(&self.nodes) = nodes;
+        if self.is_relay(own) && !was_relay {
+            // Followers need the shorter calls of a relay.
+            lock(&self.at_origins).clear();
+        }
         // Dropping the senders wakes the receivers.
         lock(&self.before_nodes).clear();
     }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -105,9 +105,11 @@
 impl WatchSettings {
     /// Returns the ranks of the lists and of the watch calls.
     fn ranks(&self) -> (CallRank, CallRank) {
-        match self.class {
-            TopicClass::Urgent | TopicClass::Regular => (CallRank::Refresh, CallRank::Watch),
-            TopicClass::Background => (CallRank::Report, CallRank::Report),
+        // Who is a relay follows from the registrations of the nodes, so they don't wait behind reports.
+        match (self.class, self.purpose) {
+            (TopicClass::Urgent | TopicClass::Regular, _)
+            | (TopicClass::Background, CallPurpose::Nodes) => (CallRank::Refresh, CallRank::Watch),
+            (TopicClass::Background, _) => (CallRank::Report, CallRank::Report),
         }
     }
 }
