relay: few nodes of a zone read from the service when its relays fail

Cause: a follower whose relays had all failed read from the service by itself, completely. In a zone of 21 nodes the answers to 19 of them, of 413 KB for each version, and their connections kept the link between the regions busy; the relays' own connections then failed after 400 ms, which sent more followers there. A relay without the service asked nobody, although other nodes of its zone had the newer configuration. Callers' requests were handled by an earlier one for up to 7 s (CONFIG). Ruled out: the gate for outages keeps nodes away (probes of relays came 12 to 775 ms after a failure). Change: without relays the next two nodes of the zone in the order of their ids read from the service, and the others follow these. The older what is known becomes, the more nodes read; the number doubles every 0.5 s from an age of 2.5 s on. A relay without the service follows another node for 2 s at a time. A node that follows another has nothing for others, as its knowledge only ages. What a relay to be followed does not send is listed in the zone before it is read from the service.

--- a/crates/decisions/src/gateway/relay/contents.rs
+++ b/crates/decisions/src/gateway/relay/contents.rs
@@ -79,6 +79,11 @@
         contents.position = KnownPosition { confirmed_at, ..position };
     }
 
+    /// Returns when the contents of a topic were confirmed, or `None` if it was not listed.
+    pub fn confirmed_at(&self, name: &SmolStr) -> Option<Instant> {
+        self.topics.get(name).map(|contents| contents.position.confirmed_at)
+    }
+
     /// Removes a topic.
     pub fn remove(&mut self, name: &SmolStr) {
         self.topics.remove(name);
--- a/crates/decisions/src/gateway/relay/sources.rs
+++ b/crates/decisions/src/gateway/relay/sources.rs
@@ -23,6 +23,25 @@
 /// so with its next call.
 const OUTDATED_AVOID_MS: u64 = 250;
 
+/// Number of nodes after the relays that read from the origin once these have failed.
+const MAX_SUBSTITUTES: usize = 2;
+
+/// Age of what a node knows from which more nodes read from the origin; followers of a relay that works know what is
+/// younger. The number of nodes doubles with each [`WIDEN_MS`] more, so that all of a zone read before keys that
+/// are valid for 5 s expire.
+const AGED_MS: u64 = 2_500;
+const WIDEN_MS: u64 = 500;
+
+/// Age of what a node knows from which it does not wait for another relay before it reads from the origin: after one
+/// more timeout of 700 ms, there is time for a call that is repeated before keys expire.
+const OLD_MS: u64 = 3_000;
+
+/// How long a relay follows another node before it calls the origin again.
+const LED_MS: u64 = 2_000;
+
+/// How long a relay then calls the origin before it follows another node again.
+const PROBE_MS: u64 = 1_000;
+
 /// Why a relay cannot be followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayFailure {
@@ -37,8 +56,10 @@
 pub enum ChangeSource {
     /// From the origin itself.
     Origin,
-    /// From a relay of its zone.
+    /// From a relay of its zone, or from another node that reads from the origin.
     Relay(NodeId),
+    /// From neither yet: enough other nodes of the zone read from the origin.
+    Wait,
 }
 
 /// Returns whether a zone with this many nodes has followers.
@@ -86,53 +107,190 @@
 /// For how long a relay is not asked again.
 #[derive(Debug, Clone, Copy)]
 struct Avoidance {
+    failure: RelayFailure,
     until: Deadline,
-    // The same while this node reads from the origin.
-    at_origin_until: Deadline,
+    // The same while there is no other relay.
+    without_source_until: Deadline,
+}
+
+/// What a relay does while the origin does not answer it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LostOrigin {
+    /// It asks other nodes, and calls the origin.
+    Asking,
+    /// It follows another node until this time, which is set with the next choice.
+    Led(Option<Deadline>),
+    /// It only calls the origin until this time.
+    Probing(Deadline),
 }
 
 /// The choice of one node between its relays and the origin.
 ///
-/// A node goes to the origin only once all relays have failed. There it soon asks those again that have replied.
+/// Once all relays have failed, the next nodes of the zone in the order of their ids read from the origin, and the
+/// others ask those: if all of them read, their answers would fill the links that the relays need too. The older what
+/// is known becomes, the more nodes read. A node asks only nodes before it, so that no two follow each other. A relay
+/// that the origin does not answer asks any, and has nothing for others while it follows one.
 #[derive(Debug, Clone)]
 pub struct RelaySources {
     own: NodeId,
     avoided: SortedMap<NodeId, Avoidance>,
+    // The node that is followed.
+    followed: Option<NodeId>,
+    // When the origin confirmed what this node knows; at first, when it looked for a source.
+    confirmed_at: Option<Instant>,
+    // Whether all nodes that could be asked have failed since this node has followed one.
+    has_asked_all: bool,
     is_at_origin: bool,
+    // `None` while the origin answers this node.
+    lost_origin: Option<LostOrigin>,
 }
 
 impl RelaySources {
     /// Creates the state of a node that has not asked any relay.
     pub fn new(own: NodeId) -> Self {
-        Self { own, avoided: SortedMap::new(), is_at_origin: false }
+        Self {
+            own,
+            avoided: SortedMap::new(),
+            followed: None,
+            confirmed_at: None,
+            has_asked_all: false,
+            is_at_origin: false,
+            lost_origin: None,
+        }
+    }
+
+    /// Records whether the origin answers this node, which matters if it is a relay.
+    pub fn record_origin(&mut self, is_lost: bool) {
+        self.lost_origin = is_lost.then_some(self.lost_origin.unwrap_or(LostOrigin::Asking));
+    }
+
+    /// Records when the origin confirmed what this node knows.
+    pub fn record_confirmed(&mut self, confirmed_at: Instant) {
+        self.confirmed_at = Some(confirmed_at);
     }
 
     /// Chooses where to get changes from. `nodes` are the registered nodes of the zone, sorted.
     pub fn choose(&mut self, nodes: &[NodeId], now: Instant) -> ChangeSource {
         self.avoided.retain(|_, avoidance| !avoidance.until.has_passed(now));
-        let relays = relays(nodes);
-        if relays.is_empty() || relays.contains(&self.own) {
+        let (relays, others) = nodes.split_at(relay_count(nodes.len()));
+        if !is_relayed(nodes.len()) {
+            ChangeSource::Origin
+        } else if relays.contains(&self.own) {
+            self.choose_as_relay(relays, others, now)
+        } else {
+            let before = &others[..others.partition_point(|node| *node < self.own)];
+            self.choose_as_follower(relays, before, now)
+        }
+    }
+
+    /// Chooses the source of a follower; `before` are the nodes between the relays and this one.
+    fn choose_as_follower(
+        &mut self,
+        relays: &[NodeId],
+        before: &[NodeId],
+        now: Instant,
+    ) -> ChangeSource {
+        let relay = self.next_of(self.own_first(relays), now);
+        if let (None, Some(followed)) = (&relay, &self.followed)
+            && before.contains(followed)
+        {
+            return ChangeSource::Relay(followed.clone());
+        }
+        let age_ms = now.ms_since(*self.confirmed_at.get_or_insert(now));
+        let live: Vec<&NodeId> = before.iter().filter(|node| !self.is_silent(node)).collect();
+        let readers = reader_count(age_ms);
+        let is_due = relay.is_none() || (age_ms >= OLD_MS && !self.avoided.is_empty());
+        if is_due && live.len() < readers && !self.is_at_origin {
+            // Others wait for this node, so it does not ask its like first.
+            (self.has_asked_all, self.is_at_origin) = (true, true);
             return ChangeSource::Origin;
         }
-        let (before, after) = relays.split_at(first_relay(&self.own, relays));
-        let is_usable = |relay: &&NodeId| {
-            self.avoided.get(relay).is_none_or(|avoidance| {
-                self.is_at_origin && avoidance.at_origin_until.has_passed(now)
-            })
-        };
-        match after.iter().chain(before).find(is_usable) {
-            Some(relay) => ChangeSource::Relay(relay.clone()),
+        let first_live = live.iter().copied().take(MAX_SUBSTITUTES);
+        if let Some(source) = relay.or_else(|| self.next_of(first_live, now)) {
+            return source;
+        }
+        // The relays are asked again before further nodes: those may well follow one.
+        self.has_asked_all = true;
+        let sources = self.own_first(relays).chain(live.into_iter().take(readers));
+        self.next_of(sources, now).unwrap_or(match self.is_at_origin {
+            true => ChangeSource::Origin,
+            false => ChangeSource::Wait,
+        })
+    }
+
+    /// Chooses the source of a relay: the origin, unless that does not answer it.
+    fn choose_as_relay(
+        &mut self,
+        relays: &[NodeId],
+        others: &[NodeId],
+        now: Instant,
+    ) -> ChangeSource {
+        match self.lost_origin {
             None => {
-                self.is_at_origin = true;
-                ChangeSource::Origin
+                self.clear();
+                return ChangeSource::Origin;
+            }
+            Some(LostOrigin::Led(None)) => {
+                let until = Deadline::after_ms(now, LED_MS);
+                self.lost_origin = Some(LostOrigin::Led(Some(until)));
+            }
+            Some(LostOrigin::Led(Some(until))) if until.has_passed(now) => {
+                let until = Deadline::after_ms(now, PROBE_MS);
+                self.lost_origin = Some(LostOrigin::Probing(until));
+                return ChangeSource::Origin;
             }
+            Some(LostOrigin::Probing(until)) if !until.has_passed(now) => {
+                return ChangeSource::Origin;
+            }
+            Some(LostOrigin::Probing(_)) => self.lost_origin = Some(LostOrigin::Asking),
+            Some(LostOrigin::Asking | LostOrigin::Led(_)) => {}
         }
+        let live = others.iter().filter(|node| !self.is_silent(node)).take(MAX_SUBSTITUTES);
+        self.next_of(self.own_first(relays).chain(live), now).unwrap_or_else(|| {
+            (self.has_asked_all, self.is_at_origin) = (true, true);
+            ChangeSource::Origin
+        })
+    }
+
+    /// Returns the first of these nodes that may be asked now.
+    fn next_of<'a>(
+        &self,
+        mut nodes: impl Iterator<Item = &'a NodeId>,
+        now: Instant,
+    ) -> Option<ChangeSource> {
+        let may_be_asked = |node: &&NodeId| {
+            let avoidance = self.avoided.get(node);
+            **node != self.own
+                && avoidance.is_none_or(|avoidance| {
+                    self.has_asked_all && avoidance.without_source_until.has_passed(now)
+                })
+        };
+        nodes.find(may_be_asked).cloned().map(ChangeSource::Relay)
+    }
+
+    /// Returns the relays, beginning with that of this node.
+    fn own_first<'a>(&self, relays: &'a [NodeId]) -> impl Iterator<Item = &'a NodeId> + use<'a> {
+        let (before, after) = relays.split_at(first_relay(&self.own, relays));
+        after.iter().chain(before)
+    }
+
+    fn is_silent(&self, node: &NodeId) -> bool {
+        self.avoided.get(node).is_some_and(|avoidance| avoidance.failure == RelayFailure::Silent)
     }
 
     /// Records that a relay is followed.
     pub fn record_success(&mut self, relay: &NodeId) {
         self.avoided.remove(relay);
-        self.is_at_origin = false;
+        self.clear();
+        self.followed = Some(relay.clone());
+        if let Some(lost @ LostOrigin::Asking) = &mut self.lost_origin {
+            *lost = LostOrigin::Led(None);
+        }
+    }
+
+    fn clear(&mut self) {
+        self.followed = None;
+        (self.has_asked_all, self.is_at_origin) = (false, false);
     }
 
     /// Records that a relay cannot be followed. `random` is from 0 to 1.
@@ -146,10 +304,18 @@
         let after_ms =
             |base_ms: u64| Deadline::after_ms(now, base_ms + (random * base_ms as f64) as u64);
         let until = after_ms(SILENT_AVOID_MS);
-        let at_origin_until = match failure {
+        let without_source_until = match failure {
             RelayFailure::Silent => until,
             RelayFailure::Outdated => after_ms(OUTDATED_AVOID_MS),
         };
-        self.avoided.insert(relay, Avoidance { until, at_origin_until });
+        self.followed.take_if(|followed| *followed == relay);
+        self.avoided.insert(relay, Avoidance { failure, until, without_source_until });
     }
 }
+
+/// Returns how many nodes after the relays read from the origin if these have failed, and what is known has this age.
+fn reader_count(age_ms: u64) -> usize {
+    let aged_ms = (age_ms + WIDEN_MS).saturating_sub(AGED_MS);
+    let doublings = u32::try_from(aged_ms / WIDEN_MS).unwrap_or(u32::MAX);
+    MAX_SUBSTITUTES.saturating_mul(2_usize.saturating_pow(doublings))
+}
--- a/crates/decisions/src/gateway/relay/topics.rs
+++ b/crates/decisions/src/gateway/relay/topics.rs
@@ -113,8 +113,6 @@
     // How followers get from the era before to the beginning of the log, with the log of that era.
     crossing: Option<(Crossing, u64, ChangeLog<RelayItem>)>,
     confirmed_at: Instant,
-    // Whether the last call failed.
-    is_lost: bool,
     outage_ended_at: Option<Instant>,
     // A time on the origin's clock, and the instant at which this node received it.
     clock: Option<(u64, Instant)>,
@@ -186,6 +184,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct RelayTopics {
     topics: SortedMap<SmolStr, Topic>,
+    // The topics whose last call failed, also before the first one that succeeds, and those that are not called.
+    lost: SortedMap<SmolStr, ()>,
     classes: SortedMap<SmolStr, TopicClass>,
 }
 
@@ -208,7 +208,6 @@
             log: ChangeLog::new(from),
             crossing: None,
             confirmed_at: sent_at,
-            is_lost: false,
             outage_ended_at: None,
             clock: None,
         };
@@ -218,7 +217,7 @@
             topic.log = ChangeLog::new(from);
             topic.crossing = None;
         }
-        topic.is_lost = false;
+        self.lost.remove(name);
         topic.log.extend(from, items, to);
         topic.confirmed_at = topic.confirmed_at.max(sent_at);
         topic.clock = clock_ms.map(|clock_ms| (clock_ms, now)).or(topic.clock);
@@ -248,11 +247,26 @@
     /// Records that an origin does not answer. The topic is not passed on until it does: other nodes may
     /// reach the origin, and the changes that this node misses are lost to its followers too.
     pub fn record_lost(&mut self, name: &SmolStr) {
-        if let Some(topic) = self.topics.get_mut(name) {
-            topic.is_lost = true;
+        self.lost.insert(name.clone(), ());
+    }
+
+    /// Records that this node does not call the origins, since it follows another one.
+    pub fn record_all_lost(&mut self) {
+        for name in self.topics.keys() {
+            self.lost.insert(name.clone(), ());
         }
     }
 
+    /// Returns whether the origin of an urgent topic does not answer.
+    pub fn has_lost_urgent(&self) -> bool {
+        self.lost.keys().any(|name| self.class(name) == TopicClass::Urgent)
+    }
+
+    /// Returns a topic, unless its origin does not answer.
+    fn answered(&self, name: &SmolStr) -> Option<&Topic> {
+        self.topics.get(name).filter(|_| !self.lost.contains_key(name))
+    }
+
     /// Records that an origin answered again after an outage.
     pub fn record_outage_end(&mut self, name: &SmolStr, now: Instant) {
         if let Some(topic) = self.topics.get_mut(name) {
@@ -263,6 +277,7 @@
     /// Removes a topic.
     pub fn remove(&mut self, name: &SmolStr) {
         self.topics.remove(name);
+        self.lost.remove(name);
         self.classes.remove(name);
     }
 
@@ -298,7 +313,7 @@
         budget: &mut Bytes,
         now: Instant,
     ) -> Option<TopicUpdate> {
-        let topic = self.topics.get(&request.topic).filter(|topic| !topic.is_lost)?;
+        let topic = self.answered(&request.topic)?;
         let after = topic.known_position(request);
         let items = topic.changes(request, self.class(&request.topic)).map(without_replaced);
         let size: Bytes = items.iter().flatten().map(RelayItem::size).sum();
@@ -317,7 +332,7 @@
         budget: &mut Bytes,
         now: Instant,
     ) -> Option<TopicUpdate> {
-        let topic = self.topics.get(&request.topic).filter(|topic| !topic.is_lost)?;
+        let topic = self.answered(&request.topic)?;
         let after = topic.known_position(request);
         let Some(changes) = topic.log.positions_since(after) else {
             return Some(topic.update(request, topic.log.end().max(after), None, now));
@@ -338,11 +353,12 @@
         Some(topic.update(request, topic.log.end().max(after), Some(items), now))
     }
 
-    /// Returns whether there are changes after the position of a request, or the origin does not answer.
+    /// Returns whether there are changes after the position of a request, or a follower need not wait for any: this
+    /// node has not read the topic, or the origin does not answer.
     pub fn has_news(&self, request: &TopicRequest) -> bool {
-        self.topics.get(&request.topic).is_some_and(|topic| {
+        self.answered(&request.topic).is_none_or(|topic| {
             let mut news = topic.log.since(request.after).into_iter().flatten();
-            topic.is_lost || (topic.epoch == request.epoch && news.next().is_some())
+            topic.epoch == request.epoch && news.next().is_some()
         })
     }
 }
--- a/crates/decisions/tests/relay_model/mod.rs
+++ b/crates/decisions/tests/relay_model/mod.rs
@@ -78,7 +78,8 @@
     sent_at: Instant,
     request: TopicRequest,
     received_at: Option<Instant>,
-    reply: Option<(Instant, u64, TopicUpdate)>,
+    /// When the reply arrives, how long the request was held, and what the relay knows.
+    reply: Option<(Instant, u64, Option<TopicUpdate>)>,
 }
 
 struct Node {
@@ -310,9 +311,21 @@
         let now = self.now;
         let node = &mut self.nodes[number];
         let Some(after) = node.position else { return };
-        let ChangeSource::Relay(relay) = node.sources.choose(&zone_nodes, now) else {
-            node.is_following = false;
-            return;
+        if let Some(confirmed_at) = node.confirmed_at {
+            node.sources.record_confirmed(confirmed_at);
+        }
+        let relay = match node.sources.choose(&zone_nodes, now) {
+            ChangeSource::Relay(relay) => relay,
+            ChangeSource::Origin => {
+                node.is_following = false;
+                return;
+            }
+            ChangeSource::Wait => {
+                (node.is_following, node.was_following) = (true, true);
+                node.needs_origin = false;
+                node.topics.record_all_lost();
+                return;
+            }
         };
         let request = TopicRequest { topic: topic(), epoch: node.era, after };
         let relay = self.nodes.iter().position(|node| node.id == relay).unwrap();
@@ -385,6 +398,9 @@
         if let Some((arrives_at, held_ms, update)) = &pending.reply
             && *arrives_at <= now
         {
+            let Some(update) = update else {
+                return self.fail(number, pending.relay, RelayFailure::Outdated);
+            };
             let confirmed_at = match self.guard {
                 Guard::WithoutAge => now,
                 _ => update.confirmed_at(pending.sent_at, *held_ms),
@@ -403,6 +419,7 @@
                 let relay = self.nodes[pending.relay].id.clone();
                 let node = &mut self.nodes[number];
                 node.sources.record_success(&relay);
+                node.topics.record_all_lost();
                 (node.is_following, node.was_following) = (true, true);
                 let is_for_position = node.position == Some(pending.request.after)
                     && node.era == pending.request.epoch;
@@ -440,13 +457,12 @@
             return;
         }
         let mut budget = Bytes::new(1 << 20);
-        if let Some(update) = relay.topics.answer(&pending.request, &mut budget, now) {
-            // Some replies are slow: their follower may be frozen, or the network busy.
-            let slow = self.random.random_bool(0.02);
-            let delay_ms = if slow { self.random.random_range(0..3_000) } else { 0 };
-            let held_ms = now.ms_since(received_at);
-            pending.reply = Some((later(now, delay_ms), held_ms, update));
-        }
+        let update = relay.topics.answer(&pending.request, &mut budget, now);
+        // Some replies are slow: their follower may be frozen, or the network busy.
+        let slow = self.random.random_bool(0.02);
+        let delay_ms = if slow { self.random.random_range(0..3_000) } else { 0 };
+        let held_ms = now.ms_since(received_at);
+        pending.reply = Some((later(now, delay_ms), held_ms, update));
     }
 
     fn fail(&mut self, number: usize, relay: usize, failure: RelayFailure) {
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -11,7 +11,7 @@
 use yuccapass_types::{Bytes, Deadline, Instant, NodeId};
 
 use super::room::SentSummary;
-use super::value_topic;
+use super::{Source, value_topic};
 use crate::metrics::ChangePath;
 use crate::state::Shared;
 
@@ -27,38 +27,58 @@
 /// Period of checking for a relay while this node reads from the origins.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
+/// Period of checking for a node to follow while this node waits for those that read from the origins.
+const WAIT_PERIOD: Duration = Duration::from_millis(50);
+
 /// Follows a relay whenever the zone has one, until the process ends.
 pub(crate) async fn follow(shared: Arc<Shared>, transport: Arc<dyn PeerTransport>) {
     let mut sources = RelaySources::new(shared.options.node.clone());
     loop {
-        let source = sources.choose(&shared.relay.node_ids(), shared.now());
-        match source {
+        sources.record_origin(shared.relay.has_lost_origin());
+        if let Some(confirmed_at) = shared.relay.confirmed_at() {
+            sources.record_confirmed(confirmed_at);
+        }
+        let chosen = sources.choose(&shared.relay.node_ids(), shared.now());
+        let pause = match &chosen {
             ChangeSource::Origin => {
-                set_following(&shared, None);
-                task::sleep(CHECK_PERIOD).await;
+                set_source(&shared, Source::Origins, None);
+                CHECK_PERIOD
+            }
+            ChangeSource::Wait => {
+                set_source(&shared, Source::None, None);
+                WAIT_PERIOD
             }
             ChangeSource::Relay(relay) => {
-                match follow_once(&shared, &*transport, &relay).await {
+                match follow_once(&shared, &*transport, relay).await {
                     Ok(()) => {
-                        sources.record_success(&relay);
-                        set_following(&shared, Some(&relay));
+                        sources.record_success(relay);
+                        set_source(&shared, Source::Relay, Some(relay));
                     }
                     Err(failure) => {
                         log::debug!(relay = relay.as_str(), failure:?; "a relay is not followed");
-                        sources.record_failure(relay, failure, rand::random(), shared.now());
+                        sources.record_failure(
+                            relay.clone(),
+                            failure,
+                            rand::random(),
+                            shared.now(),
+                        );
+                        if !shared.relay.reads_origins() {
+                            set_source(&shared, Source::None, None);
+                        }
                     }
                 }
-                task::sleep(REQUEST_PAUSE).await;
+                REQUEST_PAUSE
             }
-        }
+        };
+        task::sleep(pause).await;
     }
 }
 
-fn set_following(shared: &Shared, relay: Option<&NodeId>) {
-    if shared.relay.set_following(relay.is_some()) {
-        shared.metrics.record_following(relay.is_some());
+fn set_source(shared: &Shared, source: Source, relay: Option<&NodeId>) {
+    if shared.relay.set_source(source) {
+        shared.metrics.record_following(source != Source::Origins);
         let relay = relay.map_or("none", NodeId::as_str);
-        log::info!(relay; "the source of changes has changed");
+        log::info!(relay, source:?; "the source of changes has changed");
     }
 }
 
--- a/crates/gateway/src/relay/listing.rs
+++ b/crates/gateway/src/relay/listing.rs
@@ -10,6 +10,7 @@
 use yuccapass_decisions::gateway::relay::{ListOffer, RelayedEntry, TransferStep, ValueRequest};
 use yuccapass_http::with_deadline;
 use yuccapass_peers::{PeerMessage, PeerTransport, RelayRequest, decode_list};
+use yuccapass_platform::KeyValueRevision;
 use yuccapass_types::{Bytes, Deadline, Instant, NodeId};
 
 use super::{Subscription, value_topic};
@@ -34,21 +35,29 @@
     pub(crate) entries: Vec<RelayedEntry>,
 }
 
-/// Reads the list of a topic from another node of the zone; `None` if none has a recent one.
-pub(crate) async fn read_list(shared: &Shared, subscription: &Subscription) -> Option<RelayedList> {
+/// Reads the list of a topic from another node of the zone; `None` if none has a recent one that is newer than what
+/// this node knows.
+pub(crate) async fn read_list(
+    shared: &Shared,
+    subscription: &Subscription,
+    known: Option<KeyValueRevision>,
+) -> Option<RelayedList> {
     let transport = shared.relay.transport.get()?;
     let limit = Deadline::after_ms(shared.now(), LIST_LIMIT_MS);
     with_deadline(&*shared.clock, limit, shared.relay.nodes_known()).await.ok()?;
     let own = &shared.options.node;
     loop {
         for (node, address) in shared.relay.list_sources(own) {
-            let list = read_list_of(shared, &**transport, subscription, &node, address).await;
+            let list =
+                read_list_of(shared, &**transport, subscription, known, (&node, address)).await;
             if list.is_some() {
                 return list;
             }
         }
         // The other nodes may be waiting for this one.
-        if !shared.relay.has_relay_for(own) || limit.has_passed(shared.now()) {
+        let has_time = known.is_none() && !limit.has_passed(shared.now());
+        let waits = has_time || shared.relay.waits_for_source();
+        if !shared.relay.has_relay_for(own) || !waits {
             return None;
         }
         task::sleep(RETRY_PAUSE).await;
@@ -59,8 +68,8 @@
     shared: &Shared,
     transport: &dyn PeerTransport,
     subscription: &Subscription,
-    node: &NodeId,
-    address: SocketAddr,
+    known: Option<KeyValueRevision>,
+    (node, address): (&NodeId, SocketAddr),
 ) -> Option<RelayedList> {
     let sent_at = shared.now();
     let deadline = Deadline::after_ms(sent_at, CALL_TIMEOUT_MS);
@@ -73,6 +82,11 @@
         }
     };
     let PeerMessage::ListOffered(Some(offer)) = reply else { return None };
+    let is_newer =
+        known.is_none_or(|known| known.era().get() == offer.epoch && known.get() < offer.end);
+    if !is_newer {
+        return None;
+    }
     let confirmed_at = offer.confirmed_at(sent_at);
     let entries = transfer(shared, transport, subscription, (node, address), &offer).await?;
     let age_ms = shared.now().ms_since(confirmed_at);
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -16,7 +16,6 @@
 pub(crate) mod values;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -40,6 +39,9 @@
 /// Maximum size of the items in a reply; a frame between nodes carries 68 KB.
 const MAX_REPLY: Bytes = Bytes::new(56 << 10);
 
+/// Maximum age of a topic that relays read often enough for its age to show that this node misses changes.
+const OFTEN_READ_AGE_MS: u64 = 5_000;
+
 /// Prefix of the names of topics of keys.
 const KEYS_TOPICS: &str = "keys:";
 
@@ -59,11 +61,25 @@
     pub(crate) clock_ms: Option<u64>,
 }
 
+/// Where the tasks of this node get changes from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Source {
+    /// From their origins.
+    #[default]
+    Origins,
+    /// From another node.
+    Relay,
+    /// From neither, until another node has been found.
+    None,
+}
+
 /// What a task does next for its topic.
 #[derive(Debug, Clone)]
 pub(crate) enum NextRead {
     /// Read from the origin.
     Origin,
+    /// The relay does not have the changes: list the topic at another node, or read from the origin.
+    List,
     /// Apply these changes.
     Relayed(RelayedChanges),
 }
@@ -74,7 +90,9 @@
     Changes(TopicRequest, RelayedChanges),
     /// There are changes, and one of their values is on its way.
     Transferring,
-    /// The relay does not send the changes.
+    /// The relay is to be followed, and does not send the changes.
+    Unsent,
+    /// The relay is not to be followed, or this node reads from the origins.
     Ended,
 }
 
@@ -103,8 +121,8 @@
     followers: Mutex<SortedMap<SmolStr, Follower>>,
     // Sorted by id; the nodes that accept connections of other nodes.
     nodes: Mutex<Vec<(NodeId, SocketAddr)>>,
-    is_following: AtomicBool,
-    // Wakes the tasks that wait at their origins when this node begins to follow a relay or becomes one.
+    source: Mutex<Source>,
+    // Wakes the tasks that wait at their origins when they are to wait for another node, or for less long.
     at_origins: Mutex<Vec<Sender<()>>>,
     // Wakes the requests of followers that wait for urgent changes.
     held_requests: Mutex<Vec<Sender<()>>>,
@@ -251,7 +269,7 @@
         epoch: u64,
         after: u64,
     ) -> NextRead {
-        while self.is_following() {
+        while !self.reads_origins() {
             let receiving = subscription.updates.recv();
             match async_std::future::timeout(UPDATE_TIMEOUT, receiving).await {
                 Ok(Ok(Delivery::Changes(request, changes))) => {
@@ -260,26 +278,36 @@
                     }
                 }
                 Ok(Ok(Delivery::Transferring)) => {}
-                Ok(Ok(Delivery::Ended) | Err(_)) | Err(_) => break,
+                Ok(Ok(Delivery::Unsent)) => return NextRead::List,
+                Ok(Ok(Delivery::Ended) | Err(_)) | Err(_) => {
+                    if *lock(&self.source) == Source::Relay {
+                        break;
+                    }
+                }
             }
         }
         NextRead::Origin
     }
 
-    /// Returns whether this node follows a relay.
-    pub(crate) fn is_following(&self) -> bool {
-        self.is_following.load(Ordering::Acquire)
+    /// Returns whether the tasks read from their origins.
+    pub(crate) fn reads_origins(&self) -> bool {
+        *lock(&self.source) == Source::Origins
     }
 
-    /// Waits until this node follows a relay or becomes one.
-    pub(crate) async fn following(&self) {
+    /// Returns whether the tasks wait until this node has found a source.
+    fn waits_for_source(&self) -> bool {
+        *lock(&self.source) == Source::None
+    }
+
+    /// Waits until the tasks no longer read from their origins, or this node becomes a relay.
+    pub(crate) async fn leaves_origins(&self) {
         let (sender, receiver) = bounded::<()>(1);
         {
             let mut at_origins = lock(&self.at_origins);
             at_origins.retain(|waiting| !waiting.is_closed());
             at_origins.push(sender);
         }
-        if !self.is_following() {
+        if self.reads_origins() {
             // The receiver only ever closes.
             let _ = receiver.recv().await;
         }
@@ -304,10 +332,12 @@
         is_relayed(nodes.len()) && relays(&nodes).contains(own)
     }
 
-    /// Returns whether this node has followers, or may have some because it does not know the nodes of its zone
-    /// yet: followers may know it from an earlier process, and do not follow a relay whose calls wait for long.
-    pub(crate) fn may_have_followers(&self, own: &NodeId) -> bool {
-        self.is_relay(own) || lock(&self.nodes).is_empty()
+    /// Returns whether others may follow this node while it reads from origins: it is a relay, or its zone has lost
+    /// them, or it does not know its zone yet, whose followers may know it from an earlier process. They do not follow
+    /// a node whose calls wait for long.
+    pub(crate) fn may_have_followers(&self) -> bool {
+        let nodes = lock(&self.nodes).len();
+        nodes == 0 || is_relayed(nodes)
     }
 
     /// Returns the nodes of the zone that read from origins.
@@ -361,21 +391,48 @@
         followers.values().map(|follower| (follower.position.clone(), follower.class)).collect()
     }
 
-    /// Sets whether this node follows a relay. When it ceases to, all tasks read from their origins
-    /// at once. Returns whether that has changed.
-    fn set_following(&self, is_following: bool) -> bool {
-        let was_following = self.is_following.swap(is_following, Ordering::AcqRel);
-        if is_following && !was_following {
-            // Dropping the senders wakes the receivers.
-            lock(&self.at_origins).clear();
+    /// Sets where the tasks get changes from, and wakes those that wait elsewhere. Returns whether that has
+    /// changed.
+    fn set_source(&self, source: Source) -> bool {
+        let before = std::mem::replace(&mut *lock(&self.source), source);
+        if before == source {
+            return false;
         }
-        if was_following && !is_following {
-            for follower in lock(&self.followers).values() {
-                // If the channel is full, the task wakes up anyway.
-                let _ = follower.updates.try_send(Delivery::Ended);
+        match source {
+            Source::Origins => {
+                for follower in lock(&self.followers).values() {
+                    // If the channel is full, the task wakes up anyway.
+                    let _ = follower.updates.try_send(Delivery::Ended);
+                }
+            }
+            Source::Relay | Source::None => {
+                // Dropping the senders wakes the receivers.
+                lock(&self.at_origins).clear();
+                // What this node has read from the origins becomes old, so its followers must leave it.
+                lock(&self.read).record_all_lost();
+                lock(&self.held_requests).clear();
             }
         }
-        was_following != is_following
+        true
+    }
+
+    /// Returns when all of the urgent topics had been confirmed that relays read often.
+    fn confirmed_at(&self) -> Option<Instant> {
+        let is_often_read = |follower: &&Follower| {
+            follower.class == TopicClass::Urgent && follower.max_age_ms <= OFTEN_READ_AGE_MS
+        };
+        let topics: Vec<SmolStr> = {
+            let followers = lock(&self.followers);
+            let often_read = followers.values().filter(is_often_read);
+            often_read.map(|follower| follower.position.topic.clone()).collect()
+        };
+        let held = lock(&self.held);
+        topics.iter().filter_map(|topic| held.confirmed_at(topic)).min()
+    }
+
+    /// Returns whether the origin of an urgent topic does not answer this node.
+    fn has_lost_origin(&self) -> bool {
+        lock(&self.read).has_lost_urgent()
     }
 
     /// Passes an update of a relay to the task of its topic; returns whether the relay may be followed: the
@@ -420,7 +477,10 @@
                 };
                 Delivery::Changes(request, changes)
             }
-            _ => Delivery::Ended,
+            (true, false) => Delivery::Unsent,
+            // The relay is given up for it, and another source is found for all topics.
+            (false, _) if follower.class == TopicClass::Urgent => return false,
+            (false, _) => Delivery::Ended,
         };
         // If the task has not taken the previous update yet, the next reply repeats this one.
         let _ = follower.updates.try_send(delivery);
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -185,12 +185,7 @@
 
 impl PrefixWatcher {
     async fn run(mut self) {
-        if self.settings.class != TopicClass::Background
-            && let Some(subscription) = &self.subscription
-            && let Some(list) = read_list(&self.shared, subscription).await
-        {
-            self.apply_relayed_list(list);
-        }
+        self.list_in_zone().await;
         loop {
             // While a relay may lead this node into a later era, its position is the last one before.
             let position = self.revision.or(self.known.filter(|_| self.led_until.is_some()));
@@ -203,7 +198,8 @@
             };
             match next_read {
                 NextRead::Relayed(changes) => self.follow(changes).await,
-                NextRead::Origin => match self.read_origin_unless_led().await {
+                NextRead::List if self.list_in_zone().await => {}
+                NextRead::List | NextRead::Origin => match self.read_origin_unless_led().await {
                     Ok(()) => {}
                     // A late answer of an ended era was not used; the service answers.
                     Err(error) if error.kind() == PlatformErrorKind::Restored => {
@@ -216,17 +212,27 @@
         }
     }
 
+    /// Lists the keys at another node of the zone; returns whether one has a newer list than this node.
+    async fn list_in_zone(&mut self) -> bool {
+        let Some(subscription) = self.held_subscription() else { return false };
+        let Some(list) = read_list(&self.shared, subscription, self.known).await else {
+            return false;
+        };
+        self.apply_relayed_list(list);
+        true
+    }
+
     /// Reads from the origin. A wait for changes there ends when this node begins to follow a relay: a change
     /// would otherwise come twice, once with its whole value.
     async fn read_origin_unless_led(&mut self) -> Result<(), PlatformError> {
         // A follower reads here what its relay does not send.
-        let has_no_choice = self.subscription.is_none() || self.shared.relay.is_following();
+        let has_no_choice = self.subscription.is_none() || !self.shared.relay.reads_origins();
         if has_no_choice || self.revision.is_none() {
             return self.read_origin().await;
         }
         let shared = Arc::clone(&self.shared);
         let reading = std::pin::pin!(self.read_origin());
-        let following = std::pin::pin!(shared.relay.following());
+        let following = std::pin::pin!(shared.relay.leaves_origins());
         match select(reading, following).await {
             Either::Left((result, _)) => result,
             Either::Right(_) => Ok(()),
@@ -276,14 +282,14 @@
         let range = KeyRange::Prefix(self.settings.prefix.clone());
         let request = WatchRequest { range, from: revision.next() };
         let sent_at = self.shared.now();
-        let is_relay = self.shared.relay.may_have_followers(&self.shared.options.node);
+        let may_have_followers = self.shared.relay.may_have_followers();
         let needs_answer = self.was_following || self.outage.is_some();
         let gap_before = self.gap;
         let watch_ms = match (gap_before, self.settings.relay_watch_ms) {
             (Gap::Likely, _) => FIRST_WATCH_MS,
             _ if needs_answer => FIRST_WATCH_MS,
             (Gap::Possible, _) => FOLLOWING_WATCH_MS,
-            (Gap::None, Some(relay_watch_ms)) if is_relay => relay_watch_ms,
+            (Gap::None, Some(relay_watch_ms)) if may_have_followers => relay_watch_ms,
             (Gap::None, _) => self.settings.watch_ms,
         };
         let watch_ms = self.handler.max_watch_ms().map_or(watch_ms, |max_ms| watch_ms.min(max_ms));
@@ -413,6 +419,7 @@
             entries.into_iter().filter_map(|entry| entry_of(entry, epoch)).collect();
         let revision = KeyValueRevision::new(end).in_era(StoreEra::new(epoch));
         self.was_following = true;
+        self.record_answer(self.shared.now());
         let sizes = entries.iter().map(entry_size);
         self.record_read(ChangePath::FromRelay, sizes, confirmed_at, revision);
         self.shared.relay.values.hold(&entries);
