--- a/crates/decisions/tests/platform_budget.rs
+++ b/crates/decisions/tests/platform_budget.rs
@@ -279,6 +279,26 @@
     assert_eq!(gate.admit(CallRank::Refresh, at(1_100), &mut random), OutageDecision::Proceed);
 }
 
+/// Guards against logs that cannot tell a node that keeps away from the platform from one whose calls fail.
+#[test]
+fn an_outage_has_its_beginning_and_its_failures() {
+    // Arrange
+    let mut random = random();
+    let mut gate = OutageGate::new(127);
+
+    // Act
+    let before = gate.outage();
+    gate.record_failure(at(1_000), &mut random);
+    gate.record_failure(at(1_500), &mut random);
+    let outage = gate.outage();
+    gate.record_success(at(2_000), &mut random);
+
+    // Assert
+    assert_eq!(before, None);
+    assert!(outage.is_some_and(|outage| (outage.since, outage.failures) == (at(1_000), 2)));
+    assert_eq!(gate.outage(), None);
+}
+
 /// Guards against labels of metrics that two purposes share, or that cannot be read back.
 #[test]
 fn names_of_purposes_can_be_parsed() {
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -86,13 +86,20 @@
     assert!(setup.client.is_down());
 }
 
-/// Counts calls.
+/// Counts calls, and those that are not answered.
 #[derive(Default)]
-struct Calls(Mutex<Vec<CallPurpose>>);
+struct Calls {
+    made: Mutex<Vec<CallPurpose>>,
+    unanswered: Mutex<Vec<CallPurpose>>,
+}
 
 impl CallObserver for Calls {
     fn record_call(&self, purpose: CallPurpose) {
-        self.0.lock().unwrap().push(purpose);
+        self.made.lock().unwrap().push(purpose);
+    }
+
+    fn record_unanswered(&self, purpose: CallPurpose) {
+        self.unanswered.lock().unwrap().push(purpose);
     }
 }
 
@@ -114,7 +121,8 @@
 
     // Assert
     let expected = [CallPurpose::Settings, CallPurpose::Settings, CallPurpose::Evidence];
-    assert_eq!(*calls.0.lock().unwrap(), expected);
+    assert_eq!(*calls.made.lock().unwrap(), expected);
+    assert_eq!(*calls.unanswered.lock().unwrap(), [CallPurpose::Settings]);
 }
 
 /// Guards against a failed report after which the node does not read its configuration for a while: a
