relay: a task whose topic has ended does not ask for it again and again

Change: only the end of an update or of the time for one lets it wait on; the state is called Pending.

--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -45,7 +45,7 @@
                 CHECK_PERIOD
             }
             ChangeSource::Wait => {
-                set_source(&shared, Source::None, None);
+                set_source(&shared, Source::Pending, None);
                 WAIT_PERIOD
             }
             ChangeSource::Relay(relay) => {
@@ -63,7 +63,7 @@
                             shared.now(),
                         );
                         if !shared.relay.reads_origins() {
-                            set_source(&shared, Source::None, None);
+                            set_source(&shared, Source::Pending, None);
                         }
                     }
                 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -70,7 +70,7 @@
     /// From another node.
     Relay,
     /// From neither, until another node has been found.
-    None,
+    Pending,
 }
 
 /// What a task does next for its topic.
@@ -279,11 +279,8 @@
                 }
                 Ok(Ok(Delivery::Transferring)) => {}
                 Ok(Ok(Delivery::Unsent)) => return NextRead::List,
-                Ok(Ok(Delivery::Ended) | Err(_)) | Err(_) => {
-                    if *lock(&self.source) == Source::Relay {
-                        break;
-                    }
-                }
+                Ok(Ok(Delivery::Ended)) | Err(_) if self.waits_for_source() => {}
+                Ok(Ok(Delivery::Ended) | Err(_)) | Err(_) => break,
             }
         }
         NextRead::Origin
@@ -296,7 +293,7 @@
 
     /// Returns whether the tasks wait until this node has found a source.
     fn waits_for_source(&self) -> bool {
-        *lock(&self.source) == Source::None
+        *lock(&self.source) == Source::Pending
     }
 
     /// Waits until the tasks no longer read from their origins, or this node becomes a relay.
@@ -405,7 +402,7 @@
                     let _ = follower.updates.try_send(Delivery::Ended);
                 }
             }
-            Source::Relay | Source::None => {
+            Source::Relay | Source::Pending => {
                 // Dropping the senders wakes the receivers.
                 lock(&self.at_origins).clear();
                 // What this node has read from the origins becomes old, so its followers must leave it.
