--- a/crates/decisions/src/gateway/relay/mod.rs
+++ b/crates/decisions/src/gateway/relay/mod.rs
@@ -18,8 +18,8 @@
 //! * [`confirmed_at`] converts the age of a relay's knowledge to an instant of the follower.
 //!
 //! What a follower hears is never newer than it claims to be: a relay that is frozen, slow or cut
-//! off from the origin sends old ages or nothing, and one that the origin does not answer sends nothing. Its followers then go to another relay, or to the
-//! origin itself. A relay passes on only what it read from the origin itself, so an age cannot be
+//! off from the origin sends old ages or nothing, and one that the origin does not answer sends nothing. Its followers then go to another relay, or to
+//! one of the few other nodes of their zone that read from the origin without relays. A relay passes on only what it read from the origin itself, so an age cannot be
 //! lost on the way.
 
 mod contents;
