readiness: a node is ready once it knows the endpoints

Cause: the settings and the endpoints are listed by two tasks, and readiness asked only for the settings.

Change: the directory says whether a complete list was read, and readiness asks for it. An empty list counts, so that a deployment without endpoints becomes ready.

--- a/crates/decisions/src/gateway/directory.rs
+++ b/crates/decisions/src/gateway/directory.rs
@@ -95,6 +95,8 @@
 pub struct Directory {
     zones: SortedMap<ZoneId, RegionId>,
     entries: SortedMap<EndpointId, Entry>,
+    // Whether a complete list of the registrations was read.
+    is_listed: bool,
     departed: DepartedProcesses,
     evacuated: Vec<ZoneId>,
     targets: SortedMap<ModelId, WeightTargets>,
@@ -109,6 +111,7 @@
         Self {
             zones,
             entries: SortedMap::new(),
+            is_listed: false,
             departed: DepartedProcesses::default(),
             evacuated: Vec::new(),
             targets: SortedMap::new(),
@@ -212,6 +215,13 @@
         for (id, record) in records.into_entries() {
             self.register(id, record);
         }
+        self.is_listed = true;
+    }
+
+    /// Returns whether the registrations were read since the process started. Before, an endpoint that is
+    /// not in the directory may still serve.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
     }
 
     /// Records that the key-value service does not answer.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -239,10 +239,11 @@
         directory.distance(&self.options.zone, zone)
     }
 
-    /// Returns whether the node can serve requests: it is not stopping, and it has a configuration
-    /// whose keys are valid.
+    /// Returns whether the node can serve requests: it is not stopping, it knows the endpoints, and it has
+    /// a configuration whose keys are valid.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping()
+            && self.directory().is_listed()
             && self
                 .settings()
                 .is_some_and(|settings| settings.validity().are_keys_valid(self.now()))
