relay: a node keeps to the relay that it follows while what it knows is old

Cause: from an age of 3 s on, a node with a failed relay reads from the origin instead of waiting for another relay. The age was that of what the node itself knows, which stays old after it has found a relay until the changes are transferred. So it left the relay 30 ms after it had found it, each 0.5 s, and each change of the source ended the call to the origin that was under way.

--- a/crates/decisions/src/gateway/relay/sources.rs
+++ b/crates/decisions/src/gateway/relay/sources.rs
@@ -113,6 +113,14 @@
     without_source_until: Deadline,
 }
 
+/// The node that is followed.
+#[derive(Debug, Clone)]
+struct Followed {
+    node: NodeId,
+    // When the origin confirmed what it knows.
+    confirmed_at: Instant,
+}
+
 /// What a relay does while the origin does not answer it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LostOrigin {
@@ -134,8 +142,7 @@
 pub struct RelaySources {
     own: NodeId,
     avoided: SortedMap<NodeId, Avoidance>,
-    // The node that is followed.
-    followed: Option<NodeId>,
+    followed: Option<Followed>,
     // When the origin confirmed what this node knows; at first, when it looked for a source.
     confirmed_at: Option<Instant>,
     // Whether all nodes that could be asked have failed since this node has followed one.
@@ -192,14 +199,19 @@
     ) -> ChangeSource {
         let relay = self.next_of(self.own_first(relays), now);
         if let (None, Some(followed)) = (&relay, &self.followed)
-            && before.contains(followed)
+            && before.contains(&followed.node)
         {
-            return ChangeSource::Relay(followed.clone());
+            return ChangeSource::Relay(followed.node.clone());
         }
         let age_ms = now.ms_since(*self.confirmed_at.get_or_insert(now));
         let live: Vec<&NodeId> = before.iter().filter(|node| !self.is_silent(node)).collect();
         let readers = reader_count(age_ms);
-        let is_due = relay.is_none() || (age_ms >= OLD_MS && !self.avoided.is_empty());
+        // A node that has found a relay knows what that knows only once the changes have arrived.
+        let source_age_ms = match &self.followed {
+            Some(followed) => age_ms.min(now.ms_since(followed.confirmed_at)),
+            None => age_ms,
+        };
+        let is_due = relay.is_none() || (source_age_ms >= OLD_MS && !self.avoided.is_empty());
         if is_due && live.len() < readers && !self.is_at_origin {
             // Others wait for this node, so it does not ask its like first.
             (self.has_asked_all, self.is_at_origin) = (true, true);
@@ -278,11 +290,11 @@
         self.avoided.get(node).is_some_and(|avoidance| avoidance.failure == RelayFailure::Silent)
     }
 
-    /// Records that a relay is followed.
-    pub fn record_success(&mut self, relay: &NodeId) {
+    /// Records that a relay is followed. The origin confirmed what that knows at `confirmed_at`.
+    pub fn record_success(&mut self, relay: &NodeId, confirmed_at: Instant) {
         self.avoided.remove(relay);
         self.clear();
-        self.followed = Some(relay.clone());
+        self.followed = Some(Followed { node: relay.clone(), confirmed_at });
         if let Some(lost @ LostOrigin::Asking) = &mut self.lost_origin {
             *lost = LostOrigin::Led(None);
         }
@@ -308,7 +320,7 @@
             RelayFailure::Silent => until,
             RelayFailure::Outdated => after_ms(OUTDATED_AVOID_MS),
         };
-        self.followed.take_if(|followed| *followed == relay);
+        self.followed.take_if(|followed| followed.node == relay);
         self.avoided.insert(relay, Avoidance { failure, until, without_source_until });
     }
 }
--- a/crates/decisions/tests/gateway_relay.rs
+++ b/crates/decisions/tests/gateway_relay.rs
@@ -259,7 +259,7 @@
     let ChangeSource::Relay(other) = sources.choose(&nodes, at(0)) else { panic!("no relay") };
     sources.record_failure(other.clone(), RelayFailure::Outdated, 0.5, at(0));
     let ChangeSource::Relay(substitute) = sources.choose(&nodes, at(0)) else { panic!("nobody") };
-    sources.record_success(&substitute);
+    sources.record_success(&substitute, at(0));
     let led = sources.choose(&nodes, at(100));
     let later = [2_200, 3_100, 3_300].map(|ms| sources.choose(&nodes, at(ms)));
     sources.record_origin(false);
--- a/crates/decisions/tests/relay_model/mod.rs
+++ b/crates/decisions/tests/relay_model/mod.rs
@@ -418,7 +418,7 @@
                 }
                 let relay = self.nodes[pending.relay].id.clone();
                 let node = &mut self.nodes[number];
-                node.sources.record_success(&relay);
+                node.sources.record_success(&relay, confirmed_at);
                 node.topics.record_all_lost();
                 (node.is_following, node.was_following) = (true, true);
                 let is_for_position = node.position == Some(pending.request.after)
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -50,8 +50,8 @@
             }
             ChangeSource::Relay(relay) => {
                 match follow_once(&shared, &*transport, relay).await {
-                    Ok(()) => {
-                        sources.record_success(relay);
+                    Ok(confirmed_at) => {
+                        sources.record_success(relay, confirmed_at);
                         set_source(&shared, Source::Relay, Some(relay));
                     }
                     Err(failure) => {
@@ -82,12 +82,13 @@
     }
 }
 
-/// Asks a relay for all topics, and passes on what it knows if that is recent.
+/// Asks a relay for all topics, and passes on what it knows if that is recent. Returns when the origin confirmed
+/// what the relay knows.
 async fn follow_once(
     shared: &Shared,
     transport: &dyn PeerTransport,
     relay: &NodeId,
-) -> Result<(), RelayFailure> {
+) -> Result<Instant, RelayFailure> {
     let address = shared.relay.address(relay).ok_or(RelayFailure::Silent)?;
     let requests = shared.relay.requests();
     let sent_at = shared.now();
@@ -116,10 +117,7 @@
                 if let (Some(sent), Some(room)) = (sent, &reply.outstanding) {
                     shared.zone_room.record_reply(shared, relay, (sent, reply.held_ms), room);
                 }
-                match deliver(shared, relay, requests, reply, sent_at) {
-                    true => Ok(()),
-                    false => Err(RelayFailure::Outdated),
-                }
+                deliver(shared, relay, requests, reply, sent_at).ok_or(RelayFailure::Outdated)
             }
             _ => Err(RelayFailure::Silent),
         },
@@ -130,7 +128,8 @@
     }
 }
 
-/// Passes the updates on to the tasks of their topics; returns whether the relay may be followed.
+/// Passes the updates on to the tasks of their topics. Returns when the origin confirmed what the relay knows, or
+/// `None` if the relay may not be followed.
 ///
 /// It may not if it has not read one of the urgent topics recently. Stores may be down, so their topics
 /// do not count.
@@ -140,20 +139,25 @@
     requests: Vec<(TopicRequest, TopicClass)>,
     reply: RelayReply,
     sent_at: Instant,
-) -> bool {
+) -> Option<Instant> {
     let now = shared.now();
+    let often_read = shared.relay.often_read_topics();
     let mut updates = reply.updates;
     let mut is_followable = true;
+    let mut confirmed_at = sent_at;
     for (request, class) in requests {
         let position = updates.iter().position(|update| update.topic == request.topic);
         let is_urgent = class == TopicClass::Urgent;
         let is_recent = position.is_some_and(|position| {
             let update = updates.swap_remove(position);
+            if often_read.binary_search(&update.topic).is_ok() {
+                confirmed_at = confirmed_at.min(update.confirmed_at(sent_at, reply.held_ms));
+            }
             let size = update.items.iter().flatten().map(RelayItem::size).sum();
             shared.metrics.record_change_bytes(&update.topic, ChangePath::FromRelay, size);
             shared.relay.deliver(relay, request, update, (sent_at, reply.held_ms), now)
         });
         is_followable &= is_recent || !is_urgent;
     }
-    is_followable
+    is_followable.then_some(confirmed_at)
 }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -413,16 +413,19 @@
         true
     }
 
-    /// Returns when all of the urgent topics had been confirmed that relays read often.
-    fn confirmed_at(&self) -> Option<Instant> {
+    /// Returns the urgent topics that relays read often, sorted.
+    fn often_read_topics(&self) -> Vec<SmolStr> {
         let is_often_read = |follower: &&Follower| {
             follower.class == TopicClass::Urgent && follower.max_age_ms <= OFTEN_READ_AGE_MS
         };
-        let topics: Vec<SmolStr> = {
-            let followers = lock(&self.followers);
-            let often_read = followers.values().filter(is_often_read);
-            often_read.map(|follower| follower.position.topic.clone()).collect()
-        };
+        let followers = lock(&self.followers);
+        let often_read = followers.values().filter(is_often_read);
+        often_read.map(|follower| follower.position.topic.clone()).collect()
+    }
+
+    /// Returns when all of the urgent topics had been confirmed that relays read often.
+    fn confirmed_at(&self) -> Option<Instant> {
+        let topics = self.often_read_topics();
         let held = lock(&self.held);
         topics.iter().filter_map(|topic| held.confirmed_at(topic)).min()
     }
