--- a/crates/decisions/src/gateway/relay/sources.rs
+++ b/crates/decisions/src/gateway/relay/sources.rs
@@ -206,7 +206,7 @@
         let age_ms = now.ms_since(*self.confirmed_at.get_or_insert(now));
         let live: Vec<&NodeId> = before.iter().filter(|node| !self.is_silent(node)).collect();
         let readers = reader_count(age_ms);
-        // A node that has found a relay knows what that knows only once the changes have arrived.
+        // What this node holds stays old until the changes of the relay have been transferred.
         let source_age_ms = match &self.followed {
             Some(followed) => age_ms.min(now.ms_since(followed.confirmed_at)),
             None => age_ms,
