--- a/crates/gateway/src/relay/listing.rs
+++ b/crates/gateway/src/relay/listing.rs
@@ -1,7 +1,7 @@
-//! Lists of topics that a node which starts gets from other nodes of its zone.
+//! Lists of topics that a node gets from other nodes of its zone: when it starts, and when its relay does not send the
+//! changes that it misses.
 //!
-//! If each node listed the keys at the origin, the links between regions would carry all of them once for each
-//! node that starts.
+//! If each node listed the keys at the origin, the links between regions would carry all of them once for each node.
 
 use std::net::SocketAddr;
 use std::time::Duration;
